--- /dev/null
+++ b/sapphireslip-core/src/lib.rs
@@ -0,0 +1,40 @@
+//! Every decision of the proxy: one reducer over events, with effects as data.
+//!
+//! Nothing here opens a socket, reads a clock or starts a task: events come in with the time, and
+//! effects go out to the edges of the daemon.
+
+mod configuration;
+mod cx;
+mod derives;
+mod document;
+mod drain;
+mod effect;
+mod entry;
+mod event;
+#[allow(dead_code, reason = "the homes call it once both are written")]
+mod group;
+mod homes;
+mod instant;
+mod membership;
+mod name;
+mod peer_message;
+pub mod placement;
+mod random;
+mod reducer;
+mod refusal;
+mod request;
+mod request_key;
+mod server_status;
+mod term;
+mod timeline_entry;
+
+use std::sync::Arc;
+
+pub use self::{
+    configuration::*, cx::*, document::*, drain::*, effect::*, entry::*, event::*, group::*,
+    homes::*, instant::*, membership::*, name::*, peer_message::*, random::*, reducer::*,
+    refusal::*, request::*, request_key::*, server_status::*, term::*, timeline_entry::*,
+};
+
+/// An opaque shared text.
+pub type Text = Arc<str>;
--- /dev/null
+++ b/sapphireslip-core/src/reducer.rs
@@ -0,0 +1,253 @@
+//! The one reducer over all events.
+
+use crate::derives::data;
+use crate::{
+    CallerEffect, Configuration, Cx, Drain, Effect, Entry, Event, Fleet, Homes, Local, Membership,
+    Now, OperatorEvent, Outgoing, PeerMessage, PlatformEvent, Random, VmId, VmRecord,
+};
+
+data! {
+    /// The whole state of a daemon.
+    pub struct State {
+        /// Who this daemon is.
+        pub local: Local,
+        /// Seeded randomness.
+        pub random: Random,
+        /// The documents in force.
+        pub configuration: Configuration,
+        /// The other VMs.
+        pub membership: Membership,
+        /// Sessions of callers.
+        pub entry: Entry,
+        /// Databases of which this daemon is the home.
+        pub homes: Homes,
+        /// The graceful stop.
+        pub drain: Drain,
+        synced: Versions,
+    }
+
+    /// The versions that homes were last brought in line with.
+    #[derive(Default)]
+    struct Versions {
+        configuration: u64,
+        membership: u64,
+    }
+}
+
+impl State {
+    /// Returns the state of a daemon that has just started and knows only its settings.
+    ///
+    /// `seed` feeds jitter; two daemons should differ in it.
+    #[must_use]
+    pub fn new(local: Local, seeds: Vec<VmRecord>, seed: u64) -> Self {
+        Self {
+            membership: Membership::new(&local, seeds),
+            local,
+            random: Random::new(seed),
+            configuration: Configuration::default(),
+            entry: Entry::default(),
+            homes: Homes::default(),
+            drain: Drain::default(),
+            synced: Versions::default(),
+        }
+    }
+}
+
+/// Takes one event and returns what the edges are to do, in order.
+pub fn reduce(state: &mut State, now: Now, event: Event) -> Vec<Effect> {
+    let mut effects = Vec::new();
+    let mut outgoing = Vec::new();
+    step(state, now, event, &mut effects, &mut outgoing);
+    deliver(state, now, &mut effects, outgoing);
+    effects
+}
+
+fn step(
+    state: &mut State,
+    now: Now,
+    event: Event,
+    effects: &mut Vec<Effect>,
+    outgoing: &mut Vec<Outgoing>,
+) {
+    let State {
+        local,
+        random,
+        configuration,
+        membership,
+        entry,
+        homes,
+        drain,
+        synced,
+    } = state;
+    let cx = &mut Cx {
+        now,
+        local,
+        random,
+        effects,
+        outgoing,
+    };
+    match event {
+        Event::Tick => {
+            membership.on_tick(cx);
+            configuration.on_tick(cx, membership);
+            let fleet = Fleet {
+                membership,
+                configuration,
+            };
+            entry.on_tick(cx, fleet);
+            homes.on_tick(cx, fleet);
+        }
+        Event::Caller(event) => {
+            entry.on_caller(
+                cx,
+                Fleet {
+                    membership,
+                    configuration,
+                },
+                event,
+            );
+        }
+        Event::Backend(event) => {
+            homes.on_backend(
+                cx,
+                Fleet {
+                    membership,
+                    configuration,
+                },
+                event,
+            );
+        }
+        Event::Peer { from, message } => {
+            on_peer(cx, configuration, membership, entry, homes, &from, message);
+        }
+        Event::PeerLost { vm } => {
+            membership.on_peer_lost(cx, &vm);
+            entry.on_peer_lost(
+                cx,
+                Fleet {
+                    membership,
+                    configuration,
+                },
+                &vm,
+            );
+            homes.on_peer_lost(cx, &vm);
+        }
+        Event::Platform(PlatformEvent::Vms(records)) => membership.on_vms(cx, records),
+        Event::Platform(event) => configuration.on_platform(cx, event),
+        Event::Operator(OperatorEvent::Drain { bound }) => {
+            drain.begin(cx, bound);
+            cx.caller(CallerEffect::StopListening);
+            membership.leave(cx);
+            entry.begin_drain(cx);
+        }
+    }
+    let current = Versions {
+        configuration: configuration.version(),
+        membership: membership.version(),
+    };
+    if *synced != current {
+        *synced = current;
+        homes.sync(
+            cx,
+            Fleet {
+                membership,
+                configuration,
+            },
+        );
+    }
+    drain.on_tick(cx, entry.is_idle() && homes.is_idle());
+}
+
+fn on_peer(
+    cx: &mut Cx<'_>,
+    configuration: &mut Configuration,
+    membership: &mut Membership,
+    entry: &mut Entry,
+    homes: &mut Homes,
+    from: &VmId,
+    message: PeerMessage,
+) {
+    match message {
+        PeerMessage::Request(request) => {
+            homes.on_request(
+                cx,
+                Fleet {
+                    membership,
+                    configuration,
+                },
+                from,
+                request,
+            );
+        }
+        PeerMessage::Answer(answer) => {
+            entry.on_answer(
+                cx,
+                Fleet {
+                    membership,
+                    configuration,
+                },
+                answer,
+            );
+        }
+        PeerMessage::Cancel(request) => homes.on_cancel(cx, &request),
+        PeerMessage::SessionClosed {
+            incarnation,
+            session,
+        } => {
+            homes.on_session_closed(cx, from, incarnation, session);
+        }
+        PeerMessage::Probe { changes, .. } | PeerMessage::ProbeAck { changes, .. } => {
+            configuration.on_peer_changes(cx, from, changes);
+            membership.on_peer(cx, from, message);
+        }
+        PeerMessage::ProbeFor { .. }
+        | PeerMessage::ProbeForAck { .. }
+        | PeerMessage::WantVms
+        | PeerMessage::Vms(_) => membership.on_peer(cx, from, message),
+        PeerMessage::WantDocuments { .. } | PeerMessage::Documents { .. } => {
+            configuration.on_peer(cx, membership, from, message);
+        }
+        PeerMessage::ConfirmSuspicion { .. }
+        | PeerMessage::Suspicion { .. }
+        | PeerMessage::Promoted { .. } => {
+            homes.on_group_message(
+                cx,
+                Fleet {
+                    membership,
+                    configuration,
+                },
+                from,
+                message,
+            );
+        }
+    }
+}
+
+/// Turns messages into effects; one whose receiver has no known address counts as lost.
+fn deliver(state: &mut State, now: Now, effects: &mut Vec<Effect>, outgoing: Vec<Outgoing>) {
+    let mut unknown = Vec::new();
+    for Outgoing { to, message } in outgoing {
+        match state.membership.address(&to) {
+            Some(address) => effects.push(Effect::Send {
+                to,
+                address,
+                message,
+            }),
+            None => unknown.push(to),
+        }
+    }
+    unknown.dedup();
+    for vm in unknown {
+        let mut outgoing = Vec::new();
+        step(state, now, Event::PeerLost { vm }, effects, &mut outgoing);
+        for Outgoing { to, message } in outgoing {
+            if let Some(address) = state.membership.address(&to) {
+                effects.push(Effect::Send {
+                    to,
+                    address,
+                    message,
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/sapphireslip-core/src/request_key.rs
@@ -0,0 +1,92 @@
+//! Keys that name a non-idempotent request, so that it runs at most once.
+
+use std::fmt::{self, Display, Formatter};
+use std::sync::Arc;
+use std::time::Duration;
+
+use quick_error::quick_error;
+
+/// The longest request key in bytes.
+pub const REQUEST_KEY_MAX_BYTES: usize = 96;
+
+/// How long after its birth a request key is accepted.
+pub const REQUEST_KEY_LIFETIME: Duration = Duration::from_secs(24 * 60 * 60);
+
+/// How far ahead of a daemon's wall clock a key's birth may lie.
+pub const REQUEST_KEY_MAX_AHEAD: Duration = Duration::from_secs(5 * 60);
+
+/// A request key: the second of its birth, a dot, and a text that is unique to the request.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RequestKey {
+    text: Arc<str>,
+    born: Duration,
+}
+
+quick_error! {
+    /// Why a text is not a request key.
+    #[derive(Clone, Debug, Eq, PartialEq)]
+    pub enum RequestKeyError {
+        /// The text has another form.
+        Form(text: String) {
+            display("`{text}` is no request key: write it as `UNIXSECONDS.UNIQUE` with a-z, A-Z, 0-9, `-` and `_`, at most {REQUEST_KEY_MAX_BYTES} bytes")
+        }
+    }
+}
+
+impl RequestKey {
+    /// Returns the text of the key.
+    ///
+    /// ```
+    /// use sapphireslip_core::RequestKey;
+    /// let key = RequestKey::try_from("1764794258.repair-42")?;
+    /// assert_eq!(key.as_str(), "1764794258.repair-42");
+    /// # Ok::<(), sapphireslip_core::RequestKeyError>(())
+    /// ```
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.text
+    }
+
+    /// Returns whether the key may be used at wall-clock time `unix` (since the Unix epoch).
+    ///
+    /// ```
+    /// use sapphireslip_core::RequestKey;
+    /// use std::time::Duration;
+    /// let key = RequestKey::try_from("1000.repair-42")?;
+    /// assert!(key.is_alive(Duration::from_secs(1000)));
+    /// assert!(!key.is_alive(Duration::from_secs(1000 + 25 * 60 * 60)));
+    /// # Ok::<(), sapphireslip_core::RequestKeyError>(())
+    /// ```
+    #[must_use]
+    pub fn is_alive(&self, unix: Duration) -> bool {
+        self.born <= unix.saturating_add(REQUEST_KEY_MAX_AHEAD)
+            && unix <= self.born.saturating_add(REQUEST_KEY_LIFETIME)
+    }
+}
+
+impl TryFrom<&str> for RequestKey {
+    type Error = RequestKeyError;
+
+    fn try_from(text: &str) -> Result<Self, RequestKeyError> {
+        let form = || RequestKeyError::Form(text.chars().take(REQUEST_KEY_MAX_BYTES).collect());
+        if text.len() > REQUEST_KEY_MAX_BYTES {
+            return Err(form());
+        }
+        let (born, unique) = text.split_once('.').ok_or_else(form)?;
+        let allowed = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
+        if unique.is_empty() || !unique.chars().all(allowed) {
+            return Err(form());
+        }
+        let born = born.parse().ok().ok_or_else(form)?;
+        Ok(Self {
+            text: Arc::from(text),
+            born: Duration::from_secs(born),
+        })
+    }
+}
+
+impl Display for RequestKey {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.text)
+    }
+}
--- /dev/null
+++ b/sapphireslip-core/src/term.rs
@@ -0,0 +1,60 @@
+//! Terms and log positions of a database group.
+
+use std::fmt::{self, Display, Formatter};
+
+use quick_error::quick_error;
+
+use crate::derives::key;
+
+key! {
+    /// The number of a primary's reign in a database group; a higher one supersedes a lower one.
+    #[derive(Default)]
+    pub struct Term(pub u64);
+
+    /// The number of a record in the log of a database group.
+    #[derive(Default)]
+    pub struct Position(pub u64);
+
+    /// A record of the log, named by the term that wrote it and its position.
+    ///
+    /// The order is by term first, as the choice of a new primary needs it.
+    #[derive(Default)]
+    pub struct TermPosition {
+        /// The term of the primary that wrote the record.
+        pub term: Term,
+        /// The record's place in the log.
+        pub position: Position,
+    }
+}
+
+quick_error! {
+    /// Why a text is not a term and a position.
+    #[derive(Clone, Debug, Eq, PartialEq)]
+    pub enum TermPositionError {
+        /// The text has another form.
+        Form(text: String) {
+            display("`{text}` is no log position: write it as `TERM/POSITION`, such as `3/1042`")
+        }
+    }
+}
+
+impl Display for TermPosition {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.term.0, self.position.0)
+    }
+}
+
+impl TryFrom<&str> for TermPosition {
+    type Error = TermPositionError;
+
+    fn try_from(text: &str) -> Result<Self, TermPositionError> {
+        let form = || TermPositionError::Form(text.to_owned());
+        let (term, position) = text.split_once('/').ok_or_else(form)?;
+        let term = term.parse().ok().ok_or_else(form)?;
+        let position = position.parse().ok().ok_or_else(form)?;
+        Ok(Self {
+            term: Term(term),
+            position: Position(position),
+        })
+    }
+}
--- /dev/null
+++ b/sapphireslip/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
