--- a/sapphireslip-core/src/lib.rs
+++ b/sapphireslip-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! effects go out to the edges of the daemon.
 
 mod configuration;
+#[allow(dead_code, reason = "the modules call it once they are written")]
 mod cx;
 mod derives;
 mod document;
