Entry daemon: sessions, classification, sends and their loss

A request whose home is lost goes out again only if it can change nothing or carries a key; everything else is answered as unknown at once. A transaction whose home is lost stays failed until the caller ends it, so that the rest of a pipelined transaction can't run outside one.

Weighed: marking the session idle at the loss. Ruled out, as a caller that pipelines INSERT; INSERT; COMMIT would run the second INSERT on its own.

--- /dev/null
+++ b/sapphireslip-core/src/admission.rs
@@ -0,0 +1,77 @@
+//! Whether a caller may open a session, before its password is asked for.
+
+use std::collections::BTreeMap;
+
+use crate::session::Session;
+use crate::{
+    CallerName, DatabaseName, Fleet, Freshness, NO_HOME_RETRY_AFTER, QUOTA_RETRY_AFTER, Refusal,
+    RefusalReason, SESSIONS_MAX, SessionId, Text, TransactionStatus,
+};
+
+/// A session that may go on to its password exchange.
+pub(crate) struct Admitted {
+    /// The session.
+    pub session: Session,
+    /// The verifier of its caller.
+    pub verifier: Text,
+}
+
+/// Checks a caller that names a user and a database, before its password exchange.
+pub(crate) fn admit(
+    sessions: &BTreeMap<SessionId, Session>,
+    fleet: Fleet<'_>,
+    id: SessionId,
+    user: &Text,
+    database: &Text,
+) -> Result<Admitted, Refusal> {
+    if !fleet.configuration.is_known() {
+        let detail = "the configuration isn't known here yet";
+        return Err(Refusal::not_run(
+            RefusalReason::NoHome,
+            Some(NO_HOME_RETRY_AFTER),
+            detail,
+        ));
+    }
+    let unknown = || {
+        let detail = format!("no database `{database}` is declared in any document");
+        Refusal::not_run(RefusalReason::UnknownDatabase, None, &detail)
+    };
+    let name = DatabaseName::try_from(&**database).map_err(|_error| unknown())?;
+    let document = fleet.configuration.document_of(&name).ok_or_else(unknown)?;
+    let bad = || {
+        let detail = format!("password authentication failed for user `{user}`");
+        Refusal::not_run(RefusalReason::BadCredentials, None, &detail)
+    };
+    let caller = CallerName::try_from(&**user).map_err(|_error| bad())?;
+    let account = fleet.configuration.caller(&name, &caller).ok_or_else(bad)?;
+    let of_service = sessions
+        .values()
+        .filter(|s| s.service == document.service)
+        .count();
+    let limit = usize::try_from(document.limits.sessions).unwrap_or(usize::MAX);
+    if of_service >= limit || sessions.len() >= SESSIONS_MAX {
+        let detail = format!(
+            "service `{}` has {of_service} sessions here",
+            document.service
+        );
+        return Err(Refusal::not_run(
+            RefusalReason::Quota,
+            Some(QUOTA_RETRY_AFTER),
+            &detail,
+        ));
+    }
+    let session = Session {
+        id,
+        service: document.service.clone(),
+        database: name,
+        caller: None,
+        freshness: Freshness::Probe,
+        transaction: TransactionStatus::Idle,
+        transaction_home: None,
+        running: None,
+    };
+    Ok(Admitted {
+        session,
+        verifier: Text::clone(&account.verifier),
+    })
+}
--- a/sapphireslip-core/src/entry.rs
+++ b/sapphireslip-core/src/entry.rs
@@ -1,29 +1,525 @@
 //! The sessions of callers at this daemon, and their requests.
 
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::admission::admit;
 use crate::derives::data;
-use crate::{Answer, CallerEvent, Cx, Fleet, VmId};
+use crate::due_sessions::DueSessions;
+use crate::entry_refusal::{draining, lost, out_of_sends, out_of_turn, past_deadline};
+use crate::session::{Running, Session, statement_kind};
+use crate::timeline_entry::entry as timeline;
+use crate::{
+    Answer, AnswerEnd, CallerEffect, CallerEvent, CallerName, Cx, Fleet, Outcome, PeerMessage,
+    Refusal, RefusalReason, Request, RequestId, RequestKey, RequestNumber, SessionId,
+    StatementKind, TermPosition, Text, TimelineKind, TransactionStatus, VmId, placement,
+};
+
+/// The most sessions at one daemon.
+pub const SESSIONS_MAX: usize = 16_384;
+
+/// The most sends of one request, the first included.
+pub const SENDS_MAX: u32 = 6;
+
+/// The wait before the second send; it doubles with each further one.
+pub const SEND_AGAIN_BASE: Duration = Duration::from_millis(10);
+
+/// When a caller that found no home, or a daemon not ready yet, should come back.
+pub const NO_HOME_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// When a caller that was refused by a full daemon or service should come back.
+pub const QUOTA_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 data! {
     /// All sessions at this daemon.
     #[derive(Default)]
-    pub struct Entry {}
+    pub struct Entry {
+        sessions: BTreeMap<SessionId, Session>,
+        running: BTreeMap<RequestNumber, SessionId>,
+        due: DueSessions,
+        requests: u64,
+        is_draining: bool,
+    }
 }
 
 impl Entry {
-    pub(crate) fn on_caller(&mut self, _cx: &mut Cx<'_>, _fleet: Fleet<'_>, _event: CallerEvent) {}
+    /// Returns how many sessions are open.
+    #[must_use]
+    pub fn sessions(&self) -> usize {
+        self.sessions.len()
+    }
+
+    /// Returns whether no session is left.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.sessions.is_empty()
+    }
+
+    pub(crate) fn on_caller(&mut self, cx: &mut Cx<'_>, fleet: Fleet<'_>, event: CallerEvent) {
+        match event {
+            CallerEvent::Connecting {
+                session,
+                user,
+                database,
+            } => {
+                self.on_connecting(cx, fleet, session, &user, &database);
+            }
+            CallerEvent::Opened {
+                session,
+                caller,
+                token,
+                ..
+            } => {
+                self.on_opened(cx, session, caller, token);
+            }
+            CallerEvent::TokenGiven { session, token } => {
+                if let Some(session) = self.sessions.get_mut(&session) {
+                    session.see(token);
+                }
+            }
+            CallerEvent::Statement {
+                session,
+                text,
+                key,
+                payload,
+            } => {
+                self.on_statement(cx, fleet, session, &text, key, payload);
+            }
+            CallerEvent::Cancel { session } => self.on_cancel(cx, session),
+            CallerEvent::Closed { session } => self.on_closed(cx, session),
+        }
+    }
+
+    fn on_connecting(
+        &mut self,
+        cx: &mut Cx<'_>,
+        fleet: Fleet<'_>,
+        id: SessionId,
+        user: &Text,
+        database: &Text,
+    ) {
+        let admitted = if self.is_draining {
+            Err(draining())
+        } else {
+            admit(&self.sessions, fleet, id, user, database)
+        };
+        match admitted {
+            Ok(admitted) => {
+                self.sessions.insert(id, admitted.session);
+                cx.caller(CallerEffect::Authenticate {
+                    session: id,
+                    verifier: admitted.verifier,
+                });
+            }
+            Err(refusal) => cx.caller(CallerEffect::Close {
+                session: id,
+                refusal,
+            }),
+        }
+    }
+
+    fn on_opened(
+        &mut self,
+        cx: &mut Cx<'_>,
+        id: SessionId,
+        caller: CallerName,
+        token: Option<TermPosition>,
+    ) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        session.caller = Some(caller);
+        if let Some(token) = token {
+            session.see(token);
+        }
+        let database = session.database.clone();
+        cx.record(
+            timeline(TimelineKind::SessionOpened)
+                .session(id)
+                .database(&database),
+        );
+        if self.is_draining {
+            self.close(cx, id, draining());
+        }
+    }
+
+    fn on_statement(
+        &mut self,
+        cx: &mut Cx<'_>,
+        fleet: Fleet<'_>,
+        id: SessionId,
+        text: &str,
+        key: Option<RequestKey>,
+        payload: Bytes,
+    ) {
+        let Some(session) = self.sessions.get(&id) else {
+            return;
+        };
+        if session.running.is_some() || session.caller.is_none() {
+            return self.close(cx, id, out_of_turn());
+        }
+        let kind = match statement_kind(session, text, key.as_ref()) {
+            Ok(kind) => kind,
+            Err(refusal) => return self.refuse(cx, id, refusal),
+        };
+        let Some(spec) = fleet.configuration.database(&session.database) else {
+            let detail = format!("database `{}` is no longer declared", session.database);
+            let refusal = Refusal::not_run(RefusalReason::UnknownDatabase, None, &detail);
+            return self.refuse(cx, id, refusal);
+        };
+        self.requests += 1;
+        let running = Running {
+            number: RequestNumber(self.requests),
+            kind,
+            in_transaction: session.transaction_home.is_some(),
+            key,
+            payload,
+            deadline: cx.now.instant + spec.deadline,
+            home: None,
+            sends: 0,
+            send_again_at: None,
+            next_part: 0,
+            has_answered: false,
+            may_have_run: false,
+        };
+        let request = request_id(cx, running.number);
+        cx.record(
+            timeline(TimelineKind::RequestReceived)
+                .request(&request)
+                .session(id),
+        );
+        self.watch(cx, &running, id);
+        self.running.insert(running.number, id);
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.running = Some(running);
+        }
+        self.forward(cx, fleet, id);
+    }
+
+    fn watch(&mut self, cx: &mut Cx<'_>, running: &Running, id: SessionId) {
+        self.due.insert(running.due(), id);
+        cx.wake_at(running.due());
+    }
+
+    /// Sends the running request to its home.
+    fn forward(&mut self, cx: &mut Cx<'_>, fleet: Fleet<'_>, id: SessionId) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let Some(home) = home_of(cx, fleet, session) else {
+            let detail = format!("no daemon is home of `{}`", session.database);
+            let refusal =
+                Refusal::not_run(RefusalReason::NoHome, Some(NO_HOME_RETRY_AFTER), &detail);
+            return self.finish(cx, id, Some(refusal));
+        };
+        let Some(running) = session.running.as_mut() else {
+            return;
+        };
+        let request = Request {
+            id: request_id(cx, running.number),
+            session: id,
+            service: session.service.clone(),
+            database: session.database.clone(),
+            kind: running.kind,
+            in_transaction: running.in_transaction,
+            freshness: session.freshness.clone(),
+            key: running.key.clone(),
+            resent: running.may_have_run,
+            time_left: running.time_for_home(cx.now.instant),
+            payload: Bytes::clone(&running.payload),
+        };
+        running.home = Some(home.clone());
+        running.sends += 1;
+        running.send_again_at = None;
+        running.may_have_run = true;
+        cx.record(
+            timeline(TimelineKind::RequestForwarded)
+                .request(&request.id)
+                .session(id)
+                .database(&request.database)
+                .peer(&home),
+        );
+        cx.send(home, PeerMessage::Request(request));
+    }
+
+    pub(crate) fn on_answer(&mut self, cx: &mut Cx<'_>, fleet: Fleet<'_>, answer: Answer) {
+        if answer.id.incarnation != cx.local.incarnation || answer.id.entry != cx.local.vm {
+            return;
+        }
+        let Some(id) = self.running.get(&answer.id.number).copied() else {
+            return;
+        };
+        let Some(running) = self.sessions.get_mut(&id).and_then(|s| s.running.as_mut()) else {
+            return;
+        };
+        if running.send_again_at.is_some() || answer.part < running.next_part {
+            return;
+        }
+        if answer.part > running.next_part {
+            return self.lose(cx, fleet, id);
+        }
+        running.next_part += 1;
+        if !answer.payload.is_empty() {
+            running.has_answered = true;
+            cx.caller(CallerEffect::Answer {
+                session: id,
+                payload: answer.payload,
+            });
+        }
+        if let Some(end) = answer.end {
+            self.on_end(cx, fleet, id, end);
+        }
+    }
+
+    fn on_end(&mut self, cx: &mut Cx<'_>, fleet: Fleet<'_>, id: SessionId, end: AnswerEnd) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let Some(running) = session.running.as_mut() else {
+            return;
+        };
+        if should_try_elsewhere(running, &end) {
+            running.may_have_run = running.sends > 1;
+            return self.send_again(cx, fleet, id);
+        }
+        session.transaction = end.transaction;
+        session.transaction_home = match end.transaction {
+            TransactionStatus::Idle => None,
+            TransactionStatus::Open | TransactionStatus::Failed => running.home.clone(),
+        };
+        if let Some(seen) = end.seen {
+            session.see(seen);
+        }
+        let refusal = match end.outcome {
+            Outcome::Done => None,
+            Outcome::Refused(refusal) => Some(refusal),
+        };
+        self.finish(cx, id, refusal);
+    }
+
+    /// Ends the running request towards its caller.
+    fn finish(&mut self, cx: &mut Cx<'_>, id: SessionId, refusal: Option<Refusal>) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let Some(running) = session.running.take() else {
+            return;
+        };
+        self.due.remove(running.due(), id);
+        self.running.remove(&running.number);
+        let request = request_id(cx, running.number);
+        let kind = match refusal {
+            Some(_) => TimelineKind::RequestRefused,
+            None => TimelineKind::RequestFinished,
+        };
+        let detail = refusal.as_ref().map_or("", |refusal| &refusal.detail);
+        cx.record(timeline(kind).request(&request).session(id).detail(detail));
+        self.tell(cx, id, refusal);
+    }
+
+    /// Refuses a statement that was never sent.
+    fn refuse(&mut self, cx: &mut Cx<'_>, id: SessionId, refusal: Refusal) {
+        cx.record(
+            timeline(TimelineKind::RequestRefused)
+                .session(id)
+                .detail(&refusal.detail),
+        );
+        self.tell(cx, id, Some(refusal));
+    }
+
+    fn tell(&mut self, cx: &mut Cx<'_>, id: SessionId, refusal: Option<Refusal>) {
+        let Some(session) = self.sessions.get(&id) else {
+            return;
+        };
+        let transaction = session.transaction;
+        let token = session.token();
+        cx.caller(CallerEffect::Finish {
+            session: id,
+            refusal,
+            transaction,
+            token,
+        });
+        if self.is_draining && transaction == TransactionStatus::Idle {
+            self.close(cx, id, draining());
+        }
+    }
+
+    fn close(&mut self, cx: &mut Cx<'_>, id: SessionId, refusal: Refusal) {
+        cx.caller(CallerEffect::Close {
+            session: id,
+            refusal,
+        });
+        self.on_closed(cx, id);
+    }
+
+    fn on_closed(&mut self, cx: &mut Cx<'_>, id: SessionId) {
+        let Some(session) = self.sessions.remove(&id) else {
+            return;
+        };
+        let running_home = session
+            .running
+            .as_ref()
+            .and_then(|running| running.home.clone());
+        if let Some(running) = &session.running {
+            self.due.remove(running.due(), id);
+            self.running.remove(&running.number);
+        }
+        if let Some(home) = running_home.or(session.transaction_home) {
+            let incarnation = cx.local.incarnation;
+            cx.send(
+                home,
+                PeerMessage::SessionClosed {
+                    incarnation,
+                    session: id,
+                },
+            );
+        }
+        cx.record(
+            timeline(TimelineKind::SessionClosed)
+                .session(id)
+                .database(&session.database),
+        );
+    }
+
+    fn on_cancel(&mut self, cx: &mut Cx<'_>, id: SessionId) {
+        let Some(running) = self.sessions.get(&id).and_then(|s| s.running.as_ref()) else {
+            return;
+        };
+        if let Some(home) = running.home.clone() {
+            let request = request_id(cx, running.number);
+            cx.send(home, PeerMessage::Cancel(request));
+        }
+    }
+
+    pub(crate) fn on_peer_lost(&mut self, cx: &mut Cx<'_>, fleet: Fleet<'_>, vm: &VmId) {
+        let ran_there = |s: &Session| {
+            let waits = |r: &Running| r.home.as_ref() == Some(vm) && r.send_again_at.is_none();
+            s.running.as_ref().is_some_and(waits)
+        };
+        let ids = |is_affected: &dyn Fn(&Session) -> bool| -> Vec<SessionId> {
+            self.sessions
+                .values()
+                .filter(|s| is_affected(s))
+                .map(|s| s.id)
+                .collect()
+        };
+        let running = ids(&ran_there);
+        let open = ids(&|s| s.transaction_home.as_ref() == Some(vm));
+        for id in open {
+            self.lose_transaction(id);
+        }
+        for id in running {
+            self.lose(cx, fleet, id);
+        }
+    }
 
-    pub(crate) fn on_answer(&mut self, _cx: &mut Cx<'_>, _fleet: Fleet<'_>, _answer: Answer) {}
+    /// Until the caller ends the lost transaction, none of its statements may run outside one.
+    fn lose_transaction(&mut self, id: SessionId) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.transaction_home = None;
+            session.transaction = TransactionStatus::Failed;
+        }
+    }
+
+    /// Decides what becomes of a request whose home was lost or skipped a part of its answer.
+    fn lose(&mut self, cx: &mut Cx<'_>, fleet: Fleet<'_>, id: SessionId) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let Some(running) = session.running.as_mut() else {
+            return;
+        };
+        let refusal = lost(running);
+        if running.kind == StatementKind::Commit && running.in_transaction {
+            session.transaction = TransactionStatus::Idle;
+        }
+        match refusal {
+            Some(refusal) => self.finish(cx, id, Some(refusal)),
+            None => self.send_again(cx, fleet, id),
+        }
+    }
 
-    pub(crate) fn on_peer_lost(&mut self, _cx: &mut Cx<'_>, _fleet: Fleet<'_>, _vm: &VmId) {}
+    /// Sends a request again after a wait that doubles, if its sends and its time are not used up.
+    fn send_again(&mut self, cx: &mut Cx<'_>, _fleet: Fleet<'_>, id: SessionId) {
+        let Some(running) = self.sessions.get_mut(&id).and_then(|s| s.running.as_mut()) else {
+            return;
+        };
+        let wait = SEND_AGAIN_BASE * 2_u32.pow(running.sends.min(SENDS_MAX) - 1);
+        let at = cx.now.instant + cx.random.jitter(wait);
+        if running.sends >= SENDS_MAX || at >= running.deadline {
+            let refusal = out_of_sends(running);
+            return self.finish(cx, id, Some(refusal));
+        }
+        let before = running.due();
+        running.send_again_at = Some(at);
+        running.next_part = 0;
+        let running = running.clone();
+        self.due.remove(before, id);
+        self.watch(cx, &running, id);
+    }
 
-    pub(crate) fn on_tick(&mut self, _cx: &mut Cx<'_>, _fleet: Fleet<'_>) {}
+    pub(crate) fn on_tick(&mut self, cx: &mut Cx<'_>, fleet: Fleet<'_>) {
+        while let Some(id) = self.due.pop(cx.now.instant) {
+            let Some(running) = self.sessions.get(&id).and_then(|s| s.running.as_ref()) else {
+                continue;
+            };
+            let running = running.clone();
+            if running.deadline <= cx.now.instant {
+                self.on_cancel(cx, id);
+                self.finish(cx, id, Some(past_deadline(&running)));
+                continue;
+            }
+            if running.send_again_at.is_some_and(|at| at <= cx.now.instant) {
+                self.forward(cx, fleet, id);
+                self.due.insert(running.deadline, id);
+                cx.wake_at(running.deadline);
+            }
+        }
+    }
 
     /// Closes idle sessions and lets the others end.
-    pub(crate) fn begin_drain(&mut self, _cx: &mut Cx<'_>) {}
+    pub(crate) fn begin_drain(&mut self, cx: &mut Cx<'_>) {
+        self.is_draining = true;
+        let is_done =
+            |s: &&Session| s.running.is_none() && s.transaction == TransactionStatus::Idle;
+        let done: Vec<SessionId> = self
+            .sessions
+            .values()
+            .filter(is_done)
+            .map(|s| s.id)
+            .collect();
+        for id in done {
+            self.close(cx, id, draining());
+        }
+    }
+}
 
-    /// Returns whether no session is left.
-    #[must_use]
-    pub fn is_idle(&self) -> bool {
-        true
+fn request_id(cx: &Cx<'_>, number: RequestNumber) -> RequestId {
+    RequestId {
+        entry: cx.local.vm.clone(),
+        incarnation: cx.local.incarnation,
+        number,
     }
 }
+
+/// Returns the daemon that a session's request goes to.
+fn home_of(cx: &Cx<'_>, fleet: Fleet<'_>, session: &Session) -> Option<VmId> {
+    if let Some(home) = &session.transaction_home {
+        return Some(home.clone());
+    }
+    let spec = fleet.configuration.database(&session.database)?;
+    placement::home_for(fleet.membership, spec, &cx.local.zone)
+}
+
+/// Returns whether a refusal at one home is no refusal by the project: the home is being stopped
+/// and the request was not run, so the next home may take it.
+fn should_try_elsewhere(running: &Running, end: &AnswerEnd) -> bool {
+    let Outcome::Refused(refusal) = &end.outcome else {
+        return false;
+    };
+    let is_stopping =
+        refusal.reason == RefusalReason::Draining && refusal.ran == crate::Certainty::NotRun;
+    is_stopping && !running.in_transaction && !running.has_answered
+}
--- /dev/null
+++ b/sapphireslip-core/src/entry_refusal.rs
@@ -0,0 +1,74 @@
+//! The refusals that an entry daemon gives of its own.
+
+use std::time::Duration;
+
+use crate::session::Running;
+use crate::{NO_HOME_RETRY_AFTER, Refusal, RefusalReason, StatementKind};
+
+/// Returns the final answer to a request whose home was lost, or none if it may be sent again.
+pub(crate) fn lost(running: &Running) -> Option<Refusal> {
+    if running.in_transaction {
+        return Some(match running.kind {
+            StatementKind::Commit => Refusal::unknown(
+                RefusalReason::AnswerLost,
+                "the home was lost before it answered COMMIT",
+            ),
+            _ => Refusal::not_run(
+                RefusalReason::TransactionLost,
+                Some(NO_HOME_RETRY_AFTER),
+                "the home was lost; the transaction was rolled back",
+            ),
+        });
+    }
+    if running.has_answered {
+        let detail = "the home was lost in the middle of the answer";
+        return Some(if running.is_harmless() {
+            Refusal::not_run(RefusalReason::AnswerLost, Some(NO_HOME_RETRY_AFTER), detail)
+        } else {
+            Refusal::unknown(RefusalReason::AnswerLost, detail)
+        });
+    }
+    if running.is_harmless() || running.key.is_some() {
+        return None;
+    }
+    Some(Refusal::unknown(
+        RefusalReason::AnswerLost,
+        "the home was lost before it answered",
+    ))
+}
+
+/// Returns the answer to a request that no home took in as many sends as are allowed.
+pub(crate) fn out_of_sends(running: &Running) -> Refusal {
+    let detail = format!("no home answered in {} sends", running.sends);
+    if running.is_harmless() || !running.may_have_run {
+        return Refusal::not_run(RefusalReason::NoHome, Some(NO_HOME_RETRY_AFTER), &detail);
+    }
+    Refusal::unknown(RefusalReason::NoHome, &detail)
+}
+
+/// Returns the answer to a request whose deadline has passed.
+pub(crate) fn past_deadline(running: &Running) -> Refusal {
+    let detail = "no answer came within the deadline";
+    if running.is_harmless() || !running.may_have_run {
+        return Refusal::not_run(RefusalReason::Deadline, Some(NO_HOME_RETRY_AFTER), detail);
+    }
+    Refusal::unknown(RefusalReason::Deadline, detail)
+}
+
+/// Returns the answer to sessions and requests of a daemon that is being stopped.
+pub(crate) fn draining() -> Refusal {
+    Refusal::not_run(
+        RefusalReason::Draining,
+        Some(Duration::ZERO),
+        "this daemon is being stopped: connect again, another one answers",
+    )
+}
+
+/// Returns the answer to a caller that breaks the order of the protocol.
+pub(crate) fn out_of_turn() -> Refusal {
+    Refusal::not_run(
+        RefusalReason::Unsupported,
+        None,
+        "a statement came before the one before it was answered",
+    )
+}
--- a/sapphireslip-core/src/lib.rs
+++ b/sapphireslip-core/src/lib.rs
@@ -3,14 +3,17 @@
 //! Nothing here opens a socket, reads a clock or starts a task: events come in with the time, and
 //! effects go out to the edges of the daemon.
 
+mod admission;
 mod configuration;
 #[allow(dead_code, reason = "the modules call it once they are written")]
 mod cx;
 mod derives;
 mod document;
 mod drain;
+mod due_sessions;
 mod effect;
 mod entry;
+mod entry_refusal;
 mod event;
 #[allow(dead_code, reason = "the homes call it once both are written")]
 mod group;
@@ -26,6 +29,9 @@
 mod request;
 mod request_key;
 mod server_status;
+mod session;
+mod sql_words;
+mod statement;
 mod term;
 mod timeline_entry;
 
@@ -34,7 +40,8 @@
 pub use self::{
     configuration::*, cx::*, document::*, drain::*, effect::*, entry::*, event::*, group::*,
     homes::*, instant::*, membership::*, name::*, peer_message::*, random::*, reducer::*,
-    refusal::*, request::*, request_key::*, server_status::*, term::*, timeline_entry::*,
+    refusal::*, request::*, request_key::*, server_status::*, sql_words::*, statement::*, term::*,
+    timeline_entry::*,
 };
 
 /// An opaque shared text.
--- /dev/null
+++ b/sapphireslip-core/src/statement.rs
@@ -0,0 +1,114 @@
+//! What a statement asks for, as far as routing goes.
+
+use quick_error::quick_error;
+
+use crate::{StatementKind, sql_statements};
+
+quick_error! {
+    /// Why a statement can't pass through the proxy.
+    #[derive(Clone, Debug, Eq, PartialEq)]
+    pub enum StatementError {
+        /// It would leave state on a connection that the next statement may not have.
+        SessionState(word: String) {
+            display("`{word}` keeps state on the connection, which changes between statements: connect to the backend server directly for it")
+        }
+    }
+}
+
+/// First words of statements that leave something on the connection or need a protocol of theirs.
+const SESSION_STATE: [&str; 9] = [
+    "LISTEN",
+    "UNLISTEN",
+    "DECLARE",
+    "PREPARE",
+    "EXECUTE",
+    "DEALLOCATE",
+    "DISCARD",
+    "COPY",
+    "LOAD",
+];
+
+/// Words that make a statement a write although it begins like a read.
+const WRITE_WORDS: [&str; 12] = [
+    "INSERT", "UPDATE", "DELETE", "MERGE", "INTO", "SHARE", "NEXTVAL", "SETVAL", "CREATE", "ALTER",
+    "DROP", "TRUNCATE",
+];
+
+/// Returns what a text of one or more statements asks for.
+///
+/// A read that is none after all is refused by the replica that gets it, so a doubtful text may
+/// count as a read; it must not count as something that needs no acknowledgement by a majority.
+///
+/// ```
+/// use sapphireslip_core::{StatementKind, classify};
+/// assert_eq!(classify("select 1")?, StatementKind::Read);
+/// assert_eq!(classify("begin read only")?, StatementKind::BeginReadOnly);
+/// assert_eq!(classify("select 1; insert into t values (1)")?, StatementKind::Write);
+/// # Ok::<(), sapphireslip_core::StatementError>(())
+/// ```
+///
+/// # Errors
+///
+/// [`StatementError`] for statements that depend on the state of one connection.
+pub fn classify(text: &str) -> Result<StatementKind, StatementError> {
+    let mut whole = None;
+    for words in sql_statements(text) {
+        let kind = classify_one(&words)?;
+        whole = Some(whole.map_or(kind, |so_far| combine(so_far, kind)));
+    }
+    Ok(whole.unwrap_or(StatementKind::Read))
+}
+
+/// Several statements in one text run on one connection, so the most demanding one decides.
+fn combine(so_far: StatementKind, next: StatementKind) -> StatementKind {
+    use StatementKind::{Begin, BeginReadOnly, Commit, Read, Rollback, Write};
+    match (so_far, next) {
+        (Read, Read) => Read,
+        (BeginReadOnly, Read | Rollback) => BeginReadOnly,
+        (Begin | BeginReadOnly, _) => Begin,
+        (_, Commit) | (Commit, _) => Commit,
+        _ => Write,
+    }
+}
+
+fn classify_one(words: &[String]) -> Result<StatementKind, StatementError> {
+    let has = |word: &str| words.iter().any(|w| w == word);
+    let follows = |first: &str, second: &str| {
+        words
+            .windows(2)
+            .any(|pair| pair[0] == first && pair[1] == second)
+    };
+    let first = words.first().map_or("", String::as_str);
+    if first == "PREPARE" && words.get(1).is_some_and(|w| w == "TRANSACTION") {
+        return Err(StatementError::SessionState(
+            "PREPARE TRANSACTION".to_owned(),
+        ));
+    }
+    if SESSION_STATE.contains(&first) {
+        return Err(StatementError::SessionState(first.to_owned()));
+    }
+    if first == "CREATE" && (has("TEMP") || has("TEMPORARY")) {
+        return Err(StatementError::SessionState("CREATE TEMPORARY".to_owned()));
+    }
+    Ok(match first {
+        "BEGIN" | "START" if follows("READ", "ONLY") => StatementKind::BeginReadOnly,
+        "BEGIN" | "START" => StatementKind::Begin,
+        "COMMIT" | "END" => StatementKind::Commit,
+        "ROLLBACK" if has("TO") => StatementKind::Write,
+        "ROLLBACK" | "ABORT" => StatementKind::Rollback,
+        "SELECT" | "WITH" | "VALUES" | "TABLE" | "SHOW" => read_unless_writing(words),
+        "EXPLAIN" if !has("ANALYZE") => StatementKind::Read,
+        _ => StatementKind::Write,
+    })
+}
+
+fn read_unless_writing(words: &[String]) -> StatementKind {
+    let writes = words
+        .iter()
+        .any(|word| WRITE_WORDS.contains(&word.as_str()) || word.starts_with("PG_ADVISORY"));
+    if writes {
+        StatementKind::Write
+    } else {
+        StatementKind::Read
+    }
+}
--- a/sapphireslip-core/src/timeline_entry.rs
+++ b/sapphireslip-core/src/timeline_entry.rs
@@ -66,3 +66,62 @@
         pub detail: Text,
     }
 }
+
+/// Returns an entry that says no more than what happened.
+pub(crate) fn entry(kind: TimelineKind) -> TimelineEntry {
+    TimelineEntry {
+        kind,
+        request: None,
+        session: None,
+        database: None,
+        server: None,
+        peer: None,
+        term: None,
+        detail: "".into(),
+    }
+}
+
+#[allow(dead_code, reason = "each part of the reducer names what it knows")]
+impl TimelineEntry {
+    /// Adds the request.
+    pub(crate) fn request(mut self, request: &RequestId) -> Self {
+        self.request = Some(request.clone());
+        self
+    }
+
+    /// Adds the session.
+    pub(crate) const fn session(mut self, session: SessionId) -> Self {
+        self.session = Some(session);
+        self
+    }
+
+    /// Adds the database.
+    pub(crate) fn database(mut self, database: &DatabaseName) -> Self {
+        self.database = Some(database.clone());
+        self
+    }
+
+    /// Adds the backend server.
+    pub(crate) fn server(mut self, server: &ServerId) -> Self {
+        self.server = Some(server.clone());
+        self
+    }
+
+    /// Adds the peer.
+    pub(crate) fn peer(mut self, peer: &VmId) -> Self {
+        self.peer = Some(peer.clone());
+        self
+    }
+
+    /// Adds the term.
+    pub(crate) const fn term(mut self, term: Term) -> Self {
+        self.term = Some(term);
+        self
+    }
+
+    /// Adds more for people.
+    pub(crate) fn detail(mut self, detail: &str) -> Self {
+        self.detail = detail.into();
+        self
+    }
+}
