--- /dev/null
+++ b/sapphireslip/src/bench_report.rs
@@ -0,0 +1,117 @@
+//! The report of a run: text, JSON, or one self-contained HTML page with a plot.
+
+use std::fmt::Write;
+
+use plotters::prelude::{
+    ChartBuilder, IntoDrawingArea, IntoLogRange, LineSeries, Palette, Palette99, PathElement,
+    SVGBackend, WHITE,
+};
+use plotters::style::Color;
+
+use crate::{BenchResult, Error, html_page};
+
+/// The size of the plot in pixels, width and height.
+const PLOT_SIZE: (u32, u32) = (900, 420);
+
+/// The smallest latency that is drawn, in milliseconds.
+const PLOT_MIN_MS: f64 = 0.05;
+
+/// Returns the result as text for people.
+#[must_use]
+pub fn bench_text(result: &BenchResult) -> String {
+    let verdict = &result.verdict;
+    let mut text = format!(
+        "workload {}  seed {}  {} operations/s for {:.1} s  not offered {}\n",
+        result.workload, result.seed, result.rate, result.seconds, result.not_offered
+    );
+    let _fits = writeln!(
+        text,
+        "writes  acknowledged {}  not run {}  unknown {}\nreads   answered {}  refused {}\nbroken  lost {}  doubled {}  refused but run {}  stale {}",
+        verdict.acknowledged,
+        verdict.not_run,
+        verdict.unknown,
+        verdict.reads,
+        verdict.reads_refused,
+        verdict.lost,
+        verdict.doubled,
+        verdict.ran_after_all,
+        verdict.stale
+    );
+    let _fits = writeln!(
+        text,
+        "longest write gap {:.0} ms",
+        result.longest_write_gap_ms
+    );
+    if let Some(share) = result.replica_read_share {
+        let _fits = writeln!(text, "reads by replicas {:.1} %", share * 100.0);
+    }
+    for latency in &result.latencies {
+        let summary = latency.summary;
+        let _fits = writeln!(
+            text,
+            "{:<12} {:>8}  p50 {:>8.2} ms  p90 {:>8.2} ms  p99 {:>8.2} ms  max {:>8.2} ms",
+            latency.operation,
+            summary.count,
+            summary.p50_ms,
+            summary.p90_ms,
+            summary.p99_ms,
+            summary.max_ms
+        );
+    }
+    text
+}
+
+/// Returns the result as one HTML page that needs no other file.
+///
+/// # Errors
+///
+/// [`Error::Plot`] if the plot can't be drawn.
+pub fn bench_html(result: &BenchResult) -> Result<String, Error> {
+    let plot = latency_plot(result).map_err(Error::Plot)?;
+    let body = format!("<pre>{}</pre>\n{plot}", bench_text(result));
+    Ok(html_page("sapphireslip bench", &body))
+}
+
+#[expect(clippy::cast_precision_loss, reason = "a percent is at most 100")]
+fn latency_plot(result: &BenchResult) -> Result<String, String> {
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, PLOT_SIZE).into_drawing_area();
+        area.fill(&WHITE).map_err(|err| err.to_string())?;
+        let highest = result
+            .latencies
+            .iter()
+            .map(|latency| latency.summary.max_ms);
+        let highest = highest.fold(PLOT_MIN_MS * 10.0, f64::max);
+        let mut chart = ChartBuilder::on(&area)
+            .margin(12)
+            .caption("latency from the intended start", ("sans-serif", 18))
+            .x_label_area_size(36)
+            .y_label_area_size(64)
+            .build_cartesian_2d(0_f64..100.0, (PLOT_MIN_MS..highest).log_scale())
+            .map_err(|err| err.to_string())?;
+        chart
+            .configure_mesh()
+            .x_desc("percent of operations")
+            .y_desc("ms")
+            .draw()
+            .map_err(|err| err.to_string())?;
+        for (at, latency) in result.latencies.iter().enumerate() {
+            let color = Palette99::pick(at).mix(1.0);
+            let points = latency.percentiles_ms.iter().enumerate();
+            let points = points.map(|(percent, ms)| (percent as f64, ms.max(PLOT_MIN_MS)));
+            chart
+                .draw_series(LineSeries::new(points, color.stroke_width(2)))
+                .map_err(|err| err.to_string())?
+                .label(latency.operation.as_str())
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color));
+        }
+        chart
+            .configure_series_labels()
+            .background_style(WHITE)
+            .draw()
+            .map_err(|err| err.to_string())?;
+        area.present().map_err(|err| err.to_string())?;
+    }
+    Ok(svg)
+}
--- /dev/null
+++ b/sapphireslip/src/bench_run.rs
@@ -0,0 +1,196 @@
+//! A run: operations offered at a fixed rate, whether or not earlier ones have ended.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde::Serialize;
+use tokio::sync::mpsc;
+
+use crate::bench_session::{prepare, stored};
+use crate::read_share::{ReadCounts, read_counts};
+use crate::{
+    BenchSession, BenchSettings, Error, Latencies, LatencySummary, Ledger, Operation, Verdict,
+};
+
+/// Operations that may wait for one busy session; further ones count as not offered.
+const SESSION_BACKLOG: usize = 256;
+
+/// How often the progress line is written.
+const PROGRESS_EVERY: Duration = Duration::from_secs(1);
+
+/// An operation and the time at which it was meant to start.
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    at: Instant,
+    operation: Operation,
+}
+
+/// Latencies of each kind of operation.
+#[derive(Debug, Default)]
+struct Measured {
+    latencies: BTreeMap<Operation, Latencies>,
+}
+
+/// What a run found.
+#[derive(Clone, Debug, Serialize)]
+pub struct BenchResult {
+    /// The workload.
+    pub workload: String,
+    /// The seed.
+    pub seed: u64,
+    /// Operations offered a second.
+    pub rate: u32,
+    /// Operations that could not be offered, as their session had too many waiting.
+    pub not_offered: u64,
+    /// The length of the run in seconds.
+    pub seconds: f64,
+    /// What was acknowledged, refused, lost and so on.
+    pub verdict: Verdict,
+    /// The longest time between two acknowledged writes, in milliseconds.
+    pub longest_write_gap_ms: f64,
+    /// The share of reads that replicas served, if admin addresses were given.
+    pub replica_read_share: Option<f64>,
+    /// Latencies by kind of operation.
+    pub latencies: Vec<OperationLatency>,
+}
+
+/// Latencies of one kind of operation.
+#[derive(Clone, Debug, Serialize)]
+pub struct OperationLatency {
+    /// The operation.
+    pub operation: String,
+    /// Its latencies.
+    pub summary: LatencySummary,
+    /// Latencies in milliseconds at each percent, for the plot.
+    pub percentiles_ms: Vec<f64>,
+}
+
+/// Runs a workload and checks what was told against what is stored.
+///
+/// # Errors
+///
+/// [`Error::Bench`] if the daemons can't be reached before or after the run.
+pub async fn run_bench(
+    settings: BenchSettings,
+    progress: impl Fn(&str),
+) -> Result<BenchResult, Error> {
+    let settings = Arc::new(settings);
+    prepare(&settings).await?;
+    let before = read_counts(&settings.admin).await;
+    let ledger = Arc::new(Mutex::new(Ledger::default()));
+    let measured = Arc::new(Mutex::new(Measured::default()));
+    let started = Instant::now();
+    let not_offered = offer(&settings, &ledger, &measured, started, progress).await;
+    let seconds = started.elapsed().as_secs_f64();
+    let after = read_counts(&settings.admin).await;
+    let stored = stored(&settings).await?;
+    let ledger = ledger.lock().map_err(|_poisoned| Error::Interrupted)?;
+    let measured = measured.lock().map_err(|_poisoned| Error::Interrupted)?;
+    Ok(BenchResult {
+        workload: settings.workload.to_string(),
+        seed: settings.seed,
+        rate: settings.rate,
+        not_offered,
+        seconds,
+        verdict: ledger.verdict(stored.iter().map(String::as_str)),
+        longest_write_gap_ms: ledger.longest_write_gap().as_secs_f64() * 1_000.0,
+        replica_read_share: replica_share(before, after),
+        latencies: measured.latencies.iter().map(operation_latency).collect(),
+    })
+}
+
+/// Offers operations on schedule, waits for the last ones and returns how many found no room.
+async fn offer(
+    settings: &Arc<BenchSettings>,
+    ledger: &Arc<Mutex<Ledger>>,
+    measured: &Arc<Mutex<Measured>>,
+    started: Instant,
+    progress: impl Fn(&str),
+) -> u64 {
+    let mut sessions = Vec::new();
+    let mut tasks = Vec::new();
+    for number in 0..settings.sessions {
+        let (tx, rx) = mpsc::channel(SESSION_BACKLOG);
+        let session = BenchSession::new(Arc::clone(settings), number);
+        let task = serve(session, rx, Arc::clone(ledger), Arc::clone(measured));
+        tasks.push(tokio::spawn(task));
+        sessions.push(tx);
+    }
+    let mut rng = SmallRng::seed_from_u64(settings.seed);
+    let mut not_offered = 0;
+    let mut next_progress = started + PROGRESS_EVERY;
+    let interval = Duration::from_secs(1) / settings.rate;
+    let mut at = started;
+    let mut session = 0;
+    while at < started + settings.duration {
+        tokio::time::sleep_until(at.into()).await;
+        let operation = settings.workload.draw(&mut rng);
+        let is_offered = sessions[session]
+            .try_send(Arrival { at, operation })
+            .is_ok();
+        not_offered += u64::from(!is_offered);
+        session = (session + 1) % sessions.len();
+        at += interval;
+        if at >= next_progress {
+            next_progress += PROGRESS_EVERY;
+            progress(&progress_line(ledger, started));
+        }
+    }
+    drop(sessions);
+    for task in tasks {
+        let _ended = task.await;
+    }
+    not_offered
+}
+
+fn progress_line(ledger: &Mutex<Ledger>, started: Instant) -> String {
+    let verdict = ledger
+        .lock()
+        .map(|ledger| ledger.verdict([]))
+        .unwrap_or_default();
+    format!(
+        "{:>4} s  acknowledged {}  not run {}  unknown {}  reads {}  stale {}",
+        started.elapsed().as_secs(),
+        verdict.acknowledged,
+        verdict.not_run,
+        verdict.unknown,
+        verdict.reads,
+        verdict.stale,
+    )
+}
+
+async fn serve(
+    mut session: BenchSession,
+    mut arrivals: mpsc::Receiver<Arrival>,
+    ledger: Arc<Mutex<Ledger>>,
+    measured: Arc<Mutex<Measured>>,
+) {
+    while let Some(arrival) = arrivals.recv().await {
+        session.run(arrival.operation, &ledger).await;
+        if let Ok(mut measured) = measured.lock() {
+            measured
+                .latencies
+                .entry(arrival.operation)
+                .or_default()
+                .add(arrival.at.elapsed());
+        }
+    }
+}
+
+fn replica_share(before: Option<ReadCounts>, after: Option<ReadCounts>) -> Option<f64> {
+    after?.since(before?).replica_share()
+}
+
+fn operation_latency(entry: (&Operation, &Latencies)) -> OperationLatency {
+    let (operation, latencies) = entry;
+    OperationLatency {
+        operation: operation.to_string(),
+        summary: latencies.summary(),
+        percentiles_ms: (0..=100)
+            .map(|percent| latencies.at(f64::from(percent) / 100.0))
+            .collect(),
+    }
+}
--- a/sapphireslip/src/main.rs
+++ b/sapphireslip/src/main.rs
@@ -1,2 +1,3 @@
-//! Placeholder.
+//! The operator's command.
+
 fn main() {}
--- /dev/null
+++ b/sapphireslip/src/workload.rs
@@ -0,0 +1,126 @@
+//! The two workloads of the brief, as shares of operations.
+
+use std::fmt::{self, Display, Formatter};
+use std::str::FromStr;
+
+use rand::Rng;
+
+use crate::Error;
+
+/// One kind of operation that a caller's session makes.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Operation {
+    /// A non-idempotent write with a request key: a reservation, a payment or a movement record.
+    KeyedWrite,
+    /// A transaction of two writes and a read: a transfer or an invoice.
+    Transaction,
+    /// A read that may lag by the age stated in the document: a catalogue view or a balance.
+    View,
+    /// A read of what the session itself wrote: an order history.
+    History,
+}
+
+/// Whose day is replayed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Workload {
+    /// Reservations, payments, catalogue views and order histories; mostly reads.
+    RedQuetzal,
+    /// Movement records, invoices and balance queries; more writes.
+    Adeyemi,
+}
+
+/// An operation and its share of the load in percent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OperationShare {
+    /// The operation.
+    pub operation: Operation,
+    /// Its share in percent.
+    pub percent: u32,
+}
+
+const fn share(operation: Operation, percent: u32) -> OperationShare {
+    OperationShare { operation, percent }
+}
+
+const RED_QUETZAL: [OperationShare; 4] = [
+    share(Operation::View, 60),
+    share(Operation::History, 20),
+    share(Operation::KeyedWrite, 15),
+    share(Operation::Transaction, 5),
+];
+
+const ADEYEMI: [OperationShare; 4] = [
+    share(Operation::View, 30),
+    share(Operation::History, 20),
+    share(Operation::KeyedWrite, 40),
+    share(Operation::Transaction, 10),
+];
+
+impl Workload {
+    /// Returns the operations with their shares, which add up to 100.
+    ///
+    /// ```
+    /// use sapphireslip::Workload;
+    /// let total: u32 = Workload::Adeyemi.shares().iter().map(|share| share.percent).sum();
+    /// assert_eq!(total, 100);
+    /// ```
+    #[must_use]
+    pub const fn shares(self) -> [OperationShare; 4] {
+        match self {
+            Self::RedQuetzal => RED_QUETZAL,
+            Self::Adeyemi => ADEYEMI,
+        }
+    }
+
+    /// Draws the next operation.
+    ///
+    /// ```
+    /// use rand::SeedableRng;
+    /// use rand::rngs::SmallRng;
+    /// use sapphireslip::Workload;
+    /// let mut rng = SmallRng::seed_from_u64(1);
+    /// Workload::RedQuetzal.draw(&mut rng);
+    /// ```
+    pub fn draw(self, rng: &mut impl Rng) -> Operation {
+        let mut left = rng.random_range(0..100);
+        for share in self.shares() {
+            if left < share.percent {
+                return share.operation;
+            }
+            left -= share.percent;
+        }
+        Operation::View
+    }
+}
+
+impl FromStr for Workload {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        match text {
+            "red-quetzal" => Ok(Self::RedQuetzal),
+            "adeyemi" => Ok(Self::Adeyemi),
+            _ => Err(Error::UnknownWorkload(text.to_owned())),
+        }
+    }
+}
+
+impl Display for Workload {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::RedQuetzal => "red-quetzal",
+            Self::Adeyemi => "adeyemi",
+        })
+    }
+}
+
+impl Display for Operation {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::KeyedWrite => "keyed write",
+            Self::Transaction => "transaction",
+            Self::View => "view",
+            Self::History => "history",
+        })
+    }
+}
