Wire package: messages between daemons and towards the platform

Every field that comes in is checked, and the error names it by its path.

The row of a change carries the writer's identifier beside the document's key: the document's own row is overwritten by the next change, after which a lost answer could no longer be settled. The change's row is written once and stays.

--- /dev/null
+++ b/sapphireslip-wire/src/apply.rs
@@ -0,0 +1,238 @@
+//! The change of one document, as a transaction on the platform's table.
+
+use bytes::Bytes;
+use prost::Message;
+use quick_error::quick_error;
+use sapphireslip_core::{ChangeCount, DatabaseName, Generation, MemberName, ServiceName, Text};
+
+use crate::WireError;
+use crate::platform::{
+    Condition, DocumentRow, ReadReply, ReadRequest, Row, TransactRequest, Write,
+};
+use crate::table_layout::{
+    CHANGE_PREFIX, CHANGES_KEY, change_key, changes, database_key, decode_row, document_key, row,
+};
+
+quick_error! {
+    /// Why a document is not accepted.
+    #[derive(Clone, Debug, Eq, PartialEq)]
+    pub enum ApplyError {
+        /// The document was changed since it was read.
+        Generation(expected: u64, current: u64) {
+            display("the document is at generation {current}, not {expected}: read it again with `show` and repeat the change")
+        }
+        /// Another service owns the database.
+        Owned(database: DatabaseName, owner: String) {
+            display("database `{database}` belongs to `{owner}`: choose another name")
+        }
+        /// A row can't be decoded.
+        Row(err: WireError) {
+            display("{err}")
+            source(err)
+            from()
+        }
+    }
+}
+
+/// A change of one document that is to be committed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Apply {
+    /// The member that owns the document.
+    pub member: MemberName,
+    /// The service.
+    pub service: ServiceName,
+    /// The generation that the change was made against, 0 for a new document.
+    pub against: Generation,
+    /// The databases that the new text declares.
+    pub databases: Vec<DatabaseName>,
+    /// The databases that the old text declared and the new one doesn't.
+    pub released: Vec<DatabaseName>,
+    /// The new text.
+    pub text: Text,
+    /// The identifier of this attempt, unique to it and without line breaks.
+    pub writer: Text,
+}
+
+/// What became of a transaction whose answer was lost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Settled {
+    /// It was committed.
+    Committed,
+    /// Another change took its place, so that it never will be.
+    Refused,
+    /// It was not committed but may be yet: send the same transaction again.
+    Open,
+}
+
+impl Apply {
+    /// Returns the rows to read first.
+    ///
+    /// ```
+    /// # use sapphireslip_core::*;
+    /// # use sapphireslip_wire::Apply;
+    /// # let apply = Apply {
+    /// #     member: MemberName::try_from("acme")?, service: ServiceName::try_from("shop")?,
+    /// #     against: Generation(0), databases: vec![DatabaseName::try_from("stock")?],
+    /// #     released: vec![], text: "".into(), writer: "w1".into(),
+    /// # };
+    /// assert_eq!(apply.reads().keys, ["changes", "document/acme/shop", "database/stock"]);
+    /// # Ok::<(), NameError>(())
+    /// ```
+    #[must_use]
+    pub fn reads(&self) -> ReadRequest {
+        let mut keys = vec![
+            CHANGES_KEY.to_owned(),
+            document_key(&self.member, &self.service),
+        ];
+        keys.extend(self.databases.iter().map(database_key));
+        keys.extend(self.released.iter().map(database_key));
+        ReadRequest { keys }
+    }
+
+    /// Builds the transaction from the rows read, with a condition on each of them.
+    ///
+    /// # Errors
+    ///
+    /// The document is at another generation, a database has another owner, or a row can't be
+    /// decoded.
+    ///
+    /// ```
+    /// # use sapphireslip_core::*;
+    /// # use sapphireslip_wire::{Apply, platform::{ReadReply, Row}};
+    /// # let apply = Apply {
+    /// #     member: MemberName::try_from("acme")?, service: ServiceName::try_from("shop")?,
+    /// #     against: Generation(0), databases: vec![DatabaseName::try_from("stock")?],
+    /// #     released: vec![], text: "".into(), writer: "w1".into(),
+    /// # };
+    /// let absent = |key: String| Row { key, ..Row::default() };
+    /// let rows = apply.reads().keys.into_iter().map(absent).collect();
+    /// let transaction = apply.transaction(&ReadReply { rows })?;
+    /// assert_eq!(transaction.conditions.len(), 3);
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    pub fn transaction(&self, reply: &ReadReply) -> Result<TransactRequest, ApplyError> {
+        let change = ChangeCount(changes(reply)?.0 + 1);
+        let document_key = document_key(&self.member, &self.service);
+        self.check_generation(row(reply, &document_key)?)?;
+        let mut writes = vec![
+            put(CHANGES_KEY, change.0.to_be_bytes().to_vec()),
+            put(&change_key(change), self.change_value().into_bytes()),
+            put(&document_key, self.document_value(change)),
+        ];
+        for database in &self.databases {
+            let key = database_key(database);
+            self.check_owner(database, row(reply, &key)?)?;
+            writes.push(put(&key, self.owner().into_bytes()));
+        }
+        for database in &self.released {
+            let key = database_key(database);
+            if row(reply, &key)?.value == self.owner().as_bytes() {
+                writes.push(Write { key, value: None });
+            }
+        }
+        let condition = |row: &Row| Condition {
+            key: row.key.clone(),
+            version: row.version,
+        };
+        Ok(TransactRequest {
+            conditions: reply.rows.iter().map(condition).collect(),
+            writes,
+        })
+    }
+
+    /// Returns the row to read when the answer to `transaction` was lost.
+    ///
+    /// ```
+    /// # use sapphireslip_core::*;
+    /// # use sapphireslip_wire::{Apply, platform::{ReadReply, Row}};
+    /// # let apply = Apply {
+    /// #     member: MemberName::try_from("acme")?, service: ServiceName::try_from("shop")?,
+    /// #     against: Generation(0), databases: vec![],
+    /// #     released: vec![], text: "".into(), writer: "w1".into(),
+    /// # };
+    /// let absent = |key: String| Row { key, ..Row::default() };
+    /// let rows = apply.reads().keys.into_iter().map(absent).collect();
+    /// let transaction = apply.transaction(&ReadReply { rows })?;
+    /// assert_eq!(apply.settling_reads(&transaction).keys, ["change/1"]);
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    #[must_use]
+    pub fn settling_reads(&self, transaction: &TransactRequest) -> ReadRequest {
+        let is_change = |write: &&Write| write.key.starts_with(CHANGE_PREFIX);
+        let keys = transaction.writes.iter().filter(is_change);
+        ReadRequest {
+            keys: keys.map(|write| write.key.clone()).collect(),
+        }
+    }
+
+    /// Tells from the row read what became of the transaction.
+    ///
+    /// ```
+    /// # use sapphireslip_core::*;
+    /// # use sapphireslip_wire::{Apply, Settled, platform::{ReadReply, Row}};
+    /// # let apply = Apply {
+    /// #     member: MemberName::try_from("acme")?, service: ServiceName::try_from("shop")?,
+    /// #     against: Generation(0), databases: vec![],
+    /// #     released: vec![], text: "".into(), writer: "w1".into(),
+    /// # };
+    /// let value = "document/acme/shop\nw1".into();
+    /// let row = Row { key: "change/1".into(), version: 5, value };
+    /// assert_eq!(apply.settle(&ReadReply { rows: vec![row] }), Settled::Committed);
+    /// # Ok::<(), NameError>(())
+    /// ```
+    #[must_use]
+    pub fn settle(&self, reply: &ReadReply) -> Settled {
+        match reply.rows.first() {
+            Some(row) if row.version > 0 && row.value == self.change_value().as_bytes() => {
+                Settled::Committed
+            }
+            Some(row) if row.version > 0 => Settled::Refused,
+            _ => Settled::Open,
+        }
+    }
+
+    fn check_generation(&self, row: &Row) -> Result<(), ApplyError> {
+        let current = match row.version {
+            0 => 0,
+            _ => decode_row(row)?.generation,
+        };
+        if current == self.against.0 {
+            return Ok(());
+        }
+        Err(ApplyError::Generation(self.against.0, current))
+    }
+
+    fn check_owner(&self, database: &DatabaseName, row: &Row) -> Result<(), ApplyError> {
+        if row.version == 0 || row.value == self.owner().as_bytes() {
+            return Ok(());
+        }
+        let owner = String::from_utf8_lossy(&row.value).into_owned();
+        Err(ApplyError::Owned(database.clone(), owner))
+    }
+
+    fn owner(&self) -> String {
+        format!("{}/{}", self.member, self.service)
+    }
+
+    fn change_value(&self) -> String {
+        let key = document_key(&self.member, &self.service);
+        format!("{key}\n{}", self.writer)
+    }
+
+    fn document_value(&self, change: ChangeCount) -> Vec<u8> {
+        let row = DocumentRow {
+            generation: self.against.0 + 1,
+            change: change.0,
+            writer: self.writer.as_ref().to_owned(),
+            text: self.text.as_ref().to_owned(),
+        };
+        row.encode_to_vec()
+    }
+}
+
+fn put(key: &str, value: Vec<u8>) -> Write {
+    Write {
+        key: key.to_owned(),
+        value: Some(Bytes::from(value)),
+    }
+}
--- /dev/null
+++ b/sapphireslip-wire/src/envelope.rs
@@ -0,0 +1,185 @@
+//! What goes over a stream between daemons: a greeting first, then messages.
+
+use sapphireslip_core::{
+    ChangeCount, Incarnation, Local, PeerMessage, ProbeNumber, SessionId, Term,
+};
+
+use crate::WireError;
+use crate::field::{list, name};
+use crate::peer::{self, envelope::Body};
+
+/// The body of an envelope, checked.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum EnvelopeBody {
+    /// The greeting that opens a stream.
+    Hello(Local),
+    /// A message.
+    Message(PeerMessage),
+}
+
+impl From<PeerMessage> for Body {
+    fn from(message: PeerMessage) -> Self {
+        match message {
+            PeerMessage::Request(request) => Self::Request(request.into()),
+            PeerMessage::Answer(answer) => Self::Answer(answer.into()),
+            PeerMessage::Cancel(id) => Self::Cancel(id.into()),
+            PeerMessage::SessionClosed {
+                incarnation,
+                session,
+            } => Self::SessionClosed(peer::SessionClosed {
+                incarnation: incarnation.0,
+                session: session.0,
+            }),
+            PeerMessage::Probe {
+                number,
+                news,
+                changes,
+            } => Self::Probe(probe(number, news, changes)),
+            PeerMessage::ProbeAck {
+                number,
+                news,
+                changes,
+            } => Self::ProbeAck(probe(number, news, changes)),
+            PeerMessage::ProbeFor { number, vm } => Self::ProbeFor(peer::ProbeFor {
+                number: number.0,
+                vm: vm.as_str().to_owned(),
+            }),
+            PeerMessage::ProbeForAck { number } => {
+                Self::ProbeForAck(peer::ProbeForAck { number: number.0 })
+            }
+            PeerMessage::WantVms => Self::WantVms(peer::WantVms {}),
+            PeerMessage::Vms(vms) => Self::Vms(peer::VmList {
+                vms: vms.into_iter().map(Into::into).collect(),
+            }),
+            PeerMessage::WantDocuments { since } => {
+                Self::WantDocuments(peer::WantDocuments { since: since.0 })
+            }
+            PeerMessage::Documents { documents, changes } => Self::Documents(peer::DocumentList {
+                documents: documents.into_iter().map(Into::into).collect(),
+                changes: changes.0,
+            }),
+            PeerMessage::ConfirmSuspicion { database, term } => {
+                Self::ConfirmSuspicion(suspected(&database, term))
+            }
+            PeerMessage::Suspicion {
+                database,
+                term,
+                confirmed,
+            } => Self::Suspicion(peer::Suspicion {
+                database: database.as_str().to_owned(),
+                term: term.0,
+                confirmed,
+            }),
+            PeerMessage::Promoted { database, term } => Self::Promoted(suspected(&database, term)),
+        }
+    }
+}
+
+fn probe(
+    number: ProbeNumber,
+    news: Vec<sapphireslip_core::VmRecord>,
+    changes: ChangeCount,
+) -> peer::Probe {
+    peer::Probe {
+        number: number.0,
+        news: news.into_iter().map(Into::into).collect(),
+        changes: changes.0,
+    }
+}
+
+fn suspected(database: &sapphireslip_core::DatabaseName, term: Term) -> peer::SuspectedTerm {
+    peer::SuspectedTerm {
+        database: database.as_str().to_owned(),
+        term: term.0,
+    }
+}
+
+impl TryFrom<Body> for EnvelopeBody {
+    type Error = WireError;
+
+    fn try_from(body: Body) -> Result<Self, WireError> {
+        let message = match body {
+            Body::Hello(hello) => return greeting(hello),
+            Body::Request(request) => {
+                PeerMessage::Request(request.try_into().map_err(within("request"))?)
+            }
+            Body::Answer(answer) => {
+                PeerMessage::Answer(answer.try_into().map_err(within("answer"))?)
+            }
+            Body::Cancel(id) => PeerMessage::Cancel(id.try_into().map_err(within("cancel"))?),
+            Body::SessionClosed(closed) => PeerMessage::SessionClosed {
+                incarnation: Incarnation(closed.incarnation),
+                session: SessionId(closed.session),
+            },
+            Body::Probe(probe) => PeerMessage::Probe {
+                number: ProbeNumber(probe.number),
+                news: list("probe.news", probe.news)?,
+                changes: ChangeCount(probe.changes),
+            },
+            Body::ProbeAck(probe) => PeerMessage::ProbeAck {
+                number: ProbeNumber(probe.number),
+                news: list("probe_ack.news", probe.news)?,
+                changes: ChangeCount(probe.changes),
+            },
+            Body::ProbeFor(probe) => PeerMessage::ProbeFor {
+                number: ProbeNumber(probe.number),
+                vm: name("probe_for.vm", &probe.vm)?,
+            },
+            Body::ProbeForAck(ack) => PeerMessage::ProbeForAck {
+                number: ProbeNumber(ack.number),
+            },
+            Body::WantVms(peer::WantVms {}) => PeerMessage::WantVms,
+            Body::Vms(vms) => PeerMessage::Vms(list("vms.vms", vms.vms)?),
+            Body::WantDocuments(want) => PeerMessage::WantDocuments {
+                since: ChangeCount(want.since),
+            },
+            Body::Documents(documents) => PeerMessage::Documents {
+                documents: list("documents.documents", documents.documents)?,
+                changes: ChangeCount(documents.changes),
+            },
+            Body::ConfirmSuspicion(suspected) => PeerMessage::ConfirmSuspicion {
+                database: name("confirm_suspicion.database", &suspected.database)?,
+                term: Term(suspected.term),
+            },
+            Body::Suspicion(suspicion) => PeerMessage::Suspicion {
+                database: name("suspicion.database", &suspicion.database)?,
+                term: Term(suspicion.term),
+                confirmed: suspicion.confirmed,
+            },
+            Body::Promoted(suspected) => PeerMessage::Promoted {
+                database: name("promoted.database", &suspected.database)?,
+                term: Term(suspected.term),
+            },
+        };
+        Ok(Self::Message(message))
+    }
+}
+
+fn greeting(hello: peer::Hello) -> Result<EnvelopeBody, WireError> {
+    let local = Local::try_from(hello).map_err(within("hello"))?;
+    Ok(EnvelopeBody::Hello(local))
+}
+
+fn within(field: &'static str) -> impl Fn(WireError) -> WireError {
+    move |err| err.within(field)
+}
+
+impl From<EnvelopeBody> for Body {
+    fn from(body: EnvelopeBody) -> Self {
+        match body {
+            EnvelopeBody::Hello(local) => Self::Hello(local.into()),
+            EnvelopeBody::Message(message) => message.into(),
+        }
+    }
+}
+
+impl TryFrom<peer::Envelope> for EnvelopeBody {
+    type Error = WireError;
+
+    fn try_from(envelope: peer::Envelope) -> Result<Self, WireError> {
+        let body = envelope
+            .body
+            .ok_or_else(|| WireError::Missing("body".to_owned()))?;
+        Self::try_from(body)
+    }
+}
--- /dev/null
+++ b/sapphireslip-wire/src/vm_list.rs
@@ -0,0 +1,62 @@
+//! The platform's list of VMs and of leaving backend servers.
+
+use std::net::IpAddr;
+
+use sapphireslip_core::{Incarnation, VmRecord, VmState};
+
+use crate::field::{address, enumeration, list, name};
+use crate::{WireError, platform};
+
+/// The platform's list, checked.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct VmList {
+    /// VMs of the system.
+    pub vms: Vec<VmRecord>,
+    /// IP numbers of backend servers that are leaving.
+    pub leaving_servers: Vec<IpAddr>,
+}
+
+impl TryFrom<platform::VmState> for VmState {
+    type Error = platform::VmState;
+
+    fn try_from(state: platform::VmState) -> Result<Self, platform::VmState> {
+        match state {
+            platform::VmState::Unspecified => Err(state),
+            platform::VmState::Live => Ok(Self::Alive),
+            platform::VmState::Leaving => Ok(Self::Leaving),
+        }
+    }
+}
+
+impl TryFrom<platform::Vm> for VmRecord {
+    type Error = WireError;
+
+    fn try_from(vm: platform::Vm) -> Result<Self, WireError> {
+        Ok(Self {
+            vm: name("vm", &vm.vm)?,
+            zone: name("zone", &vm.zone)?,
+            address: address("address", &vm.address)?,
+            incarnation: Incarnation(vm.incarnation),
+            state: enumeration::<platform::VmState, _>("state", vm.state)?,
+        })
+    }
+}
+
+impl TryFrom<platform::ListReply> for VmList {
+    type Error = WireError;
+
+    fn try_from(reply: platform::ListReply) -> Result<Self, WireError> {
+        let ip = |text: &String| {
+            let refuse = || WireError::Address("leaving_servers".to_owned(), text.clone());
+            text.parse().ok().ok_or_else(refuse)
+        };
+        Ok(Self {
+            vms: list("vms", reply.vms)?,
+            leaving_servers: reply
+                .leaving_servers
+                .iter()
+                .map(ip)
+                .collect::<Result<_, _>>()?,
+        })
+    }
+}
