Stand-in platform: table service and list of VMs with fault switches

A cut VM gets no answer rather than a refusal, as a network partition gives none; a lost answer is lost only after the transaction has had its effect.

--- /dev/null
+++ b/standins/src/platform_service.rs
@@ -0,0 +1,131 @@
+//! The calls that the platform stand-in takes.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use sapphireslip_wire::platform::table_server::Table;
+use sapphireslip_wire::platform::vms_server::Vms;
+use sapphireslip_wire::platform::{
+    ListReply, ListRequest, ReadReply, ReadRequest, TransactReply, TransactRequest,
+};
+use tonic::metadata::MetadataMap;
+use tonic::{Request, Response, Status};
+
+use crate::platform::{PlatformState, lock};
+use crate::platform_table::TableLimit;
+
+/// How long a call from a cut VM is kept without answer.
+const CUT_HOLD: Duration = Duration::from_secs(60);
+
+/// Carries out calls on the shared state.
+#[derive(Clone, Debug)]
+pub(crate) struct PlatformService {
+    /// The state, shared with the handle.
+    pub(crate) state: Arc<Mutex<PlatformState>>,
+}
+
+/// What a call counts as for the limit of requests.
+#[derive(Clone, Copy)]
+enum CallKind {
+    Read,
+    Write,
+    List,
+}
+
+/// What stands between a call and its effect.
+enum Gate {
+    Pass(Duration),
+    Silent,
+}
+
+impl PlatformService {
+    /// Lets a call through or refuses it, by the switches and the limits.
+    async fn admit(&self, kind: CallKind, metadata: &MetadataMap) -> Result<(), Status> {
+        match self.gate(kind, metadata)? {
+            Gate::Pass(Duration::ZERO) => Ok(()),
+            Gate::Pass(delay) => {
+                tokio::time::sleep(delay).await;
+                self.refuse_if_down()
+            }
+            Gate::Silent => {
+                tokio::time::sleep(CUT_HOLD).await;
+                Err(Status::unavailable("cut off"))
+            }
+        }
+    }
+
+    fn gate(&self, kind: CallKind, metadata: &MetadataMap) -> Result<Gate, Status> {
+        self.refuse_if_down()?;
+        let mut state = lock(&self.state);
+        let named = |key: &str| metadata.get(key).and_then(|value| value.to_str().ok());
+        let faults = &state.faults;
+        let cut_vm = named("vm").is_some_and(|vm| faults.cut_vms.contains(vm));
+        if cut_vm || named("zone").is_some_and(|zone| faults.cut_zones.contains(zone)) {
+            return Ok(Gate::Silent);
+        }
+        let delay = faults.slow;
+        if !take(&mut state, kind) {
+            return Err(Status::resource_exhausted("over the limit of requests"));
+        }
+        Ok(Gate::Pass(delay))
+    }
+
+    fn refuse_if_down(&self) -> Result<(), Status> {
+        match lock(&self.state).faults.down {
+            true => Err(Status::unavailable("the platform is down")),
+            false => Ok(()),
+        }
+    }
+}
+
+fn take(state: &mut PlatformState, kind: CallKind) -> bool {
+    let now = Instant::now();
+    let (limit, count) = match kind {
+        CallKind::Read => (&mut state.reads, &mut state.counts.reads),
+        CallKind::Write => (&mut state.writes, &mut state.counts.transactions),
+        CallKind::List => (&mut state.reads, &mut state.counts.lists),
+    };
+    if limit.take(now) {
+        *count += 1;
+        return true;
+    }
+    state.counts.limited += 1;
+    false
+}
+
+fn over(limit: TableLimit) -> Status {
+    Status::invalid_argument(format!("over the limit: {limit:?}"))
+}
+
+#[tonic::async_trait]
+impl Table for PlatformService {
+    async fn read(&self, req: Request<ReadRequest>) -> Result<Response<ReadReply>, Status> {
+        self.admit(CallKind::Read, req.metadata()).await?;
+        let rows = lock(&self.state).table.read(req.into_inner());
+        let rows = rows.map_err(over)?;
+        Ok(Response::new(ReadReply { rows }))
+    }
+
+    async fn transact(
+        &self,
+        req: Request<TransactRequest>,
+    ) -> Result<Response<TransactReply>, Status> {
+        self.admit(CallKind::Write, req.metadata()).await?;
+        let mut state = lock(&self.state);
+        let failed = state.table.transact(req.into_inner()).map_err(over)?;
+        if failed.is_none() && std::mem::take(&mut state.faults.lose_next_answer) {
+            return Err(Status::unavailable("the answer was lost"));
+        }
+        Ok(Response::new(TransactReply { failed }))
+    }
+}
+
+#[tonic::async_trait]
+impl Vms for PlatformService {
+    async fn list(&self, req: Request<ListRequest>) -> Result<Response<ListReply>, Status> {
+        self.admit(CallKind::List, req.metadata()).await?;
+        let mut state = lock(&self.state);
+        let lag = state.vm_list_lag;
+        Ok(Response::new(state.vms.list(Instant::now(), lag)))
+    }
+}
