--- /dev/null
+++ b/sapphireslip/src/apply.rs
@@ -0,0 +1,149 @@
+//! `apply`: has a document accepted by the platform.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use sapphireslip_core::{DatabaseName, Document, Generation};
+use sapphireslip_wire::platform::{ReadRequest, TransactRequest};
+use sapphireslip_wire::{Apply, ApplyError, Settled, document, document_key};
+use serde::Serialize;
+
+use crate::platform_client::PlatformClient;
+use crate::{Error, Output, read_document};
+
+/// How often a change that another one overtook is tried again.
+const ATTEMPTS_MAX: u32 = 5;
+
+/// How often the platform is asked what became of a lost answer.
+const SETTLE_ATTEMPTS_MAX: u32 = 10;
+
+/// The wait between two of these questions.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// What `apply` is asked.
+#[derive(Clone, Debug)]
+pub struct ApplyArguments {
+    /// The platform's table service.
+    pub platform: SocketAddr,
+    /// The document.
+    pub file: PathBuf,
+}
+
+/// An accepted change.
+#[derive(Clone, Debug, Serialize)]
+struct Accepted {
+    member: String,
+    service: String,
+    generation: u64,
+}
+
+/// What one attempt came to.
+enum Commit {
+    Accepted,
+    Overtaken,
+}
+
+/// Checks a document and has it accepted.
+///
+/// # Errors
+///
+/// The file has faults, the platform refuses the change or does not answer.
+pub async fn apply(arguments: &ApplyArguments) -> Result<Output, Error> {
+    let bytes = read_document(&arguments.file)?;
+    let checked = Document::try_from(bytes.as_slice())
+        .map_err(|faults| Error::Faults(arguments.file.clone(), faults.to_string()))?;
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let mut platform = PlatformClient::new(arguments.platform)?;
+    for attempt in 0..ATTEMPTS_MAX {
+        let change = change(&mut platform, &checked, &text, attempt).await?;
+        if let Commit::Accepted = commit(&mut platform, &change).await? {
+            let accepted = Accepted {
+                member: checked.member.to_string(),
+                service: checked.service.to_string(),
+                generation: checked.generation.0,
+            };
+            let line = format!(
+                "accepted: generation {} of service `{}`",
+                accepted.generation, accepted.service
+            );
+            return Ok(Output::new(line, &accepted));
+        }
+    }
+    let message = format!("other changes came in between {ATTEMPTS_MAX} times: apply it again");
+    Err(Error::NotAccepted(message))
+}
+
+/// Reads what is accepted now and builds the change against it.
+async fn change(
+    platform: &mut PlatformClient,
+    new: &Document,
+    text: &str,
+    attempt: u32,
+) -> Result<Apply, Error> {
+    let key = document_key(&new.member, &new.service);
+    let reply = platform.read(ReadRequest { keys: vec![key] }).await?;
+    let old = reply.rows.first().map(document).transpose();
+    let old = old.map_err(|err| Error::Form("the platform's table", err.to_string()))?.flatten();
+    let old = old.and_then(|old| Document::try_from(old.text.as_bytes()).ok());
+    let databases: Vec<DatabaseName> = names(new);
+    let released = old.as_ref().map(names).unwrap_or_default();
+    let released = released.into_iter().filter(|name| !databases.contains(name)).collect();
+    Ok(Apply {
+        member: new.member.clone(),
+        service: new.service.clone(),
+        against: Generation(new.generation.0.saturating_sub(1)),
+        databases,
+        released,
+        text: Arc::from(text),
+        writer: Arc::from(writer(attempt)),
+    })
+}
+
+fn names(document: &Document) -> Vec<DatabaseName> {
+    document.databases.iter().map(|spec| spec.name.clone()).collect()
+}
+
+/// Returns an identifier that no other attempt has.
+fn writer(attempt: u32) -> String {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    format!("{}-{}-{attempt}", std::process::id(), unix.as_nanos())
+}
+
+async fn commit(platform: &mut PlatformClient, change: &Apply) -> Result<Commit, Error> {
+    let reply = platform.read(change.reads()).await?;
+    let transaction = change.transaction(&reply).map_err(not_accepted)?;
+    match platform.transact(transaction.clone()).await {
+        Ok(reply) if reply.failed.is_none() => Ok(Commit::Accepted),
+        Ok(_overtaken) => Ok(Commit::Overtaken),
+        Err(_lost) => settle(platform, change, transaction).await,
+    }
+}
+
+fn not_accepted(err: ApplyError) -> Error {
+    Error::NotAccepted(err.to_string())
+}
+
+/// Learns whether a transaction whose answer was lost took effect, and sends it again if not: its
+/// conditions let it take effect once at the most.
+async fn settle(
+    platform: &mut PlatformClient,
+    change: &Apply,
+    transaction: TransactRequest,
+) -> Result<Commit, Error> {
+    for _ in 0..SETTLE_ATTEMPTS_MAX {
+        tokio::time::sleep(SETTLE_INTERVAL).await;
+        let Ok(reply) = platform.read(change.settling_reads(&transaction)).await else { continue };
+        match change.settle(&reply) {
+            Settled::Committed => return Ok(Commit::Accepted),
+            Settled::Refused => return Ok(Commit::Overtaken),
+            Settled::Open => {}
+        }
+        match platform.transact(transaction.clone()).await {
+            Ok(reply) if reply.failed.is_none() => return Ok(Commit::Accepted),
+            Ok(_) | Err(_) => {}
+        }
+    }
+    Err(Error::Unsettled(platform.address()))
+}
