Core: group calls take their numbers from one counter

A group's reply is matched by its call alone, and a daemon has many groups: numbers of the group's own would collide. The counter lives in the state and comes in with Cx.

--- a/sapphireslip-core/src/cx.rs
+++ b/sapphireslip-core/src/cx.rs
@@ -4,8 +4,8 @@
 
 use crate::derives::data;
 use crate::{
-    BackendEffect, CallerEffect, Configuration, Effect, Incarnation, Instant, Membership, Now,
-    PeerMessage, PlatformEffect, Random, TimelineEntry, VmId, ZoneName,
+    BackendEffect, CallId, CallerEffect, Configuration, Effect, Incarnation, Instant, Membership,
+    Now, PeerMessage, PlatformEffect, Random, TimelineEntry, VmId, ZoneName,
 };
 
 data! {
@@ -39,6 +39,8 @@
     pub local: &'a Local,
     /// Seeded randomness.
     pub random: &'a mut Random,
+    /// The next group call's number, unique over the daemon.
+    pub next_call: &'a mut CallId,
     /// The effects so far.
     pub effects: &'a mut Vec<Effect>,
     /// Messages to peers so far.
@@ -80,6 +82,13 @@
         self.effects.push(Effect::Record(entry));
     }
 
+    /// Takes a number for a group call.
+    pub(crate) fn take_call(&mut self) -> CallId {
+        let call = *self.next_call;
+        self.next_call.0 += 1;
+        call
+    }
+
     /// Asks for a tick at `instant`.
     pub(crate) fn wake_at(&mut self, instant: Instant) {
         self.effects.push(Effect::WakeAt(instant));
--- a/sapphireslip-core/src/reducer.rs
+++ b/sapphireslip-core/src/reducer.rs
@@ -2,8 +2,8 @@
 
 use crate::derives::data;
 use crate::{
-    CallerEffect, Configuration, Cx, Drain, Effect, Entry, Event, Fleet, Homes, Local, Membership,
-    Now, OperatorEvent, Outgoing, PeerMessage, PlatformEvent, Random, VmId, VmRecord,
+    CallId, CallerEffect, Configuration, Cx, Drain, Effect, Entry, Event, Fleet, Homes, Local,
+    Membership, Now, OperatorEvent, Outgoing, PeerMessage, PlatformEvent, Random, VmId, VmRecord,
 };
 
 data! {
@@ -23,6 +23,7 @@
         pub homes: Homes,
         /// The graceful stop.
         pub drain: Drain,
+        next_call: CallId,
         synced: Versions,
     }
 
@@ -48,6 +49,7 @@
             entry: Entry::default(),
             homes: Homes::default(),
             drain: Drain::default(),
+            next_call: CallId(0),
             synced: Versions::default(),
         }
     }
@@ -77,12 +79,14 @@
         entry,
         homes,
         drain,
+        next_call,
         synced,
     } = state;
     let cx = &mut Cx {
         now,
         local,
         random,
+        next_call,
         effects,
         outgoing,
     };
