Core: a group's status, primary, majority and promotion

A home polls the servers of its group, learns the primary from statuses alone, and promotes another one by fencing a majority and taking the furthest log among these.

A record counts as held only by servers that held it before any later fence: one that copied it while following a later primary may still lose it (the case of a leader that comes back, overwrites nothing yet and dies again). A record of an earlier term also counts once the log of a later open term provably has it at its place, which needs the record's own term there, not only a later start past it.

Weighed: choosing the furthest log among all fenced. Taken instead: any server that a fenced majority does not surpass, so that a leaving primary need not be chosen again.

--- a/sapphireslip-core/src/group.rs
+++ b/sapphireslip-core/src/group.rs
@@ -1,13 +1,30 @@
 //! What a home knows of a database group: the servers' status, the primary and what is held.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::derives::{data, key};
 use crate::{
-    CallId, Cx, DatabaseSpec, Fleet, GroupFailure, Instant, ServerId, ServerStatus, Term,
-    TermPosition, VmId,
+    CallId, CallKind, Containment, Cx, DatabaseSpec, Fleet, GroupCall, GroupFailure, Instant,
+    KnownServer, Promotion, Sample, Samples, ServerId, ServerStatus, Suspicion, Term, TermPosition,
+    TimelineEntry, TimelineKind, VmId, log_contains, placement,
 };
 
+/// Within what time a majority must have answered for writes to be taken.
+pub const MAJORITY_WINDOW: Duration = Duration::from_secs(3);
+
+/// Within what time a majority must have confirmed the primary for its data to count as current.
+pub const CONFIRMED_WINDOW: Duration = Duration::from_millis(2500);
+
+/// When to come back while a promotion runs.
+pub const RETRY_PROMOTION: Duration = Duration::from_millis(100);
+
+/// When to come back in a quiet group.
+pub const RETRY_QUIET: Duration = Duration::from_millis(200);
+
+/// When to come back while no majority answers.
+pub const RETRY_NO_MAJORITY: Duration = Duration::from_secs(1);
+
 key! {
     /// Whether a record has reached a majority of the group's servers in its own term.
     pub enum Holding {
@@ -39,119 +56,434 @@
         pub term: Term,
     }
 
+    /// What a group has to know of its surroundings to decide.
+    #[derive(Default)]
+    pub struct Surroundings {
+        /// The homes of the database, this one included.
+        pub homes: Vec<VmId>,
+        /// The servers that are to get no new work.
+        pub leaving: Vec<ServerId>,
+    }
+
     /// A database group as its home sees it.
+    ///
+    /// Nothing that it promises depends on a clock: time only decides when it asks and when it
+    /// gives up.
     pub struct Group {
-        spec: DatabaseSpec,
+        pub(crate) spec: DatabaseSpec,
+        pub(crate) servers: BTreeMap<ServerId, KnownServer>,
+        pub(crate) calls: BTreeMap<CallId, GroupCall>,
+        pub(crate) awaited: Option<TermPosition>,
+        pub(crate) samples: Samples,
+        pub(crate) suspicion: Suspicion,
+        pub(crate) promotion: Promotion,
+        pub(crate) opened: Term,
+        pub(crate) now: Instant,
+        pub(crate) wake: Option<Instant>,
     }
 }
 
 impl Group {
     /// Returns a group of which nothing is known yet.
+    ///
+    /// ```
+    /// use sapphireslip_core::{DatabaseName, DatabaseSpec, Group};
+    /// use std::time::Duration;
+    /// let group = Group::new(DatabaseSpec {
+    ///     name: DatabaseName::try_from("stock")?,
+    ///     servers: Vec::new(),
+    ///     zones: Vec::new(),
+    ///     connections: 16,
+    ///     max_staleness: Duration::ZERO,
+    ///     deadline: Duration::from_secs(5),
+    /// });
+    /// assert_eq!(group.primary(), None);
+    /// # Ok::<(), sapphireslip_core::NameError>(())
+    /// ```
     #[must_use]
     pub fn new(spec: DatabaseSpec) -> Self {
-        Self { spec }
+        let mut group = Self {
+            spec,
+            servers: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            awaited: None,
+            samples: Samples::default(),
+            suspicion: Suspicion::default(),
+            promotion: Promotion::default(),
+            opened: Term(0),
+            now: Instant::default(),
+            wake: None,
+        };
+        group.take_servers();
+        group
     }
 
-    /// Takes over a changed document.
-    pub(crate) fn update(&mut self, _cx: &mut Cx<'_>, spec: DatabaseSpec) {
+    /// Takes over a changed document; what is known of the servers that stay is kept.
+    ///
+    /// A document that changes more than one server at a time may leave two majorities without a
+    /// server in common: the check of documents has to refuse it.
+    pub fn update(&mut self, cx: &mut Cx<'_>, spec: DatabaseSpec) {
+        self.now = cx.now.instant;
         self.spec = spec;
+        self.take_servers();
+        self.poll_all(cx);
+    }
+
+    fn take_servers(&mut self) {
+        let mut known = std::mem::take(&mut self.servers);
+        for spec in &self.spec.servers {
+            let server = known.remove(&spec.id).unwrap_or_default();
+            self.servers.insert(spec.id.clone(), server);
+        }
+        let servers = &self.servers;
+        self.calls
+            .retain(|_, call| servers.contains_key(&call.server));
+    }
+
+    /// Returns how many servers are a majority.
+    #[must_use]
+    pub(crate) fn majority(&self) -> usize {
+        self.servers.len() / 2 + 1
+    }
+
+    /// Returns the highest term that any server was seen to be fenced at.
+    pub(crate) fn highest_term(&self) -> Term {
+        self.servers
+            .values()
+            .map(KnownServer::fenced)
+            .max()
+            .unwrap_or_default()
+    }
+
+    /// Returns the server that leads the highest term led, open for writes or not.
+    pub(crate) fn leader(&self) -> Option<Primary> {
+        self.servers
+            .iter()
+            .filter_map(|(id, server)| server.leads().map(|term| (term, id)))
+            .max()
+            .map(|(term, id)| Primary {
+                server: id.clone(),
+                term,
+            })
+    }
+
+    /// Returns whether a majority holds the start of a term, so that no later primary lacks it.
+    pub(crate) fn is_open(&self, term: Term) -> bool {
+        let start = self
+            .servers
+            .values()
+            .filter_map(|server| server.status.as_ref())
+            .flat_map(|status| &status.term_starts)
+            .find(|start| start.term == term);
+        start.is_some_and(|start| self.is_held(*start))
+    }
+
+    fn is_held(&self, record: TermPosition) -> bool {
+        let held = self.servers.values().filter(|s| s.has_held(record));
+        held.count() >= self.majority()
     }
 
     /// Returns the primary, once its term is open for writes.
     #[must_use]
     pub fn primary(&self) -> Option<Primary> {
-        None
+        self.leader()
+            .filter(|leader| leader.term == self.highest_term() && self.is_open(leader.term))
+    }
+
+    /// Returns a status whose log is that of the highest open term.
+    fn open_log(&self) -> Option<&ServerStatus> {
+        self.servers
+            .values()
+            .filter_map(|server| server.status.as_ref())
+            .filter(|status| status.held.term == status.fenced && self.is_open(status.fenced))
+            .max_by_key(|status| status.held)
     }
 
     /// Returns whether a majority of the servers has lately answered, so that a write could be
     /// acknowledged.
     #[must_use]
-    pub fn has_majority(&self, _now: Instant) -> bool {
-        false
+    pub fn has_majority(&self, now: Instant) -> bool {
+        self.answering(now, MAJORITY_WINDOW) >= self.majority()
+    }
+
+    pub(crate) fn answering(&self, now: Instant, window: Duration) -> usize {
+        let fresh = |server: &&KnownServer| server.heard.is_some_and(|at| now.since(at) <= window);
+        self.servers.values().filter(fresh).count()
     }
 
     /// Returns when a refused write had best be tried again.
     #[must_use]
     pub fn retry_after(&self) -> Duration {
-        Duration::from_millis(200)
+        if !self.has_majority(self.now) {
+            RETRY_NO_MAJORITY
+        } else if self.primary().is_none() || self.suspicion.is_active() {
+            RETRY_PROMOTION
+        } else {
+            RETRY_QUIET
+        }
     }
 
     /// Returns the last known status of a server.
     #[must_use]
-    pub fn status(&self, _server: &ServerId) -> Option<&ServerStatus> {
-        None
+    pub fn status(&self, server: &ServerId) -> Option<&ServerStatus> {
+        self.servers.get(server)?.status.as_ref()
     }
 
     /// Returns whether a majority holds a record.
     #[must_use]
-    pub fn holding(&self, _record: TermPosition) -> Holding {
-        Holding::Pending
+    pub fn holding(&self, record: TermPosition) -> Holding {
+        if self.is_held(record) {
+            return Holding::Majority;
+        }
+        let later = self
+            .open_log()
+            .filter(|status| status.fenced > record.term)
+            .map(|status| log_contains(status, record));
+        match later {
+            Some(Containment::Contained) => Holding::Majority,
+            _ if self.highest_term() > record.term => Holding::Superseded,
+            _ => Holding::Pending,
+        }
     }
 
     /// Returns whether a server's reads see a record.
+    ///
+    /// A record older than all term starts that the servers still report counts as lost.
     #[must_use]
-    pub fn visibility(&self, _server: &ServerId, _record: TermPosition) -> Visibility {
-        Visibility::Behind
+    pub fn visibility(&self, server: &ServerId, record: TermPosition) -> Visibility {
+        if self.is_lost(record) {
+            return Visibility::LostBranch;
+        }
+        let visible = self.status(server).is_some_and(|status| {
+            status.applied >= record.position
+                && log_contains(status, record) == Containment::Contained
+        });
+        if visible {
+            Visibility::Visible
+        } else {
+            Visibility::Behind
+        }
+    }
+
+    fn is_lost(&self, record: TermPosition) -> bool {
+        let Some(status) = self.open_log().filter(|s| s.fenced > record.term) else {
+            return false;
+        };
+        log_contains(status, record) != Containment::Contained
     }
 
     /// Returns how old a server's data may be at the most; none if nothing is known.
     #[must_use]
-    pub fn staleness(&self, _server: &ServerId, _now: Instant) -> Option<Duration> {
-        None
+    pub fn staleness(&self, server: &ServerId, now: Instant) -> Option<Duration> {
+        let primary = self.primary()?;
+        let confirmed = self.confirmed_at(primary.term)?;
+        if primary.server == *server {
+            return (now.since(confirmed) <= CONFIRMED_WINDOW).then_some(Duration::ZERO);
+        }
+        self.samples
+            .until(confirmed)
+            .find(|sample| self.visibility(server, sample.held) == Visibility::Visible)
+            .map(|sample| now.since(sample.asked))
+    }
+
+    /// Returns an instant at which a majority was not fenced above a term.
+    fn confirmed_at(&self, term: Term) -> Option<Instant> {
+        let mut asked: Vec<_> = self
+            .servers
+            .values()
+            .filter(|server| server.fenced() <= term)
+            .filter_map(|server| server.asked)
+            .collect();
+        asked.sort_unstable_by(|a, b| b.cmp(a));
+        asked.get(self.majority() - 1).copied()
     }
 
     /// Returns the highest record that was confirmed by a majority asked after `since`: every write
     /// acknowledged before `since` is at or before it.
+    ///
+    /// With more than a majority asked, a record held by too few of these was not acknowledged.
     #[must_use]
-    pub fn confirmed_since(&self, _since: Instant) -> Option<TermPosition> {
-        None
+    pub fn confirmed_since(&self, since: Instant) -> Option<TermPosition> {
+        let mut held: Vec<_> = self
+            .servers
+            .values()
+            .filter(|server| server.asked >= Some(since))
+            .filter_map(|server| server.status.as_ref())
+            .map(|status| status.held)
+            .collect();
+        held.sort_unstable_by(|a, b| b.cmp(a));
+        let spare = (held.len() + self.majority()).checked_sub(self.servers.len())?;
+        if held.len() < self.majority() {
+            return None;
+        }
+        held.get(spare.checked_sub(1)?).copied()
     }
 
-    /// Asks a majority for its status anew, so that `confirmed_since(now)` will answer; one round
-    /// serves all who wait.
-    pub(crate) fn probe(&mut self, _cx: &mut Cx<'_>) {}
-
-    /// Asks the replicas to report as soon as they hold a record.
-    pub(crate) fn watch(&mut self, _cx: &mut Cx<'_>, _record: TermPosition) {}
-
     /// Notes a record that the primary reported with an answer.
-    pub(crate) fn note_committed(&mut self, _server: &ServerId, _record: TermPosition) {}
+    pub fn note_committed(&mut self, server: &ServerId, record: TermPosition) {
+        if let Some(server) = self.servers.get_mut(server) {
+            server.note_held(record);
+        }
+    }
 
     /// Notes that live traffic to a server worked.
-    pub(crate) fn note_alive(&mut self, _cx: &mut Cx<'_>, _server: &ServerId) {}
+    pub fn note_alive(&mut self, cx: &mut Cx<'_>, server: &ServerId) {
+        self.now = cx.now.instant;
+        if let Some(server) = self.servers.get_mut(server) {
+            server.note_alive(cx.now.instant);
+        }
+    }
 
     /// Notes that live traffic to a server failed.
-    pub(crate) fn note_failed(&mut self, _cx: &mut Cx<'_>, _server: &ServerId) {}
+    pub fn note_failed(&mut self, cx: &mut Cx<'_>, server: &ServerId) {
+        self.now = cx.now.instant;
+        if let Some(known) = self.servers.get_mut(server) {
+            known.note_failed(cx.now.instant);
+            self.poll(cx, server);
+            cx.wake_at(cx.now.instant);
+        }
+    }
 
     /// Takes the answer to a group request; returns false if the call is not this group's.
     pub(crate) fn on_reply(
         &mut self,
-        _cx: &mut Cx<'_>,
-        _fleet: Fleet<'_>,
-        _call: CallId,
+        cx: &mut Cx<'_>,
+        fleet: Fleet<'_>,
+        call: CallId,
         _server: &ServerId,
-        _result: &Result<ServerStatus, GroupFailure>,
+        result: &Result<ServerStatus, GroupFailure>,
     ) -> bool {
-        false
+        let around = self.surroundings(fleet);
+        self.take_reply(cx, &around, call, result)
     }
 
-    /// Answers another home that asks whether the primary of `term` is gone.
-    pub(crate) fn on_confirm_suspicion(&mut self, _cx: &mut Cx<'_>, _from: &VmId, _term: Term) {}
-
-    /// Takes another home's answer.
-    pub(crate) fn on_suspicion(
+    /// Takes the answer to a group request, as [`Self::advance`] does the time.
+    pub fn take_reply(
         &mut self,
-        _cx: &mut Cx<'_>,
-        _fleet: Fleet<'_>,
-        _from: &VmId,
-        _term: Term,
-        _confirmed: bool,
-    ) {
+        cx: &mut Cx<'_>,
+        around: &Surroundings,
+        call: CallId,
+        result: &Result<ServerStatus, GroupFailure>,
+    ) -> bool {
+        self.now = cx.now.instant;
+        let Some(GroupCall {
+            server,
+            asked,
+            kind,
+        }) = self.calls.remove(&call)
+        else {
+            return false;
+        };
+        match result {
+            Ok(status) | Err(GroupFailure::Refused(status)) => {
+                self.absorb(&server, status, asked);
+            }
+            Err(GroupFailure::NoAnswer) => self.note_unanswered(&server, kind),
+        }
+        self.finish_poll(cx, &server, call, asked, result.is_ok());
+        self.finish_promotion_call(cx, around, &server, kind, result);
+        self.answer_askers(cx, &server);
+        self.advance(cx, around);
+        true
+    }
+
+    fn absorb(&mut self, server: &ServerId, status: &ServerStatus, asked: Instant) {
+        let now = self.now;
+        let Some(known) = self.servers.get_mut(server) else {
+            return;
+        };
+        known.absorb(status, asked, now);
+        let leads = self.leader().is_some_and(|leader| leader.server == *server);
+        if leads && status.held.term == status.fenced {
+            self.samples.add(Sample {
+                asked,
+                held: status.held,
+            });
+        }
+    }
+
+    /// A long poll says nothing of a server's health: its time may end on either side.
+    fn note_unanswered(&mut self, server: &ServerId, kind: CallKind) {
+        if matches!(kind, CallKind::Watch(_)) {
+            return;
+        }
+        if let Some(known) = self.servers.get_mut(server) {
+            known.note_failed(self.now);
+        }
     }
 
     /// Learns that a primary was promoted.
-    pub(crate) fn on_promoted(&mut self, _cx: &mut Cx<'_>, _term: Term) {}
+    pub fn on_promoted(&mut self, cx: &mut Cx<'_>, term: Term) {
+        self.now = cx.now.instant;
+        if self.leader().is_none_or(|leader| leader.term < term) {
+            self.poll_all(cx);
+        }
+    }
 
     /// Polls, suspects and promotes as time passes.
-    pub(crate) fn on_tick(&mut self, _cx: &mut Cx<'_>, _fleet: Fleet<'_>) {}
+    pub(crate) fn on_tick(&mut self, cx: &mut Cx<'_>, fleet: Fleet<'_>) {
+        let around = self.surroundings(fleet);
+        self.advance(cx, &around);
+    }
+
+    pub(crate) fn surroundings(&self, fleet: Fleet<'_>) -> Surroundings {
+        let leaving = |spec: &&crate::ServerSpec| fleet.configuration.is_leaving(spec);
+        Surroundings {
+            homes: placement::homes_of(fleet.membership, &self.spec),
+            leaving: self
+                .spec
+                .servers
+                .iter()
+                .filter(leaving)
+                .map(|spec| spec.id.clone())
+                .collect(),
+        }
+    }
+
+    /// Does whatever is due.
+    pub fn advance(&mut self, cx: &mut Cx<'_>, around: &Surroundings) {
+        self.now = cx.now.instant;
+        self.expire_calls();
+        self.poll_due(cx);
+        self.watch_due(cx);
+        self.note_opened(cx);
+        self.follow_due(cx);
+        self.suspect(cx, around);
+        self.promote_due(cx, around);
+        self.schedule(cx);
+    }
+
+    fn note_opened(&mut self, cx: &mut Cx<'_>) {
+        let Some(primary) = self.primary().filter(|p| p.term > self.opened) else {
+            return;
+        };
+        self.opened = primary.term;
+        self.promotion.succeed();
+        self.record(
+            cx,
+            TimelineKind::WritesOpened,
+            &primary.server,
+            primary.term,
+        );
+    }
+
+    /// Adds an entry about this group to the time line.
+    pub(crate) fn record(
+        &self,
+        cx: &mut Cx<'_>,
+        kind: TimelineKind,
+        server: &ServerId,
+        term: Term,
+    ) {
+        cx.record(TimelineEntry {
+            kind,
+            request: None,
+            session: None,
+            database: Some(self.spec.name.clone()),
+            server: Some(server.clone()),
+            peer: None,
+            term: Some(term),
+            detail: "".into(),
+        });
+    }
 }
--- /dev/null
+++ b/sapphireslip-core/src/group_log.rs
@@ -0,0 +1,65 @@
+//! Which records a server's log holds, worked out from the term starts that its status carries.
+
+use crate::derives::key;
+use crate::{ServerStatus, TERM_STARTS_MAX, Term, TermPosition};
+
+key! {
+    /// Whether a log holds a record.
+    pub enum Containment {
+        /// It does.
+        Contained,
+        /// The log ends before the record's position.
+        Beyond,
+        /// The log has another record at that position.
+        Diverged,
+        /// The record is older than the term starts that the status carries.
+        Unknown,
+    }
+}
+
+/// Returns whether the log behind a status holds a record.
+///
+/// ```
+/// use sapphireslip_core::{Containment, Position, ServerRole, ServerStatus, Term, TermPosition};
+/// use sapphireslip_core::log_contains;
+/// let at = |term, position| TermPosition { term: Term(term), position: Position(position) };
+/// let status = ServerStatus {
+///     role: ServerRole::Replica,
+///     fenced: Term(3),
+///     held: at(3, 12),
+///     applied: Position(12),
+///     term_starts: vec![at(1, 1), at(3, 10)],
+/// };
+/// assert_eq!(log_contains(&status, at(1, 9)), Containment::Contained);
+/// assert_eq!(log_contains(&status, at(2, 5)), Containment::Diverged);
+/// assert_eq!(log_contains(&status, at(3, 13)), Containment::Beyond);
+/// ```
+#[must_use]
+pub fn log_contains(status: &ServerStatus, record: TermPosition) -> Containment {
+    if record.position > status.held.position {
+        return if record.term < status.held.term {
+            Containment::Diverged
+        } else {
+            Containment::Beyond
+        };
+    }
+    match term_at(status, record) {
+        Some(term) if term == record.term => Containment::Contained,
+        Some(_) => Containment::Diverged,
+        None => Containment::Unknown,
+    }
+}
+
+/// Returns the term that wrote the record at a position within the log.
+fn term_at(status: &ServerStatus, record: TermPosition) -> Option<Term> {
+    let started = status
+        .term_starts
+        .iter()
+        .rev()
+        .find(|start| start.position <= record.position);
+    match started {
+        Some(start) => Some(start.term),
+        None if status.term_starts.len() < TERM_STARTS_MAX => Some(Term(0)),
+        None => None,
+    }
+}
--- a/sapphireslip-core/src/lib.rs
+++ b/sapphireslip-core/src/lib.rs
@@ -14,18 +14,26 @@
 mod event;
 #[allow(dead_code, reason = "the homes call it once both are written")]
 mod group;
+mod group_call;
+mod group_log;
 mod homes;
 mod instant;
+mod known_server;
 mod membership;
 mod name;
 mod peer_message;
 pub mod placement;
+mod polling;
+mod promotion;
 mod random;
 mod reducer;
 mod refusal;
 mod request;
 mod request_key;
 mod server_status;
+mod staleness;
+#[allow(dead_code, reason = "the homes call it once both are written")]
+mod suspicion;
 mod term;
 mod timeline_entry;
 
@@ -33,8 +41,9 @@
 
 pub use self::{
     configuration::*, cx::*, document::*, drain::*, effect::*, entry::*, event::*, group::*,
-    homes::*, instant::*, membership::*, name::*, peer_message::*, random::*, reducer::*,
-    refusal::*, request::*, request_key::*, server_status::*, term::*, timeline_entry::*,
+    group_call::*, group_log::*, homes::*, instant::*, known_server::*, membership::*, name::*,
+    peer_message::*, polling::*, promotion::*, random::*, reducer::*, refusal::*, request::*,
+    request_key::*, server_status::*, staleness::*, suspicion::*, term::*, timeline_entry::*,
 };
 
 /// An opaque shared text.
--- /dev/null
+++ b/sapphireslip-core/src/polling.rs
@@ -0,0 +1,243 @@
+//! When the servers of a group are asked for their status.
+
+use std::time::Duration;
+
+use crate::{
+    BackendEffect, CallId, CallKind, Cx, Group, GroupCall, GroupRequest, Holding, Instant,
+    REPLY_GRACE, ServerId, TermPosition,
+};
+
+/// Between two polls of a server when all is well.
+pub const POLL_QUIET: Duration = Duration::from_secs(1);
+
+/// Between two polls of a server while the primary is in doubt.
+pub const POLL_DOUBT: Duration = Duration::from_millis(100);
+
+/// Between two polls of a server once the doubt has lasted.
+pub const POLL_LONG_DOUBT: Duration = Duration::from_millis(500);
+
+/// After how long a doubt has lasted.
+pub const LONG_DOUBT: Duration = Duration::from_secs(5);
+
+/// Signs of failure in a row after which a server counts as gone.
+pub const FAILURES_GONE: u32 = 2;
+
+/// How long after a sign of failure a server that stays silent counts as gone.
+pub const SILENCE_GONE: Duration = Duration::from_millis(250);
+
+/// Between two long polls of a server that does not come to hold the record.
+pub const WATCH_RETRY: Duration = Duration::from_millis(100);
+
+impl Group {
+    /// Asks a majority for its status anew, so that `confirmed_since(now)` will answer; one round
+    /// serves all who wait.
+    pub fn probe(&mut self, cx: &mut Cx<'_>) {
+        self.now = cx.now.instant;
+        self.poll_all(cx);
+    }
+
+    /// Asks the replicas to report as soon as they hold a record.
+    pub fn watch(&mut self, cx: &mut Cx<'_>, record: TermPosition) {
+        self.now = cx.now.instant;
+        self.awaited = self.awaited.max(Some(record));
+        self.watch_due(cx);
+    }
+
+    pub(crate) fn poll_all(&mut self, cx: &mut Cx<'_>) {
+        let servers: Vec<_> = self.servers.keys().cloned().collect();
+        for server in servers {
+            self.poll(cx, &server);
+        }
+    }
+
+    /// Polls a server now, or as soon as the poll on its way is answered.
+    pub(crate) fn poll(&mut self, cx: &mut Cx<'_>, server: &ServerId) {
+        let Some(known) = self.servers.get_mut(server) else {
+            return;
+        };
+        match known.poll {
+            Some((_, asked)) => known.poll_again |= asked < cx.now.instant,
+            None => {
+                if let Some(call) = self.call(cx, server, CallKind::Poll)
+                    && let Some(known) = self.servers.get_mut(server)
+                {
+                    known.poll = Some((call, cx.now.instant));
+                    known.poll_again = false;
+                }
+            }
+        }
+    }
+
+    /// Sends a request to a server and remembers it until its reply.
+    pub(crate) fn call(
+        &mut self,
+        cx: &mut Cx<'_>,
+        server: &ServerId,
+        kind: CallKind,
+    ) -> Option<CallId> {
+        let spec = self.spec.servers.iter().find(|spec| spec.id == *server)?;
+        let request = self.request(kind)?;
+        let call = cx.take_call();
+        cx.backend(BackendEffect::Group {
+            call,
+            server: spec.clone(),
+            database: self.spec.name.clone(),
+            request,
+            timeout: kind.timeout(),
+        });
+        self.calls.insert(
+            call,
+            GroupCall {
+                server: server.clone(),
+                asked: cx.now.instant,
+                kind,
+            },
+        );
+        if !matches!(kind, CallKind::Watch(_))
+            && let Some(known) = self.servers.get_mut(server)
+        {
+            known.last_asked = Some(cx.now.instant);
+        }
+        Some(call)
+    }
+
+    fn request(&self, kind: CallKind) -> Option<GroupRequest> {
+        Some(match kind {
+            CallKind::Poll => GroupRequest::Status { wait_for: None },
+            CallKind::Watch(record) => GroupRequest::Status {
+                wait_for: Some(record),
+            },
+            CallKind::Fence(term) => GroupRequest::Fence { term },
+            CallKind::Promote(term) => GroupRequest::Promote { term },
+            CallKind::Follow(term) => GroupRequest::Follow {
+                term,
+                primary: self.leader().filter(|leader| leader.term == term)?.server,
+            },
+        })
+    }
+
+    /// Frees the places that a reply's call took, and polls again if that was asked for.
+    pub(crate) fn finish_poll(
+        &mut self,
+        cx: &mut Cx<'_>,
+        server: &ServerId,
+        call: CallId,
+        asked: Instant,
+        answered: bool,
+    ) {
+        let Some(known) = self.servers.get_mut(server) else {
+            return;
+        };
+        if known.watch.is_some_and(|(watch, _)| watch == call) {
+            known.finish_watch(asked, answered);
+        }
+        if known.poll.is_some_and(|(poll, _)| poll == call) {
+            known.poll = None;
+            if known.poll_again {
+                self.poll(cx, server);
+            }
+        }
+    }
+
+    /// Forgets calls whose reply got lost at the edge.
+    pub(crate) fn expire_calls(&mut self) {
+        let now = self.now;
+        let due = |call: &GroupCall| call.asked + call.kind.timeout() + REPLY_GRACE;
+        self.calls.retain(|_, call| due(call) > now);
+        let calls = &self.calls;
+        for known in self.servers.values_mut() {
+            known.poll = known.poll.filter(|(call, _)| calls.contains_key(call));
+            known.watch = known.watch.filter(|(call, _)| calls.contains_key(call));
+        }
+    }
+
+    pub(crate) fn poll_due(&mut self, cx: &mut Cx<'_>) {
+        let servers: Vec<_> = self.servers.keys().cloned().collect();
+        for server in servers {
+            if self.poll_at(&server).is_some_and(|at| at <= cx.now.instant) {
+                self.poll(cx, &server);
+            }
+        }
+    }
+
+    /// Returns when a server is to be polled next; none while a poll is on its way.
+    pub(crate) fn poll_at(&self, server: &ServerId) -> Option<Instant> {
+        let known = self.servers.get(server)?;
+        if known.poll.is_some() {
+            return None;
+        }
+        Some(match known.last_asked {
+            Some(asked) => asked + self.poll_interval(known.failures),
+            None => Instant::default(),
+        })
+    }
+
+    fn poll_interval(&self, failures: u32) -> Duration {
+        let doubt = self.suspicion.lasting(self.now);
+        let failing = (1..=FAILURES_GONE).contains(&failures);
+        match doubt {
+            Some(lasting) if lasting > LONG_DOUBT => POLL_LONG_DOUBT,
+            Some(_) => POLL_DOUBT,
+            None if failing || self.promotion.is_running() => POLL_DOUBT,
+            None => POLL_QUIET,
+        }
+    }
+
+    /// Keeps one long poll at each replica that does not hold the highest awaited record yet.
+    pub(crate) fn watch_due(&mut self, cx: &mut Cx<'_>) {
+        let Some(record) = self.awaited else {
+            return;
+        };
+        if self.is_settled(record) {
+            self.awaited = None;
+            return;
+        }
+        let due: Vec<_> = self
+            .servers
+            .iter()
+            .filter(|(_, known)| known.needs_watch(record, self.now))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for server in due {
+            if let Some(call) = self.call(cx, &server, CallKind::Watch(record))
+                && let Some(known) = self.servers.get_mut(&server)
+            {
+                known.watch = Some((call, record));
+                known.watched = Some(cx.now.instant);
+            }
+        }
+    }
+
+    fn is_settled(&self, record: TermPosition) -> bool {
+        let everywhere = self.servers.values().all(|server| server.has_held(record));
+        everywhere || self.holding(record) == Holding::Superseded || {
+            let opened = self.primary().map(|primary| primary.term);
+            opened > Some(record.term)
+        }
+    }
+
+    /// Asks for a tick at the next instant at which something is due.
+    pub(crate) fn schedule(&mut self, cx: &mut Cx<'_>) {
+        let polls = self
+            .servers
+            .keys()
+            .filter_map(|server| self.poll_at(server));
+        let silences = self.servers.values().filter_map(|known| known.gone_at());
+        let watches = self.servers.values().filter_map(|known| known.watch_at());
+        let next = polls
+            .chain(silences)
+            .chain(watches)
+            .chain(self.suspicion_at())
+            .chain(self.promotion.due())
+            .filter(|at| *at > self.now)
+            .min();
+        let Some(next) = next else {
+            return;
+        };
+        let waiting = self.wake.filter(|wake| *wake > self.now);
+        if waiting.is_none_or(|wake| next < wake) {
+            self.wake = Some(next);
+            cx.wake_at(next);
+        }
+    }
+}
--- /dev/null
+++ b/sapphireslip-core/src/staleness.rs
@@ -0,0 +1,60 @@
+//! How old a server's data may be, from samples of the primary's position.
+
+use std::collections::VecDeque;
+
+use crate::derives::{data, key};
+use crate::{Instant, TermPosition};
+
+/// The most samples kept, the newest ones.
+pub const SAMPLES_MAX: usize = 64;
+
+key! {
+    /// A position that the primary had passed at no time before `asked`.
+    pub struct Sample {
+        /// When the primary was asked.
+        pub asked: Instant,
+        /// The end of its log in the answer.
+        pub held: TermPosition,
+    }
+}
+
+data! {
+    /// The newest samples, oldest first.
+    #[derive(Default)]
+    pub struct Samples {
+        ring: VecDeque<Sample>,
+    }
+}
+
+impl Samples {
+    /// Adds a sample; of several with one position the latest two are kept, as the last
+    /// may not be confirmed yet.
+    pub(crate) fn add(&mut self, sample: Sample) {
+        if self
+            .ring
+            .back()
+            .is_some_and(|last| last.asked > sample.asked)
+        {
+            return;
+        }
+        if self.repeats(sample.held) {
+            self.ring.remove(self.ring.len() - 2);
+        }
+        if self.ring.len() == SAMPLES_MAX {
+            self.ring.pop_front();
+        }
+        self.ring.push_back(sample);
+    }
+
+    fn repeats(&self, held: TermPosition) -> bool {
+        self.ring.len() >= 2 && self.ring.iter().rev().take(2).all(|last| last.held == held)
+    }
+
+    /// Returns the samples asked at or before `confirmed`, newest first.
+    pub(crate) fn until(&self, confirmed: Instant) -> impl Iterator<Item = &Sample> {
+        self.ring
+            .iter()
+            .rev()
+            .filter(move |sample| sample.asked <= confirmed)
+    }
+}
