--- a/sapphireslip-core/src/lib.rs
+++ b/sapphireslip-core/src/lib.rs
@@ -17,12 +17,17 @@
 mod event;
 #[allow(dead_code, reason = "the homes call it once both are written")]
 mod group;
+mod group_call;
+mod group_log;
 mod homes;
 mod instant;
+mod known_server;
 mod membership;
 mod name;
 mod peer_message;
 pub mod placement;
+mod polling;
+mod promotion;
 mod random;
 mod reducer;
 mod refusal;
@@ -32,6 +37,9 @@
 mod session;
 mod sql_words;
 mod statement;
+mod staleness;
+#[allow(dead_code, reason = "the homes call it once both are written")]
+mod suspicion;
 mod term;
 mod timeline_entry;
 
@@ -42,6 +50,9 @@
     homes::*, instant::*, membership::*, name::*, peer_message::*, random::*, reducer::*,
     refusal::*, request::*, request_key::*, server_status::*, sql_words::*, statement::*, term::*,
     timeline_entry::*,
+    group_call::*, group_log::*, homes::*, instant::*, known_server::*, membership::*, name::*,
+    peer_message::*, polling::*, promotion::*, random::*, reducer::*, refusal::*, request::*,
+    request_key::*, server_status::*, staleness::*, suspicion::*, term::*, timeline_entry::*,
 };
 
 /// An opaque shared text.
