Membership, placement, configuration, drain and document checking

Documents are walked as spanned TOML rather than through serde: serde's derive stops at the first unknown key or wrong type, and operators want every fault of a document at once, with its line.

Two additions to the peer messages: `Documents` carries the count after which its documents were accepted, since without it a receiver that has missed an earlier push would count it as in force; and `LeavingServers`, since only relays read the platform's list.

--- a/sapphireslip-core/src/configuration.rs
+++ b/sapphireslip-core/src/configuration.rs
@@ -4,19 +4,26 @@
 use std::sync::Arc;
 
 use crate::derives::data;
+use crate::document_exchange::DocumentExchange;
+use crate::fleet_record::record;
+use crate::held_documents::{Acceptance, HeldDocuments};
 use crate::{
-    CallerAccount, CallerName, ChangeCount, Cx, DatabaseName, DatabaseSpec, Document, Membership,
-    PeerMessage, PlatformEvent, ServerSpec, VmId,
+    AcceptedDocument, CallerAccount, CallerName, ChangeCount, Cx, DatabaseName, DatabaseSpec,
+    Document, ServerSpec, TimelineKind,
 };
 
+/// The most leaving backend servers that are kept.
+pub const LEAVING_MAX: usize = 4096;
+
 data! {
     /// The documents in force at this daemon.
     #[derive(Default)]
     pub struct Configuration {
-        documents: Vec<Arc<Document>>,
+        documents: HeldDocuments,
         changes: ChangeCount,
         leaving: Vec<IpAddr>,
         version: u64,
+        pub(crate) exchange: DocumentExchange,
     }
 }
 
@@ -41,15 +48,13 @@
 
     /// Returns the documents in force.
     pub fn documents(&self) -> impl Iterator<Item = &Arc<Document>> {
-        self.documents.iter()
+        self.documents.in_force()
     }
 
     /// Returns the document that declares a database.
     #[must_use]
     pub fn document_of(&self, database: &DatabaseName) -> Option<&Arc<Document>> {
-        self.documents
-            .iter()
-            .find(|d| d.databases.iter().any(|spec| spec.name == *database))
+        self.documents.document_of(database)
     }
 
     /// Returns a database.
@@ -76,25 +81,58 @@
         server.leaving || self.leaving.contains(&server.address.ip())
     }
 
-    pub(crate) fn on_platform(&mut self, _cx: &mut Cx<'_>, _event: PlatformEvent) {}
+    /// Returns the IP numbers of the backend servers that the platform lists as leaving.
+    pub(crate) fn leaving(&self) -> &[IpAddr] {
+        &self.leaving
+    }
+
+    /// Sets which backend servers are leaving; returns whether that is news.
+    pub(crate) fn set_leaving(&mut self, mut servers: Vec<IpAddr>) -> bool {
+        servers.sort();
+        servers.dedup();
+        servers.truncate(LEAVING_MAX);
+        if self.leaving == servers {
+            return false;
+        }
+        self.leaving = servers;
+        self.version += 1;
+        true
+    }
 
-    pub(crate) fn on_peer(
-        &mut self,
-        _cx: &mut Cx<'_>,
-        _membership: &Membership,
-        _from: &VmId,
-        _message: PeerMessage,
-    ) {
+    pub(crate) fn documents_since(&self, changes: ChangeCount) -> Vec<&AcceptedDocument> {
+        self.documents.since(changes)
     }
 
-    /// Learns from a probe how many changes a peer has in force.
-    pub(crate) fn on_peer_changes(
-        &mut self,
-        _cx: &mut Cx<'_>,
-        _from: &VmId,
-        _changes: ChangeCount,
-    ) {
+    /// Notes that all changes up to a count are in force; the count never goes back.
+    pub(crate) fn raise_changes(&mut self, changes: ChangeCount) {
+        self.changes = self.changes.max(changes);
     }
 
-    pub(crate) fn on_tick(&mut self, _cx: &mut Cx<'_>, _membership: &Membership) {}
+    /// Puts in force what is newer than what is held.
+    pub(crate) fn take_documents(&mut self, cx: &mut Cx<'_>, mut documents: Vec<AcceptedDocument>) {
+        documents.sort_by_key(|document| document.change);
+        let mut is_news = false;
+        for document in &documents {
+            let (service, generation) = (&document.service, document.generation.0);
+            let change = document.change.0;
+            match self.documents.accept(document) {
+                Acceptance::Older => {}
+                Acceptance::Newer => {
+                    is_news = true;
+                    let detail =
+                        format!("service {service} generation {generation} change {change}");
+                    record(cx, TimelineKind::DocumentInForce, None, Arc::from(detail));
+                }
+                Acceptance::Refused(errors) => {
+                    let detail = format!("service {service} generation {generation}: {errors}");
+                    record(cx, TimelineKind::DocumentRefused, None, Arc::from(detail));
+                }
+            }
+        }
+        if is_news {
+            self.documents.settle();
+            self.version += 1;
+            cx.wake_at(cx.now.instant);
+        }
+    }
 }
--- /dev/null
+++ b/sapphireslip-core/src/document_check.rs
@@ -0,0 +1,288 @@
+//! Turns a raw document into a checked one and reports every fault at once.
+//!
+//! ```toml
+//! service = "stock"
+//! member = "red-quetzal"
+//! generation = 1
+//!
+//! [limits]
+//! sessions = 2000             # sessions open at one entry daemon
+//! queued = 200                # requests queued for one database at its home
+//!
+//! [stop]
+//! bound = "30s"               # how long open transactions may go on once a stop has begun
+//!
+//! [[caller]]
+//! name = "till"
+//! verifier = "SCRAM-SHA-256$4096:..."
+//!
+//! [[database]]
+//! name = "stock-xela"
+//! connections = 16            # at each server, from all homes together
+//! max_staleness = "5s"        # "0s" sends every read to the primary
+//! deadline = "2s"
+//! zones = ["a", "b", "c"]     # with a home; left out: the zones of the servers
+//!
+//! [[database.server]]
+//! id = "xela-1"
+//! zone = "a"
+//! address = "10.0.0.1:5432"   # an IP number and a port
+//! leaving = false             # may be left out
+//! ```
+//!
+//! A database may have any count of servers from one on. A majority must hold each write, so an
+//! even count outlives no more lost servers than the odd count below it: three are the usual
+//! number, and a single server leaves no replica to promote.
+
+use std::collections::BTreeMap;
+use std::fmt::Display;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::raw_table::{Faults, Placed, RawTable};
+use crate::{
+    CallerAccount, CallerName, DatabaseName, DatabaseSpec, Document, DocumentErrors, DocumentFault,
+    Generation, RawDocument, ServerId, ServerSpec, ServiceLimits, StopPolicy, ZoneName,
+};
+
+/// The most connections that a document may give one server.
+pub const CONNECTIONS_MAX: u32 = 10_000;
+
+/// The most sessions that a document may give one entry daemon.
+pub const SESSIONS_MAX: u32 = 100_000;
+
+/// The most requests that a document may queue for one database.
+pub const QUEUED_MAX: u32 = 100_000;
+
+/// The greatest staleness that a document may allow.
+pub const STALENESS_MAX: Duration = Duration::from_secs(24 * 60 * 60);
+
+/// The shortest deadline of a statement.
+pub const DEADLINE_MIN: Duration = Duration::from_millis(10);
+
+/// The longest deadline of a statement.
+pub const DEADLINE_MAX: Duration = Duration::from_secs(10 * 60);
+
+/// The longest bound of a graceful stop.
+pub const STOP_BOUND_MAX: Duration = Duration::from_secs(60 * 60);
+
+impl TryFrom<&[u8]> for Document {
+    type Error = DocumentErrors;
+
+    fn try_from(bytes: &[u8]) -> Result<Self, DocumentErrors> {
+        Self::try_from(RawDocument::try_from(bytes)?)
+    }
+}
+
+impl TryFrom<RawDocument<'_>> for Document {
+    type Error = DocumentErrors;
+
+    fn try_from(raw: RawDocument<'_>) -> Result<Self, DocumentErrors> {
+        let mut faults = Faults::new(raw.text);
+        let table = RawTable::new(raw.table.get_ref(), 0, String::new());
+        let document = document(table, &mut faults);
+        let errors = faults.into_sorted();
+        match document {
+            Some(document) if errors.is_empty() => Ok(document),
+            _ => Err(DocumentErrors(errors)),
+        }
+    }
+}
+
+fn document(mut table: RawTable<'_>, faults: &mut Faults<'_>) -> Option<Document> {
+    let service = table.name(faults, "service");
+    let member = table.name(faults, "member");
+    let generation = table.number(faults, "generation", 1..=u64::MAX);
+    let limits = limits(&mut table, faults);
+    let stop = stop(&mut table, faults);
+    let callers = callers(&mut table, faults);
+    let databases = databases(&mut table, faults);
+    table.finish(faults);
+    Some(Document {
+        member: member?.value,
+        service: service?.value,
+        generation: Generation(generation?.value),
+        callers,
+        databases,
+        limits: limits?,
+        stop: stop?,
+    })
+}
+
+fn limits(document: &mut RawTable<'_>, faults: &mut Faults<'_>) -> Option<ServiceLimits> {
+    let mut table = document.table(faults, "limits")?;
+    let sessions = number(&mut table, faults, "sessions", SESSIONS_MAX);
+    let queued = number(&mut table, faults, "queued", QUEUED_MAX);
+    table.finish(faults);
+    Some(ServiceLimits {
+        sessions: sessions?.value,
+        queued: queued?.value,
+    })
+}
+
+fn number(
+    table: &mut RawTable<'_>,
+    faults: &mut Faults<'_>,
+    key: &'static str,
+    max: u32,
+) -> Option<Placed<u32>> {
+    let number = table.number(faults, key, 1..=u64::from(max))?;
+    Some(Placed {
+        value: u32::try_from(number.value).ok()?,
+        offset: number.offset,
+    })
+}
+
+fn stop(document: &mut RawTable<'_>, faults: &mut Faults<'_>) -> Option<StopPolicy> {
+    let mut table = document.table(faults, "stop")?;
+    let bound = table.duration(faults, "bound", Duration::ZERO..=STOP_BOUND_MAX);
+    table.finish(faults);
+    Some(StopPolicy { bound: bound? })
+}
+
+fn callers(document: &mut RawTable<'_>, faults: &mut Faults<'_>) -> Vec<CallerAccount> {
+    let mut names = Unique::new("caller");
+    let mut callers = Vec::new();
+    for mut table in document.tables(faults, "caller") {
+        let name = table.name::<CallerName>(faults, "name");
+        if let Some(name) = &name {
+            table.rename("caller", name.value.as_str());
+            names.check(faults, name, &table.path_of("name"));
+        }
+        let verifier = table.text(faults, "verifier");
+        table.finish(faults);
+        if let (Some(name), Some(verifier)) = (name, verifier) {
+            callers.push(CallerAccount {
+                name: name.value,
+                verifier: Arc::from(verifier.value),
+            });
+        }
+    }
+    callers
+}
+
+fn databases(document: &mut RawTable<'_>, faults: &mut Faults<'_>) -> Vec<DatabaseSpec> {
+    let mut names = Unique::new("database");
+    let mut ids = Unique::new("server");
+    let mut addresses = Unique::new("address");
+    let mut databases = Vec::new();
+    for mut table in document.tables(faults, "database") {
+        let name = table.name::<DatabaseName>(faults, "name");
+        if let Some(name) = &name {
+            table.rename("database", name.value.as_str());
+            names.check(faults, name, &table.path_of("name"));
+        }
+        let servers = servers(&mut table, faults, &mut ids, &mut addresses);
+        let zones = zones(&mut table, faults, &servers);
+        databases.extend(database(table, faults, name, servers, zones));
+    }
+    databases
+}
+
+fn database(
+    mut table: RawTable<'_>,
+    faults: &mut Faults<'_>,
+    name: Option<Placed<DatabaseName>>,
+    servers: Vec<ServerSpec>,
+    zones: Vec<ZoneName>,
+) -> Option<DatabaseSpec> {
+    let connections = number(&mut table, faults, "connections", CONNECTIONS_MAX);
+    if let Some(given) = &connections
+        && usize::try_from(given.value).is_ok_and(|given| given < zones.len())
+    {
+        let fault = DocumentFault::FewConnections(given.value, zones.len());
+        faults.add(given.offset, &table.path_of("connections"), fault);
+    }
+    let max_staleness = table.duration(faults, "max_staleness", Duration::ZERO..=STALENESS_MAX);
+    let deadline = table.duration(faults, "deadline", DEADLINE_MIN..=DEADLINE_MAX);
+    table.finish(faults);
+    Some(DatabaseSpec {
+        name: name?.value,
+        servers,
+        zones,
+        connections: connections?.value,
+        max_staleness: max_staleness?,
+        deadline: deadline?,
+    })
+}
+
+fn servers(
+    database: &mut RawTable<'_>,
+    faults: &mut Faults<'_>,
+    ids: &mut Unique,
+    addresses: &mut Unique,
+) -> Vec<ServerSpec> {
+    let tables = database.tables(faults, "server");
+    if tables.is_empty() {
+        faults.add(database.offset(), &database.path, DocumentFault::NoServers);
+    }
+    let array = database.path_of("server");
+    let mut servers = Vec::new();
+    for mut table in tables {
+        let id = table.name::<ServerId>(faults, "id");
+        if let Some(id) = &id {
+            table.rename(&array, id.value.as_str());
+            ids.check(faults, id, &table.path_of("id"));
+        }
+        let zone = table.name(faults, "zone");
+        let address = table.address(faults, "address");
+        if let Some(address) = &address {
+            addresses.check(faults, address, &table.path_of("address"));
+        }
+        let leaving = table.flag(faults, "leaving");
+        table.finish(faults);
+        if let (Some(id), Some(zone), Some(address)) = (id, zone, address) {
+            servers.push(ServerSpec {
+                id: id.value,
+                zone: zone.value,
+                address: address.value,
+                leaving,
+            });
+        }
+    }
+    servers
+}
+
+fn zones(
+    database: &mut RawTable<'_>,
+    faults: &mut Faults<'_>,
+    servers: &[ServerSpec],
+) -> Vec<ZoneName> {
+    let path = database.path_of("zones");
+    let Some(given) = database.names::<ZoneName>(faults, "zones") else {
+        let mut zones: Vec<_> = servers.iter().map(|server| server.zone.clone()).collect();
+        zones.sort();
+        zones.dedup();
+        return zones;
+    };
+    let mut names = Unique::new("availability zone");
+    for zone in &given {
+        names.check(faults, zone, &path);
+    }
+    given.into_iter().map(|zone| zone.value).collect()
+}
+
+/// Names or addresses that may stand only once in a document.
+struct Unique {
+    what: &'static str,
+    first_lines: BTreeMap<String, usize>,
+}
+
+impl Unique {
+    const fn new(what: &'static str) -> Self {
+        Self {
+            what,
+            first_lines: BTreeMap::new(),
+        }
+    }
+
+    fn check<T: Display>(&mut self, faults: &mut Faults<'_>, given: &Placed<T>, path: &str) {
+        let name = given.value.to_string();
+        if let Some(first) = self.first_lines.get(&name) {
+            let fault = DocumentFault::Duplicate(self.what, name, *first);
+            faults.add(given.offset, path, fault);
+            return;
+        }
+        self.first_lines.insert(name, faults.line(given.offset));
+    }
+}
--- a/sapphireslip-core/src/drain.rs
+++ b/sapphireslip-core/src/drain.rs
@@ -1,15 +1,22 @@
 //! The graceful stop of this daemon.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::derives::data;
-use crate::{Cx, Instant};
+use crate::fleet_record::record;
+use crate::{Cx, Effect, Instant, TimelineKind};
+
+/// The least time between the notice to peers and the exit: until then peers may still send work.
+pub const DRAIN_NOTICE: Duration = Duration::from_millis(500);
 
 data! {
     /// How far a graceful stop has come.
     #[derive(Default)]
     pub struct Drain {
+        not_before: Option<Instant>,
         until: Option<Instant>,
+        is_finished: bool,
     }
 }
 
@@ -20,9 +27,43 @@
         self.until.is_some()
     }
 
-    /// Begins the stop; open transactions may go on for `bound`.
-    pub(crate) fn begin(&mut self, _cx: &mut Cx<'_>, _bound: Duration) {}
+    /// Begins the stop; open transactions may go on for `bound`. A second call changes nothing.
+    pub(crate) fn begin(&mut self, cx: &mut Cx<'_>, bound: Duration) {
+        if self.is_draining() {
+            return;
+        }
+        let until = cx.now.instant + bound;
+        let not_before = until.min(cx.now.instant + DRAIN_NOTICE);
+        self.until = Some(until);
+        self.not_before = Some(not_before);
+        cx.effects.push(Effect::Ready(false));
+        record(
+            cx,
+            TimelineKind::DrainStarted,
+            None,
+            Arc::from(format!("bound {bound:?}")),
+        );
+        cx.wake_at(not_before);
+        cx.wake_at(until);
+    }
 
     /// Ends the stop once nothing is left to do or the bound has passed.
-    pub(crate) fn on_tick(&mut self, _cx: &mut Cx<'_>, _is_idle: bool) {}
+    pub(crate) fn on_tick(&mut self, cx: &mut Cx<'_>, is_idle: bool) {
+        let (Some(not_before), Some(until)) = (self.not_before, self.until) else {
+            return;
+        };
+        let now = cx.now.instant;
+        let may_leave = now >= until || (is_idle && now >= not_before);
+        if self.is_finished || !may_leave {
+            return;
+        }
+        self.is_finished = true;
+        let detail = if is_idle {
+            "nothing left"
+        } else {
+            "bound passed"
+        };
+        record(cx, TimelineKind::DrainFinished, None, Arc::from(detail));
+        cx.effects.push(Effect::Exit);
+    }
 }
--- a/sapphireslip-core/src/lib.rs
+++ b/sapphireslip-core/src/lib.rs
@@ -8,33 +8,47 @@
 mod cx;
 mod derives;
 mod document;
+mod document_check;
+mod document_error;
+mod document_exchange;
 mod drain;
 mod effect;
 mod entry;
 mod event;
+mod fleet_record;
 #[allow(dead_code, reason = "the homes call it once both are written")]
 mod group;
+mod held_documents;
 mod homes;
 mod instant;
 mod membership;
 mod name;
+mod ownership;
 mod peer_message;
 pub mod placement;
+mod probe;
 mod random;
+mod raw_document;
+mod raw_table;
 mod reducer;
 mod refusal;
+mod relay;
 mod request;
 mod request_key;
 mod server_status;
 mod term;
 mod timeline_entry;
+mod vm_exchange;
+mod vm_news;
 
 use std::sync::Arc;
 
 pub use self::{
-    configuration::*, cx::*, document::*, drain::*, effect::*, entry::*, event::*, group::*,
-    homes::*, instant::*, membership::*, name::*, peer_message::*, random::*, reducer::*,
-    refusal::*, request::*, request_key::*, server_status::*, term::*, timeline_entry::*,
+    configuration::*, cx::*, document::*, document_check::*, document_error::*,
+    document_exchange::*, drain::*, effect::*, entry::*, event::*, group::*, held_documents::*,
+    homes::*, instant::*, membership::*, name::*, peer_message::*, probe::*, random::*,
+    raw_document::*, reducer::*, refusal::*, relay::*, request::*, request_key::*,
+    server_status::*, term::*, timeline_entry::*, vm_exchange::*, vm_news::*,
 };
 
 /// An opaque shared text.
--- a/sapphireslip-core/src/peer_message.rs
+++ b/sapphireslip-core/src/peer_message.rs
@@ -1,6 +1,6 @@
 //! What daemons tell one another.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use crate::derives::{data, key};
 use crate::{
@@ -96,11 +96,15 @@
         },
         /// Documents accepted since.
         Documents {
+            /// The count of changes after which they were accepted, none left out.
+            since: ChangeCount,
             /// The documents.
             documents: Vec<AcceptedDocument>,
             /// The count of changes that these bring the receiver to.
             changes: ChangeCount,
         },
+        /// The IP numbers of backend servers that the platform lists as leaving.
+        LeavingServers(Vec<IpAddr>),
         /// Asks another zone's home whether it too finds the primary of a database gone.
         ConfirmSuspicion {
             /// The database.
--- a/sapphireslip-core/src/placement.rs
+++ b/sapphireslip-core/src/placement.rs
@@ -1,20 +1,125 @@
 //! Which daemon is the home of a database, by rendezvous hashing over a zone's VMs.
+//!
+//! Each daemon works it out alone from the VMs it knows: no agreement is needed, and when a VM
+//! leaves, only the databases that it was the home of move.
 
 use crate::{DatabaseSpec, Membership, VmId, ZoneName};
 
+const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
 /// Returns the home of a database for an entry daemon in `zone`: in that zone if the database has
 /// one there, else in another of its zones.
+///
+/// ```
+/// use sapphireslip_core::{Document, Incarnation, Local, Membership, VmId, ZoneName, placement};
+/// let local = Local {
+///     vm: VmId::try_from("vm-1")?,
+///     zone: ZoneName::try_from("a")?,
+///     address: "10.0.0.1:7000".parse()?,
+///     incarnation: Incarnation(1),
+/// };
+/// let text = br#"
+/// service = "stock"
+/// member = "red-quetzal"
+/// generation = 1
+/// [limits]
+/// sessions = 10
+/// queued = 10
+/// [stop]
+/// bound = "5s"
+/// [[database]]
+/// name = "stock"
+/// connections = 16
+/// max_staleness = "5s"
+/// deadline = "2s"
+/// [[database.server]]
+/// id = "stock-1"
+/// zone = "a"
+/// address = "10.0.0.9:5432"
+/// "#;
+/// let document = Document::try_from(text.as_slice())?;
+/// let membership = Membership::new(&local, Vec::new());
+/// let home = placement::home_for(&membership, &document.databases[0], &local.zone);
+/// assert_eq!(home, Some(local.vm));
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
 #[must_use]
-pub fn home_for(
-    _membership: &Membership,
-    _database: &DatabaseSpec,
-    _zone: &ZoneName,
-) -> Option<VmId> {
-    None
+pub fn home_for(membership: &Membership, database: &DatabaseSpec, zone: &ZoneName) -> Option<VmId> {
+    let key = hash_name(database.name.as_str());
+    if database.zones.contains(zone)
+        && let Some(home) = choose(membership.usable(zone), key)
+    {
+        return Some(home.clone());
+    }
+    let asking = mix(key ^ hash_name(zone.as_str()));
+    database
+        .zones
+        .iter()
+        .filter_map(|zone| Some((zone, choose(membership.usable(zone), key)?)))
+        .max_by_key(|(zone, _)| (mix(asking ^ hash_name(zone.as_str())), *zone))
+        .map(|(_, home)| home.clone())
 }
 
 /// Returns the homes of a database, one for each of its zones that has a live VM.
+///
+/// ```
+/// # use sapphireslip_core::{Document, Membership, placement};
+/// fn count_homes(membership: &Membership, document: &Document) -> usize {
+///     let homes = |database| placement::homes_of(membership, database).len();
+///     document.databases.iter().map(homes).sum()
+/// }
+/// ```
 #[must_use]
-pub fn homes_of(_membership: &Membership, _database: &DatabaseSpec) -> Vec<VmId> {
-    Vec::new()
+pub fn homes_of(membership: &Membership, database: &DatabaseSpec) -> Vec<VmId> {
+    let key = hash_name(database.name.as_str());
+    database
+        .zones
+        .iter()
+        .filter_map(|zone| choose(membership.usable(zone), key))
+        .cloned()
+        .collect()
+}
+
+/// A VM that may be chosen, with the hash of its name.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Candidate {
+    pub(crate) vm: VmId,
+    hash: u64,
+}
+
+impl Candidate {
+    pub(crate) fn new(vm: VmId) -> Self {
+        Self {
+            hash: hash_name(vm.as_str()),
+            vm,
+        }
+    }
+
+    pub(crate) const fn weight(&self, key: u64) -> u64 {
+        mix(self.hash ^ mix(key))
+    }
+}
+
+/// Returns the candidate with the highest weight for a key.
+fn choose(candidates: &[Candidate], key: u64) -> Option<&VmId> {
+    let highest = candidates
+        .iter()
+        .max_by_key(|candidate| (candidate.weight(key), &candidate.vm))?;
+    Some(&highest.vm)
+}
+
+/// Returns the FNV-1a hash of a name: the same in every build and on every VM.
+pub(crate) fn hash_name(name: &str) -> u64 {
+    name.bytes().fold(FNV_OFFSET_BASIS, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+    })
+}
+
+/// Spreads the bits of a hash, by the finaliser of `SplitMix64`.
+const fn mix(value: u64) -> u64 {
+    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
 }
--- a/sapphireslip-core/src/reducer.rs
+++ b/sapphireslip-core/src/reducer.rs
@@ -86,6 +86,7 @@
         effects,
         outgoing,
     };
+    membership.changes = configuration.changes();
     match event {
         Event::Tick => {
             membership.on_tick(cx);
@@ -167,6 +168,7 @@
     from: &VmId,
     message: PeerMessage,
 ) {
+    membership.on_heard(cx, from);
     match message {
         PeerMessage::Request(request) => {
             homes.on_request(
@@ -204,7 +206,9 @@
         | PeerMessage::ProbeForAck { .. }
         | PeerMessage::WantVms
         | PeerMessage::Vms(_) => membership.on_peer(cx, from, message),
-        PeerMessage::WantDocuments { .. } | PeerMessage::Documents { .. } => {
+        PeerMessage::WantDocuments { .. }
+        | PeerMessage::Documents { .. }
+        | PeerMessage::LeavingServers(_) => {
             configuration.on_peer(cx, membership, from, message);
         }
         PeerMessage::ConfirmSuspicion { .. }
--- /dev/null
+++ b/sapphireslip-core/src/relay.rs
@@ -0,0 +1,48 @@
+//! Which two daemons of a zone read from the platform on behalf of the others.
+//!
+//! Each daemon works it out alone; several that wrongly take themselves for relays only read more
+//! than is needed.
+
+use crate::{Membership, VmId, ZoneName};
+
+/// How many relays a zone has.
+pub const RELAYS_PER_ZONE: usize = 2;
+
+/// The key that ranks the VMs of a zone for the role.
+const RELAY_KEY: u64 = 0x7265_6c61_7973_0001;
+
+impl Membership {
+    /// Returns the relays of a zone, the first choice first; fewer if the zone has fewer VMs.
+    ///
+    /// ```
+    /// # use sapphireslip_core::{Incarnation, Local, Membership, VmId, ZoneName};
+    /// let local = Local {
+    ///     vm: VmId::try_from("vm-1")?,
+    ///     zone: ZoneName::try_from("a")?,
+    ///     address: "10.0.0.1:7000".parse()?,
+    ///     incarnation: Incarnation(1),
+    /// };
+    /// let membership = Membership::new(&local, Vec::new());
+    /// assert_eq!(membership.relays(&local.zone), [local.vm]);
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    #[must_use]
+    pub fn relays(&self, zone: &ZoneName) -> Vec<VmId> {
+        let mut ranked: Vec<_> = self.usable(zone).iter().collect();
+        ranked.sort_by_key(|candidate| std::cmp::Reverse(candidate.weight(RELAY_KEY)));
+        let first = ranked.into_iter().take(RELAYS_PER_ZONE);
+        first.map(|candidate| candidate.vm.clone()).collect()
+    }
+
+    /// Returns whether this daemon is a relay of its zone.
+    #[must_use]
+    pub(crate) fn is_relay(&self) -> bool {
+        self.relays(self.zone()).contains(self.local())
+    }
+
+    /// Returns the relays of the other zones.
+    pub(crate) fn foreign_relays(&self) -> Vec<VmId> {
+        let foreign = self.zones().filter(|zone| *zone != self.zone());
+        foreign.flat_map(|zone| self.relays(zone)).collect()
+    }
+}
--- a/sapphireslip-core/src/timeline_entry.rs
+++ b/sapphireslip-core/src/timeline_entry.rs
@@ -34,6 +34,8 @@
         WritesOpened,
         /// A document is in force.
         DocumentInForce,
+        /// A document that the platform accepted has faults and is kept out.
+        DocumentRefused,
         /// A VM's state changed.
         VmChanged,
         /// A drain began.
