--- /dev/null
+++ b/standins/src/backend_query.rs
@@ -0,0 +1,159 @@
+//! Running and describing statements on a SQLite database.
+
+use std::collections::BTreeMap;
+
+use rusqlite::types::Value;
+use rusqlite::{Connection, Statement};
+
+use crate::backend_sql::{SqlError, Translated, insert_columns, insert_places};
+use crate::backend_values::{declared, of_value, oid};
+
+/// One column of a result.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Column {
+    pub(crate) name: String,
+    pub(crate) oid: u32,
+}
+
+/// What a statement takes and gives.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Description {
+    pub(crate) parameters: Vec<u32>,
+    pub(crate) columns: Vec<Column>,
+}
+
+/// What a statement gave.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ResultSet {
+    pub(crate) rows: Vec<Vec<Value>>,
+    pub(crate) changes: usize,
+}
+
+/// The declared columns of the tables that a statement names.
+struct Declared {
+    types: BTreeMap<String, u32>,
+    order: Vec<String>,
+}
+
+impl Declared {
+    fn read(database: &Connection, sql: &str) -> Result<Self, SqlError> {
+        let lower = sql.to_ascii_lowercase();
+        let mut statement = database.prepare_cached(
+            "SELECT lower(m.name), lower(c.name), c.type FROM sqlite_master m, \
+             pragma_table_info(m.name) c WHERE m.type = 'table'",
+        )?;
+        let mut rows = statement.query([])?;
+        let mut declared_columns = Self {
+            types: BTreeMap::new(),
+            order: Vec::new(),
+        };
+        while let Some(row) = rows.next()? {
+            let table: String = row.get(0)?;
+            let column: String = row.get(1)?;
+            let kind: String = row.get(2)?;
+            if lower.contains(&table) {
+                declared_columns.order.push(column.clone());
+                declared_columns.types.insert(column, declared(&kind));
+            }
+        }
+        Ok(declared_columns)
+    }
+}
+
+/// Returns what a statement takes and gives.
+pub(crate) fn describe(
+    database: &Connection,
+    translated: &Translated,
+    given: &[u32],
+) -> Result<Description, SqlError> {
+    let mut statement = database.prepare(&translated.sql)?;
+    let declared_columns = Declared::read(database, &translated.sql)?;
+    let parameters = (0..statement.parameter_count())
+        .map(|i| match given.get(i) {
+            Some(0) | None => parameter(translated, &declared_columns, i),
+            Some(oid) => *oid,
+        })
+        .collect();
+    let columns = columns(&mut statement, &declared_columns)?;
+    Ok(Description {
+        parameters,
+        columns,
+    })
+}
+
+fn parameter(translated: &Translated, columns: &Declared, i: usize) -> u32 {
+    let hint = translated.hints.get(i);
+    if let Some(cast) = hint.and_then(|hint| hint.cast.as_ref()) {
+        return declared(cast);
+    }
+    let named = hint.and_then(|hint| hint.column.as_ref());
+    if let Some(oid) = named.and_then(|column| columns.types.get(column)) {
+        return *oid;
+    }
+    let place = insert_places(&translated.sql)
+        .into_iter()
+        .find(|place| place.parameter == i + 1);
+    let names = insert_columns(&translated.sql);
+    let names = names.as_ref().unwrap_or(&columns.order);
+    let name = place.and_then(|place| names.get(place.place));
+    let found = name.and_then(|name| columns.types.get(name));
+    found.copied().unwrap_or(oid::TEXT)
+}
+
+fn columns(
+    statement: &mut Statement<'_>,
+    declared_columns: &Declared,
+) -> Result<Vec<Column>, SqlError> {
+    let mut unknown = Vec::new();
+    let mut columns = Vec::new();
+    for (i, column) in statement.columns().enumerate() {
+        let name = column.name().to_owned();
+        let named = declared_columns.types.get(&name.to_ascii_lowercase());
+        let declaration = column.decl_type().map(declared);
+        let oid = declaration.or(named.copied()).unwrap_or_else(|| {
+            unknown.push(i);
+            expression(&name)
+        });
+        columns.push(Column { name, oid });
+    }
+    if unknown.is_empty() || !statement.readonly() {
+        return Ok(columns);
+    }
+    let mut rows = statement.raw_query();
+    if let Some(row) = rows.next()? {
+        for i in unknown {
+            let value = row.get_ref(i)?;
+            if value != rusqlite::types::ValueRef::Null {
+                columns[i].oid = of_value(value);
+            }
+        }
+    }
+    Ok(columns)
+}
+
+fn expression(name: &str) -> u32 {
+    let lower = name.to_ascii_lowercase();
+    match lower.split('(').next() {
+        Some("count" | "sum" | "max" | "min" | "length") => oid::INT8,
+        _ => oid::TEXT,
+    }
+}
+
+/// Runs a statement to its end.
+pub(crate) fn run(
+    database: &Connection,
+    sql: &str,
+    parameters: &[Value],
+) -> Result<ResultSet, SqlError> {
+    let mut statement = database.prepare_cached(sql)?;
+    let width = statement.column_count();
+    let mut result = ResultSet::default();
+    let mut rows = statement.query(rusqlite::params_from_iter(parameters))?;
+    while let Some(row) = rows.next()? {
+        let values = (0..width).map(|i| row.get(i));
+        result.rows.push(values.collect::<Result<_, _>>()?);
+    }
+    drop(rows);
+    result.changes = usize::try_from(database.changes()).unwrap_or(usize::MAX);
+    Ok(result)
+}
