--- a/sapphireslip-core/src/admission.rs
+++ b/sapphireslip-core/src/admission.rs
@@ -4,8 +4,8 @@
 
 use crate::session::Session;
 use crate::{
-    CallerName, DatabaseName, Fleet, Freshness, NO_HOME_RETRY_AFTER, QUOTA_RETRY_AFTER, Refusal,
-    RefusalReason, SESSIONS_MAX, SessionId, Text, TransactionStatus,
+    CallerName, DAEMON_SESSIONS_MAX, DatabaseName, Fleet, Freshness, NO_HOME_RETRY_AFTER,
+    QUOTA_RETRY_AFTER, Refusal, RefusalReason, SessionId, Text, TransactionStatus,
 };
 
 /// A session that may go on to its password exchange.
@@ -49,7 +49,7 @@
         .filter(|s| s.service == document.service)
         .count();
     let limit = usize::try_from(document.limits.sessions).unwrap_or(usize::MAX);
-    if of_service >= limit || sessions.len() >= SESSIONS_MAX {
+    if of_service >= limit || sessions.len() >= DAEMON_SESSIONS_MAX {
         let detail = format!(
             "service `{}` has {of_service} sessions here",
             document.service
--- a/sapphireslip-core/src/entry.rs
+++ b/sapphireslip-core/src/entry.rs
@@ -18,7 +18,7 @@
 };
 
 /// The most sessions at one daemon.
-pub const SESSIONS_MAX: usize = 16_384;
+pub const DAEMON_SESSIONS_MAX: usize = 16_384;
 
 /// The most sends of one request, the first included.
 pub const SENDS_MAX: u32 = 6;
--- a/sapphireslip-core/src/lib.rs
+++ b/sapphireslip-core/src/lib.rs
@@ -33,8 +33,8 @@
 mod peer_message;
 pub mod placement;
 mod polling;
-mod promotion;
 mod probe;
+mod promotion;
 mod random;
 mod raw_document;
 mod raw_table;
@@ -46,8 +46,8 @@
 mod server_status;
 mod session;
 mod sql_words;
-mod statement;
 mod staleness;
+mod statement;
 #[allow(dead_code, reason = "the homes call it once both are written")]
 mod suspicion;
 mod term;
@@ -57,20 +57,45 @@
 
 use std::sync::Arc;
 
-pub use self::{
-    configuration::*, cx::*, document::*, drain::*, effect::*, entry::*, event::*, group::*,
-    homes::*, instant::*, membership::*, name::*, peer_message::*, random::*, reducer::*,
-    refusal::*, request::*, request_key::*, server_status::*, sql_words::*, statement::*, term::*,
-    timeline_entry::*,
-    group_call::*, group_log::*, homes::*, instant::*, known_server::*, membership::*, name::*,
-    peer_message::*, polling::*, promotion::*, random::*, reducer::*, refusal::*, request::*,
-    request_key::*, server_status::*, staleness::*, suspicion::*, term::*, timeline_entry::*,
-    configuration::*, cx::*, document::*, document_check::*, document_error::*,
-    document_exchange::*, drain::*, effect::*, entry::*, event::*, group::*, held_documents::*,
-    homes::*, instant::*, membership::*, name::*, peer_message::*, probe::*, random::*,
-    raw_document::*, reducer::*, refusal::*, relay::*, request::*, request_key::*,
-    server_status::*, term::*, timeline_entry::*, vm_exchange::*, vm_news::*,
-};
+pub use self::configuration::*;
+pub use self::cx::*;
+pub use self::document::*;
+pub use self::document_check::*;
+pub use self::document_error::*;
+pub use self::document_exchange::*;
+pub use self::drain::*;
+pub use self::effect::*;
+pub use self::entry::*;
+pub use self::event::*;
+pub use self::group::*;
+pub use self::group_call::*;
+pub use self::group_log::*;
+pub use self::held_documents::*;
+pub use self::homes::*;
+pub use self::instant::*;
+pub use self::known_server::*;
+pub use self::membership::*;
+pub use self::name::*;
+pub use self::peer_message::*;
+pub use self::polling::*;
+pub use self::probe::*;
+pub use self::promotion::*;
+pub use self::random::*;
+pub use self::raw_document::*;
+pub use self::reducer::*;
+pub use self::refusal::*;
+pub use self::relay::*;
+pub use self::request::*;
+pub use self::request_key::*;
+pub use self::server_status::*;
+pub use self::sql_words::*;
+pub use self::staleness::*;
+pub use self::statement::*;
+pub use self::suspicion::*;
+pub use self::term::*;
+pub use self::timeline_entry::*;
+pub use self::vm_exchange::*;
+pub use self::vm_news::*;
 
 /// An opaque shared text.
 pub type Text = Arc<str>;
--- a/sapphireslip-wire/src/envelope.rs
+++ b/sapphireslip-wire/src/envelope.rs
@@ -5,7 +5,7 @@
 };
 
 use crate::WireError;
-use crate::field::{list, name};
+use crate::field::{ip, list, name};
 use crate::peer::{self, envelope::Body};
 
 /// The body of an envelope, checked.
@@ -54,9 +54,14 @@
             PeerMessage::WantDocuments { since } => {
                 Self::WantDocuments(peer::WantDocuments { since: since.0 })
             }
-            PeerMessage::Documents { documents, changes } => Self::Documents(peer::DocumentList {
+            PeerMessage::Documents {
+                since,
+                documents,
+                changes,
+            } => Self::Documents(peer::DocumentList {
                 documents: documents.into_iter().map(Into::into).collect(),
                 changes: changes.0,
+                since: since.0,
             }),
             PeerMessage::ConfirmSuspicion { database, term } => {
                 Self::ConfirmSuspicion(suspected(&database, term))
@@ -71,6 +76,9 @@
                 confirmed,
             }),
             PeerMessage::Promoted { database, term } => Self::Promoted(suspected(&database, term)),
+            PeerMessage::LeavingServers(servers) => Self::LeavingServers(peer::LeavingServers {
+                addresses: servers.iter().map(ToString::to_string).collect(),
+            }),
         }
     }
 }
@@ -136,6 +144,7 @@
             Body::Documents(documents) => PeerMessage::Documents {
                 documents: list("documents.documents", documents.documents)?,
                 changes: ChangeCount(documents.changes),
+                since: ChangeCount(documents.since),
             },
             Body::ConfirmSuspicion(suspected) => PeerMessage::ConfirmSuspicion {
                 database: name("confirm_suspicion.database", &suspected.database)?,
@@ -150,6 +159,11 @@
                 database: name("promoted.database", &suspected.database)?,
                 term: Term(suspected.term),
             },
+            Body::LeavingServers(leaving) => {
+                let leaving = leaving.addresses.iter();
+                let leaving = leaving.map(|text| ip("leaving_servers.addresses", text));
+                PeerMessage::LeavingServers(leaving.collect::<Result<_, _>>()?)
+            }
         };
         Ok(Self::Message(message))
     }
--- a/sapphireslip-wire/src/field.rs
+++ b/sapphireslip-wire/src/field.rs
@@ -1,6 +1,6 @@
 //! Checks of single fields.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use sapphireslip_core::NameError;
@@ -15,7 +15,13 @@
     T::try_from(text).map_err(|err| WireError::Name(field.to_owned(), err))
 }
 
-/// Checks an address.
+/// Checks an IP number.
+pub(crate) fn ip(field: &str, text: &str) -> Result<IpAddr, WireError> {
+    let refuse = || WireError::Address(field.to_owned(), text.chars().take(64).collect());
+    text.parse().ok().ok_or_else(refuse)
+}
+
+/// Reads an IP number with a port.
 pub(crate) fn address(field: &str, text: &str) -> Result<SocketAddr, WireError> {
     let refuse = || WireError::Address(field.to_owned(), text.chars().take(64).collect());
     text.parse().ok().ok_or_else(refuse)
--- a/sapphireslip-wire/src/vm_list.rs
+++ b/sapphireslip-wire/src/vm_list.rs
@@ -4,7 +4,7 @@
 
 use sapphireslip_core::{Incarnation, VmRecord, VmState};
 
-use crate::field::{address, enumeration, list, name};
+use crate::field::{address, enumeration, ip, list, name};
 use crate::{WireError, platform};
 
 /// The platform's list, checked.
@@ -46,16 +46,13 @@
     type Error = WireError;
 
     fn try_from(reply: platform::ListReply) -> Result<Self, WireError> {
-        let ip = |text: &String| {
-            let refuse = || WireError::Address("leaving_servers".to_owned(), text.clone());
-            text.parse().ok().ok_or_else(refuse)
-        };
+        let leaving = |text: &String| ip("leaving_servers", text);
         Ok(Self {
             vms: list("vms", reply.vms)?,
             leaving_servers: reply
                 .leaving_servers
                 .iter()
-                .map(ip)
+                .map(leaving)
                 .collect::<Result<_, _>>()?,
         })
     }
--- a/sapphireslip-wire/tests/round_trip.rs
+++ b/sapphireslip-wire/tests/round_trip.rs
@@ -203,16 +203,24 @@
             number: ProbeNumber(number),
         }),
         Just(PeerMessage::WantVms),
+        prop::collection::vec(any::<std::net::IpAddr>(), 0..3)
+            .prop_map(PeerMessage::LeavingServers),
         news().prop_map(PeerMessage::Vms),
         any::<u64>().prop_map(|since| PeerMessage::WantDocuments {
             since: ChangeCount(since),
         }),
-        (prop::collection::vec(document(), 0..3), any::<u64>()).prop_map(|(documents, changes)| {
-            PeerMessage::Documents {
-                documents,
-                changes: ChangeCount(changes),
-            }
-        }),
+        (
+            prop::collection::vec(document(), 0..3),
+            any::<u64>(),
+            any::<u64>()
+        )
+            .prop_map(|(documents, since, changes)| {
+                PeerMessage::Documents {
+                    since: ChangeCount(since),
+                    documents,
+                    changes: ChangeCount(changes),
+                }
+            }),
         term().prop_map(|(database, term)| PeerMessage::ConfirmSuspicion {
             database,
             term: Term(term),
--- a/sapphireslip/src/apply.rs
+++ b/sapphireslip/src/apply.rs
@@ -11,7 +11,8 @@
 use serde::Serialize;
 
 use crate::platform_client::PlatformClient;
-use crate::{Error, Output, read_document};
+use crate::read_document::read_document;
+use crate::{Error, Output};
 
 /// How often a change that another one overtook is tried again.
 const ATTEMPTS_MAX: u32 = 5;
@@ -85,11 +86,16 @@
     let key = document_key(&new.member, &new.service);
     let reply = platform.read(ReadRequest { keys: vec![key] }).await?;
     let old = reply.rows.first().map(document).transpose();
-    let old = old.map_err(|err| Error::Form("the platform's table", err.to_string()))?.flatten();
+    let old = old
+        .map_err(|err| Error::Form("the platform's table", err.to_string()))?
+        .flatten();
     let old = old.and_then(|old| Document::try_from(old.text.as_bytes()).ok());
     let databases: Vec<DatabaseName> = names(new);
     let released = old.as_ref().map(names).unwrap_or_default();
-    let released = released.into_iter().filter(|name| !databases.contains(name)).collect();
+    let released = released
+        .into_iter()
+        .filter(|name| !databases.contains(name))
+        .collect();
     Ok(Apply {
         member: new.member.clone(),
         service: new.service.clone(),
@@ -102,12 +108,18 @@
 }
 
 fn names(document: &Document) -> Vec<DatabaseName> {
-    document.databases.iter().map(|spec| spec.name.clone()).collect()
+    document
+        .databases
+        .iter()
+        .map(|spec| spec.name.clone())
+        .collect()
 }
 
 /// Returns an identifier that no other attempt has.
 fn writer(attempt: u32) -> String {
-    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let unix = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     format!("{}-{}-{attempt}", std::process::id(), unix.as_nanos())
 }
 
@@ -134,7 +146,9 @@
 ) -> Result<Commit, Error> {
     for _ in 0..SETTLE_ATTEMPTS_MAX {
         tokio::time::sleep(SETTLE_INTERVAL).await;
-        let Ok(reply) = platform.read(change.settling_reads(&transaction)).await else { continue };
+        let Ok(reply) = platform.read(change.settling_reads(&transaction)).await else {
+            continue;
+        };
         match change.settle(&reply) {
             Settled::Committed => return Ok(Commit::Accepted),
             Settled::Refused => return Ok(Commit::Overtaken),
--- a/sapphireslip/src/arguments.rs
+++ b/sapphireslip/src/arguments.rs
@@ -7,7 +7,14 @@
 
 /// What the command is asked.
 #[derive(Bpaf, Clone, Debug)]
-#[bpaf(options, version, descr("Operates sapphireslip, a database proxy with session consistency."), footer("Exit codes: 0 done; 1 it failed or a promise was broken; 2 the command line or a file has a fault."))]
+#[bpaf(
+    options,
+    version,
+    descr("Operates sapphireslip, a database proxy with session consistency."),
+    footer(
+        "Exit codes: 0 done; 1 it failed or a promise was broken; 2 the command line or a file has a fault."
+    )
+)]
 pub struct Arguments {
     /// Print JSON in place of text
     pub json: bool,
--- a/sapphireslip/src/check.rs
+++ b/sapphireslip/src/check.rs
@@ -1,13 +1,12 @@
 //! `check`: checks a settings file or a service document without a network.
 
-use std::fs::File;
-use std::io::Read;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
-use sapphireslip_core::{DOCUMENT_MAX_BYTES, Document};
+use sapphireslip_core::Document;
 use sapphireslipd::Settings;
 use serde::Serialize;
 
+use crate::read_document::read_document;
 use crate::{Error, Output};
 
 /// What `check` is asked.
@@ -45,19 +44,6 @@
     Ok(Output::new(text, &checked))
 }
 
-/// Reads a file, but not more of it than a document may have, so that a huge one is refused quickly.
-///
-/// # Errors
-///
-/// [`Error::Read`] if it can't be read.
-pub(crate) fn read_document(path: &Path) -> Result<Vec<u8>, Error> {
-    let read = |err| Error::Read(path.to_path_buf(), err);
-    let limit = u64::try_from(DOCUMENT_MAX_BYTES).unwrap_or(u64::MAX).saturating_add(1);
-    let mut bytes = Vec::new();
-    File::open(path).map_err(read)?.take(limit).read_to_end(&mut bytes).map_err(read)?;
-    Ok(bytes)
-}
-
 /// Settings name the VM; a service document names the service.
 fn is_settings(bytes: &[u8]) -> bool {
     let text = String::from_utf8_lossy(bytes);
--- a/sapphireslip/src/lib.rs
+++ b/sapphireslip/src/lib.rs
@@ -1,5 +1,7 @@
 //! The operator's command.
 
+mod apply;
+mod arguments;
 mod attempt;
 mod bench_report;
 mod bench_run;
@@ -10,10 +12,16 @@
 mod http;
 mod latency;
 mod ledger;
+mod output;
+mod platform_client;
+mod read_document;
 mod read_share;
+mod show;
+mod status;
 mod workload;
 
 pub use self::{
-    attempt::*, bench_report::*, bench_run::*, bench_session::*, bench_settings::*, error::*,
-    html_page::*, latency::*, ledger::*, read_share::*, workload::*,
+    apply::*, arguments::*, attempt::*, bench_report::*, bench_run::*, bench_session::*,
+    bench_settings::*, error::*, html_page::*, latency::*, ledger::*, output::*, read_share::*,
+    show::*, status::*, workload::*,
 };
--- a/sapphireslip/src/platform_client.rs
+++ b/sapphireslip/src/platform_client.rs
@@ -30,7 +30,10 @@
             .map_err(|err| Error::Call("connect to the platform", address, err.to_string()))?
             .connect_timeout(CALL_TIMEOUT)
             .timeout(CALL_TIMEOUT);
-        Ok(Self { address, table: TableClient::new(endpoint.connect_lazy()) })
+        Ok(Self {
+            address,
+            table: TableClient::new(endpoint.connect_lazy()),
+        })
     }
 
     /// Returns the address.
@@ -45,7 +48,9 @@
     /// [`Error::Call`] if the platform does not answer.
     pub(crate) async fn read(&mut self, req: ReadRequest) -> Result<ReadReply, Error> {
         let reply = self.table.read(req).await;
-        reply.map(tonic::Response::into_inner).map_err(|status| self.failed("read", &status))
+        reply
+            .map(tonic::Response::into_inner)
+            .map_err(|status| self.failed("read", &status))
     }
 
     /// Commits a transaction, or names the condition that failed.
@@ -55,7 +60,9 @@
     /// [`Error::Call`] if there was no answer: the transaction may have been committed.
     pub(crate) async fn transact(&mut self, req: TransactRequest) -> Result<TransactReply, Error> {
         let reply = self.table.transact(req).await;
-        reply.map(tonic::Response::into_inner).map_err(|status| self.failed("commit", &status))
+        reply
+            .map(tonic::Response::into_inner)
+            .map_err(|status| self.failed("commit", &status))
     }
 
     fn failed(&self, step: &'static str, status: &tonic::Status) -> Error {
--- /dev/null
+++ b/sapphireslip/src/read_document.rs
@@ -0,0 +1,28 @@
+//! Reading a file that should be a document.
+
+use std::fs::File;
+use std::io::Read;
+use std::path::Path;
+
+use sapphireslip_core::DOCUMENT_MAX_BYTES;
+
+use crate::Error;
+
+/// Reads a file, but not more of it than a document may have, so that a huge one is refused quickly.
+///
+/// # Errors
+///
+/// [`Error::Read`] if it can't be read.
+pub(crate) fn read_document(path: &Path) -> Result<Vec<u8>, Error> {
+    let read = |err| Error::Read(path.to_path_buf(), err);
+    let limit = u64::try_from(DOCUMENT_MAX_BYTES)
+        .unwrap_or(u64::MAX)
+        .saturating_add(1);
+    let mut bytes = Vec::new();
+    File::open(path)
+        .map_err(read)?
+        .take(limit)
+        .read_to_end(&mut bytes)
+        .map_err(read)?;
+    Ok(bytes)
+}
--- a/sapphireslip/src/show.rs
+++ b/sapphireslip/src/show.rs
@@ -43,10 +43,14 @@
     let key = document_key(&member, &service);
     let reply = platform.read(ReadRequest { keys: vec![key] }).await?;
     let accepted = reply.rows.first().map(document).transpose();
-    let accepted =
-        accepted.map_err(|err| Error::Form("the platform's table", err.to_string()))?.flatten();
+    let accepted = accepted
+        .map_err(|err| Error::Form("the platform's table", err.to_string()))?
+        .flatten();
     let Some(accepted) = accepted else {
-        return Err(Error::NoDocument(arguments.member.clone(), arguments.service.clone()));
+        return Err(Error::NoDocument(
+            arguments.member.clone(),
+            arguments.service.clone(),
+        ));
     };
     let shown = Shown {
         member: accepted.member.to_string(),
--- a/sapphireslip/src/status.rs
+++ b/sapphireslip/src/status.rs
@@ -49,7 +49,11 @@
             Err(err) => {
                 let error = Some(err.to_string());
                 last_error = Some(err);
-                DaemonStatus { address: *address, status: None, error }
+                DaemonStatus {
+                    address: *address,
+                    status: None,
+                    error,
+                }
             }
         };
         daemons.push(status);
@@ -106,7 +110,9 @@
 }
 
 fn plain(value: &serde_json::Value) -> String {
-    value.as_str().map_or_else(|| value.to_string(), str::to_owned)
+    value
+        .as_str()
+        .map_or_else(|| value.to_string(), str::to_owned)
 }
 
 /// Begins the graceful stop of a daemon.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,13 +1,4 @@
-//! Small stand-ins for the backend servers and the platform, for tests and demos.
-
-mod platform;
-mod platform_faults;
-mod platform_service;
-mod platform_table;
-mod platform_vms;
-
-pub use self::{platform::*, platform_table::*};
-//! Small stand-ins for what surrounds the daemons: backend servers and the platform.
+//! Small stand-ins for what surrounds the daemons: backend servers, the platform and the network.
 //!
 //! They run in the process that starts them, so that tests and demos can switch faults on.
 
@@ -20,5 +11,18 @@
 mod backend_sql;
 mod backend_transaction;
 mod backend_values;
+mod daemon_process;
+mod link;
+mod platform;
+mod platform_faults;
+mod platform_service;
+mod platform_table;
+mod platform_vms;
+mod wait;
 
 pub use self::backend_group::{BackendGroup, BackendGroupSettings};
+pub use self::daemon_process::*;
+pub use self::link::*;
+pub use self::platform::*;
+pub use self::platform_table::*;
+pub use self::wait::*;
--- a/standins/src/link.rs
+++ b/standins/src/link.rs
@@ -62,7 +62,9 @@
     if wait_until_open(&mut cuts, peer).await.is_none() {
         return;
     }
-    let Ok(to) = TcpStream::connect(target).await else { return };
+    let Ok(to) = TcpStream::connect(target).await else {
+        return;
+    };
     let _set = from.set_nodelay(true).and_then(|()| to.set_nodelay(true));
     let (from_read, from_write) = from.into_split();
     let (to_read, to_write) = to.into_split();
@@ -76,7 +78,9 @@
 async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, peer: IpAddr, mut cuts: Cuts) {
     let mut buf = vec![0; RELAY_BUFFER_BYTES];
     loop {
-        let Ok(length @ 1..) = from.read(&mut buf).await else { return };
+        let Ok(length @ 1..) = from.read(&mut buf).await else {
+            return;
+        };
         if wait_until_open(&mut cuts, peer).await.is_none() {
             return;
         }
