--- a/sapphireslip/src/lib.rs
+++ b/sapphireslip/src/lib.rs
@@ -18,10 +18,13 @@
 mod read_share;
 mod show;
 mod status;
+mod timeline;
+mod timeline_line;
+mod timeline_view;
 mod workload;
 
 pub use self::{
     apply::*, arguments::*, attempt::*, bench_report::*, bench_run::*, bench_session::*,
     bench_settings::*, error::*, html_page::*, latency::*, ledger::*, output::*, read_share::*,
-    show::*, status::*, workload::*,
+    show::*, status::*, timeline::*, timeline_line::*, timeline_view::*, workload::*,
 };
--- /dev/null
+++ b/standins/src/fleet.rs
@@ -0,0 +1,321 @@
+//! Real daemon processes with stand-ins around them.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use rustix::process::Signal;
+use sapphireslip_core::ServerId;
+use tempfile::TempDir;
+
+use crate::fleet_addresses::FleetAddresses;
+use crate::fleet_files::{daemon_settings, document};
+use crate::{
+    BackendGroup, BackendGroupSettings, DaemonProcess, FleetPlan, Link, Platform, PlatformSettings,
+    accept_document, http_get, wait_for,
+};
+
+/// Servers of each group.
+pub const SERVERS_A_GROUP: usize = 3;
+
+/// The time that a daemon has to become ready.
+pub const READY_LIMIT: Duration = Duration::from_secs(20);
+
+/// A daemon of a fleet, running or not.
+#[derive(Debug)]
+pub(crate) struct FleetDaemon {
+    pub(crate) zone: String,
+    pub(crate) number: usize,
+    settings: PathBuf,
+    log: PathBuf,
+    process: Option<DaemonProcess>,
+    link: Link,
+}
+
+/// Daemon processes, database groups and a platform; all end when this handle is dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    pub(crate) plan: FleetPlan,
+    pub(crate) addresses: FleetAddresses,
+    pub(crate) platform: Platform,
+    pub(crate) groups: Vec<BackendGroup>,
+    pub(crate) daemons: Vec<FleetDaemon>,
+    folder: TempDir,
+}
+
+impl Fleet {
+    /// Starts everything and waits until all daemons are ready.
+    ///
+    /// # Errors
+    ///
+    /// An address can't be listened on, a program can't be started, or a daemon does not get ready.
+    pub async fn start(plan: FleetPlan) -> io::Result<Self> {
+        let fleet = Self::start_unready(plan).await?;
+        for number in 0..fleet.daemons.len() {
+            fleet.wait_ready(number).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts everything without waiting for the daemons.
+    ///
+    /// # Errors
+    ///
+    /// An address can't be listened on, or a program can't be started.
+    pub async fn start_unready(plan: FleetPlan) -> io::Result<Self> {
+        let addresses = FleetAddresses::take();
+        let settings = PlatformSettings {
+            listen: addresses.platform(),
+            ..PlatformSettings::default()
+        };
+        let platform = Platform::start(settings).await?;
+        let mut fleet = Self {
+            addresses,
+            platform,
+            groups: Vec::new(),
+            daemons: Vec::new(),
+            folder: TempDir::new()?,
+            plan,
+        };
+        fleet.start_databases().await?;
+        fleet.accept_documents().await?;
+        fleet.platform.down(!fleet.plan.is_platform_up);
+        fleet.start_daemons().await?;
+        Ok(fleet)
+    }
+
+    async fn start_databases(&mut self) -> io::Result<()> {
+        for (number, name) in self.plan.databases.iter().enumerate() {
+            let id = |server| ServerId::try_from(format!("{name}-{server}").as_str());
+            let servers = (0..SERVERS_A_GROUP).map(id).collect::<Result<_, _>>();
+            let settings = BackendGroupSettings {
+                servers: servers.map_err(io::Error::other)?,
+                addresses: (0..SERVERS_A_GROUP)
+                    .map(|server| self.addresses.server(number, server))
+                    .collect(),
+                connections: self.plan.connections,
+                lag: self.plan.lag,
+                ..BackendGroupSettings::default()
+            };
+            let group = BackendGroup::start(settings).await?;
+            self.groups.push(group);
+        }
+        Ok(())
+    }
+
+    async fn accept_documents(&self) -> io::Result<()> {
+        for number in 0..self.groups.len() {
+            accept_document(self.addresses.platform(), &self.document(number, 1)).await?;
+        }
+        Ok(())
+    }
+
+    /// Returns the text of a database's document at a generation.
+    #[must_use]
+    pub fn document(&self, database: usize, generation: u64) -> String {
+        document(&self.plan, self.addresses, database, generation)
+    }
+
+    async fn start_daemons(&mut self) -> io::Result<()> {
+        let zones = self.plan.zones.clone();
+        for zone in zones
+            .iter()
+            .flat_map(|zone| vec![zone; self.plan.daemons_per_zone])
+        {
+            let number = self.daemons.len();
+            let settings = self.folder.path().join(format!("{number}.toml"));
+            std::fs::write(
+                &settings,
+                daemon_settings(&self.plan, self.addresses, number),
+            )?;
+            let link = Link::start(self.addresses.link(number), self.addresses.peers(number));
+            self.daemons.push(FleetDaemon {
+                zone: zone.clone(),
+                number,
+                settings,
+                log: self.folder.path().join(format!("{number}.log")),
+                process: None,
+                link: link.await?,
+            });
+        }
+        for number in 0..self.daemons.len() {
+            self.start_daemon(number)?;
+        }
+        Ok(())
+    }
+
+    /// Starts a daemon that is not running.
+    ///
+    /// # Errors
+    ///
+    /// The program can't be started.
+    pub fn start_daemon(&mut self, number: usize) -> io::Result<()> {
+        let daemon = &mut self.daemons[number];
+        daemon.process = Some(DaemonProcess::start(
+            &self.plan.program,
+            &daemon.settings,
+            &daemon.log,
+        )?);
+        Ok(())
+    }
+
+    /// Waits until a daemon is ready.
+    ///
+    /// # Errors
+    ///
+    /// It is not within [`READY_LIMIT`].
+    pub async fn wait_ready(&self, number: usize) -> io::Result<()> {
+        let admin = self.admin(number);
+        let ready = async || {
+            http_get(admin, "/ready")
+                .await
+                .ok()
+                .filter(|page| page.status == 200)
+        };
+        let waited = wait_for(&format!("ready daemon {number}"), READY_LIMIT, ready).await;
+        waited.map(|_page| ()).map_err(|err| {
+            io::Error::other(format!(
+                "{err}; its log ends with:\n{}",
+                self.log_end(number)
+            ))
+        })
+    }
+
+    fn log_end(&self, number: usize) -> String {
+        let text = std::fs::read_to_string(self.log(number)).unwrap_or_default();
+        let lines: Vec<&str> = text.lines().collect();
+        lines[lines.len().saturating_sub(10)..].join("\n")
+    }
+
+    /// Kills a daemon.
+    ///
+    /// # Errors
+    ///
+    /// It can't be waited for.
+    pub fn kill_daemon(&mut self, number: usize) -> io::Result<()> {
+        self.daemons[number]
+            .process
+            .take()
+            .map_or(Ok(()), |mut process| process.kill())
+    }
+
+    /// Sends a signal to a daemon.
+    ///
+    /// # Errors
+    ///
+    /// It is not running.
+    pub fn signal_daemon(&self, number: usize, signal: Signal) -> io::Result<()> {
+        let process = self.daemons[number].process.as_ref();
+        process.ok_or(io::ErrorKind::NotFound)?.signal(signal)
+    }
+
+    /// Waits until a daemon has left by itself and returns its exit code.
+    ///
+    /// # Errors
+    ///
+    /// It has not within `limit`.
+    pub async fn wait_daemon_ended(&mut self, number: usize, limit: Duration) -> io::Result<i32> {
+        let Some(mut process) = self.daemons[number].process.take() else {
+            return Err(io::ErrorKind::NotFound.into());
+        };
+        let ended = async || process.ended().ok().flatten();
+        let status = wait_for("end of the daemon", limit, ended).await?;
+        Ok(status.code().unwrap_or(-1))
+    }
+
+    /// Cuts an availability zone off from the other zones, their servers and the platform.
+    pub fn cut_zone(&self, zone: &str) {
+        for daemon in &self.daemons {
+            for other in &self.daemons {
+                if (daemon.zone == zone) != (other.zone == zone) {
+                    daemon.link.cut(self.addresses.daemon(other.number));
+                }
+            }
+        }
+        self.platform.cut_zone(zone, true);
+        for group in &self.groups {
+            self.cut_servers(group, zone);
+        }
+    }
+
+    fn cut_servers(&self, group: &BackendGroup, zone: &str) {
+        for (server, server_zone) in self.plan.zones.iter().enumerate() {
+            let others = self
+                .plan
+                .zones
+                .iter()
+                .enumerate()
+                .filter(|(_, other)| *other != server_zone);
+            for (peer, other) in others {
+                if server_zone == zone || other == zone {
+                    group.cut_zone(server, other);
+                    group.cut(server, peer);
+                }
+            }
+        }
+    }
+
+    /// Ends all cuts between zones, servers and the platform.
+    pub fn heal(&self) {
+        for daemon in &self.daemons {
+            daemon.link.heal();
+        }
+        for zone in &self.plan.zones {
+            self.platform.cut_zone(zone, false);
+        }
+        for group in &self.groups {
+            for server in 0..SERVERS_A_GROUP {
+                group.heal(server);
+            }
+        }
+    }
+
+    /// Returns the platform.
+    #[must_use]
+    pub const fn platform(&self) -> &Platform {
+        &self.platform
+    }
+
+    /// Returns the group of a database.
+    #[must_use]
+    pub fn group(&self, database: usize) -> &BackendGroup {
+        &self.groups[database]
+    }
+
+    /// Returns how many daemons there are.
+    #[must_use]
+    pub fn daemons(&self) -> usize {
+        self.daemons.len()
+    }
+
+    /// Returns where a daemon takes callers.
+    #[must_use]
+    pub fn callers(&self, number: usize) -> SocketAddr {
+        self.addresses.callers(number)
+    }
+
+    /// Returns a daemon's admin interface.
+    #[must_use]
+    pub fn admin(&self, number: usize) -> SocketAddr {
+        self.addresses.admin(number)
+    }
+
+    /// Returns the address of a server of a database.
+    #[must_use]
+    pub fn server_ip(&self, database: usize, server: usize) -> IpAddr {
+        self.addresses.server(database, server).ip()
+    }
+
+    /// Returns the platform's address.
+    #[must_use]
+    pub fn platform_address(&self) -> SocketAddr {
+        self.addresses.platform()
+    }
+
+    /// Returns a daemon's log.
+    #[must_use]
+    pub fn log(&self, number: usize) -> &Path {
+        &self.daemons[number].log
+    }
+}
--- /dev/null
+++ b/standins/src/http_get.rs
@@ -0,0 +1,48 @@
+//! A plain HTTP GET, for admin pages in tests.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// The time that a page has.
+const PAGE_LIMIT: Duration = Duration::from_secs(5);
+
+/// An HTTP answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Page {
+    /// The status.
+    pub status: u16,
+    /// The body.
+    pub body: String,
+}
+
+/// Gets a page.
+///
+/// # Errors
+///
+/// There is no answer in time, or it is not HTTP.
+pub async fn http_get(address: SocketAddr, path: &str) -> io::Result<Page> {
+    let text = tokio::time::timeout(PAGE_LIMIT, exchange(address, path)).await??;
+    let broken = || io::Error::from(io::ErrorKind::InvalidData);
+    let (head, body) = text.split_once("\r\n\r\n").ok_or_else(broken)?;
+    let status = head
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok());
+    Ok(Page {
+        status: status.ok_or_else(broken)?,
+        body: body.to_owned(),
+    })
+}
+
+async fn exchange(address: SocketAddr, path: &str) -> io::Result<String> {
+    let mut stream = TcpStream::connect(address).await?;
+    let req = format!("GET {path} HTTP/1.0\r\nhost: {address}\r\nconnection: close\r\n\r\n");
+    stream.write_all(req.as_bytes()).await?;
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).await?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! They run in the process that starts them, so that tests and demos can switch faults on.
 
+mod accept_document;
 mod backend_control;
 mod backend_group;
 mod backend_log;
@@ -12,6 +13,11 @@
 mod backend_transaction;
 mod backend_values;
 mod daemon_process;
+mod fleet;
+mod fleet_addresses;
+mod fleet_files;
+mod fleet_plan;
+mod http_get;
 mod link;
 mod platform;
 mod platform_faults;
@@ -20,8 +26,12 @@
 mod platform_vms;
 mod wait;
 
+pub use self::accept_document::*;
 pub use self::backend_group::{BackendGroup, BackendGroupSettings};
 pub use self::daemon_process::*;
+pub use self::fleet::*;
+pub use self::fleet_plan::*;
+pub use self::http_get::*;
 pub use self::link::*;
 pub use self::platform::*;
 pub use self::platform_table::*;
