Core: the home of a database, from a request to its one final answer

A home queues requests in bounds, routes reads to fit replicas, runs keyed writes as a state machine, holds writes back until a majority has them and works off what is lost. Each concern is a module of its own.

Behaviour over events is not tested yet, since group, placement and configuration are stubs here.

--- /dev/null
+++ b/sapphireslip-core/src/dispatch.rs
@@ -0,0 +1,285 @@
+//! From the queue to the connections: which queued request goes where, and when it is refused.
+
+use std::time::Duration;
+
+use crate::job::{Job, Stage};
+use crate::link::{HomeIds, LinkState, Work};
+use crate::{
+    BackendEffect, Candidate, ConnectionId, Cx, Fleet, HOME_START_GRACE, Home, Instant, KeyedNext,
+    Primary, ReadRoute, RefusalReason, RequestId, ServerId, TermPosition, Text, TimelineKind,
+    Visibility, WorkPayload, route_read,
+};
+
+/// How long a read waits for a fit replica before it falls back to the primary.
+pub const REPLICA_WAIT: Duration = Duration::from_millis(5);
+
+/// How long a read waits for any server that is fresh enough before it is refused.
+pub const FRESH_WAIT: Duration = Duration::from_millis(500);
+
+/// How long an answer to a probe of the group is awaited before it is asked again.
+const PROBE_RETRY: Duration = Duration::from_millis(100);
+
+/// What becomes of a queued request now.
+enum Target {
+    Server(ServerId),
+    Wait,
+    /// Look again at this time, unless something happens before.
+    WaitUntil(Instant),
+    Refuse(RefusalReason, &'static str),
+}
+
+impl Home {
+    /// Sends what can be sent and refuses what can't be served.
+    pub(crate) fn run_queue(&mut self, cx: &mut Cx<'_>, fleet: Fleet<'_>, ids: &mut HomeIds) {
+        let queued: Vec<_> = self.queue.ids().cloned().collect();
+        for id in queued {
+            self.learn_floor(cx, &id);
+            match self.target(cx, fleet, &id) {
+                Target::Server(server) => self.send_to(cx, ids, &id, &server),
+                Target::Wait => {}
+                Target::WaitUntil(at) => self.add_timer(at, &id),
+                Target::Refuse(reason, detail) => self.refuse(cx, &id, reason, detail),
+            }
+        }
+    }
+
+    /// Asks once for the confirmed record, for a request whose session's token is not known.
+    fn learn_floor(&mut self, cx: &mut Cx<'_>, id: &RequestId) {
+        let now = cx.now.instant;
+        let Some(job) = self.jobs.get_mut(id).filter(|job| job.wants_probe()) else {
+            return;
+        };
+        job.floor = self.group.confirmed_since(job.arrived);
+        let is_asked = job.probe_again_at.is_some_and(|at| now < at);
+        if job.floor.is_some() || is_asked {
+            return;
+        }
+        let again = now + PROBE_RETRY;
+        job.probe_again_at = Some(again);
+        self.add_timer(again, id);
+        self.group.probe(cx);
+    }
+
+    fn target(&self, cx: &Cx<'_>, fleet: Fleet<'_>, id: &RequestId) -> Target {
+        let Some(job) = self.jobs.get(id) else {
+            return Target::Wait;
+        };
+        if cx.now.instant < job.not_before {
+            return Target::WaitUntil(job.not_before);
+        }
+        if job.wants_probe() {
+            return self.no_server(cx, job, "the confirmed record is not known");
+        }
+        if job.at_primary {
+            return self.primary_target(cx, fleet, job);
+        }
+        self.read_target(cx, fleet, job)
+    }
+
+    fn primary_target(&self, cx: &Cx<'_>, fleet: Fleet<'_>, job: &Job) -> Target {
+        let now = cx.now.instant;
+        let is_resolving = job.keyed.as_ref().is_some_and(|keyed| keyed.is_resolving());
+        let refuse = |reason, detail| {
+            if is_resolving {
+                return Target::Wait;
+            }
+            if self.is_starting(now) {
+                return Target::WaitUntil(self.opened + HOME_START_GRACE);
+            }
+            Target::Refuse(reason, detail)
+        };
+        if !self.group.has_majority(now) {
+            return refuse(
+                RefusalReason::NoMajority,
+                "no majority of the group answers",
+            );
+        }
+        let Some(primary) = self.group.primary() else {
+            return refuse(RefusalReason::NoPrimary, "the group has no known primary");
+        };
+        if self.is_leaving(fleet, &primary.server) {
+            return refuse(RefusalReason::NoPrimary, "the primary is leaving");
+        }
+        match self.primary_visibility(&primary, job.floor) {
+            Visibility::Visible => {}
+            Visibility::LostBranch => {
+                return Target::Refuse(RefusalReason::LostBranch, "the token's branch was lost");
+            }
+            Visibility::Behind => {
+                return refuse(RefusalReason::NoPrimary, "the known primary is superseded");
+            }
+        }
+        match self.pools.get(&primary.server).is_some_and(|p| p.is_free()) {
+            true => Target::Server(primary.server),
+            false => Target::Wait,
+        }
+    }
+
+    fn read_target(&self, cx: &Cx<'_>, fleet: Fleet<'_>, job: &Job) -> Target {
+        let now = cx.now.instant;
+        let candidates = self.candidates(cx, fleet, job);
+        let replica_wait_end = job.arrived + REPLICA_WAIT;
+        let max_staleness = self.spec.max_staleness;
+        let may_gain_replica = candidates
+            .iter()
+            .any(|c| c.is_nearly_fit_replica(max_staleness));
+        match route_read(&candidates, max_staleness) {
+            ReadRoute::Replica(server) => Target::Server(server),
+            ReadRoute::Primary(_) | ReadRoute::Busy if job.may_have_run => {
+                self.no_server(cx, job, "no replica is fit and the primary may have run it")
+            }
+            ReadRoute::Primary(_) if may_gain_replica && now < replica_wait_end => {
+                Target::WaitUntil(replica_wait_end)
+            }
+            ReadRoute::Primary(server) => Target::Server(server),
+            ReadRoute::Busy => Target::Wait,
+            ReadRoute::None => self.no_server(cx, job, "no server is fresh enough"),
+            ReadRoute::LostBranch => {
+                Target::Refuse(RefusalReason::LostBranch, "the token's branch was lost")
+            }
+        }
+    }
+
+    /// Waits a bounded time for a server that is fresh enough, then refuses.
+    fn no_server(&self, cx: &Cx<'_>, job: &Job, detail: &'static str) -> Target {
+        let share = job.deadline.since(job.arrived) / 2;
+        let end = job.arrived.max(self.opened) + FRESH_WAIT.min(share);
+        if cx.now.instant < end {
+            return Target::WaitUntil(end);
+        }
+        Target::Refuse(RefusalReason::NoFreshServer, detail)
+    }
+
+    fn candidates(&self, cx: &Cx<'_>, fleet: Fleet<'_>, job: &Job) -> Vec<Candidate> {
+        let primary = self.group.primary();
+        let floor = job.floor.unwrap_or_default();
+        self.spec
+            .servers
+            .iter()
+            .filter_map(|spec| {
+                let pool = self.pools.get(&spec.id)?;
+                let leads = primary.as_ref().filter(|p| p.server == spec.id);
+                let visibility = match leads {
+                    Some(primary) => self.primary_visibility(primary, job.floor),
+                    None => self.group.visibility(&spec.id, floor),
+                };
+                Some(Candidate {
+                    server: spec.id.clone(),
+                    is_primary: leads.is_some(),
+                    own_zone: spec.zone == cx.local.zone,
+                    excluded: fleet.configuration.is_leaving(spec)
+                        || job.failed_on.contains(&spec.id),
+                    visibility,
+                    staleness: self.group.staleness(&spec.id, cx.now.instant),
+                    is_reachable: pool.open() > 0,
+                    is_free: pool.is_free(),
+                    in_flight: pool.in_flight(),
+                })
+            })
+            .collect()
+    }
+
+    /// Returns whether the primary's reads see a record: those of its own term it wrote itself,
+    /// whether or not its status has told so yet.
+    fn primary_visibility(&self, primary: &Primary, floor: Option<TermPosition>) -> Visibility {
+        match floor {
+            None => Visibility::Visible,
+            Some(floor) if floor.term == primary.term || floor == TermPosition::default() => {
+                Visibility::Visible
+            }
+            Some(floor) => self.group.visibility(&primary.server, floor),
+        }
+    }
+
+    fn is_leaving(&self, fleet: Fleet<'_>, server: &ServerId) -> bool {
+        self.server(server)
+            .is_none_or(|spec| fleet.configuration.is_leaving(spec))
+    }
+
+    /// Takes a free connection of a server and sends a queued request, or its first step.
+    fn send_to(&mut self, cx: &mut Cx<'_>, ids: &mut HomeIds, id: &RequestId, server: &ServerId) {
+        let connection = self.pools.get_mut(server).and_then(|pool| pool.take());
+        let Some(connection) = connection else {
+            return;
+        };
+        self.queue.remove(id);
+        self.start_on(cx, ids, id, connection);
+    }
+
+    /// Sends a request, or its first step, on a connection.
+    pub(crate) fn start_on(
+        &mut self,
+        cx: &mut Cx<'_>,
+        ids: &mut HomeIds,
+        id: &RequestId,
+        connection: ConnectionId,
+    ) {
+        let server = self.links.get(&connection).map(|link| link.server.clone());
+        let primary = self.group.primary();
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.stage = Stage::Running(connection);
+        job.could_write = primary.is_none_or(|p| Some(&p.server) == server.as_ref());
+        let first = job.keyed.as_mut().map(|keyed| keyed.start());
+        self.record(cx, TimelineKind::RequestSent, id, server.as_ref(), "");
+        match first {
+            Some(KeyedNext::Sql(sql)) => self.send_step(cx, ids, id, connection, sql),
+            _ => self.send_request(cx, ids, id, connection),
+        }
+    }
+
+    /// Sends the caller's own messages.
+    pub(crate) fn send_request(
+        &mut self,
+        cx: &mut Cx<'_>,
+        ids: &mut HomeIds,
+        id: &RequestId,
+        connection: ConnectionId,
+    ) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let payload = WorkPayload::Messages(job.request.payload.clone());
+        self.send_work(cx, ids, id, connection, payload);
+    }
+
+    /// Sends a step of the home's own.
+    pub(crate) fn send_step(
+        &mut self,
+        cx: &mut Cx<'_>,
+        ids: &mut HomeIds,
+        id: &RequestId,
+        connection: ConnectionId,
+        sql: Text,
+    ) {
+        self.send_work(cx, ids, id, connection, WorkPayload::Sql(sql));
+    }
+
+    fn send_work(
+        &mut self,
+        cx: &mut Cx<'_>,
+        ids: &mut HomeIds,
+        id: &RequestId,
+        connection: ConnectionId,
+        payload: WorkPayload,
+    ) {
+        let Some(link) = self.links.get_mut(&connection) else {
+            return;
+        };
+        let work = ids.work();
+        link.state = LinkState::Working(Work {
+            id: work,
+            request: id.clone(),
+            sent: cx.now.instant,
+            heard: cx.now.instant,
+            payload: Vec::new(),
+            is_own_step: matches!(payload, WorkPayload::Sql(_)),
+        });
+        cx.backend(BackendEffect::Send {
+            connection,
+            work,
+            payload,
+        });
+    }
+}
--- /dev/null
+++ b/sapphireslip-core/src/home.rs
@@ -0,0 +1,262 @@
+//! One database at its home: the requests, the connections and the group.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::derives::data;
+use crate::job::{Job, Timer, Transaction};
+use crate::link::{HomeIds, Link};
+use crate::{
+    AnswerEnd, Certainty, ConnectionId, Cx, DatabaseSpec, Fleet, Group, Instant, Outcome, Pool,
+    Queue, Refusal, RefusalReason, RequestId, RetryBudget, ServerId, ServerSpec, SessionKey,
+    TermPosition, TimelineEntry, TimelineKind, TransactionStatus, connection_share,
+};
+
+/// How long after a home opened it waits for the group's first status before it refuses.
+pub const HOME_START_GRACE: Duration = Duration::from_millis(500);
+
+data! {
+    /// A database at its home.
+    pub struct Home {
+        pub(crate) spec: DatabaseSpec,
+        pub(crate) group: Group,
+        pub(crate) opened: Instant,
+        /// Whether the home has moved to another VM or the database is gone.
+        pub(crate) is_closing: bool,
+        pub(crate) jobs: BTreeMap<RequestId, Job>,
+        pub(crate) queue: Queue,
+        pub(crate) acknowledging: BTreeSet<RequestId>,
+        pub(crate) timers: BTreeSet<Timer>,
+        pub(crate) pools: BTreeMap<ServerId, Pool>,
+        pub(crate) links: BTreeMap<ConnectionId, Link>,
+        pub(crate) transactions: BTreeMap<SessionKey, Transaction>,
+        pub(crate) budget: RetryBudget,
+        /// When each server last answered a group request.
+        pub(crate) replies: BTreeMap<ServerId, Instant>,
+        wake: Option<Instant>,
+    }
+}
+
+impl Home {
+    pub(crate) fn new(cx: &Cx<'_>, spec: DatabaseSpec) -> Self {
+        let mut home = Self {
+            group: Group::new(spec.clone()),
+            spec,
+            opened: cx.now.instant,
+            is_closing: false,
+            jobs: BTreeMap::new(),
+            queue: Queue::default(),
+            acknowledging: BTreeSet::new(),
+            timers: BTreeSet::new(),
+            pools: BTreeMap::new(),
+            links: BTreeMap::new(),
+            transactions: BTreeMap::new(),
+            budget: RetryBudget::default(),
+            replies: BTreeMap::new(),
+            wake: None,
+        };
+        home.sync_pools(cx);
+        home
+    }
+
+    /// Takes over a changed document.
+    pub(crate) fn update(&mut self, cx: &mut Cx<'_>, spec: &DatabaseSpec, is_home: bool) {
+        self.is_closing = !is_home;
+        if self.spec == *spec {
+            return;
+        }
+        self.spec = spec.clone();
+        self.group.update(cx, spec.clone());
+        self.sync_pools(cx);
+        self.close_removed_servers(cx);
+    }
+
+    /// Returns whether the home has moved away and nothing is left.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.is_closing && self.is_idle() && self.links.is_empty()
+    }
+
+    /// Returns whether no request and no open transaction is left.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.jobs.is_empty() && self.transactions.is_empty()
+    }
+
+    /// Moves everything on after an event.
+    pub(crate) fn advance(&mut self, cx: &mut Cx<'_>, fleet: Fleet<'_>, ids: &mut HomeIds) {
+        self.fire_timers(cx);
+        self.close_idle_transactions(cx);
+        self.close_silent_paths(cx);
+        self.settle(cx);
+        self.run_queue(cx, fleet, ids);
+        self.maintain_connections(cx, fleet, ids);
+        self.schedule_wake(cx);
+    }
+
+    /// Gives a request its final answer.
+    pub(crate) fn end(
+        &mut self,
+        cx: &mut Cx<'_>,
+        id: &RequestId,
+        outcome: Outcome,
+        committed: Option<TermPosition>,
+    ) {
+        let Some(mut job) = self.jobs.remove(id) else {
+            return;
+        };
+        self.queue.remove(id);
+        self.acknowledging.remove(id);
+        self.remove_timer(Some(job.deadline), id);
+        self.remove_timer(job.resolve_at, id);
+        let transaction = self
+            .transactions
+            .get(&job.session_key())
+            .map_or(TransactionStatus::Idle, |transaction| transaction.status);
+        let seen = committed.max(job.floor);
+        let kind = match &outcome {
+            Outcome::Done => TimelineKind::RequestAnswered,
+            Outcome::Refused(_) => TimelineKind::RequestRefused,
+        };
+        let detail = match &outcome {
+            Outcome::Done => "",
+            Outcome::Refused(refusal) => {
+                job.replace_buffer(Vec::new());
+                &*refusal.detail
+            }
+        };
+        self.record(cx, kind, id, None, detail);
+        job.send(
+            cx,
+            Some(AnswerEnd {
+                outcome,
+                transaction,
+                seen,
+            }),
+        );
+    }
+
+    /// Refuses a request that has not been run, or says so if that can't be proved.
+    pub(crate) fn refuse(
+        &mut self,
+        cx: &mut Cx<'_>,
+        id: &RequestId,
+        reason: RefusalReason,
+        detail: &str,
+    ) {
+        let retry_after = Some(self.group.retry_after());
+        let refusal = Refusal::not_run(reason, retry_after, detail);
+        self.refuse_with(cx, id, refusal);
+    }
+
+    /// Refuses a request that may have been run.
+    pub(crate) fn refuse_unknown(
+        &mut self,
+        cx: &mut Cx<'_>,
+        id: &RequestId,
+        reason: RefusalReason,
+        detail: &str,
+    ) {
+        self.refuse_with(cx, id, Refusal::unknown(reason, detail));
+    }
+
+    fn refuse_with(&mut self, cx: &mut Cx<'_>, id: &RequestId, mut refusal: Refusal) {
+        if self.jobs.get(id).is_some_and(|job| job.may_have_run) {
+            refusal.ran = Certainty::Unknown;
+            refusal.retry_after = None;
+        }
+        self.end(cx, id, Outcome::Refused(refusal), None);
+    }
+
+    pub(crate) fn server(&self, server: &ServerId) -> Option<&ServerSpec> {
+        self.spec.servers.iter().find(|spec| spec.id == *server)
+    }
+
+    /// Returns whether the group's first status may still be on its way.
+    pub(crate) fn is_starting(&self, now: Instant) -> bool {
+        now < self.opened + HOME_START_GRACE
+    }
+
+    /// Adds a timer for a request.
+    pub(crate) fn add_timer(&mut self, at: Instant, id: &RequestId) {
+        self.timers.insert(Timer { at, id: id.clone() });
+    }
+
+    fn remove_timer(&mut self, at: Option<Instant>, id: &RequestId) {
+        if let Some(at) = at {
+            self.timers.remove(&Timer { at, id: id.clone() });
+        }
+    }
+
+    pub(crate) fn record(
+        &self,
+        cx: &mut Cx<'_>,
+        kind: TimelineKind,
+        request: &RequestId,
+        server: Option<&ServerId>,
+        detail: &str,
+    ) {
+        cx.record(TimelineEntry {
+            kind,
+            request: Some(request.clone()),
+            session: self.jobs.get(request).map(|job| job.request.session),
+            database: Some(self.spec.name.clone()),
+            server: server.cloned(),
+            peer: Some(request.entry.clone()),
+            term: self.group.primary().map(|primary| primary.term),
+            detail: detail.into(),
+        });
+    }
+
+    fn sync_pools(&mut self, cx: &Cx<'_>) {
+        let share = connection_share(&self.spec, &cx.local.zone);
+        for server in &self.spec.servers {
+            self.pools
+                .entry(server.id.clone())
+                .or_insert_with(|| Pool::new(share))
+                .set_share(share);
+        }
+    }
+
+    /// Closes what is unused at servers that the document no longer names.
+    pub(crate) fn close_removed_servers(&mut self, cx: &mut Cx<'_>) {
+        let removed: Vec<_> = self
+            .pools
+            .keys()
+            .filter(|server| self.server(server).is_none())
+            .cloned()
+            .collect();
+        for server in removed {
+            self.close_unused(cx, &server);
+            if self.pools.get(&server).is_some_and(|pool| pool.open() == 0) {
+                self.pools.remove(&server);
+            }
+        }
+    }
+
+    /// Asks for a tick at the next point in time at which something is due.
+    fn schedule_wake(&mut self, cx: &mut Cx<'_>) {
+        let now = cx.now.instant;
+        let next = self.next_due(now);
+        let is_pending = self.wake.is_some_and(|wake| now < wake);
+        match next {
+            Some(next) if !is_pending || self.wake.is_some_and(|wake| next < wake) => {
+                self.wake = Some(next);
+                cx.wake_at(next);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns the next point in time at which something is due; what is due by now has been done,
+    /// or waits for another event.
+    fn next_due(&self, now: Instant) -> Option<Instant> {
+        let timer = self.timers.first().map(|timer| timer.at);
+        let pools = self.pools.values();
+        let pool = pools.flat_map(|pool| [pool.next_expiry(), pool.retry_at()]);
+        let silence = self.next_silence_check(now);
+        let transaction = self.next_transaction_check();
+        pool.chain([timer, silence, transaction])
+            .flatten()
+            .filter(|due| now < *due)
+            .min()
+    }
+}
--- a/sapphireslip-core/src/homes.rs
+++ b/sapphireslip-core/src/homes.rs
@@ -1,60 +1,226 @@
 //! The databases of which this daemon is the home.
 
+use std::collections::BTreeMap;
+
+use crate::admission::refuse_unknown_database;
 use crate::derives::data;
+use crate::link::HomeIds;
+use crate::placement::homes_of;
 use crate::{
-    BackendEvent, Cx, Fleet, Incarnation, PeerMessage, Request, RequestId, SessionId, VmId,
+    BackendEvent, ConnectionId, Cx, DatabaseName, Fleet, Home, Incarnation, PeerMessage, Request,
+    RequestId, SessionId, VmId,
 };
 
 data! {
     /// All databases of which this daemon is, or lately was, the home.
     #[derive(Default)]
-    pub struct Homes {}
+    pub struct Homes {
+        homes: BTreeMap<DatabaseName, Home>,
+        ids: HomeIds,
+    }
 }
 
 impl Homes {
     /// Follows changes of documents and of VMs: opens and closes homes.
-    pub(crate) fn sync(&mut self, _cx: &mut Cx<'_>, _fleet: Fleet<'_>) {}
+    pub(crate) fn sync(&mut self, cx: &mut Cx<'_>, fleet: Fleet<'_>) {
+        for document in fleet.configuration.documents() {
+            for spec in &document.databases {
+                let is_home = homes_of(fleet.membership, spec).contains(&cx.local.vm);
+                match self.homes.get_mut(&spec.name) {
+                    Some(home) => home.update(cx, spec, is_home),
+                    None if is_home => {
+                        self.homes
+                            .insert(spec.name.clone(), Home::new(cx, spec.clone()));
+                    }
+                    None => {}
+                }
+            }
+        }
+        for home in self.homes.values_mut() {
+            if fleet.configuration.database(&home.spec.name).is_none() {
+                home.begin_close(cx);
+                home.refuse_queued(cx);
+            }
+        }
+        self.advance_all(cx, fleet);
+    }
 
     pub(crate) fn on_request(
         &mut self,
-        _cx: &mut Cx<'_>,
-        _fleet: Fleet<'_>,
+        cx: &mut Cx<'_>,
+        fleet: Fleet<'_>,
         _from: &VmId,
-        _request: Request,
+        request: Request,
     ) {
+        let Some(spec) = fleet.configuration.database(&request.database) else {
+            refuse_unknown_database(cx, request);
+            return;
+        };
+        // The entry daemon may know of a move earlier than this one.
+        let home = self
+            .homes
+            .entry(request.database.clone())
+            .or_insert_with(|| Home::new(cx, spec.clone()));
+        home.accept(cx, fleet, &mut self.ids, request);
+        home.advance(cx, fleet, &mut self.ids);
     }
 
-    pub(crate) fn on_cancel(&mut self, _cx: &mut Cx<'_>, _request: &RequestId) {}
+    pub(crate) fn on_cancel(&mut self, cx: &mut Cx<'_>, request: &RequestId) {
+        for home in self.homes.values_mut() {
+            home.cancel(cx, request);
+        }
+        cx.wake_at(cx.now.instant);
+    }
 
     pub(crate) fn on_session_closed(
         &mut self,
-        _cx: &mut Cx<'_>,
-        _from: &VmId,
-        _incarnation: Incarnation,
-        _session: SessionId,
+        cx: &mut Cx<'_>,
+        from: &VmId,
+        incarnation: Incarnation,
+        session: SessionId,
     ) {
+        for home in self.homes.values_mut() {
+            home.on_session_closed(cx, from, incarnation, session);
+        }
+        cx.wake_at(cx.now.instant);
     }
 
-    pub(crate) fn on_backend(&mut self, _cx: &mut Cx<'_>, _fleet: Fleet<'_>, _event: BackendEvent) {
+    pub(crate) fn on_backend(&mut self, cx: &mut Cx<'_>, fleet: Fleet<'_>, event: BackendEvent) {
+        match event {
+            BackendEvent::Connected { connection } => {
+                self.on_connection(cx, fleet, connection, |home, cx, _| {
+                    home.on_connected(cx, connection);
+                });
+            }
+            BackendEvent::ConnectFailed {
+                connection,
+                failure,
+            } => self.on_connection(cx, fleet, connection, |home, cx, _| {
+                home.on_connect_failed(cx, connection, failure);
+            }),
+            BackendEvent::Answered {
+                connection,
+                work,
+                payload,
+                end,
+            } => self.on_connection(cx, fleet, connection, |home, cx, ids| {
+                home.on_answered(cx, ids, connection, work, &payload, end.as_ref());
+            }),
+            BackendEvent::Lost { connection } => {
+                self.on_connection(cx, fleet, connection, |home, cx, _| {
+                    home.on_connection_lost(cx, connection);
+                });
+            }
+            BackendEvent::GroupReply {
+                server,
+                call,
+                result,
+            } => {
+                let Self { homes, ids } = self;
+                for home in homes.values_mut() {
+                    if !home.group.on_reply(cx, fleet, call, &server, &result) {
+                        continue;
+                    }
+                    if result.is_ok() {
+                        home.replies.insert(server, cx.now.instant);
+                    }
+                    home.advance(cx, fleet, ids);
+                    break;
+                }
+            }
+        }
     }
 
     /// Takes `ConfirmSuspicion`, `Suspicion` and `Promoted`.
     pub(crate) fn on_group_message(
         &mut self,
-        _cx: &mut Cx<'_>,
-        _fleet: Fleet<'_>,
-        _from: &VmId,
-        _message: PeerMessage,
+        cx: &mut Cx<'_>,
+        fleet: Fleet<'_>,
+        from: &VmId,
+        message: PeerMessage,
     ) {
+        match message {
+            PeerMessage::ConfirmSuspicion { database, term } => {
+                self.on_home(cx, fleet, &database, |home, cx| {
+                    home.group.on_confirm_suspicion(cx, from, term);
+                });
+            }
+            PeerMessage::Suspicion {
+                database,
+                term,
+                confirmed,
+            } => self.on_home(cx, fleet, &database, |home, cx| {
+                home.group.on_suspicion(cx, fleet, from, term, confirmed);
+            }),
+            PeerMessage::Promoted { database, term } => {
+                self.on_home(cx, fleet, &database, |home, cx| {
+                    home.group.on_promoted(cx, term);
+                });
+            }
+            _ => {}
+        }
     }
 
-    pub(crate) fn on_peer_lost(&mut self, _cx: &mut Cx<'_>, _vm: &VmId) {}
+    pub(crate) fn on_peer_lost(&mut self, cx: &mut Cx<'_>, vm: &VmId) {
+        for home in self.homes.values_mut() {
+            home.on_entry_lost(cx, vm);
+        }
+        cx.wake_at(cx.now.instant);
+    }
 
-    pub(crate) fn on_tick(&mut self, _cx: &mut Cx<'_>, _fleet: Fleet<'_>) {}
+    pub(crate) fn on_tick(&mut self, cx: &mut Cx<'_>, fleet: Fleet<'_>) {
+        for home in self.homes.values_mut() {
+            home.group.on_tick(cx, fleet);
+        }
+        self.advance_all(cx, fleet);
+    }
 
     /// Returns whether no request and no open transaction is left here.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        true
+        self.homes.values().all(Home::is_idle)
+    }
+
+    /// Returns the homes, for tests and the operator's view.
+    pub fn homes(&self) -> impl Iterator<Item = &Home> {
+        self.homes.values()
+    }
+
+    fn advance_all(&mut self, cx: &mut Cx<'_>, fleet: Fleet<'_>) {
+        let Self { homes, ids } = self;
+        for home in homes.values_mut() {
+            home.advance(cx, fleet, ids);
+        }
+        homes.retain(|_, home| !home.is_closed());
+    }
+
+    fn on_home(
+        &mut self,
+        cx: &mut Cx<'_>,
+        fleet: Fleet<'_>,
+        database: &DatabaseName,
+        then: impl FnOnce(&mut Home, &mut Cx<'_>),
+    ) {
+        if let Some(home) = self.homes.get_mut(database) {
+            then(home, cx);
+            home.advance(cx, fleet, &mut self.ids);
+        }
+    }
+
+    fn on_connection(
+        &mut self,
+        cx: &mut Cx<'_>,
+        fleet: Fleet<'_>,
+        connection: ConnectionId,
+        then: impl FnOnce(&mut Home, &mut Cx<'_>, &mut HomeIds),
+    ) {
+        let Self { homes, ids } = self;
+        let home = homes
+            .values_mut()
+            .find(|home| home.links.contains_key(&connection));
+        if let Some(home) = home {
+            then(home, cx, ids);
+            home.advance(cx, fleet, ids);
+        }
     }
 }
--- a/sapphireslip-core/src/lib.rs
+++ b/sapphireslip-core/src/lib.rs
@@ -3,10 +3,15 @@
 //! Nothing here opens a socket, reads a clock or starts a task: events come in with the time, and
 //! effects go out to the edges of the daemon.
 
+mod acknowledgement;
+mod admission;
 mod configuration;
+mod connection_share;
+mod connections;
 #[allow(dead_code, reason = "the modules call it once they are written")]
 mod cx;
 mod derives;
+mod dispatch;
 mod document;
 mod drain;
 mod effect;
@@ -14,27 +19,43 @@
 mod event;
 #[allow(dead_code, reason = "the homes call it once both are written")]
 mod group;
+mod hex;
+mod home;
 mod homes;
 mod instant;
+mod job;
+mod keyed_write;
+mod limit;
+mod link;
+mod loss;
 mod membership;
 mod name;
 mod peer_message;
 pub mod placement;
+mod pool;
+mod queue;
 mod random;
 mod reducer;
 mod refusal;
 mod request;
 mod request_key;
+mod retry_budget;
+mod route;
 mod server_status;
+mod silence;
 mod term;
 mod timeline_entry;
+mod transaction;
+mod work;
 
 use std::sync::Arc;
 
 pub use self::{
-    configuration::*, cx::*, document::*, drain::*, effect::*, entry::*, event::*, group::*,
-    homes::*, instant::*, membership::*, name::*, peer_message::*, random::*, reducer::*,
-    refusal::*, request::*, request_key::*, server_status::*, term::*, timeline_entry::*,
+    admission::*, configuration::*, connection_share::*, cx::*, dispatch::*, document::*, drain::*,
+    effect::*, entry::*, event::*, group::*, home::*, homes::*, instant::*, job::*, keyed_write::*,
+    limit::*, loss::*, membership::*, name::*, peer_message::*, pool::*, queue::*, random::*,
+    reducer::*, refusal::*, request::*, request_key::*, retry_budget::*, route::*,
+    server_status::*, silence::*, term::*, timeline_entry::*, transaction::*,
 };
 
 /// An opaque shared text.
--- /dev/null
+++ b/sapphireslip-core/src/transaction.rs
@@ -0,0 +1,187 @@
+//! Transactions that sessions have open, each with a connection of its own.
+
+use std::time::Duration;
+
+use crate::job::Transaction;
+use crate::link::{HomeIds, LinkState};
+use crate::{
+    ConnectionId, Cx, Home, Incarnation, Instant, RefusalReason, RequestId, SessionId, SessionKey,
+    StatementKind, TransactionStatus, VmId,
+};
+
+/// How long a transaction may stand idle between two statements before it is rolled back.
+pub const TRANSACTION_IDLE_MAX: Duration = Duration::from_secs(60);
+
+impl Home {
+    /// Sends a statement on the connection of its session's transaction.
+    pub(crate) fn continue_transaction(
+        &mut self,
+        cx: &mut Cx<'_>,
+        ids: &mut HomeIds,
+        id: &RequestId,
+    ) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let Some(transaction) = self.transactions.get(&job.session_key()) else {
+            self.refuse_without_transaction(cx, id);
+            return;
+        };
+        let connection = transaction.connection;
+        let state = self.links.get(&connection).map(|link| &link.state);
+        if !matches!(state, Some(LinkState::Pinned(_))) {
+            let detail = "an earlier statement of the transaction is still running";
+            self.refuse(cx, id, RefusalReason::Unsupported, detail);
+            return;
+        }
+        self.start_on(cx, ids, id, connection);
+    }
+
+    /// A commit that was sent before may have run elsewhere: its key tells.
+    fn refuse_without_transaction(&mut self, cx: &mut Cx<'_>, id: &RequestId) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let is_commit = job.request.kind == StatementKind::Commit;
+        if job.request.resent && is_commit && job.keyed.is_some() {
+            self.resolve(cx, id);
+            return;
+        }
+        let detail = "the session has no transaction open here";
+        self.refuse(cx, id, RefusalReason::TransactionLost, detail);
+    }
+
+    /// Ties a connection to the session of a request.
+    pub(crate) fn pin(
+        &mut self,
+        cx: &mut Cx<'_>,
+        id: &RequestId,
+        connection: ConnectionId,
+        status: TransactionStatus,
+    ) {
+        let Some(job) = self.jobs.get(id) else {
+            self.close(cx, connection);
+            return;
+        };
+        let session = job.session_key();
+        if let Some(link) = self.links.get_mut(&connection) {
+            link.state = LinkState::Pinned(session.clone());
+        }
+        let transaction = Transaction {
+            connection,
+            status,
+            since: cx.now.instant,
+        };
+        let earlier = self.transactions.insert(session, transaction);
+        if let Some(earlier) = earlier.filter(|earlier| earlier.connection != connection) {
+            self.close(cx, earlier.connection);
+        }
+    }
+
+    /// Unties a connection from the session of a request; returns whether it was tied.
+    pub(crate) fn unpin(&mut self, id: &RequestId, connection: ConnectionId) -> bool {
+        let Some(session) = self.jobs.get(id).map(|job| job.session_key()) else {
+            return false;
+        };
+        let transaction = self.transactions.get(&session);
+        let is_tied = transaction.is_some_and(|t| t.connection == connection);
+        if is_tied {
+            self.transactions.remove(&session);
+        }
+        is_tied
+    }
+
+    /// Rolls back a session's transaction, if it has one, by closing its connection.
+    pub(crate) fn close_transaction(&mut self, cx: &mut Cx<'_>, session: &SessionKey) {
+        let Some(transaction) = self.transactions.remove(session) else {
+            return;
+        };
+        let connection = transaction.connection;
+        let link = self.links.get(&connection).map(|link| link.state.clone());
+        self.close(cx, connection);
+        if let Some(LinkState::Working(work)) = link {
+            self.lose(cx, &work.request, None, RefusalReason::TransactionLost);
+        }
+    }
+
+    pub(crate) fn on_session_closed(
+        &mut self,
+        cx: &mut Cx<'_>,
+        entry: &VmId,
+        incarnation: Incarnation,
+        session: SessionId,
+    ) {
+        let key = SessionKey {
+            entry: entry.clone(),
+            incarnation,
+            session,
+        };
+        self.close_sessions(cx, |k| *k == key);
+    }
+
+    pub(crate) fn on_entry_lost(&mut self, cx: &mut Cx<'_>, entry: &VmId) {
+        self.close_sessions(cx, |k| k.entry == *entry);
+    }
+
+    /// Rolls back the transactions and takes back the queued requests of sessions that are gone;
+    /// a commit that is under way is let finish.
+    fn close_sessions(&mut self, cx: &mut Cx<'_>, is_gone: impl Fn(&SessionKey) -> bool) {
+        let queued: Vec<_> = self
+            .queue
+            .ids()
+            .filter(|id| self.jobs.get(id).is_some_and(|j| is_gone(&j.session_key())))
+            .cloned()
+            .collect();
+        for id in queued {
+            self.cancel(cx, &id);
+        }
+        let open: Vec<_> = self
+            .transactions
+            .iter()
+            .filter(|(key, transaction)| {
+                is_gone(key) && !self.is_committing(transaction.connection)
+            })
+            .map(|(key, _)| key.clone())
+            .collect();
+        for session in open {
+            self.close_transaction(cx, &session);
+        }
+    }
+
+    fn is_committing(&self, connection: ConnectionId) -> bool {
+        let Some(LinkState::Working(work)) = self.links.get(&connection).map(|link| &link.state)
+        else {
+            return false;
+        };
+        let job = self.jobs.get(&work.request);
+        job.is_some_and(|job| job.request.kind == StatementKind::Commit)
+    }
+
+    /// Rolls back transactions that stand idle for too long.
+    pub(crate) fn close_idle_transactions(&mut self, cx: &mut Cx<'_>) {
+        let now = cx.now.instant;
+        let idle: Vec<_> = self
+            .transactions
+            .iter()
+            .filter(|(_, t)| self.is_between_statements(t))
+            .filter(|(_, t)| now.since(t.since) >= TRANSACTION_IDLE_MAX)
+            .map(|(session, _)| session.clone())
+            .collect();
+        for session in idle {
+            self.close_transaction(cx, &session);
+        }
+    }
+
+    pub(crate) fn next_transaction_check(&self) -> Option<Instant> {
+        self.transactions
+            .values()
+            .filter(|transaction| self.is_between_statements(transaction))
+            .map(|transaction| transaction.since + TRANSACTION_IDLE_MAX)
+            .min()
+    }
+
+    fn is_between_statements(&self, transaction: &Transaction) -> bool {
+        let link = self.links.get(&transaction.connection);
+        matches!(link.map(|l| &l.state), Some(LinkState::Pinned(_)))
+    }
+}
--- /dev/null
+++ b/sapphireslip-core/src/work.rs
@@ -0,0 +1,250 @@
+//! What the servers answer to the work that a home sent them.
+
+use bytes::Bytes;
+
+use crate::job::Stage;
+use crate::link::{HomeIds, LinkState, Work};
+use crate::{
+    ConnectionId, Cx, Home, KeyedNext, Outcome, RefusalReason, RequestId, ServerId, SqlState,
+    StatementKind, TransactionStatus, Verdict, WorkEnd, WorkId,
+};
+
+impl Home {
+    /// Takes a part of an answer; one that is not to the connection's present work is dropped.
+    pub(crate) fn on_answered(
+        &mut self,
+        cx: &mut Cx<'_>,
+        ids: &mut HomeIds,
+        connection: ConnectionId,
+        work: WorkId,
+        payload: &Bytes,
+        end: Option<&WorkEnd>,
+    ) {
+        let Some(link) = self.links.get_mut(&connection) else {
+            return;
+        };
+        let LinkState::Working(current) = &mut link.state else {
+            return;
+        };
+        if current.id != work {
+            return;
+        }
+        current.heard = cx.now.instant;
+        let id = current.request.clone();
+        if current.is_own_step {
+            current.payload.extend_from_slice(payload);
+        } else if !self.on_request_payload(cx, &id, payload) {
+            self.abandon(
+                cx,
+                &id,
+                RefusalReason::Unsupported,
+                "the answer is too long",
+            );
+            return;
+        }
+        if let Some(end) = end {
+            self.on_work_end(cx, ids, connection, end);
+        }
+    }
+
+    /// Returns false if the answer is too long to be held.
+    fn on_request_payload(&mut self, cx: &mut Cx<'_>, id: &RequestId, payload: &Bytes) -> bool {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return true;
+        };
+        match &mut job.keyed {
+            Some(keyed) => keyed.on_payload(payload),
+            None => {
+                job.on_payload(cx, payload);
+                true
+            }
+        }
+    }
+
+    fn on_work_end(
+        &mut self,
+        cx: &mut Cx<'_>,
+        ids: &mut HomeIds,
+        connection: ConnectionId,
+        end: &WorkEnd,
+    ) {
+        let Some((server, work)) = self.take_work(connection) else {
+            return;
+        };
+        self.note_end(cx, &server, &work, end);
+        let Some(job) = self.jobs.get_mut(&work.request) else {
+            self.close(cx, connection);
+            return;
+        };
+        match job.keyed.as_mut() {
+            Some(keyed) => {
+                let next = keyed.on_end(end, &work.payload);
+                self.follow(cx, ids, &work.request, connection, end, next);
+            }
+            None => self.on_request_end(cx, &work.request, connection, end),
+        }
+    }
+
+    /// Takes the finished work off its connection, which is idle in no pool for a moment.
+    fn take_work(&mut self, connection: ConnectionId) -> Option<(ServerId, Work)> {
+        let link = self.links.get_mut(&connection)?;
+        match std::mem::replace(&mut link.state, LinkState::Idle) {
+            LinkState::Working(work) => Some((link.server.clone(), work)),
+            state => {
+                link.state = state;
+                None
+            }
+        }
+    }
+
+    fn note_end(&mut self, cx: &mut Cx<'_>, server: &ServerId, work: &Work, end: &WorkEnd) {
+        let latency = cx.now.instant.since(work.sent);
+        if let Some(pool) = self.pools.get_mut(server) {
+            let in_flight = pool.in_flight();
+            pool.limit.on_answer(latency, in_flight);
+        }
+        self.budget.on_success();
+        self.group.note_alive(cx, server);
+        if let Some(record) = end.committed {
+            self.group.note_committed(server, record);
+            self.group.watch(cx, record);
+        }
+    }
+
+    /// Carries out the next step of a keyed write.
+    fn follow(
+        &mut self,
+        cx: &mut Cx<'_>,
+        ids: &mut HomeIds,
+        id: &RequestId,
+        connection: ConnectionId,
+        end: &WorkEnd,
+        next: KeyedNext,
+    ) {
+        match next {
+            KeyedNext::Sql(sql) => self.send_step(cx, ids, id, connection, sql),
+            KeyedNext::Request => self.send_request(cx, ids, id, connection),
+            KeyedNext::Acknowledge { record, verdict } => {
+                self.put_away(cx, id, connection, end.transaction);
+                self.acknowledge(id, record, verdict);
+            }
+            KeyedNext::Answer => {
+                self.put_away(cx, id, connection, end.transaction);
+                self.end_with_collected(cx, id);
+            }
+            KeyedNext::Refuse(reason) => {
+                self.put_away_outside(cx, id, connection, end.transaction);
+                self.refuse(cx, id, reason, "the request was rolled back");
+            }
+            KeyedNext::Resolve => {
+                self.put_away_outside(cx, id, connection, end.transaction);
+                self.resolve(cx, id);
+            }
+        }
+    }
+
+    fn on_request_end(
+        &mut self,
+        cx: &mut Cx<'_>,
+        id: &RequestId,
+        connection: ConnectionId,
+        end: &WorkEnd,
+    ) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let is_unrun = end.committed.is_none() && !job.has_answered();
+        let is_outside = !job.request.in_transaction;
+        match end.sqlstate {
+            Some(SqlState::READ_ONLY) if is_unrun && is_outside => {
+                self.put_away_outside(cx, id, connection, end.transaction);
+                self.move_to_primary(cx, id);
+            }
+            Some(SqlState::SUPERSEDED) if end.committed.is_none() => {
+                self.put_away_outside(cx, id, connection, end.transaction);
+                self.refuse(
+                    cx,
+                    id,
+                    RefusalReason::NoPrimary,
+                    "the primary is superseded",
+                );
+            }
+            _ => {
+                self.put_away(cx, id, connection, end.transaction);
+                match end.committed {
+                    Some(record) => self.acknowledge(id, record, Verdict::Done),
+                    None => self.end(cx, id, Outcome::Done, None),
+                }
+            }
+        }
+    }
+
+    /// Queues a statement, which a server proved not to have run since it takes only reads, for
+    /// the primary; if it was the primary that was asked, there is none.
+    fn move_to_primary(&mut self, cx: &mut Cx<'_>, id: &RequestId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let may_move = job.request.kind == StatementKind::Read && !job.at_primary;
+        if !may_move || job.may_have_run {
+            let detail = "the server takes only reads";
+            self.refuse(cx, id, RefusalReason::NoPrimary, detail);
+            return;
+        }
+        job.replace_buffer(Vec::new());
+        job.at_primary = true;
+        self.requeue(id);
+    }
+
+    /// Puts a request back to the front of the queue.
+    pub(crate) fn requeue(&mut self, id: &RequestId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.stage = Stage::Queued;
+        let service = job.request.service.clone();
+        self.queue.push_front(id.clone(), &service);
+    }
+
+    /// Pools a connection that is outside a transaction, or pins it to the session of `id`.
+    fn put_away(
+        &mut self,
+        cx: &mut Cx<'_>,
+        id: &RequestId,
+        connection: ConnectionId,
+        status: TransactionStatus,
+    ) {
+        match status {
+            TransactionStatus::Idle => {
+                self.unpin(id, connection);
+                self.release(cx, connection);
+            }
+            TransactionStatus::Open | TransactionStatus::Failed => {
+                self.pin(cx, id, connection, status);
+            }
+        }
+    }
+
+    /// Pools a connection that is outside a transaction, or closes it.
+    fn put_away_outside(
+        &mut self,
+        cx: &mut Cx<'_>,
+        id: &RequestId,
+        connection: ConnectionId,
+        status: TransactionStatus,
+    ) {
+        self.unpin(id, connection);
+        match status {
+            TransactionStatus::Idle => self.release(cx, connection),
+            TransactionStatus::Open | TransactionStatus::Failed => self.close(cx, connection),
+        }
+    }
+
+    fn end_with_collected(&mut self, cx: &mut Cx<'_>, id: &RequestId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            let answer = job.keyed.as_ref().map(|keyed| keyed.answer().to_vec());
+            job.replace_buffer(answer.unwrap_or_default());
+        }
+        self.end(cx, id, Outcome::Done, None);
+    }
+}
