--- a/sapphireslip-core/src/lib.rs
+++ b/sapphireslip-core/src/lib.rs
@@ -8,7 +8,6 @@
 mod configuration;
 mod connection_share;
 mod connections;
-#[allow(dead_code, reason = "the modules call it once they are written")]
 mod cx;
 mod derives;
 mod dispatch;
@@ -17,14 +16,16 @@
 mod effect;
 mod entry;
 mod event;
-#[allow(dead_code, reason = "the homes call it once both are written")]
 mod group;
+mod group_call;
+mod group_log;
 mod hex;
 mod home;
 mod homes;
 mod instant;
 mod job;
 mod keyed_write;
+mod known_server;
 mod limit;
 mod link;
 mod loss;
@@ -32,7 +33,9 @@
 mod name;
 mod peer_message;
 pub mod placement;
+mod polling;
 mod pool;
+mod promotion;
 mod queue;
 mod random;
 mod reducer;
@@ -43,6 +46,8 @@
 mod route;
 mod server_status;
 mod silence;
+mod staleness;
+mod suspicion;
 mod term;
 mod timeline_entry;
 mod transaction;
@@ -52,10 +57,11 @@
 
 pub use self::{
     admission::*, configuration::*, connection_share::*, cx::*, dispatch::*, document::*, drain::*,
-    effect::*, entry::*, event::*, group::*, home::*, homes::*, instant::*, job::*, keyed_write::*,
-    limit::*, loss::*, membership::*, name::*, peer_message::*, pool::*, queue::*, random::*,
-    reducer::*, refusal::*, request::*, request_key::*, retry_budget::*, route::*,
-    server_status::*, silence::*, term::*, timeline_entry::*, transaction::*,
+    effect::*, entry::*, event::*, group::*, group_call::*, group_log::*, home::*, homes::*,
+    instant::*, job::*, keyed_write::*, known_server::*, limit::*, loss::*, membership::*, name::*,
+    peer_message::*, polling::*, pool::*, promotion::*, queue::*, random::*, reducer::*,
+    refusal::*, request::*, request_key::*, retry_budget::*, route::*, server_status::*,
+    silence::*, staleness::*, suspicion::*, term::*, timeline_entry::*, transaction::*,
 };
 
 /// An opaque shared text.
