--- a/sapphireslip-core/src/lib.rs
+++ b/sapphireslip-core/src/lib.rs
@@ -12,6 +12,9 @@
 mod derives;
 mod dispatch;
 mod document;
+mod document_check;
+mod document_error;
+mod document_exchange;
 mod drain;
 mod effect;
 mod entry;
@@ -21,6 +24,10 @@
 mod group_log;
 mod hex;
 mod home;
+mod fleet_record;
+#[allow(dead_code, reason = "the homes call it once both are written")]
+mod group;
+mod held_documents;
 mod homes;
 mod instant;
 mod job;
@@ -31,15 +38,20 @@
 mod loss;
 mod membership;
 mod name;
+mod ownership;
 mod peer_message;
 pub mod placement;
 mod polling;
 mod pool;
 mod promotion;
 mod queue;
+mod probe;
 mod random;
+mod raw_document;
+mod raw_table;
 mod reducer;
 mod refusal;
+mod relay;
 mod request;
 mod request_key;
 mod retry_budget;
@@ -52,6 +64,8 @@
 mod timeline_entry;
 mod transaction;
 mod work;
+mod vm_exchange;
+mod vm_news;
 
 use std::sync::Arc;
 
@@ -62,6 +76,11 @@
     peer_message::*, polling::*, pool::*, promotion::*, queue::*, random::*, reducer::*,
     refusal::*, request::*, request_key::*, retry_budget::*, route::*, server_status::*,
     silence::*, staleness::*, suspicion::*, term::*, timeline_entry::*, transaction::*,
+    configuration::*, cx::*, document::*, document_check::*, document_error::*,
+    document_exchange::*, drain::*, effect::*, entry::*, event::*, group::*, held_documents::*,
+    homes::*, instant::*, membership::*, name::*, peer_message::*, probe::*, random::*,
+    raw_document::*, reducer::*, refusal::*, relay::*, request::*, request_key::*,
+    server_status::*, term::*, timeline_entry::*, vm_exchange::*, vm_news::*,
 };
 
 /// An opaque shared text.
--- a/sapphireslip-core/src/reducer.rs
+++ b/sapphireslip-core/src/reducer.rs
@@ -90,6 +90,7 @@
         effects,
         outgoing,
     };
+    membership.changes = configuration.changes();
     match event {
         Event::Tick => {
             membership.on_tick(cx);
@@ -171,6 +172,7 @@
     from: &VmId,
     message: PeerMessage,
 ) {
+    membership.on_heard(cx, from);
     match message {
         PeerMessage::Request(request) => {
             homes.on_request(
@@ -208,7 +210,9 @@
         | PeerMessage::ProbeForAck { .. }
         | PeerMessage::WantVms
         | PeerMessage::Vms(_) => membership.on_peer(cx, from, message),
-        PeerMessage::WantDocuments { .. } | PeerMessage::Documents { .. } => {
+        PeerMessage::WantDocuments { .. }
+        | PeerMessage::Documents { .. }
+        | PeerMessage::LeavingServers(_) => {
             configuration.on_peer(cx, membership, from, message);
         }
         PeerMessage::ConfirmSuspicion { .. }
