--- a/sapphireslip-core/src/lib.rs
+++ b/sapphireslip-core/src/lib.rs
@@ -19,15 +19,13 @@
 mod effect;
 mod entry;
 mod event;
+mod fleet_record;
 mod group;
 mod group_call;
 mod group_log;
+mod held_documents;
 mod hex;
 mod home;
-mod fleet_record;
-#[allow(dead_code, reason = "the homes call it once both are written")]
-mod group;
-mod held_documents;
 mod homes;
 mod instant;
 mod job;
@@ -43,9 +41,9 @@
 pub mod placement;
 mod polling;
 mod pool;
+mod probe;
 mod promotion;
 mod queue;
-mod probe;
 mod random;
 mod raw_document;
 mod raw_table;
@@ -63,24 +61,21 @@
 mod term;
 mod timeline_entry;
 mod transaction;
-mod work;
 mod vm_exchange;
 mod vm_news;
+mod work;
 
 use std::sync::Arc;
 
 pub use self::{
-    admission::*, configuration::*, connection_share::*, cx::*, dispatch::*, document::*, drain::*,
-    effect::*, entry::*, event::*, group::*, group_call::*, group_log::*, home::*, homes::*,
+    admission::*, configuration::*, connection_share::*, cx::*, dispatch::*, document::*,
+    document_check::*, document_error::*, document_exchange::*, drain::*, effect::*, entry::*,
+    event::*, group::*, group_call::*, group_log::*, held_documents::*, home::*, homes::*,
     instant::*, job::*, keyed_write::*, known_server::*, limit::*, loss::*, membership::*, name::*,
-    peer_message::*, polling::*, pool::*, promotion::*, queue::*, random::*, reducer::*,
-    refusal::*, request::*, request_key::*, retry_budget::*, route::*, server_status::*,
-    silence::*, staleness::*, suspicion::*, term::*, timeline_entry::*, transaction::*,
-    configuration::*, cx::*, document::*, document_check::*, document_error::*,
-    document_exchange::*, drain::*, effect::*, entry::*, event::*, group::*, held_documents::*,
-    homes::*, instant::*, membership::*, name::*, peer_message::*, probe::*, random::*,
-    raw_document::*, reducer::*, refusal::*, relay::*, request::*, request_key::*,
-    server_status::*, term::*, timeline_entry::*, vm_exchange::*, vm_news::*,
+    peer_message::*, polling::*, pool::*, probe::*, promotion::*, queue::*, random::*,
+    raw_document::*, reducer::*, refusal::*, relay::*, request::*, request_key::*, retry_budget::*,
+    route::*, server_status::*, silence::*, staleness::*, suspicion::*, term::*, timeline_entry::*,
+    transaction::*, vm_exchange::*, vm_news::*,
 };
 
 /// An opaque shared text.
