--- a/sapphireslip-core/src/admission.rs
+++ b/sapphireslip-core/src/admission.rs
@@ -1,77 +1,163 @@
-//! Whether a caller may open a session, before its password is asked for.
+//! Whether a request is let in at the home of its database.
 
-use std::collections::BTreeMap;
+use std::time::Duration;
 
-use crate::session::Session;
+use crate::job::Job;
 use crate::{
-    CallerName, DAEMON_SESSIONS_MAX, DatabaseName, Fleet, Freshness, NO_HOME_RETRY_AFTER,
-    QUOTA_RETRY_AFTER, Refusal, RefusalReason, SessionId, Text, TransactionStatus,
+    Answer, AnswerEnd, Cx, Fleet, Home, KeyedScope, KeyedWrite, Outcome, PeerMessage, Refusal,
+    RefusalReason, Request, StatementKind, TransactionStatus,
 };
 
-/// A session that may go on to its password exchange.
-pub(crate) struct Admitted {
-    /// The session.
-    pub session: Session,
-    /// The verifier of its caller.
-    pub verifier: Text,
-}
+/// Time that is kept back from the caller's deadline for the way of the final answer.
+pub const ANSWER_MARGIN: Duration = Duration::from_millis(10);
 
-/// Checks a caller that names a user and a database, before its password exchange.
-pub(crate) fn admit(
-    sessions: &BTreeMap<SessionId, Session>,
-    fleet: Fleet<'_>,
-    id: SessionId,
-    user: &Text,
-    database: &Text,
-) -> Result<Admitted, Refusal> {
-    if !fleet.configuration.is_known() {
-        let detail = "the configuration isn't known here yet";
-        return Err(Refusal::not_run(
-            RefusalReason::NoHome,
-            Some(NO_HOME_RETRY_AFTER),
-            detail,
-        ));
-    }
-    let unknown = || {
-        let detail = format!("no database `{database}` is declared in any document");
-        Refusal::not_run(RefusalReason::UnknownDatabase, None, &detail)
+/// The part of a keyed write's time that is kept for learning whether it ran, as one in so many.
+pub const RESOLVE_SHARE: u32 = 3;
+
+/// The least part of the time that is kept back, as one in so many, for short deadlines.
+const MARGIN_SHARE: u32 = 10;
+
+/// Refuses a request for which there is no home here.
+pub(crate) fn refuse_unknown_database(cx: &mut Cx<'_>, request: Request) {
+    let detail = format!("database `{}` is in no document in force", request.database);
+    let refusal = Refusal::not_run(RefusalReason::UnknownDatabase, None, &detail);
+    let end = AnswerEnd {
+        outcome: Outcome::Refused(refusal),
+        transaction: TransactionStatus::Idle,
+        seen: None,
     };
-    let name = DatabaseName::try_from(&**database).map_err(|_error| unknown())?;
-    let document = fleet.configuration.document_of(&name).ok_or_else(unknown)?;
-    let bad = || {
-        let detail = format!("password authentication failed for user `{user}`");
-        Refusal::not_run(RefusalReason::BadCredentials, None, &detail)
+    let answer = Answer {
+        id: request.id.clone(),
+        part: 0,
+        payload: bytes::Bytes::new(),
+        end: Some(end),
     };
-    let caller = CallerName::try_from(&**user).map_err(|_error| bad())?;
-    let account = fleet.configuration.caller(&name, &caller).ok_or_else(bad)?;
-    let of_service = sessions
-        .values()
-        .filter(|s| s.service == document.service)
-        .count();
-    let limit = usize::try_from(document.limits.sessions).unwrap_or(usize::MAX);
-    if of_service >= limit || sessions.len() >= DAEMON_SESSIONS_MAX {
-        let detail = format!(
-            "service `{}` has {of_service} sessions here",
-            document.service
+    cx.send(request.id.entry, PeerMessage::Answer(answer));
+}
+
+impl Home {
+    /// Takes a request: queues it, sends it on its transaction's connection, or refuses it.
+    pub(crate) fn accept(
+        &mut self,
+        cx: &mut Cx<'_>,
+        fleet: Fleet<'_>,
+        ids: &mut crate::link::HomeIds,
+        request: Request,
+    ) {
+        if self.jobs.contains_key(&request.id) {
+            return;
+        }
+        let now = cx.now.instant;
+        let margin = ANSWER_MARGIN.min(request.time_left / MARGIN_SHARE);
+        let deadline = now + request.time_left.saturating_sub(margin);
+        let id = request.id.clone();
+        let time_left = request.time_left;
+        self.jobs
+            .insert(id.clone(), Job::new(request, now, deadline));
+        self.add_timer(deadline, &id);
+        if !self.admit_key(cx, &id, time_left) || !self.admit_resent(cx, &id) {
+            return;
+        }
+        let job = &self.jobs[&id];
+        if job.request.in_transaction {
+            self.continue_transaction(cx, ids, &id);
+            return;
+        }
+        let session = job.session_key();
+        self.close_transaction(cx, &session);
+        self.enqueue(cx, fleet, &id);
+    }
+
+    /// Checks the key, if there is one; returns false if the request was refused.
+    fn admit_key(&mut self, cx: &mut Cx<'_>, id: &crate::RequestId, time_left: Duration) -> bool {
+        let now = cx.now;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return false;
+        };
+        let Some(key) = job.request.key.clone() else {
+            return true;
+        };
+        if !key.is_alive(now.unix) {
+            let detail = format!("request key `{key}` is not within its lifetime");
+            self.refuse(cx, id, RefusalReason::KeyRefused, &detail);
+            return false;
+        }
+        let kind = job.request.kind;
+        let scope = match (job.request.in_transaction, kind) {
+            (_, StatementKind::Begin | StatementKind::BeginReadOnly | StatementKind::Rollback) => {
+                return true;
+            }
+            (true, StatementKind::Commit) => KeyedScope::Commit,
+            (true, _) => KeyedScope::Statement,
+            (false, _) => KeyedScope::Alone,
+        };
+        let is_statement = scope == KeyedScope::Statement;
+        job.keyed = Some(KeyedWrite::new(key, scope));
+        if is_statement {
+            return true;
+        }
+        let resolve_at = now.instant + (time_left - time_left / RESOLVE_SHARE);
+        job.resolve_at = Some(resolve_at);
+        self.add_timer(resolve_at, id);
+        true
+    }
+
+    /// Refuses to run a write again that has no key; returns false if it was refused.
+    fn admit_resent(&mut self, cx: &mut Cx<'_>, id: &crate::RequestId) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let may_have_run = job.request.resent && job.keyed.is_none();
+        let is_write = matches!(
+            job.request.kind,
+            StatementKind::Write | StatementKind::Commit
         );
-        return Err(Refusal::not_run(
-            RefusalReason::Quota,
-            Some(QUOTA_RETRY_AFTER),
-            &detail,
-        ));
+        if may_have_run && is_write {
+            let detail = "an earlier send may have run, and the request has no key";
+            self.refuse_unknown(cx, id, RefusalReason::AnswerLost, detail);
+            return false;
+        }
+        true
+    }
+
+    fn enqueue(&mut self, cx: &mut Cx<'_>, fleet: Fleet<'_>, id: &crate::RequestId) {
+        let share = fleet
+            .configuration
+            .document_of(&self.spec.name)
+            .map_or(0, |document| document.limits.queued);
+        let job = &self.jobs[id];
+        let left = job.deadline.since(cx.now.instant);
+        let service = job.request.service.clone();
+        if self.expected_wait() >= left {
+            let detail = format!(
+                "the queue of `{}` is longer than the deadline",
+                self.spec.name
+            );
+            self.refuse(cx, id, RefusalReason::Deadline, &detail);
+            return;
+        }
+        if !self.queue.push(id.clone(), &service, share) {
+            let detail = format!("the queue of `{}` is full", self.spec.name);
+            self.refuse(cx, id, RefusalReason::QueueFull, &detail);
+        }
+    }
+
+    /// Returns how long a request that is queued now is expected to wait, from the mean latency
+    /// and the statements that may be in flight.
+    fn expected_wait(&self) -> Duration {
+        let slots = self
+            .pools
+            .values()
+            .map(|pool| pool.limit.current())
+            .sum::<u32>()
+            .max(1);
+        let mean = self
+            .pools
+            .values()
+            .map(|pool| pool.limit.mean())
+            .max()
+            .unwrap_or_default();
+        let queued = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        mean.saturating_mul(queued) / slots
     }
-    let session = Session {
-        id,
-        service: document.service.clone(),
-        database: name,
-        caller: None,
-        freshness: Freshness::Probe,
-        transaction: TransactionStatus::Idle,
-        transaction_home: None,
-        running: None,
-    };
-    Ok(Admitted {
-        session,
-        verifier: Text::clone(&account.verifier),
-    })
 }
