--- /dev/null
+++ b/standins/tests/backend_sessions.rs
@@ -0,0 +1,238 @@
+//! Sessions of ordinary callers with a backend server.
+
+use std::time::Duration;
+
+use standins::{BackendGroup, BackendGroupSettings};
+use tokio_postgres::{Client, NoTls, SimpleQueryMessage, error::SqlState};
+
+async fn group() -> BackendGroup {
+    let settings = BackendGroupSettings {
+        open_cost: Duration::ZERO,
+        ..Default::default()
+    };
+    BackendGroup::start(settings)
+        .await
+        .expect("loopback has free ports")
+}
+
+async fn connect(group: &BackendGroup, server: usize) -> Client {
+    try_connect(group, server)
+        .await
+        .expect("the server takes connections")
+}
+
+async fn try_connect(group: &BackendGroup, server: usize) -> Result<Client, tokio_postgres::Error> {
+    let address = group.addresses()[server];
+    let text = format!("host=127.0.0.1 port={} user=u dbname=stock", address.port());
+    let (client, connection) = tokio_postgres::connect(&text, NoTls).await?;
+    tokio::spawn(connection);
+    Ok(client)
+}
+
+/// Waits until a condition holds.
+async fn eventually(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    let wait = async {
+        while !condition().await {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    let done = tokio::time::timeout(Duration::from_secs(20), wait).await;
+    done.unwrap_or_else(|_| panic!("not in time: {what}"));
+}
+
+fn code(error: &tokio_postgres::Error) -> &str {
+    error.code().map_or("none", SqlState::code)
+}
+
+async fn create(client: &Client) {
+    let sql = "CREATE TABLE t (id BIGINT PRIMARY KEY)";
+    client.batch_execute(sql).await.expect("the table is new");
+}
+
+async fn count(client: &Client) -> i64 {
+    let row = client.query_one("SELECT count(*) FROM t", &[]).await;
+    row.expect("the table exists").get(0)
+}
+
+#[tokio::test]
+async fn session_simple() {
+    let group = group().await;
+    let client = connect(&group, 0).await;
+    let sql = "CREATE TABLE t (id BIGINT PRIMARY KEY, name TEXT); INSERT INTO t VALUES (1, 'a;b')";
+    client.batch_execute(sql).await.expect("the tables are new");
+    let rows = client
+        .simple_query("SELECT id, name FROM t")
+        .await
+        .expect("it exists");
+    let row = rows.iter().find_map(|message| match message {
+        SimpleQueryMessage::Row(row) => row.get(1),
+        _ => None,
+    });
+    assert_eq!(row, Some("a;b"));
+    assert_eq!(group.status(0).held.to_string(), "1/2");
+}
+
+#[tokio::test]
+async fn session_extended() {
+    let group = group().await;
+    let client = connect(&group, 0).await;
+    let sql = "CREATE TABLE t (id BIGINT PRIMARY KEY, name TEXT, price FLOAT8)";
+    client.batch_execute(sql).await.expect("the table is new");
+    let insert = "INSERT INTO t (id, name, price) VALUES ($1, $2, $3)";
+    client
+        .execute(insert, &[&7_i64, &"seven", &7.5_f64])
+        .await
+        .expect("it is new");
+    let row = client
+        .query_one("SELECT name, price, id FROM t WHERE id = $1", &[&7_i64])
+        .await
+        .expect("the row is there");
+    assert_eq!(row.get::<_, &str>(0), "seven");
+    assert_eq!((row.get::<_, f64>(1), row.get::<_, i64>(2)), (7.5, 7));
+    assert_eq!(count(&client).await, 1);
+    let error = client
+        .execute(insert, &[&7_i64, &"again", &1.0_f64])
+        .await
+        .expect_err("twice");
+    assert_eq!(code(&error), "23505");
+    let error = client
+        .query("SELECT * FROM missing", &[])
+        .await
+        .expect_err("no table");
+    assert_eq!(code(&error), "42P01");
+}
+
+#[tokio::test]
+async fn session_transaction() {
+    let group = group().await;
+    let mut client = connect(&group, 0).await;
+    let other = connect(&group, 0).await;
+    create(&client).await;
+    let transaction = client.transaction().await.expect("begins");
+    transaction
+        .execute("INSERT INTO t VALUES (1)", &[])
+        .await
+        .expect("inserts");
+    assert_eq!(count(&other).await, 0);
+    transaction.commit().await.expect("commits");
+    assert_eq!(count(&other).await, 1);
+    client.batch_execute("BEGIN").await.expect("begins");
+    let error = client
+        .batch_execute("INSERT INTO t VALUES (1)")
+        .await
+        .expect_err("twice");
+    assert_eq!(code(&error), "23505");
+    let error = client
+        .batch_execute("SELECT 1")
+        .await
+        .expect_err("the block failed");
+    assert_eq!(code(&error), "25P02");
+    client
+        .batch_execute("ROLLBACK")
+        .await
+        .expect("ends the block");
+}
+
+#[tokio::test]
+async fn session_implicit_transaction() {
+    let group = group().await;
+    let client = connect(&group, 0).await;
+    create(&client).await;
+    let sql = "INSERT INTO t VALUES (1); INSERT INTO t VALUES (1)";
+    let error = client.batch_execute(sql).await.expect_err("twice");
+    assert_eq!(code(&error), "23505");
+    assert_eq!(count(&client).await, 0);
+}
+
+#[tokio::test]
+async fn session_lost_connection_rolls_back() {
+    let group = group().await;
+    let client = connect(&group, 0).await;
+    let other = connect(&group, 0).await;
+    create(&client).await;
+    client
+        .batch_execute("BEGIN; INSERT INTO t VALUES (1)")
+        .await
+        .expect("inserts");
+    drop(client);
+    other
+        .batch_execute("INSERT INTO t VALUES (1)")
+        .await
+        .expect("the other one is gone");
+}
+
+#[tokio::test]
+async fn session_replica() {
+    let group = group().await;
+    let primary = connect(&group, 0).await;
+    let replica = connect(&group, 1).await;
+    create(&primary).await;
+    eventually("replication", async || group.status(1).applied.0 == 2).await;
+    assert_eq!(count(&replica).await, 0);
+    let error = replica
+        .batch_execute("INSERT INTO t VALUES (1)")
+        .await
+        .expect_err("a replica");
+    assert_eq!(code(&error), "25006");
+    let sql = "BEGIN; INSERT INTO t VALUES (1)";
+    let error = replica.batch_execute(sql).await.expect_err("a replica");
+    assert_eq!(code(&error), "25006");
+}
+
+#[tokio::test]
+async fn session_lag() {
+    let group = group().await;
+    group.set_lag(1, Duration::from_secs(3600));
+    let primary = connect(&group, 0).await;
+    create(&primary).await;
+    eventually("replication", async || group.status(1).held.position.0 == 2).await;
+    assert_eq!(group.status(1).applied.0, 1);
+    group.set_lag(1, Duration::ZERO);
+    eventually("the end of the lag", async || {
+        group.status(1).applied.0 == 2
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn session_limit() {
+    let settings = BackendGroupSettings {
+        connections: 1,
+        open_cost: Duration::ZERO,
+        ..Default::default()
+    };
+    let group = BackendGroup::start(settings)
+        .await
+        .expect("loopback has free ports");
+    let _first = connect(&group, 0).await;
+    let error = try_connect(&group, 0).await.expect_err("one is the limit");
+    assert_eq!(code(&error), "53300");
+}
+
+#[tokio::test]
+async fn session_lost_answer() {
+    let group = group().await;
+    let client = connect(&group, 0).await;
+    create(&client).await;
+    group.lose_next_answer(0);
+    client
+        .batch_execute("INSERT INTO t VALUES (1)")
+        .await
+        .expect_err("no answer");
+    let client = connect(&group, 0).await;
+    assert_eq!(count(&client).await, 1);
+}
+
+#[tokio::test]
+async fn session_silence() {
+    let group = group().await;
+    let old = connect(&group, 0).await;
+    group.silence_open_connections(0);
+    let new = connect(&group, 0).await;
+    new.batch_execute("SELECT 1")
+        .await
+        .expect("new connections work");
+    let answer = old.batch_execute("SELECT 1");
+    let late = tokio::time::timeout(Duration::from_millis(50), answer).await;
+    assert!(late.is_err(), "a silent connection answered");
+}
