Backend edge: pooled connections, work and group requests

One task a connection with a bounded queue, so that the edge's loop never waits. Answers are relayed as whole messages without unpacking rows. Long polls have a control connection of their own.

--- /dev/null
+++ b/sapphireslipd/src/backend_connection.rs
@@ -0,0 +1,250 @@
+//! One connection to a backend server: opening it and exchanging messages.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use pgwire::api::auth::sasl::scram::ScramClientAuth;
+use pgwire::messages::startup::{
+    Authentication, Password, PasswordMessageFamily, SASLInitialResponse, SASLResponse, Startup,
+};
+use pgwire::messages::{
+    DecodeContext, PgWireBackendMessage as In, PgWireFrontendMessage as Out, ProtocolVersion,
+};
+use sapphireslip_core::{Text, VmId, ZoneName};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::backend_error::BackendError;
+use crate::frames::FrameReader;
+
+/// The time within which a connection must be open.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How this daemon logs in at backend servers.
+///
+/// ```
+/// use sapphireslip_core::{VmId, ZoneName};
+/// use sapphireslipd::BackendSettings;
+/// let settings = BackendSettings {
+///     user: "sapphireslip".into(),
+///     password: None,
+///     vm: VmId::try_from("vm-1")?,
+///     zone: ZoneName::try_from("zone-a")?,
+/// };
+/// assert_eq!(settings.origin(), "vm-1/zone-a");
+/// # Ok::<(), sapphireslip_core::NameError>(())
+/// ```
+#[derive(Clone, Debug)]
+pub struct BackendSettings {
+    /// The user name.
+    pub user: Text,
+    /// The password, if servers ask for one.
+    pub password: Option<Text>,
+    /// The VM of this daemon.
+    pub vm: VmId,
+    /// The availability zone of this daemon.
+    pub zone: ZoneName,
+}
+
+impl BackendSettings {
+    /// Returns the application name under which servers see this daemon.
+    #[must_use]
+    pub fn origin(&self) -> String {
+        format!("{}/{}", self.vm, self.zone)
+    }
+}
+
+/// An open connection.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    peer: SocketAddr,
+    socket: TcpStream,
+    frames: FrameReader,
+}
+
+/// Decodes a whole message.
+pub(crate) fn decode(
+    frame: &Bytes,
+    step: &'static str,
+    peer: SocketAddr,
+) -> Result<In, BackendError> {
+    let mut cx = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
+    cx.awaiting_frontend_ssl = false;
+    cx.awaiting_frontend_startup = false;
+    let protocol = |detail| BackendError::Protocol(step, peer, detail);
+    let message = In::decode(&mut BytesMut::from(frame.as_ref()), &cx);
+    let message = message.map_err(|error| protocol(error.to_string()))?;
+    message.ok_or_else(|| protocol("a message is shorter than its length".to_owned()))
+}
+
+/// Returns the field of an error message that has this code.
+pub(crate) fn error_field(fields: &[(u8, String)], code: u8) -> String {
+    let field = fields.iter().find(|field| field.0 == code);
+    field.map_or_else(String::new, |field| field.1.clone())
+}
+
+const STEP_OPEN: &str = "opening a connection";
+
+/// Opens a connection to a server's database.
+pub(crate) async fn open(
+    peer: SocketAddr,
+    database: &str,
+    settings: &BackendSettings,
+    time: Duration,
+) -> Result<Connection, BackendError> {
+    let opened = timeout(time, open_untimed(peer, database, settings)).await;
+    opened.unwrap_or_else(|_elapsed| Err(BackendError::Timeout(STEP_OPEN, peer)))
+}
+
+async fn open_untimed(
+    peer: SocketAddr,
+    database: &str,
+    settings: &BackendSettings,
+) -> Result<Connection, BackendError> {
+    let io = |error| BackendError::Io(STEP_OPEN, peer, error);
+    let socket = TcpStream::connect(peer).await.map_err(io)?;
+    socket.set_nodelay(true).map_err(io)?;
+    let mut connection = Connection {
+        peer,
+        socket,
+        frames: FrameReader::new(BytesMut::new()),
+    };
+    let mut startup = Startup::new();
+    let origin = settings.origin();
+    let parameters = [
+        ("user", settings.user.as_ref()),
+        ("database", database),
+        ("application_name", origin.as_str()),
+        ("client_encoding", "UTF8"),
+    ];
+    for (name, value) in parameters {
+        startup.parameters.insert(name.to_owned(), value.to_owned());
+    }
+    connection.send(&Out::Startup(startup)).await?;
+    connection.log_in(settings).await?;
+    Ok(connection)
+}
+
+impl Connection {
+    /// Returns the server's address.
+    pub(crate) fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    async fn send(&mut self, message: &Out) -> Result<(), BackendError> {
+        let mut buf = BytesMut::new();
+        let protocol =
+            |error: pgwire::error::PgWireError| self.protocol(STEP_OPEN, error.to_string());
+        message.encode(&mut buf).map_err(protocol)?;
+        let written = self.socket.write_all(&buf).await;
+        written.map_err(|error| BackendError::Io(STEP_OPEN, self.peer, error))
+    }
+
+    fn protocol(&self, step: &'static str, detail: impl Into<String>) -> BackendError {
+        BackendError::Protocol(step, self.peer, detail.into())
+    }
+
+    /// Returns the next message; nothing is lost if the future is dropped.
+    pub(crate) async fn next(&mut self, step: &'static str) -> Result<Bytes, BackendError> {
+        self.next_while_writing(step, &mut Bytes::new()).await
+    }
+
+    /// Returns the next message and writes what is pending meanwhile.
+    ///
+    /// Both go on at once, as a server may answer before it has read everything.
+    pub(crate) async fn next_while_writing(
+        &mut self,
+        step: &'static str,
+        pending: &mut Bytes,
+    ) -> Result<Bytes, BackendError> {
+        let peer = self.peer;
+        let io = |error| BackendError::Io(step, peer, error);
+        let (mut reader, mut writer) = self.socket.split();
+        loop {
+            tokio::select! {
+                frame = self.frames.next(&mut reader) => {
+                    return frame.map_err(io)?.ok_or(BackendError::Closed(step, peer));
+                }
+                written = writer.write_buf(pending), if !pending.is_empty() => {
+                    written.map_err(io)?;
+                }
+            }
+        }
+    }
+
+    async fn next_decoded(&mut self) -> Result<In, BackendError> {
+        let frame = self.next(STEP_OPEN).await?;
+        match decode(&frame, STEP_OPEN, self.peer)? {
+            In::ErrorResponse(error) => Err(BackendError::Refused(
+                STEP_OPEN,
+                self.peer,
+                error_field(&error.fields, b'C'),
+                error_field(&error.fields, b'M'),
+            )),
+            message => Ok(message),
+        }
+    }
+
+    async fn log_in(&mut self, settings: &BackendSettings) -> Result<(), BackendError> {
+        loop {
+            match self.next_decoded().await? {
+                In::Authentication(Authentication::Ok) | In::ParameterStatus(_) => {}
+                In::Authentication(Authentication::CleartextPassword) => {
+                    let password = Password::new(self.password(settings)?);
+                    let message = PasswordMessageFamily::Password(password);
+                    self.send(&Out::PasswordMessageFamily(message)).await?;
+                }
+                In::Authentication(Authentication::SASL(_)) => self.scram(settings).await?,
+                In::Authentication(other) => {
+                    let detail = format!("it asks for {other:?}, which is not supported");
+                    return Err(self.protocol(STEP_OPEN, detail));
+                }
+                In::ReadyForQuery(_) => return Ok(()),
+                _ => {}
+            }
+        }
+    }
+
+    fn password(&self, settings: &BackendSettings) -> Result<String, BackendError> {
+        let missing = || self.protocol(STEP_OPEN, "it asks for a password: set one");
+        let password = settings.password.as_deref().ok_or_else(missing)?;
+        Ok(password.to_owned())
+    }
+
+    async fn scram(&mut self, settings: &BackendSettings) -> Result<(), BackendError> {
+        let password = self.password(settings)?;
+        let scram = ScramClientAuth::new(settings.user.to_string(), password);
+        let peer = self.peer;
+        let failed = |error: pgwire::error::PgWireClientError| {
+            BackendError::Protocol(STEP_OPEN, peer, error.to_string())
+        };
+        let (first, scram) = scram.build_client_first().map_err(failed)?;
+        let first = SASLInitialResponse::new("SCRAM-SHA-256".to_owned(), Some(first.into()));
+        let first = PasswordMessageFamily::SASLInitialResponse(first);
+        self.send(&Out::PasswordMessageFamily(first)).await?;
+        let In::Authentication(Authentication::SASLContinue(data)) = self.next_decoded().await?
+        else {
+            return Err(self.protocol(STEP_OPEN, "it left the password exchange"));
+        };
+        let (last, scram) = scram.build_client_final(&data).map_err(failed)?;
+        let last = PasswordMessageFamily::SASLResponse(SASLResponse::new(last.into()));
+        self.send(&Out::PasswordMessageFamily(last)).await?;
+        let In::Authentication(Authentication::SASLFinal(data)) = self.next_decoded().await? else {
+            return Err(self.protocol(STEP_OPEN, "it left the password exchange"));
+        };
+        scram.verify_server_final(&data).map_err(failed)
+    }
+}
+
+/// Returns a simple query as a protocol message.
+pub(crate) fn query_message(sql: &str) -> Bytes {
+    let mut buf = BytesMut::new();
+    let query = pgwire::messages::simplequery::Query::new(sql.to_owned());
+    let encoded = Out::Query(query).encode(&mut buf);
+    if let Err(error) = encoded {
+        log::error!("a query of {} bytes can't be encoded: {error}", sql.len());
+    }
+    buf.freeze()
+}
--- /dev/null
+++ b/sapphireslipd/src/backend_edge.rs
@@ -0,0 +1,236 @@
+//! The backend edge: carries out effects at backend servers and turns answers into events.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flume::{Receiver, Sender, TrySendError};
+use sapphireslip_core::{
+    BackendEffect, BackendEvent, CallId, ConnectionId, DatabaseName, Event, GroupFailure,
+    GroupRequest, ServerId, ServerSpec,
+};
+use tokio::time::Instant;
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use crate::backend_connection::{BackendSettings, CONNECT_TIMEOUT, open};
+use crate::backend_work::{self, Work};
+use crate::group_call::{self, GroupCall};
+
+/// Pieces of work that wait for one connection at the most.
+pub const WORK_QUEUE_MAX: usize = 8;
+
+/// Group requests that wait for one server at the most.
+pub const CALL_QUEUE_MAX: usize = 64;
+
+/// A connection as the edge's loop knows it; dropping it closes the connection.
+struct Handle {
+    work: Sender<Work>,
+    _stop: DropGuard,
+}
+
+/// The place of a kept connection for group requests.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct ControlKey {
+    server: ServerId,
+    address: SocketAddr,
+    /// Whether it is the one for long polls, which keep others waiting.
+    waits: bool,
+}
+
+struct Edge {
+    settings: BackendSettings,
+    events: Sender<Event>,
+    connections: BTreeMap<ConnectionId, Handle>,
+    controls: BTreeMap<ControlKey, Sender<GroupCall>>,
+}
+
+/// Carries out effects until their sender is gone.
+///
+/// The loop never waits for a connection: each has a task and a bounded queue of its own. A
+/// connection whose queue is full is closed and reported as lost.
+///
+/// ```
+/// use sapphireslip_core::{VmId, ZoneName};
+/// use sapphireslipd::{BackendSettings, run_backend_edge};
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> Result<(), sapphireslip_core::NameError> {
+/// let settings = BackendSettings {
+///     user: "sapphireslip".into(),
+///     password: None,
+///     vm: VmId::try_from("vm-1")?,
+///     zone: ZoneName::try_from("zone-a")?,
+/// };
+/// let (event_tx, _event_rx) = flume::bounded(16);
+/// let (effect_tx, effect_rx) = flume::bounded(16);
+/// drop(effect_tx);
+/// run_backend_edge(event_tx, effect_rx, settings).await;
+/// # Ok(())
+/// # }
+/// ```
+pub async fn run(
+    events: Sender<Event>,
+    effects: Receiver<BackendEffect>,
+    settings: BackendSettings,
+) {
+    let mut edge = Edge {
+        settings,
+        events,
+        connections: BTreeMap::new(),
+        controls: BTreeMap::new(),
+    };
+    while let Ok(effect) = effects.recv_async().await {
+        edge.carry_out(effect);
+    }
+}
+
+impl Edge {
+    fn carry_out(&mut self, effect: BackendEffect) {
+        match effect {
+            BackendEffect::Connect {
+                connection,
+                server: _,
+                address,
+                database,
+            } => self.connect(connection, address, &database),
+            BackendEffect::Send {
+                connection,
+                work: id,
+                payload,
+            } => self.send(connection, Work { id, payload }),
+            BackendEffect::Close { connection } => {
+                self.connections.remove(&connection);
+            }
+            BackendEffect::Group {
+                call,
+                server,
+                database: _,
+                request,
+                timeout,
+            } => self.group(call, &server, request, timeout),
+        }
+    }
+
+    fn connect(&mut self, id: ConnectionId, address: SocketAddr, database: &DatabaseName) {
+        self.connections
+            .retain(|_, handle| !handle.work.is_disconnected());
+        let (work_tx, work_rx) = flume::bounded(WORK_QUEUE_MAX);
+        let stop = CancellationToken::new();
+        let task = serve(
+            id,
+            address,
+            database.clone(),
+            self.settings.clone(),
+            work_rx,
+            self.events.clone(),
+        );
+        tokio::spawn(stop.clone().run_until_cancelled_owned(task));
+        let handle = Handle {
+            work: work_tx,
+            _stop: stop.drop_guard(),
+        };
+        self.connections.insert(id, handle);
+    }
+
+    fn send(&mut self, id: ConnectionId, work: Work) {
+        let Some(handle) = self.connections.get(&id) else {
+            return;
+        };
+        // A task that has ended has reported the loss itself.
+        let Err(TrySendError::Full(work)) = handle.work.try_send(work) else {
+            return;
+        };
+        log::error!(
+            "connection {} is closed: it has no room for work {}",
+            id.0,
+            work.id.0
+        );
+        self.connections.remove(&id);
+        self.report(BackendEvent::Lost { connection: id });
+    }
+
+    fn group(&mut self, id: CallId, server: &ServerSpec, request: GroupRequest, timeout: Duration) {
+        let waits = matches!(request, GroupRequest::Status { wait_for: Some(_) });
+        let key = ControlKey {
+            server: server.id.clone(),
+            address: server.address,
+            waits,
+        };
+        let call = GroupCall {
+            id,
+            request,
+            due: Instant::now() + timeout,
+        };
+        let control = self
+            .controls
+            .entry(key.clone())
+            .or_insert_with(|| start_control(&key, self.settings.clone(), self.events.clone()));
+        let call = match control.try_send(call) {
+            Ok(()) => return,
+            Err(TrySendError::Disconnected(call)) => {
+                *control = start_control(&key, self.settings.clone(), self.events.clone());
+                match control.try_send(call) {
+                    Ok(()) => return,
+                    Err(error) => error.into_inner(),
+                }
+            }
+            Err(TrySendError::Full(call)) => call,
+        };
+        log::warn!("too many group requests wait for `{}`", key.server);
+        self.report(BackendEvent::GroupReply {
+            server: key.server,
+            call: call.id,
+            result: Err(GroupFailure::NoAnswer),
+        });
+    }
+
+    /// Sends an event without keeping the loop waiting.
+    fn report(&self, event: BackendEvent) {
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            let _runner_gone = events.send_async(Event::Backend(event)).await;
+        });
+    }
+}
+
+fn start_control(
+    key: &ControlKey,
+    settings: BackendSettings,
+    events: Sender<Event>,
+) -> Sender<GroupCall> {
+    let (calls_tx, calls_rx) = flume::bounded(CALL_QUEUE_MAX);
+    let run = group_call::run(key.server.clone(), key.address, settings, calls_rx, events);
+    tokio::spawn(run);
+    calls_tx
+}
+
+async fn serve(
+    id: ConnectionId,
+    address: SocketAddr,
+    database: DatabaseName,
+    settings: BackendSettings,
+    work: Receiver<Work>,
+    events: Sender<Event>,
+) {
+    let opened = open(address, database.as_str(), &settings, CONNECT_TIMEOUT).await;
+    let connection = match opened {
+        Ok(connection) => connection,
+        Err(error) => {
+            log::info!("{error}");
+            let failed = BackendEvent::ConnectFailed {
+                connection: id,
+                failure: error.connect_failure(),
+            };
+            let _runner_gone = events.send_async(Event::Backend(failed)).await;
+            return;
+        }
+    };
+    let connected = BackendEvent::Connected { connection: id };
+    if events.send_async(Event::Backend(connected)).await.is_err() {
+        return;
+    }
+    if let Err(error) = backend_work::run(connection, id, work, &events).await {
+        log::info!("{error}");
+        let lost = BackendEvent::Lost { connection: id };
+        let _runner_gone = events.send_async(Event::Backend(lost)).await;
+    }
+}
--- /dev/null
+++ b/sapphireslipd/src/backend_work.rs
@@ -0,0 +1,211 @@
+//! Carrying out pieces of work on one connection, one after the other.
+
+use std::net::SocketAddr;
+
+use bytes::{Bytes, BytesMut};
+use flume::{Receiver, Sender};
+use pgwire::messages::PgWireBackendMessage as In;
+use pgwire::messages::response::TransactionStatus as WireStatus;
+use sapphireslip_core::{
+    BackendEvent, ConnectionId, Event, SqlState, TermPosition, TransactionStatus, WorkEnd, WorkId,
+    WorkPayload,
+};
+
+use crate::backend_connection::{Connection, decode, error_field, query_message};
+use crate::backend_error::BackendError;
+
+/// The size in bytes from which a part of an answer is handed on.
+pub const ANSWER_PART_BYTES: usize = 32 * 1024;
+
+const STEP_WORK: &str = "a statement";
+const STEP_IDLE: &str = "keeping an idle connection";
+
+/// One piece of work.
+#[derive(Debug)]
+pub(crate) struct Work {
+    /// The identifier that its answer carries.
+    pub(crate) id: WorkId,
+    /// What is written.
+    pub(crate) payload: WorkPayload,
+}
+
+/// Does the work of a connection until it breaks or nobody wants it any more.
+pub(crate) async fn run(
+    mut connection: Connection,
+    id: ConnectionId,
+    work: Receiver<Work>,
+    events: &Sender<Event>,
+) -> Result<(), BackendError> {
+    loop {
+        let next = tokio::select! {
+            next = work.recv_async() => next,
+            frame = connection.next(STEP_IDLE) => {
+                check_idle(&frame?, connection.peer())?;
+                continue;
+            }
+        };
+        let Ok(Work { id: work, payload }) = next else {
+            return Ok(());
+        };
+        let own = matches!(payload, WorkPayload::Sql(_));
+        let mut pending = match payload {
+            WorkPayload::Messages(messages) => messages,
+            WorkPayload::Sql(sql) => query_message(&sql),
+        };
+        let mut answer = AnswerCollector::new(own, connection.peer());
+        let mut ended = false;
+        while !ended {
+            let frame = connection
+                .next_while_writing(STEP_WORK, &mut pending)
+                .await?;
+            let Some(part) = answer.take(&frame)? else {
+                continue;
+            };
+            ended = part.end.is_some();
+            let event = BackendEvent::Answered {
+                connection: id,
+                work,
+                payload: part.payload,
+                end: part.end,
+            };
+            if events.send_async(Event::Backend(event)).await.is_err() {
+                return Ok(());
+            }
+        }
+    }
+}
+
+/// Takes what a server says of its own accord; an error is the end of the connection.
+fn check_idle(frame: &Bytes, peer: SocketAddr) -> Result<(), BackendError> {
+    match decode(frame, STEP_IDLE, peer)? {
+        In::NoticeResponse(_) | In::NotificationResponse(_) | In::ParameterStatus(_) => Ok(()),
+        In::ErrorResponse(error) => Err(BackendError::Refused(
+            STEP_IDLE,
+            peer,
+            error_field(&error.fields, b'C'),
+            error_field(&error.fields, b'M'),
+        )),
+        other => {
+            let detail = format!("unasked for: {other:?}");
+            Err(BackendError::Protocol(STEP_IDLE, peer, detail))
+        }
+    }
+}
+
+struct AnswerPart {
+    payload: Bytes,
+    end: Option<WorkEnd>,
+}
+
+/// Collects an answer in parts.
+struct AnswerCollector {
+    peer: SocketAddr,
+    /// Whether the work is the reducer's own, whose messages no caller gets.
+    own: bool,
+    part: BytesMut,
+    committed: Option<TermPosition>,
+    sqlstate: Option<SqlState>,
+    value: Option<sapphireslip_core::Text>,
+    rows: usize,
+}
+
+impl AnswerCollector {
+    fn new(own: bool, peer: SocketAddr) -> Self {
+        Self {
+            peer,
+            own,
+            part: BytesMut::new(),
+            committed: None,
+            sqlstate: None,
+            value: None,
+            rows: 0,
+        }
+    }
+
+    /// Takes a message; returns a part once it is large enough or the answer is over.
+    fn take(&mut self, frame: &Bytes) -> Result<Option<AnswerPart>, BackendError> {
+        let relayed = match frame.first() {
+            Some(b'Z') => return self.end(frame).map(Some),
+            Some(b'S') => self.take_parameter(frame)?,
+            Some(b'E') => self.take_error(frame)?,
+            Some(b'D') if self.own => self.take_row(frame)?,
+            _ => true,
+        };
+        if !relayed || self.own {
+            return Ok(None);
+        }
+        self.part.extend_from_slice(frame);
+        if self.part.len() < ANSWER_PART_BYTES {
+            return Ok(None);
+        }
+        Ok(Some(AnswerPart {
+            payload: self.part.split().freeze(),
+            end: None,
+        }))
+    }
+
+    fn take_parameter(&mut self, frame: &Bytes) -> Result<bool, BackendError> {
+        let In::ParameterStatus(parameter) = decode(frame, STEP_WORK, self.peer)? else {
+            return Ok(true);
+        };
+        if parameter.name != "group_position" {
+            return Ok(true);
+        }
+        let position = TermPosition::try_from(parameter.value.as_str());
+        let protocol = |error: sapphireslip_core::TermPositionError| {
+            BackendError::Protocol(STEP_WORK, self.peer, error.to_string())
+        };
+        self.committed = Some(position.map_err(protocol)?);
+        Ok(false)
+    }
+
+    fn take_error(&mut self, frame: &Bytes) -> Result<bool, BackendError> {
+        let In::ErrorResponse(error) = decode(frame, STEP_WORK, self.peer)? else {
+            return Ok(true);
+        };
+        let code = error_field(&error.fields, b'C');
+        let state = code.as_bytes().try_into().ok().map(SqlState);
+        self.sqlstate = self.sqlstate.or(state);
+        Ok(true)
+    }
+
+    fn take_row(&mut self, frame: &Bytes) -> Result<bool, BackendError> {
+        self.rows += 1;
+        let In::DataRow(row) = decode(frame, STEP_WORK, self.peer)? else {
+            return Ok(true);
+        };
+        if self.rows == 1 && row.field_count > 0 {
+            self.value = first_column(&row.data);
+        }
+        Ok(true)
+    }
+
+    fn end(&mut self, frame: &Bytes) -> Result<AnswerPart, BackendError> {
+        let In::ReadyForQuery(ready) = decode(frame, STEP_WORK, self.peer)? else {
+            let detail = "a ready message is malformed".to_owned();
+            return Err(BackendError::Protocol(STEP_WORK, self.peer, detail));
+        };
+        let transaction = match ready.status {
+            WireStatus::Idle => TransactionStatus::Idle,
+            WireStatus::Transaction => TransactionStatus::Open,
+            WireStatus::Error => TransactionStatus::Failed,
+        };
+        Ok(AnswerPart {
+            payload: self.part.split().freeze(),
+            end: Some(WorkEnd {
+                transaction,
+                committed: self.committed,
+                sqlstate: self.sqlstate,
+                value: self.value.take(),
+            }),
+        })
+    }
+}
+
+/// Returns the text of a row's first column, unless it is null.
+pub(crate) fn first_column(data: &[u8]) -> Option<sapphireslip_core::Text> {
+    let (length, rest) = data.split_first_chunk::<4>()?;
+    let length = usize::try_from(i32::from_be_bytes(*length)).ok()?;
+    let text = std::str::from_utf8(rest.get(..length)?).ok()?;
+    Some(text.into())
+}
--- /dev/null
+++ b/sapphireslipd/src/group_call.rs
@@ -0,0 +1,189 @@
+//! Group requests to backend servers, on connections kept for them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flume::{Receiver, Sender};
+use pgwire::messages::PgWireBackendMessage as In;
+use quick_error::quick_error;
+use sapphireslip_core::{
+    BackendEvent, CallId, Event, GroupFailure, GroupRequest, Position, ServerId, ServerRole,
+    ServerStatus, TERM_STARTS_MAX, Term, TermPosition,
+};
+use tokio::time::{Instant, timeout};
+
+use crate::backend_connection::{
+    BackendSettings, Connection, decode, error_field, open, query_message,
+};
+use crate::backend_error::BackendError;
+use crate::backend_work::first_column;
+
+/// The database name under which servers take group requests.
+pub const CONTROL_DATABASE: &str = "group_control";
+
+/// The time after which an unused connection for group requests is closed.
+pub const CONTROL_IDLE: Duration = Duration::from_secs(60);
+
+/// The part of a long poll's time that is left for its answer's way, at the most.
+const WAIT_MARGIN: Duration = Duration::from_millis(50);
+
+const STEP_CALL: &str = "a group request";
+
+/// The SQLSTATE of a refused group request.
+const REFUSED: &str = "57P05";
+
+/// One request with the time by which its answer is due.
+#[derive(Debug)]
+pub(crate) struct GroupCall {
+    pub(crate) id: CallId,
+    pub(crate) request: GroupRequest,
+    pub(crate) due: Instant,
+}
+
+/// A server's status as it is written in an answer.
+///
+/// ```
+/// use sapphireslip_core::ServerStatus;
+/// use sapphireslipd::StatusText;
+/// let text = "role=replica fenced=3 held=3/1042 applied=1040 starts=1/1,3/900";
+/// let status = ServerStatus::try_from(StatusText(text))?;
+/// assert_eq!(status.held.to_string(), "3/1042");
+/// # Ok::<(), sapphireslipd::StatusTextError>(())
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct StatusText<'a>(pub &'a str);
+
+quick_error! {
+    /// Why a text is not a status.
+    #[derive(Clone, Debug, Eq, PartialEq)]
+    pub enum StatusTextError {
+        /// A field is missing or malformed.
+        Field(name: &'static str, text: String) {
+            display("the status `{text}` has no well-formed `{name}`")
+        }
+    }
+}
+
+impl TryFrom<StatusText<'_>> for ServerStatus {
+    type Error = StatusTextError;
+
+    fn try_from(StatusText(text): StatusText<'_>) -> Result<Self, StatusTextError> {
+        let field = |name: &'static str| {
+            let fields = text.split_whitespace();
+            let mut pairs = fields.filter_map(|field| field.split_once('='));
+            let value = pairs.find(|pair| pair.0 == name).map(|pair| pair.1);
+            value.ok_or_else(|| StatusTextError::Field(name, text.to_owned()))
+        };
+        let malformed = |name| move || StatusTextError::Field(name, text.to_owned());
+        let role = match field("role")? {
+            "primary" => ServerRole::Primary,
+            "replica" => ServerRole::Replica,
+            _ => return Err(malformed("role")()),
+        };
+        let fenced = field("fenced")?.parse().ok();
+        let held = TermPosition::try_from(field("held")?).ok();
+        let applied = field("applied")?.parse().ok();
+        let starts = field("starts")?.split(',').take(TERM_STARTS_MAX);
+        let starts: Result<Vec<_>, _> = starts.map(TermPosition::try_from).collect();
+        Ok(Self {
+            role,
+            fenced: Term(fenced.ok_or_else(malformed("fenced"))?),
+            held: held.ok_or_else(malformed("held"))?,
+            applied: Position(applied.ok_or_else(malformed("applied"))?),
+            term_starts: starts.ok().ok_or_else(malformed("starts"))?,
+        })
+    }
+}
+
+/// Returns the SQL text of a request that may take this long.
+fn sql(request: &GroupRequest, time: Duration) -> String {
+    match request {
+        GroupRequest::Status { wait_for: None } => "SELECT group_status()".to_owned(),
+        GroupRequest::Status {
+            wait_for: Some(record),
+        } => {
+            let time = time - WAIT_MARGIN.min(time / 4);
+            format!("SELECT group_wait('{record}', {})", time.as_millis())
+        }
+        GroupRequest::Fence { term } => format!("SELECT group_fence({})", term.0),
+        GroupRequest::Promote { term } => format!("SELECT group_promote({})", term.0),
+        GroupRequest::Follow { term, primary } => {
+            format!("SELECT group_follow({}, '{primary}')", term.0)
+        }
+    }
+}
+
+/// Makes the calls to one server one after the other, until none has come for a while.
+pub(crate) async fn run(
+    server: ServerId,
+    peer: SocketAddr,
+    settings: BackendSettings,
+    calls: Receiver<GroupCall>,
+    events: Sender<Event>,
+) {
+    let mut kept = None;
+    while let Ok(Ok(call)) = timeout(CONTROL_IDLE, calls.recv_async()).await {
+        let time = call.due.saturating_duration_since(Instant::now());
+        let request = sql(&call.request, time);
+        let made = timeout(time, make(&mut kept, peer, &settings, &request)).await;
+        let result = made.unwrap_or(Err(BackendError::Timeout(STEP_CALL, peer)));
+        let result = result.unwrap_or_else(|error| {
+            log::info!("{error}");
+            kept = None;
+            Err(GroupFailure::NoAnswer)
+        });
+        let reply = BackendEvent::GroupReply {
+            server: server.clone(),
+            call: call.id,
+            result,
+        };
+        if events.send_async(Event::Backend(reply)).await.is_err() {
+            return;
+        }
+    }
+}
+
+type Reply = Result<ServerStatus, GroupFailure>;
+
+async fn make(
+    kept: &mut Option<Connection>,
+    peer: SocketAddr,
+    settings: &BackendSettings,
+    request: &str,
+) -> Result<Reply, BackendError> {
+    if kept.is_none() {
+        let time = crate::backend_connection::CONNECT_TIMEOUT;
+        *kept = Some(open(peer, CONTROL_DATABASE, settings, time).await?);
+    }
+    let Some(connection) = kept else {
+        return Err(BackendError::Closed(STEP_CALL, peer));
+    };
+    let mut reply = None;
+    let mut pending = query_message(request);
+    loop {
+        let frame = connection
+            .next_while_writing(STEP_CALL, &mut pending)
+            .await?;
+        match decode(&frame, STEP_CALL, peer)? {
+            In::DataRow(row) => {
+                let text = first_column(&row.data).unwrap_or_default();
+                reply = Some(Ok(status(&text, peer)?));
+            }
+            In::ErrorResponse(error) => {
+                let code = error_field(&error.fields, b'C');
+                let message = error_field(&error.fields, b'M');
+                if code != REFUSED {
+                    return Err(BackendError::Refused(STEP_CALL, peer, code, message));
+                }
+                reply = Some(Err(GroupFailure::Refused(status(&message, peer)?)));
+            }
+            In::ReadyForQuery(_) => return reply.ok_or(BackendError::Closed(STEP_CALL, peer)),
+            _ => {}
+        }
+    }
+}
+
+fn status(text: &str, peer: SocketAddr) -> Result<ServerStatus, BackendError> {
+    let status = ServerStatus::try_from(StatusText(text));
+    status.map_err(|error| BackendError::Protocol(STEP_CALL, peer, error.to_string()))
+}
--- /dev/null
+++ b/sapphireslipd/tests/backend_edge.rs
@@ -0,0 +1,398 @@
+//! The backend edge in front of the stand-in servers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use flume::{Receiver, Sender};
+use rstest::rstest;
+use sapphireslip_core::{
+    BackendEffect, BackendEvent, CallId, ConnectFailure, ConnectionId, DatabaseName, Event,
+    GroupFailure, GroupRequest, Position, ServerId, ServerRole, ServerSpec, ServerStatus, SqlState,
+    Term, TermPosition, TransactionStatus, VmId, WorkEnd, WorkId, WorkPayload, ZoneName,
+};
+use sapphireslipd::{BackendSettings, StatusText, run_backend_edge};
+use standins::{BackendGroup, BackendGroupSettings};
+
+const CALL_TIME: Duration = Duration::from_secs(20);
+
+struct Bench {
+    group: BackendGroup,
+    events: Receiver<Event>,
+    effects: Sender<BackendEffect>,
+}
+
+impl Bench {
+    async fn start(settings: BackendGroupSettings) -> Self {
+        let password = settings
+            .password
+            .clone()
+            .map(|password| password.as_str().into());
+        let group = BackendGroup::start(settings)
+            .await
+            .expect("loopback has free ports");
+        let (event_tx, events) = flume::bounded(256);
+        let (effects, effect_rx) = flume::bounded(256);
+        let settings = BackendSettings {
+            user: "sapphireslip".into(),
+            password,
+            vm: VmId::try_from("vm-1").expect("well formed"),
+            zone: ZoneName::try_from("zone-a").expect("well formed"),
+        };
+        tokio::spawn(run_backend_edge(event_tx, effect_rx, settings));
+        Self {
+            group,
+            events,
+            effects,
+        }
+    }
+
+    fn give(&self, effect: BackendEffect) {
+        self.effects.send(effect).expect("the edge runs");
+    }
+
+    async fn event(&self) -> BackendEvent {
+        let event = tokio::time::timeout(CALL_TIME, self.events.recv_async()).await;
+        match event.expect("an event in time").expect("the edge runs") {
+            Event::Backend(event) => event,
+            other => panic!("not of the backend edge: {other:?}"),
+        }
+    }
+
+    fn connect(&self, connection: u64, server: usize) {
+        self.give(BackendEffect::Connect {
+            connection: ConnectionId(connection),
+            server: self.group.id(server),
+            address: self.group.addresses()[server],
+            database: DatabaseName::try_from("stock").expect("well formed"),
+        });
+    }
+
+    async fn connected(&self, connection: u64, server: usize) {
+        self.connect(connection, server);
+        let connection = ConnectionId(connection);
+        assert_eq!(self.event().await, BackendEvent::Connected { connection });
+    }
+
+    fn send(&self, connection: u64, work: u64, payload: WorkPayload) {
+        self.give(BackendEffect::Send {
+            connection: ConnectionId(connection),
+            work: WorkId(work),
+            payload,
+        });
+    }
+
+    /// Sends work and returns its whole answer.
+    async fn work(&self, work: u64, payload: WorkPayload) -> Answer {
+        self.send(1, work, payload);
+        let mut answer = Vec::new();
+        let mut parts = 0;
+        loop {
+            let event = self.event().await;
+            let BackendEvent::Answered {
+                work: answered,
+                payload,
+                end,
+                ..
+            } = event
+            else {
+                panic!("no answer: {event:?}");
+            };
+            assert_eq!(answered, WorkId(work));
+            answer.extend_from_slice(&payload);
+            parts += 1;
+            if let Some(end) = end {
+                return Answer {
+                    payload: answer,
+                    parts,
+                    end,
+                };
+            }
+        }
+    }
+
+    async fn call(
+        &self,
+        server: usize,
+        request: GroupRequest,
+    ) -> Result<ServerStatus, GroupFailure> {
+        self.give_call(1, server, request, CALL_TIME);
+        match self.event().await {
+            BackendEvent::GroupReply { result, .. } => result,
+            other => panic!("no reply: {other:?}"),
+        }
+    }
+
+    fn give_call(&self, call: u64, server: usize, request: GroupRequest, timeout: Duration) {
+        self.give(BackendEffect::Group {
+            call: CallId(call),
+            server: ServerSpec {
+                id: self.group.id(server),
+                zone: ZoneName::try_from("zone-a").expect("well formed"),
+                address: self.group.addresses()[server],
+                leaving: false,
+            },
+            database: DatabaseName::try_from("stock").expect("well formed"),
+            request,
+            timeout,
+        });
+    }
+}
+
+struct Answer {
+    payload: Vec<u8>,
+    parts: usize,
+    end: WorkEnd,
+}
+
+impl Answer {
+    /// Returns the kinds of the relayed messages.
+    fn kinds(&self) -> String {
+        let mut kinds = String::new();
+        let mut rest = self.payload.as_slice();
+        while let [kind, a, b, c, d, ..] = rest {
+            let length = u32::from_be_bytes([*a, *b, *c, *d]) as usize;
+            kinds.push(char::from(*kind));
+            rest = &rest[1 + length..];
+        }
+        assert!(rest.is_empty(), "a message is cut off");
+        kinds
+    }
+}
+
+fn query(sql: &str) -> WorkPayload {
+    let mut message = vec![b'Q'];
+    let length = u32::try_from(sql.len() + 5).expect("a short text");
+    message.extend_from_slice(&length.to_be_bytes());
+    message.extend_from_slice(sql.as_bytes());
+    message.push(0);
+    WorkPayload::Messages(Bytes::from(message))
+}
+
+fn settings() -> BackendGroupSettings {
+    BackendGroupSettings {
+        open_cost: Duration::ZERO,
+        ..Default::default()
+    }
+}
+
+fn at(term: u64, position: u64) -> TermPosition {
+    TermPosition {
+        term: Term(term),
+        position: Position(position),
+    }
+}
+
+#[tokio::test]
+async fn work_commit() {
+    let bench = Bench::start(settings()).await;
+    bench.connected(1, 0).await;
+    let answer = bench
+        .work(1, query("CREATE TABLE t (id BIGINT PRIMARY KEY)"))
+        .await;
+    assert_eq!(answer.kinds(), "C");
+    assert_eq!(answer.end.committed, Some(at(1, 2)));
+    assert_eq!(answer.end.transaction, TransactionStatus::Idle);
+    let answer = bench.work(2, query("SELECT 1; SELECT 2")).await;
+    assert_eq!(answer.kinds(), "TDCTDC");
+    assert_eq!(answer.end.committed, None);
+}
+
+#[tokio::test]
+async fn work_transaction() {
+    let bench = Bench::start(settings()).await;
+    bench.connected(1, 0).await;
+    let answer = bench.work(1, query("BEGIN")).await;
+    assert_eq!(answer.end.transaction, TransactionStatus::Open);
+    let answer = bench.work(2, query("SELECT * FROM missing")).await;
+    assert_eq!(answer.kinds(), "E");
+    assert_eq!(answer.end.sqlstate, Some(SqlState(*b"42P01")));
+    assert_eq!(answer.end.transaction, TransactionStatus::Failed);
+}
+
+#[tokio::test]
+async fn work_replica_refuses() {
+    let bench = Bench::start(settings()).await;
+    bench.connected(1, 1).await;
+    let answer = bench.work(1, query("CREATE TABLE t (id BIGINT)")).await;
+    assert_eq!(answer.end.sqlstate, Some(SqlState::READ_ONLY));
+}
+
+#[tokio::test]
+async fn work_of_the_reducer() {
+    let bench = Bench::start(settings()).await;
+    bench.connected(1, 0).await;
+    let sql = "SELECT 'first' UNION ALL SELECT 'second'";
+    let answer = bench.work(1, WorkPayload::Sql(sql.into())).await;
+    assert_eq!(answer.payload, b"");
+    assert_eq!(answer.end.value.as_deref(), Some("first"));
+}
+
+#[tokio::test]
+async fn work_large_answer() {
+    let bench = Bench::start(settings()).await;
+    bench.connected(1, 0).await;
+    let sql = "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1 FROM n WHERE i < 9999) \
+               SELECT i, 'some text to make it larger' FROM n";
+    let answer = bench.work(1, query(sql)).await;
+    let rows = answer.kinds().matches('D').count();
+    assert_eq!(rows, 9999);
+    assert!(answer.parts > 4, "{} parts", answer.parts);
+}
+
+#[tokio::test]
+async fn work_lost_answer() {
+    let bench = Bench::start(settings()).await;
+    bench.connected(1, 0).await;
+    bench.group.lose_next_answer(0);
+    bench.send(1, 1, query("CREATE TABLE t (id BIGINT)"));
+    let connection = ConnectionId(1);
+    assert_eq!(bench.event().await, BackendEvent::Lost { connection });
+    assert_eq!(bench.group.status(0).held, at(1, 2));
+}
+
+#[tokio::test]
+async fn connect_limit() {
+    let bench = Bench::start(BackendGroupSettings {
+        connections: 1,
+        ..settings()
+    })
+    .await;
+    bench.connected(1, 0).await;
+    bench.connect(2, 0);
+    let failed = BackendEvent::ConnectFailed {
+        connection: ConnectionId(2),
+        failure: ConnectFailure::TooMany,
+    };
+    assert_eq!(bench.event().await, failed);
+    bench.give(BackendEffect::Close {
+        connection: ConnectionId(1),
+    });
+    let closed = async {
+        while bench.group.open_connections(0) > 0 {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(CALL_TIME, closed)
+        .await
+        .expect("it is closed at once");
+    bench.connected(3, 0).await;
+}
+
+#[tokio::test]
+async fn connect_refused() {
+    let bench = Bench::start(settings()).await;
+    bench.group.kill(0);
+    bench.connect(1, 0);
+    let failed = BackendEvent::ConnectFailed {
+        connection: ConnectionId(1),
+        failure: ConnectFailure::Refused,
+    };
+    assert_eq!(bench.event().await, failed);
+}
+
+#[tokio::test]
+async fn connect_password() {
+    let bench = Bench::start(BackendGroupSettings {
+        password: Some("secret".to_owned()),
+        ..settings()
+    })
+    .await;
+    bench.connected(1, 0).await;
+}
+
+#[tokio::test]
+async fn connect_timeout() {
+    let bench = Bench::start(settings()).await;
+    bench.group.freeze(0);
+    bench.connect(1, 0);
+    let failed = BackendEvent::ConnectFailed {
+        connection: ConnectionId(1),
+        failure: ConnectFailure::Timeout,
+    };
+    assert_eq!(bench.event().await, failed);
+}
+
+#[tokio::test]
+async fn idle_connection_lost() {
+    let bench = Bench::start(settings()).await;
+    bench.connected(1, 0).await;
+    bench.group.kill(0);
+    let connection = ConnectionId(1);
+    assert_eq!(bench.event().await, BackendEvent::Lost { connection });
+}
+
+#[tokio::test]
+async fn group_failover() {
+    let bench = Bench::start(settings()).await;
+    let status = bench.call(1, GroupRequest::Status { wait_for: None }).await;
+    assert_eq!(status.expect("a status").role, ServerRole::Replica);
+    let refused = bench.call(1, GroupRequest::Promote { term: Term(2) }).await;
+    assert!(
+        matches!(refused, Err(GroupFailure::Refused(_))),
+        "{refused:?}"
+    );
+    bench
+        .call(1, GroupRequest::Fence { term: Term(2) })
+        .await
+        .expect("above all seen");
+    let status = bench.call(1, GroupRequest::Promote { term: Term(2) }).await;
+    let status = status.expect("it was fenced at this term");
+    assert_eq!(status.role, ServerRole::Primary);
+    assert_eq!(status.term_starts, [at(1, 1), at(2, 2)]);
+    let follow = GroupRequest::Follow {
+        term: Term(2),
+        primary: ServerId::try_from("server-b").expect("well formed"),
+    };
+    let status = bench.call(0, follow).await.expect("of the same term");
+    assert_eq!(status.role, ServerRole::Replica);
+}
+
+#[tokio::test]
+async fn group_wait_keeps_no_one_waiting() {
+    let bench = Bench::start(settings()).await;
+    let wait = GroupRequest::Status {
+        wait_for: Some(at(1, 2)),
+    };
+    bench.give_call(1, 0, wait, CALL_TIME);
+    bench.give_call(2, 0, GroupRequest::Status { wait_for: None }, CALL_TIME);
+    let reply = bench.event().await;
+    let BackendEvent::GroupReply { call, .. } = reply else {
+        panic!("no reply: {reply:?}");
+    };
+    assert_eq!(call, CallId(2));
+    bench.connected(1, 0).await;
+    bench.send(1, 1, query("CREATE TABLE t (id BIGINT)"));
+    for _ in 0..2 {
+        if let BackendEvent::GroupReply { result, .. } = bench.event().await {
+            assert_eq!(result.expect("a status").held, at(1, 2));
+            return;
+        }
+    }
+    panic!("the long poll was not answered");
+}
+
+#[tokio::test]
+async fn group_no_answer() {
+    let bench = Bench::start(settings()).await;
+    bench.group.freeze(0);
+    let request = GroupRequest::Status { wait_for: None };
+    bench.give_call(7, 0, request, Duration::from_millis(50));
+    let reply = BackendEvent::GroupReply {
+        server: bench.group.id(0),
+        call: CallId(7),
+        result: Err(GroupFailure::NoAnswer),
+    };
+    assert_eq!(bench.event().await, reply);
+    bench.group.thaw(0);
+    let status = bench.call(0, GroupRequest::Status { wait_for: None }).await;
+    assert_eq!(status.expect("a status").role, ServerRole::Primary);
+}
+
+#[rstest]
+#[case::empty("")]
+#[case::role("role=witness fenced=1 held=1/1 applied=1 starts=1/1")]
+#[case::held("role=primary fenced=1 held=1 applied=1 starts=1/1")]
+#[case::starts("role=primary fenced=1 held=1/1 applied=1 starts=")]
+fn status_malformed(#[case] text: &str) {
+    assert!(ServerStatus::try_from(StatusText(text)).is_err());
+}
