Daemon: settings, runner, peer and platform edges, admin interface and logs

One task owns the state. Effects go out over bounded queues; an edge that can't take an effect must not stop the runner from taking events, or two full queues would wait for each other, so events are taken aside meanwhile, up to a bound.

Peers: one stream is used for both directions if there is one already, so that an answer opens no second connection. Messages during the back-off wait in the stream's queue rather than being reported lost at once: an immediate report would let the reducer and the edge chase each other without a pause. A loss is reported once a stream, also when the stream was given up before its end, since a second report would count requests on the next stream as unknown.

--- /dev/null
+++ b/sapphireslipd/src/metrics.rs
@@ -0,0 +1,250 @@
+//! What `/metrics` shows, kept by looking at events and effects as they pass.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::AtomicU64;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+use prost::Message;
+use sapphireslip_core::{
+    BackendEffect, BackendEvent, CallerEffect, CallerEvent, Certainty, ConnectionId, Effect, Event,
+    Refusal, SessionId, TimelineKind,
+};
+use sapphireslip_wire::peer::Envelope;
+
+/// The first bucket of the reduce time, in seconds; each further one is twice as wide.
+const REDUCE_BUCKET_SECONDS: f64 = 1e-6;
+
+/// The count of buckets of the reduce time.
+const REDUCE_BUCKETS: u16 = 16;
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Outcome {
+    outcome: String,
+    ran: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Kind {
+    kind: String,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Direction {
+    direction: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Queue {
+    queue: &'static str,
+}
+
+/// All metrics of one daemon.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: Family<Outcome, Counter>,
+    failovers: Counter,
+    timeline: Family<Kind, Counter>,
+    control: Family<Direction, Counter>,
+    reduce: Histogram,
+    sessions: Gauge,
+    connections: Gauge,
+    peer_streams: Gauge,
+    queues: Family<Queue, Gauge<u64, AtomicU64>>,
+    open: Mutex<Open>,
+}
+
+/// What is open, so that a gauge can't drift when an end is reported twice.
+#[derive(Debug, Default)]
+struct Open {
+    sessions: BTreeSet<SessionId>,
+    connections: BTreeSet<ConnectionId>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("sapphireslip");
+        let buckets = exponential_buckets(REDUCE_BUCKET_SECONDS, 2.0, REDUCE_BUCKETS);
+        let metrics = Self {
+            registry: Registry::default(),
+            requests: Family::default(),
+            failovers: Counter::default(),
+            timeline: Family::default(),
+            control: Family::default(),
+            reduce: Histogram::new(buckets),
+            sessions: Gauge::default(),
+            connections: Gauge::default(),
+            peer_streams: Gauge::default(),
+            queues: Family::default(),
+            open: Mutex::default(),
+        };
+        registry.register("requests", "Requests by outcome", metrics.requests.clone());
+        registry.register(
+            "failovers",
+            "Primaries that this daemon promoted",
+            metrics.failovers.clone(),
+        );
+        registry.register(
+            "timeline_entries",
+            "Entries of the time line by kind",
+            metrics.timeline.clone(),
+        );
+        registry.register_with_unit(
+            "control",
+            "Messages between daemons but for requests and answers",
+            Unit::Bytes,
+            metrics.control.clone(),
+        );
+        registry.register_with_unit(
+            "reduce_time",
+            "Time that the reducer took for one event",
+            Unit::Seconds,
+            metrics.reduce.clone(),
+        );
+        registry.register("sessions", "Sessions of callers", metrics.sessions.clone());
+        registry.register(
+            "backend_connections",
+            "Open connections to backend servers",
+            metrics.connections.clone(),
+        );
+        registry.register(
+            "peer_streams",
+            "Streams to and from peers",
+            metrics.peer_streams.clone(),
+        );
+        registry.register(
+            "queue_length",
+            "Events and effects that wait, by queue",
+            metrics.queues.clone(),
+        );
+        Self {
+            registry,
+            ..metrics
+        }
+    }
+}
+
+impl Metrics {
+    /// Returns all metrics in the text format of `OpenMetrics`.
+    ///
+    /// ```
+    /// let text = sapphireslipd::Metrics::default().to_text();
+    /// assert!(text.contains("sapphireslip_failovers_total 0"));
+    /// ```
+    #[must_use]
+    pub fn to_text(&self) -> String {
+        let mut buf = String::new();
+        match text::encode(&mut buf, &self.registry) {
+            Ok(()) => buf,
+            Err(err) => format!("# encoding the metrics: {err}\n"),
+        }
+    }
+
+    /// Looks at an event before the reducer takes it.
+    pub(crate) fn event(&self, event: &Event) {
+        match event {
+            Event::Caller(CallerEvent::Opened { session, .. }) => {
+                self.with_open(|open| open.sessions.insert(*session));
+            }
+            Event::Caller(CallerEvent::Closed { session }) => {
+                self.with_open(|open| open.sessions.remove(session));
+            }
+            Event::Backend(BackendEvent::Connected { connection }) => {
+                self.with_open(|open| open.connections.insert(*connection));
+            }
+            Event::Backend(BackendEvent::Lost { connection }) => {
+                self.with_open(|open| open.connections.remove(connection));
+            }
+            _ => {}
+        }
+    }
+
+    /// Looks at an effect before it is carried out.
+    pub(crate) fn effect(&self, effect: &Effect) {
+        match effect {
+            Effect::Caller(CallerEffect::Finish { refusal, .. }) => {
+                self.finished(refusal.as_ref());
+            }
+            Effect::Caller(CallerEffect::Close { session, .. }) => {
+                self.with_open(|open| open.sessions.remove(session));
+            }
+            Effect::Backend(BackendEffect::Close { connection }) => {
+                self.with_open(|open| open.connections.remove(connection));
+            }
+            Effect::Record(entry) => {
+                let kind = format!("{:?}", entry.kind);
+                self.timeline.get_or_create(&Kind { kind }).inc();
+                if entry.kind == TimelineKind::PrimaryPromoted {
+                    self.failovers.inc();
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Adds the time that the reducer took for one event.
+    pub(crate) fn reduced(&self, duration: Duration) {
+        self.reduce.observe(duration.as_secs_f64());
+    }
+
+    /// Notes the length of a queue.
+    pub(crate) fn queue(&self, queue: &'static str, length: usize) {
+        let gauge = self.queues.get_or_create(&Queue { queue });
+        gauge.set(u64::try_from(length).unwrap_or(u64::MAX));
+    }
+
+    /// Notes the count of streams to and from peers.
+    pub(crate) fn streams(&self, count: usize) {
+        self.peer_streams
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    /// Counts a message to a peer that is neither a request nor an answer.
+    pub(crate) fn sent_control(&self, envelope: &Envelope) {
+        self.control_bytes("sent", envelope);
+    }
+
+    /// Counts a message from a peer that is neither a request nor an answer.
+    pub(crate) fn received_control(&self, envelope: &Envelope) {
+        self.control_bytes("received", envelope);
+    }
+
+    fn control_bytes(&self, direction: &'static str, envelope: &Envelope) {
+        let counter = self.control.get_or_create(&Direction { direction });
+        counter.inc_by(u64::try_from(envelope.encoded_len()).unwrap_or(u64::MAX));
+    }
+
+    fn finished(&self, refusal: Option<&Refusal>) {
+        let outcome = match refusal {
+            None => Outcome {
+                outcome: "done".to_owned(),
+                ran: "yes",
+            },
+            Some(refusal) => Outcome {
+                outcome: format!("{:?}", refusal.reason),
+                ran: match refusal.ran {
+                    Certainty::NotRun => "no",
+                    Certainty::Unknown => "unknown",
+                },
+            },
+        };
+        self.requests.get_or_create(&outcome).inc();
+    }
+
+    fn with_open(&self, change: impl FnOnce(&mut Open) -> bool) {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        if change(&mut open) {
+            self.sessions
+                .set(i64::try_from(open.sessions.len()).unwrap_or(i64::MAX));
+            let connections = i64::try_from(open.connections.len());
+            self.connections.set(connections.unwrap_or(i64::MAX));
+        }
+    }
+}
--- /dev/null
+++ b/sapphireslipd/src/peer_links.rs
@@ -0,0 +1,163 @@
+//! The streams that are open to each peer.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sapphireslip_core::{Incarnation, VmId};
+use sapphireslip_wire::peer::Envelope;
+
+/// The most streams kept for one peer: one of each side, and as many that take their place.
+const LINKS_PER_PEER: usize = 4;
+
+/// The delay before the second of two attempts in a row; it doubles with each further one.
+const RETRY_DELAY_MIN: Duration = Duration::from_millis(20);
+
+/// The longest delay before an attempt.
+const RETRY_DELAY_MAX: Duration = Duration::from_secs(1);
+
+/// How often the delay is doubled at the most.
+const RETRY_DOUBLINGS_MAX: u32 = 16;
+
+/// Who opened a stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LinkOrigin {
+    /// This daemon, towards an address.
+    Ours(SocketAddr),
+    /// The peer.
+    Theirs,
+}
+
+/// The sending side of one stream; the stream ends once no link to it is left.
+#[derive(Clone, Debug)]
+pub(crate) struct Link {
+    /// Its number, unique within this run of the daemon.
+    pub(crate) number: u64,
+    /// Messages that wait to be written.
+    pub(crate) queue: flume::Sender<Envelope>,
+    origin: LinkOrigin,
+    incarnation: Option<Incarnation>,
+}
+
+impl Link {
+    /// Greeted streams come first, and among them those that this daemon opened.
+    fn preference(&self) -> (bool, bool) {
+        (
+            self.incarnation.is_some(),
+            self.origin != LinkOrigin::Theirs,
+        )
+    }
+
+    fn leads_to(&self, address: SocketAddr) -> bool {
+        match self.origin {
+            LinkOrigin::Ours(to) => to == address,
+            LinkOrigin::Theirs => true,
+        }
+    }
+}
+
+/// All streams, by peer.
+#[derive(Debug, Default)]
+pub(crate) struct PeerLinks {
+    peers: BTreeMap<VmId, Links>,
+    last_number: u64,
+    /// Streams that were reported as lost before their end; each leaves at its end.
+    reported: BTreeSet<u64>,
+}
+
+#[derive(Debug, Default)]
+struct Links {
+    links: Vec<Link>,
+    failures: u32,
+}
+
+impl PeerLinks {
+    /// Returns the stream to send on: one of ours to that address, or else one of the peer's.
+    pub(crate) fn best(&self, vm: &VmId, address: SocketAddr) -> Option<Link> {
+        let links = self.peers.get(vm)?.links.iter();
+        // Of two that are as good, the later one.
+        let best = links.filter(|link| link.leads_to(address));
+        best.max_by_key(|link| link.preference()).cloned()
+    }
+
+    /// Adds a stream.
+    pub(crate) fn add(
+        &mut self,
+        vm: &VmId,
+        origin: LinkOrigin,
+        queue: flume::Sender<Envelope>,
+    ) -> Link {
+        self.last_number += 1;
+        let link = Link {
+            number: self.last_number,
+            queue,
+            origin,
+            incarnation: None,
+        };
+        let peer = self.peers.entry(vm.clone()).or_default();
+        if peer.links.len() == LINKS_PER_PEER {
+            peer.links.remove(0);
+        }
+        peer.links.push(link.clone());
+        link
+    }
+
+    /// Notes the greeting of a stream, and gives up streams of earlier runs of the peer; returns
+    /// whether there were any, so that the caller reports the peer as lost.
+    pub(crate) fn greeted(&mut self, vm: &VmId, number: u64, incarnation: Incarnation) -> bool {
+        let Some(peer) = self.peers.get_mut(vm) else {
+            return false;
+        };
+        peer.failures = 0;
+        let is_earlier = |link: &mut Link| link.incarnation.is_some_and(|run| run < incarnation);
+        let earlier: Vec<_> = peer.links.extract_if(.., is_earlier).collect();
+        for link in peer.links.iter_mut().filter(|link| link.number == number) {
+            link.incarnation = Some(incarnation);
+        }
+        let replaced = !earlier.is_empty();
+        self.reported.extend(earlier.iter().map(|link| link.number));
+        replaced
+    }
+
+    /// Returns whether a stream has not been given up.
+    pub(crate) fn contains(&self, vm: &VmId, number: u64) -> bool {
+        let peer = self.peers.get(vm);
+        peer.is_some_and(|peer| peer.links.iter().any(|link| link.number == number))
+    }
+
+    /// Gives up a stream before its end; the caller reports the peer as lost.
+    pub(crate) fn give_up(&mut self, vm: &VmId, number: u64) {
+        self.take(vm, number);
+        self.reported.insert(number);
+    }
+
+    /// Removes a stream that has ended; returns whether its loss has yet to be reported.
+    pub(crate) fn remove(&mut self, vm: &VmId, number: u64) -> bool {
+        self.take(vm, number);
+        !self.reported.remove(&number)
+    }
+
+    fn take(&mut self, vm: &VmId, number: u64) {
+        if let Some(peer) = self.peers.get_mut(vm) {
+            peer.links.retain(|link| link.number != number);
+        }
+    }
+
+    /// Returns how long to wait before opening a stream: nothing unless attempts failed in a row.
+    pub(crate) fn next_delay(&mut self, vm: &VmId) -> Duration {
+        let peer = self.peers.entry(vm.clone()).or_default();
+        let failures = peer.failures;
+        peer.failures = failures.saturating_add(1);
+        if failures == 0 {
+            return Duration::ZERO;
+        }
+        let doublings = (failures - 1).min(RETRY_DOUBLINGS_MAX);
+        let delay = RETRY_DELAY_MIN.saturating_mul(1 << doublings);
+        delay.min(RETRY_DELAY_MAX)
+    }
+
+    /// Returns how many streams there are.
+    pub(crate) fn len(&self) -> usize {
+        self.peers.values().map(|peer| peer.links.len()).sum()
+    }
+}
--- /dev/null
+++ b/sapphireslipd/src/platform_edge.rs
@@ -0,0 +1,210 @@
+//! Calls to the platform: the table service and the list of VMs.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sapphireslip_core::{
+    AcceptedDocument, ChangeCount, Event, Local, PlatformEffect, PlatformEvent,
+};
+use sapphireslip_wire::platform::table_client::TableClient;
+use sapphireslip_wire::platform::vms_client::VmsClient;
+use sapphireslip_wire::platform::{ListRequest, ReadReply, ReadRequest};
+use sapphireslip_wire::{
+    MESSAGE_MAX_BYTES, VmList, change_reads, changed_documents, changes, changes_read, document,
+    document_reads,
+};
+use tokio::task::JoinSet;
+use tonic::metadata::{Ascii, MetadataValue};
+use tonic::transport::{Channel, Endpoint};
+use tonic::{Request, Status};
+
+/// How long one call may take.
+pub const PLATFORM_CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How long reading all changed documents may take.
+pub const PLATFORM_DOCUMENTS_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How long opening a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How often an open connection is tested while a call is under way.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The kind of a call; at most one of each is under way.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum CallKind {
+    Changes,
+    Documents,
+    Vms,
+}
+
+impl From<&PlatformEffect> for CallKind {
+    fn from(effect: &PlatformEffect) -> Self {
+        match effect {
+            PlatformEffect::ReadChanges => Self::Changes,
+            PlatformEffect::ReadDocuments { .. } => Self::Documents,
+            PlatformEffect::ReadVms => Self::Vms,
+        }
+    }
+}
+
+/// Carries out platform effects until their channel closes.
+///
+/// An effect whose kind is under way already is dropped: the answer to that one stands for both.
+pub async fn run(
+    address: SocketAddr,
+    local: Local,
+    events: flume::Sender<Event>,
+    effects: flume::Receiver<PlatformEffect>,
+) {
+    let Some(client) = Client::new(address, &local) else {
+        log::error!(peer:% = address; "the platform's address can't be called");
+        return;
+    };
+    let mut running = BTreeSet::new();
+    let mut calls = JoinSet::new();
+    loop {
+        tokio::select! {
+            effect = effects.recv_async() => {
+                let Ok(effect) = effect else { return };
+                let kind = CallKind::from(&effect);
+                if running.insert(kind) {
+                    let (client, events) = (client.clone(), events.clone());
+                    calls.spawn(async move {
+                        client.carry_out(effect, &events).await;
+                        kind
+                    });
+                }
+            }
+            Some(done) = calls.join_next() => match done {
+                Ok(kind) => { running.remove(&kind); }
+                Err(err) => log::error!("call to the platform: {err}"),
+            }
+        }
+    }
+}
+
+/// Calls the platform on behalf of this daemon.
+#[derive(Clone, Debug)]
+struct Client {
+    table: TableClient<Channel>,
+    vms: VmsClient<Channel>,
+    vm: MetadataValue<Ascii>,
+    zone: MetadataValue<Ascii>,
+}
+
+impl Client {
+    /// Returns a client that connects at its first call.
+    fn new(address: SocketAddr, local: &Local) -> Option<Self> {
+        let channel = Endpoint::from_shared(format!("http://{address}"))
+            .ok()?
+            .connect_timeout(CONNECT_TIMEOUT)
+            .timeout(PLATFORM_CALL_TIMEOUT)
+            .tcp_nodelay(true)
+            .http2_keep_alive_interval(KEEPALIVE_INTERVAL)
+            .keep_alive_timeout(PLATFORM_CALL_TIMEOUT)
+            .connect_lazy();
+        Some(Self {
+            table: TableClient::new(channel.clone()).max_decoding_message_size(MESSAGE_MAX_BYTES),
+            vms: VmsClient::new(channel).max_decoding_message_size(MESSAGE_MAX_BYTES),
+            vm: local.vm.as_str().parse().ok()?,
+            zone: local.zone.as_str().parse().ok()?,
+        })
+    }
+
+    async fn carry_out(&self, effect: PlatformEffect, events: &flume::Sender<Event>) {
+        let step = format!("{effect:?}");
+        let limit = match effect {
+            PlatformEffect::ReadDocuments { .. } => PLATFORM_DOCUMENTS_TIMEOUT,
+            PlatformEffect::ReadChanges | PlatformEffect::ReadVms => PLATFORM_CALL_TIMEOUT,
+        };
+        let failed = no_answer(&effect);
+        let answers = match tokio::time::timeout(limit, self.call(effect)).await {
+            Ok(Ok(answers)) => answers,
+            Ok(Err(status)) => {
+                log::info!(peer = "platform", step; "{status}");
+                vec![failed]
+            }
+            Err(_) => {
+                log::info!(peer = "platform", step; "no answer in time");
+                vec![failed]
+            }
+        };
+        for answer in answers {
+            // Fails only when the daemon is stopping.
+            let _stopped = events.send_async(Event::Platform(answer)).await;
+        }
+    }
+
+    async fn call(&self, effect: PlatformEffect) -> Result<Vec<PlatformEvent>, Status> {
+        match effect {
+            PlatformEffect::ReadChanges => {
+                let count = self.changes().await?;
+                Ok(vec![PlatformEvent::Changes(Some(count))])
+            }
+            PlatformEffect::ReadDocuments { since } => {
+                let documents = self.documents(since).await?;
+                Ok(vec![PlatformEvent::Documents(Some(documents))])
+            }
+            PlatformEffect::ReadVms => {
+                let list = self.vms().await?;
+                Ok(vec![
+                    PlatformEvent::Vms(Some(list.vms)),
+                    PlatformEvent::LeavingServers(list.leaving_servers),
+                ])
+            }
+        }
+    }
+
+    async fn changes(&self) -> Result<ChangeCount, Status> {
+        let reply = self.read(changes_read()).await?;
+        changes(&reply).map_err(bad_answer)
+    }
+
+    async fn documents(&self, since: ChangeCount) -> Result<Vec<AcceptedDocument>, Status> {
+        let until = self.changes().await?;
+        let mut keys = BTreeSet::new();
+        for read in change_reads(since, until) {
+            let reply = self.read(read).await?;
+            keys.extend(changed_documents(&reply).map_err(bad_answer)?);
+        }
+        let mut documents = Vec::new();
+        for read in document_reads(keys) {
+            for row in self.read(read).await?.rows {
+                documents.extend(document(&row).map_err(bad_answer)?);
+            }
+        }
+        documents.sort_by_key(|document| document.change);
+        Ok(documents)
+    }
+
+    async fn vms(&self) -> Result<VmList, Status> {
+        let reply = self.vms.clone().list(self.named(ListRequest {})).await?;
+        VmList::try_from(reply.into_inner()).map_err(bad_answer)
+    }
+
+    async fn read(&self, req: ReadRequest) -> Result<ReadReply, Status> {
+        let reply = self.table.clone().read(self.named(req)).await?;
+        Ok(reply.into_inner())
+    }
+
+    fn named<T>(&self, message: T) -> Request<T> {
+        let mut req = Request::new(message);
+        req.metadata_mut().insert("vm", self.vm.clone());
+        req.metadata_mut().insert("zone", self.zone.clone());
+        req
+    }
+}
+
+fn no_answer(effect: &PlatformEffect) -> PlatformEvent {
+    match effect {
+        PlatformEffect::ReadChanges => PlatformEvent::Changes(None),
+        PlatformEffect::ReadDocuments { .. } => PlatformEvent::Documents(None),
+        PlatformEffect::ReadVms => PlatformEvent::Vms(None),
+    }
+}
+
+fn bad_answer(err: sapphireslip_wire::WireError) -> Status {
+    Status::data_loss(err.to_string())
+}
--- /dev/null
+++ b/sapphireslipd/src/run.rs
@@ -0,0 +1,234 @@
+//! Starts a daemon: from the command line, or from settings within a process.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use sapphireslip_core::{Event, Local, OperatorEvent, State};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::JoinSet;
+
+use crate::backend_edge::BackendSettings;
+use crate::{
+    Admin, Clock, EFFECTS_MAX, EVENTS_MAX, EffectSenders, Error, HybridClock, Metrics, PeerEdge,
+    ReadinessCell, Runner, RunnerParts, Settings, TimelineRing, backend_edge, caller_edge,
+    new_incarnation, platform_edge, start_logging,
+};
+
+/// The most status queries that wait for the runner.
+const QUERIES_MAX: usize = 16;
+
+/// How long the edges may take for the last effects once the reducer has asked to leave.
+const EXIT_FLUSH: Duration = Duration::from_secs(1);
+
+/// A daemon of sapphireslip, a database proxy with session consistency.
+///
+/// Exit codes: 0 after a graceful stop or a good check, 1 for a bad command line or when it can't
+/// run, 2 when the settings file can't be read or has faults.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, version)]
+struct Args {
+    /// Check the settings file and leave
+    check: bool,
+    /// The settings file, in TOML
+    #[bpaf(positional("SETTINGS_FILE"))]
+    settings: PathBuf,
+}
+
+/// Runs a daemon with the arguments of a command line and returns the process's exit code.
+pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let args: Vec<_> = args.into_iter().collect();
+    let args = match self::args().run_inner(args.as_slice()) {
+        Ok(args) => args,
+        Err(failure) => {
+            failure.print_message(100);
+            return ExitCode::from(u8::try_from(failure.exit_code()).unwrap_or(1));
+        }
+    };
+    match run_args(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("error: {err}");
+            ExitCode::from(err.exit_code())
+        }
+    }
+}
+
+fn run_args(args: &Args) -> Result<(), Error> {
+    let settings = read_settings(&args.settings)?;
+    if args.check {
+        return Ok(());
+    }
+    start_logging(&settings.vm, settings.log_level)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(Error::Runtime)?;
+    let served = runtime.block_on(async {
+        let stop = stop_signal()?;
+        serve_until(settings, stop).await
+    });
+    runtime.shutdown_background();
+    served
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// The file can't be read or has faults; all faults are given at once.
+///
+/// ```
+/// let err = sapphireslipd::read_settings("/nonexistent".as_ref()).unwrap_err();
+/// assert!(err.to_string().starts_with("reading settings `/nonexistent`"));
+/// ```
+pub fn read_settings(path: &Path) -> Result<Settings, Error> {
+    let bytes = std::fs::read(path).map_err(|err| Error::Read(path.to_owned(), err))?;
+    let settings = Settings::try_from(bytes.as_slice());
+    settings.map_err(|errors| Error::Settings(path.to_owned(), errors))
+}
+
+/// Completes when the process is asked to stop.
+fn stop_signal() -> Result<impl Future<Output = ()>, Error> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signals)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(Error::Signals)?;
+    Ok(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    })
+}
+
+/// Runs a daemon within the process until it has been drained over its admin interface.
+///
+/// # Errors
+///
+/// One of its addresses can't be listened on.
+pub async fn serve(settings: Settings) -> Result<(), Error> {
+    serve_until(settings, std::future::pending()).await
+}
+
+/// Runs a daemon within the process; once `stop` completes it drains and leaves.
+///
+/// # Errors
+///
+/// One of its addresses can't be listened on.
+pub async fn serve_until(
+    settings: Settings,
+    stop: impl Future<Output = ()> + Send + 'static,
+) -> Result<(), Error> {
+    let callers = listen("callers", settings.callers).await?;
+    let peers = listen("peers", settings.peers).await?;
+    let admin = listen("the admin interface", settings.admin).await?;
+    let local = Local {
+        vm: settings.vm.clone(),
+        zone: settings.zone.clone(),
+        address: settings.peers,
+        incarnation: new_incarnation(),
+    };
+    let (events_tx, events) = flume::bounded(EVENTS_MAX);
+    let (queries_tx, queries) = flume::bounded(QUERIES_MAX);
+    let (callers_tx, callers_rx) = flume::bounded(EFFECTS_MAX);
+    let (backends_tx, backends_rx) = flume::bounded(EFFECTS_MAX);
+    let (platform_tx, platform_rx) = flume::bounded(EFFECTS_MAX);
+    let metrics = Arc::new(Metrics::default());
+    let timeline = Arc::new(TimelineRing::default());
+    let readiness = Arc::new(ReadinessCell::default());
+    let hybrid_clock = Arc::new(HybridClock::new(local.incarnation));
+    let peer_edge = PeerEdge::new(
+        local.clone(),
+        Arc::clone(&hybrid_clock),
+        events_tx.clone(),
+        Arc::clone(&metrics),
+    );
+    let admin_interface = Admin {
+        readiness: Arc::clone(&readiness),
+        timeline: Arc::clone(&timeline),
+        metrics: Arc::clone(&metrics),
+        queries: queries_tx,
+        events: events_tx.clone(),
+        drain_bound: settings.drain_bound,
+    };
+
+    let mut edges = JoinSet::new();
+    edges.spawn(caller_edge::serve(callers, events_tx.clone(), callers_rx));
+    edges.spawn(backend_edge::run(
+        events_tx.clone(),
+        backends_rx,
+        BackendSettings {
+            user: Arc::clone(&settings.backend.user),
+            password: settings.backend.password.clone(),
+            vm: settings.vm.clone(),
+            zone: settings.zone.clone(),
+        },
+    ));
+    edges.spawn(platform_edge::run(
+        settings.platform,
+        local.clone(),
+        events_tx.clone(),
+        platform_rx,
+    ));
+    let mut servers = JoinSet::new();
+    let peer_server = peer_edge.clone();
+    servers.spawn(async move {
+        if let Err(err) = peer_server.serve(peers).await {
+            log::error!("serving peers: {err}");
+        }
+    });
+    servers.spawn(async move {
+        if let Err(err) = admin_interface.serve(admin).await {
+            log::error!("serving the admin interface: {err}");
+        }
+    });
+    let bound = settings.drain_bound;
+    servers.spawn(async move {
+        stop.await;
+        log::info!("draining");
+        let drain = Event::Operator(OperatorEvent::Drain { bound });
+        // Fails only when the daemon is stopping already.
+        let _stopping = events_tx.send_async(drain).await;
+    });
+
+    log::info!(
+        callers:% = settings.callers, peers:% = settings.peers, admin:% = settings.admin;
+        "started"
+    );
+    let seeds = settings.seeds.into_iter().map(Into::into).collect();
+    let seed = local.incarnation.0;
+    let parts = RunnerParts {
+        clock: Clock::start(),
+        hybrid_clock,
+        timeline,
+        metrics,
+        readiness,
+        events,
+        queries,
+        effects: EffectSenders {
+            callers: callers_tx,
+            backends: backends_tx,
+            platform: platform_tx,
+            peers: peer_edge,
+        },
+    };
+    Runner::new(State::new(local, seeds, seed), parts)
+        .run()
+        .await;
+    // The runner's end closes the channels of effects, and each edge ends after the last one.
+    let flush = async { while edges.join_next().await.is_some() {} };
+    if tokio::time::timeout(EXIT_FLUSH, flush).await.is_err() {
+        log::info!("an edge did not end in time");
+    }
+    log::info!("stopped");
+    Ok(())
+}
+
+async fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|err| Error::Listen(what, address, err))
+}
--- /dev/null
+++ b/sapphireslipd/src/settings.rs
@@ -0,0 +1,253 @@
+//! The settings of one daemon.
+//!
+//! ```toml
+//! vm = "vm-1"
+//! zone = "a"
+//! callers = "10.0.0.1:5432"    # where callers connect
+//! peers = "10.0.0.1:7000"      # where other daemons connect
+//! admin = "10.0.0.1:9000"      # metrics, readiness and the time line
+//! platform = "10.0.9.1:443"
+//! log_level = "info"           # may be left out
+//! drain_bound = "30s"          # how long open transactions may go on; may be left out
+//!
+//! [backend]
+//! user = "sapphireslip"
+//! password = "secret"          # may be left out
+//!
+//! [[peer]]                     # other daemons to ask while the platform is down
+//! vm = "vm-2"
+//! zone = "a"
+//! address = "10.0.0.2:7000"
+//! ```
+
+use std::collections::BTreeMap;
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use log::LevelFilter;
+use sapphireslip_core::{Incarnation, Text, VmId, VmRecord, VmState, ZoneName};
+
+use crate::raw_settings::{Faults, Placed, RawSection};
+use crate::{RawSettings, SettingsErrors, SettingsFault};
+
+/// The drain bound if none is given.
+pub const DRAIN_BOUND_DEFAULT: Duration = Duration::from_secs(30);
+
+/// The longest drain bound.
+pub const DRAIN_BOUND_MAX: Duration = Duration::from_secs(60 * 60);
+
+/// The settings of one daemon, checked.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// The VM on which it runs.
+    pub vm: VmId,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where it takes calls from callers.
+    pub callers: SocketAddr,
+    /// Where it takes calls from peers.
+    pub peers: SocketAddr,
+    /// Where it serves the admin interface.
+    pub admin: SocketAddr,
+    /// Where the platform is.
+    pub platform: SocketAddr,
+    /// The least severe level that is logged.
+    pub log_level: LevelFilter,
+    /// How long open transactions may go on once a drain has begun.
+    pub drain_bound: Duration,
+    /// How it logs in at backend servers.
+    pub backend: BackendLogin,
+    /// Other daemons that it knows from the start.
+    pub seeds: Vec<Seed>,
+}
+
+/// How a daemon logs in at backend servers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BackendLogin {
+    /// The user name.
+    pub user: Text,
+    /// The password, if servers ask for one.
+    pub password: Option<Text>,
+}
+
+/// Another daemon, known from the settings.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Seed {
+    /// Its VM.
+    pub vm: VmId,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where it takes calls from peers.
+    pub address: SocketAddr,
+}
+
+impl From<Seed> for VmRecord {
+    fn from(seed: Seed) -> Self {
+        Self {
+            vm: seed.vm,
+            zone: seed.zone,
+            address: seed.address,
+            incarnation: Incarnation(0),
+            state: VmState::Alive,
+        }
+    }
+}
+
+impl TryFrom<&[u8]> for Settings {
+    type Error = SettingsErrors;
+
+    fn try_from(bytes: &[u8]) -> Result<Self, SettingsErrors> {
+        Self::try_from(RawSettings::try_from(bytes)?)
+    }
+}
+
+impl TryFrom<RawSettings<'_>> for Settings {
+    type Error = SettingsErrors;
+
+    fn try_from(raw: RawSettings<'_>) -> Result<Self, SettingsErrors> {
+        let (root, mut faults) = raw.open();
+        let settings = check(root, &mut faults);
+        match (settings, faults.into_errors()) {
+            (Some(settings), None) => Ok(settings),
+            (_, errors) => Err(errors.unwrap_or(SettingsErrors(Vec::new()))),
+        }
+    }
+}
+
+/// Reads every value before any is missed, so that all faults are found at once.
+fn check(mut root: RawSection<'_>, faults: &mut Faults<'_>) -> Option<Settings> {
+    let vm = root.name::<VmId>(faults, "vm");
+    let zone = root.name(faults, "zone");
+    let callers = root.address(faults, "callers");
+    let peers = root.address(faults, "peers");
+    let admin = root.address(faults, "admin");
+    let platform = root.address(faults, "platform");
+    let log_level = log_level(&mut root, faults);
+    let drain_bound = root.duration(faults, "drain_bound", DRAIN_BOUND_MAX);
+    let backend = backend(&mut root, faults);
+    let seeds = seeds(&mut root, faults, vm.as_ref());
+    check_listeners(
+        &root,
+        faults,
+        [
+            ("callers", callers.as_ref()),
+            ("peers", peers.as_ref()),
+            ("admin", admin.as_ref()),
+        ],
+    );
+    if let Some(peers) = peers
+        .as_ref()
+        .filter(|peers| peers.value.ip().is_unspecified())
+    {
+        let fault = SettingsFault::Unspecified(peers.value.to_string());
+        faults.add(peers.offset, root.path_of("peers"), fault);
+    }
+    root.finish(faults);
+    Some(Settings {
+        vm: vm?.value,
+        zone: zone?.value,
+        callers: callers?.value,
+        peers: peers?.value,
+        admin: admin?.value,
+        platform: platform?.value,
+        log_level: log_level.unwrap_or(LevelFilter::Info),
+        drain_bound: drain_bound.unwrap_or(DRAIN_BOUND_DEFAULT),
+        backend: backend?,
+        seeds,
+    })
+}
+
+fn log_level(root: &mut RawSection<'_>, faults: &mut Faults<'_>) -> Option<LevelFilter> {
+    let Placed { value, offset } = root.optional_text(faults, "log_level")?;
+    match value {
+        "error" => Some(LevelFilter::Error),
+        "warn" => Some(LevelFilter::Warn),
+        "info" => Some(LevelFilter::Info),
+        "debug" => Some(LevelFilter::Debug),
+        "trace" => Some(LevelFilter::Trace),
+        other => {
+            let fault = SettingsFault::Level(other.to_owned());
+            faults.add(offset, root.path_of("log_level"), fault);
+            None
+        }
+    }
+}
+
+fn backend(root: &mut RawSection<'_>, faults: &mut Faults<'_>) -> Option<BackendLogin> {
+    let Some(mut section) = root.section(faults, "backend") else {
+        let fault = SettingsFault::Missing("the user name for backend servers");
+        faults.add(0, "backend.user".to_owned(), fault);
+        return None;
+    };
+    let user = section.text(faults, "user", "the user name for backend servers");
+    let password = section.optional_text(faults, "password");
+    section.finish(faults);
+    Some(BackendLogin {
+        user: user?.value.into(),
+        password: password.map(|password| password.value.into()),
+    })
+}
+
+fn seeds(
+    root: &mut RawSection<'_>,
+    faults: &mut Faults<'_>,
+    own: Option<&Placed<VmId>>,
+) -> Vec<Seed> {
+    let mut seen = Seen::default();
+    if let Some(own) = own {
+        seen.note(faults, &own.value, own.offset, String::new());
+    }
+    let mut seeds = Vec::new();
+    for mut section in root.sections(faults, "peer") {
+        let vm = section.name::<VmId>(faults, "vm");
+        let zone = section.name(faults, "zone");
+        let address = section.address(faults, "address");
+        if let Some(vm) = &vm {
+            seen.note(faults, &vm.value, vm.offset, section.path_of("vm"));
+        }
+        if let Some(address) = &address {
+            let path = section.path_of("address");
+            seen.note(faults, &address.value, address.offset, path);
+        }
+        section.finish(faults);
+        if let (Some(vm), Some(zone), Some(address)) = (vm, zone, address) {
+            seeds.push(Seed {
+                vm: vm.value,
+                zone: zone.value,
+                address: address.value,
+            });
+        }
+    }
+    seeds
+}
+
+fn check_listeners(
+    root: &RawSection<'_>,
+    faults: &mut Faults<'_>,
+    listeners: [(&str, Option<&Placed<SocketAddr>>); 3],
+) {
+    let mut seen = Seen::default();
+    for (key, address) in listeners {
+        if let Some(address) = address {
+            seen.note(faults, &address.value, address.offset, root.path_of(key));
+        }
+    }
+}
+
+/// Texts that may stand only once, with their lines.
+#[derive(Default)]
+struct Seen {
+    lines: BTreeMap<String, usize>,
+}
+
+impl Seen {
+    fn note(&mut self, faults: &mut Faults<'_>, value: &impl Display, offset: usize, path: String) {
+        let line = faults.line(offset);
+        let first = *self.lines.entry(value.to_string()).or_insert(line);
+        if first != line {
+            let fault = SettingsFault::Duplicate(value.to_string(), first);
+            faults.add(offset, path, fault);
+        }
+    }
+}
--- /dev/null
+++ b/sapphireslipd/src/timeline_ring.rs
@@ -0,0 +1,117 @@
+//! The last entries of the time line, kept in memory.
+
+use std::collections::VecDeque;
+use std::sync::{Mutex, PoisonError};
+
+use sapphireslip_core::{Local, TimelineEntry};
+use serde::Serialize;
+
+use crate::unix_of;
+
+/// The most entries kept.
+pub const TIMELINE_ENTRIES_MAX: usize = 8_192;
+
+/// The most entries in one answer.
+pub const TIMELINE_PAGE_ENTRIES: usize = 2_048;
+
+/// An entry with its time and process.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct TimelineRecord {
+    /// Its number within this run of the daemon, from 1 on.
+    pub number: u64,
+    /// The hybrid logical time as a 64-bit NTP time, in decimal digits: JSON numbers are too short.
+    pub time: String,
+    /// The same time in microseconds since the Unix epoch.
+    pub unix_micros: u64,
+    /// The VM.
+    pub vm: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// The run of the daemon.
+    pub incarnation: u64,
+    /// What happened.
+    pub kind: String,
+    /// The request, as `ENTRY/INCARNATION/NUMBER`.
+    pub request: Option<String>,
+    /// The session.
+    pub session: Option<u64>,
+    /// The database.
+    pub database: Option<String>,
+    /// The backend server.
+    pub server: Option<String>,
+    /// The peer VM.
+    pub peer: Option<String>,
+    /// The term.
+    pub term: Option<u64>,
+    /// More for people.
+    pub detail: String,
+}
+
+/// Entries from a number on.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct TimelinePage {
+    /// The number to ask from next.
+    pub next: u64,
+    /// The entries.
+    pub entries: Vec<TimelineRecord>,
+}
+
+/// A bounded ring of entries: the oldest ones give way.
+#[derive(Debug, Default)]
+pub struct TimelineRing {
+    entries: Mutex<VecDeque<TimelineRecord>>,
+}
+
+impl TimelineRing {
+    /// Adds an entry with its hybrid logical time and returns it.
+    pub fn record(&self, local: &Local, time: u64, entry: &TimelineEntry) -> TimelineRecord {
+        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        let number = entries.back().map_or(1, |last| last.number + 1);
+        let record = TimelineRecord::new(number, local, time, entry);
+        if entries.len() == TIMELINE_ENTRIES_MAX {
+            entries.pop_front();
+        }
+        entries.push_back(record.clone());
+        record
+    }
+
+    /// Returns the entries from the number `since` on, at most [`TIMELINE_PAGE_ENTRIES`].
+    ///
+    /// ```
+    /// let ring = sapphireslipd::TimelineRing::default();
+    /// assert!(ring.page(0).entries.is_empty());
+    /// ```
+    #[must_use]
+    pub fn page(&self, since: u64) -> TimelinePage {
+        let entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        let start = entries.partition_point(|entry| entry.number < since);
+        let page = entries.iter().skip(start).take(TIMELINE_PAGE_ENTRIES);
+        let entries: Vec<_> = page.cloned().collect();
+        TimelinePage {
+            next: entries.last().map_or(since, |last| last.number + 1),
+            entries,
+        }
+    }
+}
+
+impl TimelineRecord {
+    fn new(number: u64, local: &Local, time: u64, entry: &TimelineEntry) -> Self {
+        let request = entry.request.as_ref();
+        Self {
+            number,
+            time: time.to_string(),
+            unix_micros: u64::try_from(unix_of(time).as_micros()).unwrap_or(u64::MAX),
+            vm: local.vm.to_string(),
+            zone: local.zone.to_string(),
+            incarnation: local.incarnation.0,
+            kind: format!("{:?}", entry.kind),
+            request: request.map(|id| format!("{}/{}/{}", id.entry, id.incarnation.0, id.number.0)),
+            session: entry.session.map(|session| session.0),
+            database: entry.database.as_ref().map(ToString::to_string),
+            server: entry.server.as_ref().map(ToString::to_string),
+            peer: entry.peer.as_ref().map(ToString::to_string),
+            term: entry.term.map(|term| term.0),
+            detail: entry.detail.as_ref().to_owned(),
+        }
+    }
+}
--- /dev/null
+++ b/sapphireslipd/src/timers.rs
@@ -0,0 +1,62 @@
+//! The instants at which the reducer wants a tick.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use sapphireslip_core::Instant;
+
+/// Instants closer together than this share one tick, in nanoseconds; it also bounds the set.
+const GRANULARITY_NANOS: u128 = 1_000_000;
+
+/// Wake-up instants, at most one for each millisecond.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Timers {
+    due: BTreeSet<Instant>,
+}
+
+impl Timers {
+    /// Adds an instant, rounded up to the next whole millisecond.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sapphireslip_core::Instant;
+    /// use sapphireslipd::Timers;
+    /// let mut timers = Timers::default();
+    /// timers.add(Instant::default() + Duration::from_micros(10));
+    /// assert_eq!(timers.next(), Some(Instant::default() + Duration::from_millis(1)));
+    /// ```
+    pub fn add(&mut self, at: Instant) {
+        let millis = at.since_start.as_nanos().div_ceil(GRANULARITY_NANOS);
+        let millis = u64::try_from(millis).unwrap_or(u64::MAX);
+        self.due
+            .insert(Instant::default() + Duration::from_millis(millis));
+    }
+
+    /// Returns the first instant.
+    ///
+    /// ```
+    /// assert_eq!(sapphireslipd::Timers::default().next(), None);
+    /// ```
+    #[must_use]
+    pub fn next(&self) -> Option<Instant> {
+        self.due.first().copied()
+    }
+
+    /// Removes all instants up to `now` and returns whether there were any.
+    ///
+    /// ```
+    /// use sapphireslip_core::Instant;
+    /// use sapphireslipd::Timers;
+    /// let mut timers = Timers::default();
+    /// timers.add(Instant::default());
+    /// assert!(timers.take_due(Instant::default()));
+    /// assert!(!timers.take_due(Instant::default()));
+    /// ```
+    pub fn take_due(&mut self, now: Instant) -> bool {
+        let before = self.due.len();
+        while self.due.first().is_some_and(|at| *at <= now) {
+            self.due.pop_first();
+        }
+        self.due.len() < before
+    }
+}
--- /dev/null
+++ b/sapphireslipd/tests/peer_edge.rs
@@ -0,0 +1,226 @@
+//! Two peer edges in one process: send, answer, break, reconnect, and who is listened to.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sapphireslip_core::{Event, Incarnation, Local, PeerMessage, ProbeNumber, VmId, ZoneName};
+use sapphireslip_wire::peer::peer_client::PeerClient;
+use sapphireslip_wire::peer::{Envelope, WantVms, envelope::Body};
+use sapphireslipd::{HybridClock, Metrics, PeerEdge};
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+use tonic::Code;
+
+/// How long a condition is waited for.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+struct Peer {
+    local: Local,
+    clock: Arc<HybridClock>,
+    edge: PeerEdge,
+    events: flume::Receiver<Event>,
+}
+
+impl Peer {
+    async fn start(vm: &str, incarnation: u64) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+            .await
+            .expect("listens");
+        Self::on(listener, vm, incarnation)
+    }
+
+    fn on(listener: TcpListener, vm: &str, incarnation: u64) -> Self {
+        let local = Local {
+            vm: VmId::try_from(vm).expect("name"),
+            zone: ZoneName::try_from("a").expect("name"),
+            address: listener.local_addr().expect("address"),
+            incarnation: Incarnation(incarnation),
+        };
+        let clock = Arc::new(HybridClock::new(local.incarnation));
+        let (tx, events) = flume::bounded(64);
+        let metrics = Arc::new(Metrics::default());
+        let edge = PeerEdge::new(local.clone(), Arc::clone(&clock), tx, metrics);
+        let served = edge.clone();
+        tokio::spawn(async move {
+            served.serve(listener).await.expect("serves");
+        });
+        Self {
+            local,
+            clock,
+            edge,
+            events,
+        }
+    }
+
+    fn send(&self, to: &Local, number: u64) {
+        let message = PeerMessage::ProbeForAck {
+            number: ProbeNumber(number),
+        };
+        self.edge.send(&to.vm, to.address, message).expect("queued");
+    }
+
+    async fn event(&self) -> Event {
+        let event = tokio::time::timeout(PATIENCE, self.events.recv_async()).await;
+        event.expect("an event in time").expect("an open channel")
+    }
+
+    async fn expect(&self, from: &Local, number: u64) {
+        let message = PeerMessage::ProbeForAck {
+            number: ProbeNumber(number),
+        };
+        let from = from.vm.clone();
+        assert_eq!(self.event().await, Event::Peer { from, message });
+    }
+
+    async fn expect_lost(&self, peer: &Local) {
+        let vm = peer.vm.clone();
+        assert_eq!(self.event().await, Event::PeerLost { vm });
+    }
+}
+
+#[tokio::test]
+async fn send_in_order() {
+    let (a, b) = (Peer::start("vm-a", 1).await, Peer::start("vm-b", 1).await);
+    for number in 0..50 {
+        a.send(&b.local, number);
+    }
+    for number in 0..50 {
+        b.expect(&a.local, number).await;
+    }
+}
+
+#[tokio::test]
+async fn send_answer_on_same_stream() {
+    let (a, b) = (Peer::start("vm-a", 1).await, Peer::start("vm-b", 1).await);
+    a.send(&b.local, 1);
+    b.expect(&a.local, 1).await;
+    b.send(&a.local, 2);
+    a.expect(&b.local, 2).await;
+    assert_eq!(
+        b.edge.stream_count(),
+        1,
+        "the answer opened no second stream"
+    );
+}
+
+#[tokio::test]
+async fn send_merges_time() {
+    let (a, b) = (Peer::start("vm-a", 1).await, Peer::start("vm-b", 1).await);
+    let ahead = a.clock.tick() + (5 << 32);
+    a.clock.merge(ahead);
+    a.send(&b.local, 1);
+    b.expect(&a.local, 1).await;
+    assert!(b.clock.tick() > ahead);
+}
+
+#[tokio::test]
+async fn send_refused_connection() {
+    let a = Peer::start("vm-a", 1).await;
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+        .await
+        .expect("listens");
+    let gone = Local {
+        vm: VmId::try_from("vm-b").expect("name"),
+        address: listener.local_addr().expect("address"),
+        ..a.local.clone()
+    };
+    drop(listener);
+    a.send(&gone, 1);
+    a.expect_lost(&gone).await;
+    assert_eq!(a.edge.stream_count(), 0);
+}
+
+#[tokio::test]
+async fn send_to_wrong_vm() {
+    let (a, b) = (Peer::start("vm-a", 1).await, Peer::start("vm-b", 1).await);
+    let other = Local {
+        vm: VmId::try_from("vm-c").expect("name"),
+        ..b.local.clone()
+    };
+    a.send(&other, 1);
+    a.expect_lost(&other).await;
+}
+
+#[tokio::test]
+async fn send_full_queue() {
+    let a = Peer::start("vm-a", 1).await;
+    // It accepts in the kernel and never answers.
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+        .await
+        .expect("listens");
+    let silent = Local {
+        vm: VmId::try_from("vm-b").expect("name"),
+        address: listener.local_addr().expect("address"),
+        ..a.local.clone()
+    };
+    let send = |number| {
+        let message = PeerMessage::ProbeForAck {
+            number: ProbeNumber(number),
+        };
+        a.edge.send(&silent.vm, silent.address, message)
+    };
+    let refused = (0..100_000).find(|number| send(*number).is_err());
+    assert!(refused.is_some(), "the queue has a bound");
+    assert_eq!(a.edge.stream_count(), 0);
+}
+
+#[tokio::test]
+async fn silent_peer_lost() {
+    let a = Peer::start("vm-a", 1).await;
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+        .await
+        .expect("listens");
+    let silent = Local {
+        vm: VmId::try_from("vm-b").expect("name"),
+        address: listener.local_addr().expect("address"),
+        ..a.local.clone()
+    };
+    a.send(&silent, 1);
+    a.expect_lost(&silent).await;
+}
+
+#[tokio::test]
+async fn break_then_reconnect() {
+    let a = Peer::start("vm-a", 1).await;
+    // The end of its runtime ends all its streams, as the end of its process would.
+    let runtime = Runtime::new().expect("a runtime");
+    let b = runtime.spawn(Peer::start("vm-b", 1)).await.expect("starts");
+    a.send(&b.local, 1);
+    b.expect(&a.local, 1).await;
+    runtime.shutdown_background();
+    a.expect_lost(&b.local).await;
+    let listener = TcpListener::bind(b.local.address).await;
+    let b = Peer::on(listener.expect("listens again"), "vm-b", 2);
+    a.send(&b.local, 2);
+    b.expect(&a.local, 2).await;
+}
+
+#[tokio::test]
+async fn message_before_hello() {
+    let b = Peer::start("vm-b", 1).await;
+    let url = format!("http://{}", b.local.address);
+    let mut client = PeerClient::connect(url).await.expect("connects");
+    let early = Envelope {
+        time: 0,
+        body: Some(Body::WantVms(WantVms {})),
+    };
+    let outgoing = tokio_stream::iter([early]);
+    let err = client.exchange(outgoing).await.expect_err("refused");
+    assert_eq!(err.code(), Code::FailedPrecondition);
+    assert!(b.events.is_empty());
+}
+
+#[tokio::test]
+async fn newer_run_replaces_stream() {
+    let b = Peer::start("vm-b", 1).await;
+    let old = Peer::start("vm-a", 1).await;
+    old.send(&b.local, 1);
+    b.expect(&old.local, 1).await;
+    let new = Peer::start("vm-a", 2).await;
+    new.send(&b.local, 2);
+    b.expect_lost(&old.local).await;
+    b.expect(&new.local, 2).await;
+    b.send(&new.local, 3);
+    new.expect(&b.local, 3).await;
+}
