--- a/sapphireslip-core/src/reducer.rs
+++ b/sapphireslip-core/src/reducer.rs
@@ -2,8 +2,8 @@
 
 use crate::derives::data;
 use crate::{
-    CallerEffect, Configuration, Cx, Drain, Effect, Entry, Event, Fleet, Homes, Local, Membership,
-    Now, OperatorEvent, Outgoing, PeerMessage, PlatformEvent, Random, VmId, VmRecord,
+    CallId, CallerEffect, Configuration, Cx, Drain, Effect, Entry, Event, Fleet, Homes, Local,
+    Membership, Now, OperatorEvent, Outgoing, PeerMessage, PlatformEvent, Random, VmId, VmRecord,
 };
 
 data! {
@@ -23,6 +23,7 @@
         pub homes: Homes,
         /// The graceful stop.
         pub drain: Drain,
+        next_call: CallId,
         synced: Versions,
     }
 
@@ -48,6 +49,7 @@
             entry: Entry::default(),
             homes: Homes::default(),
             drain: Drain::default(),
+            next_call: CallId(0),
             synced: Versions::default(),
         }
     }
@@ -77,15 +79,18 @@
         entry,
         homes,
         drain,
+        next_call,
         synced,
     } = state;
     let cx = &mut Cx {
         now,
         local,
         random,
+        next_call,
         effects,
         outgoing,
     };
+    membership.changes = configuration.changes();
     match event {
         Event::Tick => {
             membership.on_tick(cx);
@@ -167,6 +172,7 @@
     from: &VmId,
     message: PeerMessage,
 ) {
+    membership.on_heard(cx, from);
     match message {
         PeerMessage::Request(request) => {
             homes.on_request(
@@ -204,7 +210,9 @@
         | PeerMessage::ProbeForAck { .. }
         | PeerMessage::WantVms
         | PeerMessage::Vms(_) => membership.on_peer(cx, from, message),
-        PeerMessage::WantDocuments { .. } | PeerMessage::Documents { .. } => {
+        PeerMessage::WantDocuments { .. }
+        | PeerMessage::Documents { .. }
+        | PeerMessage::LeavingServers(_) => {
             configuration.on_peer(cx, membership, from, message);
         }
         PeerMessage::ConfirmSuspicion { .. }
--- /dev/null
+++ b/sapphireslip/src/lib.rs
@@ -0,0 +1,30 @@
+//! The operator's command.
+
+mod apply;
+mod arguments;
+mod attempt;
+mod bench_report;
+mod bench_run;
+mod bench_session;
+mod bench_settings;
+mod error;
+mod html_page;
+mod http;
+mod latency;
+mod ledger;
+mod output;
+mod platform_client;
+mod read_document;
+mod read_share;
+mod show;
+mod status;
+mod timeline;
+mod timeline_line;
+mod timeline_view;
+mod workload;
+
+pub use self::{
+    apply::*, arguments::*, attempt::*, bench_report::*, bench_run::*, bench_session::*,
+    bench_settings::*, error::*, html_page::*, latency::*, ledger::*, output::*, read_share::*,
+    show::*, status::*, timeline::*, timeline_line::*, timeline_view::*, workload::*,
+};
