--- a/sapphireslipd/src/lib.rs
+++ b/sapphireslipd/src/lib.rs
@@ -1,15 +1,48 @@
-//! The parts of the daemon: edges, effect runner, timers and the admin interface.
+//! The daemon: edges that turn bytes into events and effects into bytes, around the one reducer.
 
+mod admin;
 mod backend_connection;
-mod backend_edge;
+pub mod backend_edge;
 mod backend_error;
 mod backend_work;
+pub mod caller_edge;
+mod clock;
+mod error;
 mod frames;
 mod group_call;
+mod hybrid_clock;
+mod logging;
+mod metrics;
+mod peer_edge;
+mod peer_links;
+pub mod platform_edge;
+mod raw_settings;
+mod run;
+mod runner;
+mod settings;
+mod settings_fault;
+mod status;
+mod timeline_ring;
+mod timers;
 
+pub use self::admin::*;
 pub use self::backend_connection::{BackendSettings, CONNECT_TIMEOUT};
 pub use self::backend_edge::{CALL_QUEUE_MAX, WORK_QUEUE_MAX, run as run_backend_edge};
 pub use self::backend_error::BackendError;
 pub use self::backend_work::ANSWER_PART_BYTES;
+pub use self::clock::*;
+pub use self::error::*;
 pub use self::frames::MESSAGE_MAX_BYTES;
 pub use self::group_call::{CONTROL_DATABASE, CONTROL_IDLE, StatusText, StatusTextError};
+pub use self::hybrid_clock::*;
+pub use self::logging::*;
+pub use self::metrics::*;
+pub use self::peer_edge::*;
+pub use self::raw_settings::*;
+pub use self::run::*;
+pub use self::runner::*;
+pub use self::settings::*;
+pub use self::settings_fault::*;
+pub use self::status::*;
+pub use self::timeline_ring::*;
+pub use self::timers::*;
