--- a/sapphireslip/src/check.rs
+++ b/sapphireslip/src/check.rs
@@ -34,11 +34,17 @@
     let checked = if is_settings(&bytes) {
         let settings =
             Settings::try_from(bytes.as_slice()).map_err(|err| faults(err.to_string()))?;
-        Checked { kind: "settings", name: settings.vm.to_string() }
+        Checked {
+            kind: "settings",
+            name: settings.vm.to_string(),
+        }
     } else {
         let document =
             Document::try_from(bytes.as_slice()).map_err(|err| faults(err.to_string()))?;
-        Checked { kind: "service document", name: document.service.to_string() }
+        Checked {
+            kind: "service document",
+            name: document.service.to_string(),
+        }
     };
     let text = format!("ok: {} of `{}`", checked.kind, checked.name);
     Ok(Output::new(text, &checked))
--- a/sapphireslip/src/error.rs
+++ b/sapphireslip/src/error.rs
@@ -77,6 +77,11 @@
         Form(what: &'static str, message: String) {
             display("{what} has another form: {message}: use the command and the daemons of one version")
         }
+        /// The runtime could not be had.
+        Runtime(err: std::io::Error) {
+            display("start the runtime: {err}")
+            source(err)
+        }
         /// A plot could not be drawn.
         Plot(message: String) {
             display("draw the report: {message}")
--- a/sapphireslip/src/ledger.rs
+++ b/sapphireslip/src/ledger.rs
@@ -94,6 +94,16 @@
         }
     }
 
+    /// Returns how many writes were noted.
+    ///
+    /// ```
+    /// assert_eq!(sapphireslip::Ledger::default().writes(), 0);
+    /// ```
+    #[must_use]
+    pub const fn writes(&self) -> usize {
+        self.entries.len()
+    }
+
     /// Notes a read that was answered, and whether it missed a write of its own session.
     ///
     /// ```
--- a/sapphireslip/src/lib.rs
+++ b/sapphireslip/src/lib.rs
@@ -7,6 +7,7 @@
 mod bench_run;
 mod bench_session;
 mod bench_settings;
+mod check;
 mod error;
 mod html_page;
 mod http;
@@ -16,6 +17,7 @@
 mod platform_client;
 mod read_document;
 mod read_share;
+mod run;
 mod show;
 mod status;
 mod timeline;
@@ -25,6 +27,7 @@
 
 pub use self::{
     apply::*, arguments::*, attempt::*, bench_report::*, bench_run::*, bench_session::*,
-    bench_settings::*, error::*, html_page::*, latency::*, ledger::*, output::*, read_share::*,
-    show::*, status::*, timeline::*, timeline_line::*, timeline_view::*, workload::*,
+    bench_settings::*, check::*, error::*, html_page::*, latency::*, ledger::*, output::*,
+    read_share::*, run::*, show::*, status::*, timeline::*, timeline_line::*, timeline_view::*,
+    workload::*,
 };
--- a/sapphireslip/src/main.rs
+++ b/sapphireslip/src/main.rs
@@ -1,3 +1,7 @@
 //! The operator's command.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    sapphireslip::run(std::env::args_os().skip(1))
+}
--- /dev/null
+++ b/sapphireslip/src/run.rs
@@ -0,0 +1,149 @@
+//! Runs the command.
+
+use std::ffi::OsString;
+use std::fs;
+use std::path::Path;
+use std::process::ExitCode;
+
+use crate::{
+    ApplyArguments, Arguments, BenchSettings, CheckArguments, Command, DrainArguments, Error,
+    Output, RawBenchSettings, ShowArguments, StatusArguments, TimelineArguments, apply, bench_html,
+    bench_text, check, drain, parser, run_bench, show, status, timeline,
+};
+
+/// The exit code of a failure while running, and of a broken promise.
+const EXIT_FAILED: u8 = 1;
+
+/// The exit code for a fault in the command line or in a file.
+const EXIT_FAULT: u8 = 2;
+
+/// Runs a command line (without the program's name) and returns the process's exit code.
+pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let args: Vec<OsString> = args.into_iter().collect();
+    let arguments = match parser().run_inner(args.as_slice()) {
+        Ok(arguments) => arguments,
+        Err(failure) => {
+            failure.print_message(100);
+            let is_help = failure.exit_code() == 0;
+            return if is_help {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::from(EXIT_FAULT)
+            };
+        }
+    };
+    let json = arguments.json;
+    match run_arguments(arguments) {
+        Ok(output) => {
+            println!("{}", if json { output.json } else { output.text });
+            ExitCode::SUCCESS
+        }
+        Err(err) => {
+            eprintln!("error: {err}");
+            ExitCode::from(exit_code(&err))
+        }
+    }
+}
+
+fn run_arguments(arguments: Arguments) -> Result<Output, Error> {
+    let runtime = tokio::runtime::Runtime::new().map_err(Error::Runtime)?;
+    runtime.block_on(run_command(arguments.command, arguments.json))
+}
+
+async fn run_command(command: Command, json: bool) -> Result<Output, Error> {
+    match command {
+        Command::Check { file } => check(&CheckArguments { file }),
+        Command::Apply { platform, file } => apply(&ApplyArguments { platform, file }).await,
+        Command::Show {
+            platform,
+            member,
+            service,
+        } => {
+            show(&ShowArguments {
+                platform,
+                member,
+                service,
+            })
+            .await
+        }
+        Command::Status { admin } => status(&StatusArguments { admin }).await,
+        Command::Drain { admin } => drain(&DrainArguments { admin }).await,
+        Command::Timeline {
+            admin,
+            log,
+            only,
+            html,
+        } => {
+            timeline(&TimelineArguments {
+                admin,
+                log,
+                only,
+                html,
+            })
+            .await
+        }
+        Command::Bench {
+            daemon: daemons,
+            admin,
+            database,
+            user,
+            password,
+            workload,
+            rate,
+            sessions,
+            seconds,
+            seed,
+            roam_percent,
+            html,
+        } => {
+            let raw = RawBenchSettings {
+                daemons,
+                admin,
+                database,
+                user,
+                password,
+                workload,
+                rate,
+                sessions,
+                seconds,
+                seed,
+                roam_percent,
+            };
+            bench(BenchSettings::try_from(raw)?, html.as_deref(), json).await
+        }
+    }
+}
+
+/// Runs a workload; the report is printed also when a promise was broken.
+async fn bench(settings: BenchSettings, html: Option<&Path>, json: bool) -> Result<Output, Error> {
+    let result = run_bench(settings, |line| eprintln!("{line}")).await?;
+    if let Some(path) = html {
+        fs::write(path, bench_html(&result)?)
+            .map_err(|err| Error::Write(path.to_path_buf(), err))?;
+    }
+    let output = Output::new(bench_text(&result).trim_end().to_owned(), &result);
+    let verdict = result.verdict;
+    if verdict.is_clean() {
+        return Ok(output);
+    }
+    println!("{}", if json { output.json } else { output.text });
+    Err(Error::PromiseBroken(
+        verdict.lost,
+        verdict.doubled,
+        verdict.ran_after_all,
+        verdict.stale,
+    ))
+}
+
+const fn exit_code(err: &Error) -> u8 {
+    match err {
+        Error::Faults(..)
+        | Error::Read(..)
+        | Error::Name(..)
+        | Error::OutOfRange(..)
+        | Error::NoDaemon
+        | Error::NotLoopback(..)
+        | Error::UnknownWorkload(..) => EXIT_FAULT,
+        _ => EXIT_FAILED,
+    }
+}
--- a/sapphireslipd/src/peer_edge.rs
+++ b/sapphireslipd/src/peer_edge.rs
@@ -5,7 +5,7 @@
 //! else is taken from it before. A stream that breaks, stays silent or can't keep up is closed, and
 //! the reducer is told that what was not answered may or may not have arrived.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -51,6 +51,7 @@
 #[derive(Debug)]
 struct Shared {
     local: Local,
+    source: IpAddr,
     clock: Arc<HybridClock>,
     events: flume::Sender<Event>,
     metrics: Arc<Metrics>,
@@ -63,9 +64,12 @@
 
 impl PeerEdge {
     /// Returns an edge without streams; events of peers go to `events`.
+    ///
+    /// `source` is the IP number that its own streams come from.
     #[must_use]
     pub fn new(
         local: Local,
+        source: IpAddr,
         clock: Arc<HybridClock>,
         events: flume::Sender<Event>,
         metrics: Arc<Metrics>,
@@ -73,6 +77,7 @@
         Self {
             shared: Arc::new(Shared {
                 local,
+                source,
                 clock,
                 events,
                 metrics,
@@ -159,6 +164,7 @@
     ) -> Result<(), Status> {
         let endpoint = Endpoint::from_shared(format!("http://{address}"))
             .map_err(|err| Status::internal(err.to_string()))?
+            .local_address(Some(self.shared.source))
             .connect_timeout(CONNECT_TIMEOUT)
             .tcp_nodelay(true)
             .initial_stream_window_size(STREAM_WINDOW_BYTES)
--- a/sapphireslipd/src/run.rs
+++ b/sapphireslipd/src/run.rs
@@ -128,7 +128,7 @@
     let local = Local {
         vm: settings.vm.clone(),
         zone: settings.zone.clone(),
-        address: settings.peers,
+        address: settings.peers_advertised,
         incarnation: new_incarnation(),
     };
     let (events_tx, events) = flume::bounded(EVENTS_MAX);
@@ -142,6 +142,7 @@
     let hybrid_clock = Arc::new(HybridClock::new(local.incarnation));
     let peer_edge = PeerEdge::new(
         local.clone(),
+        settings.peers.ip(),
         Arc::clone(&hybrid_clock),
         events_tx.clone(),
         Arc::clone(&metrics),
--- /dev/null
+++ b/sapphireslipd/tests/support/faults.rs
@@ -0,0 +1,86 @@
+//! Faults that a scenario switches on and off.
+
+use std::error::Error;
+use std::time::Duration;
+
+use goldenscript::ArgumentConsumer;
+use rustix::process::Signal;
+use sapphireslip_core::ServerRole;
+use standins::{Fleet, SERVERS_A_GROUP, wait_for};
+
+/// The time within which a group has a primary.
+const PRIMARY_LIMIT: Duration = Duration::from_secs(10);
+
+/// The time within which a daemon that was asked to stop has left.
+const LEAVE_LIMIT: Duration = Duration::from_secs(30);
+
+/// Returns the server that a script names: a number, `primary` or `replica`.
+pub async fn server(fleet: &Fleet, name: &str) -> Result<usize, Box<dyn Error>> {
+    if let Ok(number) = name.parse() {
+        return Ok(number);
+    }
+    let primary = wait_for("primary", PRIMARY_LIMIT, async || primary(fleet, 0)).await?;
+    match name {
+        "primary" => Ok(primary),
+        "replica" => Ok((primary + 1) % SERVERS_A_GROUP),
+        _ => Err(format!("no server `{name}`").into()),
+    }
+}
+
+/// Returns the primary of the highest term.
+pub fn primary(fleet: &Fleet, database: usize) -> Option<usize> {
+    let group = fleet.group(database);
+    let is_primary = |server: &usize| group.status(*server).role == ServerRole::Primary;
+    (0..SERVERS_A_GROUP).filter(is_primary).max_by_key(|server| group.status(*server).fenced)
+}
+
+/// Carries out a fault on a server or a daemon.
+pub async fn fault(
+    fleet: &mut Fleet,
+    name: &str,
+    args: &mut ArgumentConsumer<'_>,
+) -> Result<String, Box<dyn Error>> {
+    if let Some(which) = args.lookup("server") {
+        let server = server(fleet, which.value.as_str()).await?;
+        return server_fault(fleet, name, server, args).await;
+    }
+    let number: usize = args.lookup_parse("daemon")?.ok_or("name a server or a daemon")?;
+    match name {
+        "kill" => fleet.kill_daemon(number)?,
+        "freeze" => fleet.signal_daemon(number, Signal::STOP)?,
+        "thaw" => fleet.signal_daemon(number, Signal::CONT)?,
+        "stop" => fleet.signal_daemon(number, Signal::TERM)?,
+        "ended" => {
+            let code = fleet.wait_daemon_ended(number, LEAVE_LIMIT).await?;
+            return Ok(format!("left with {code}"));
+        }
+        "restart" => {
+            fleet.start_daemon(number)?;
+            fleet.wait_ready(number).await?;
+        }
+        _ => return Err(format!("no fault `{name}` of a daemon").into()),
+    }
+    Ok(String::new())
+}
+
+async fn server_fault(
+    fleet: &Fleet,
+    name: &str,
+    server: usize,
+    args: &mut ArgumentConsumer<'_>,
+) -> Result<String, Box<dyn Error>> {
+    let group = fleet.group(0);
+    let millis = args.lookup_parse("ms")?.unwrap_or(0);
+    match name {
+        "kill" => group.kill(server),
+        "restart" => group.restart(server).await?,
+        "freeze" => group.freeze(server),
+        "thaw" => group.thaw(server),
+        "slow" => group.slow(server, Duration::from_millis(millis)),
+        "lag" => group.set_lag(server, Duration::from_millis(millis)),
+        "silence" => group.silence_open_connections(server),
+        "lose-answer" => group.lose_next_answer(server),
+        _ => return Err(format!("no fault `{name}` of a server").into()),
+    }
+    Ok(String::new())
+}
--- /dev/null
+++ b/sapphireslipd/tests/support/mod.rs
@@ -0,0 +1,8 @@
+//! Scripted scenarios over real daemon processes with stand-ins around them.
+
+mod faults;
+mod load;
+mod scenario;
+mod script_session;
+
+pub use self::scenario::Scenario;
--- /dev/null
+++ b/sapphireslipd/tests/support/scenario.rs
@@ -0,0 +1,353 @@
+//! The commands of a scenario script.
+
+use std::collections::BTreeMap;
+use std::error::Error;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use goldenscript::{ArgumentConsumer, Command, Runner};
+use sapphireslip::{Attempt, Ledger};
+use sapphireslipd::make_verifier;
+use standins::{DaemonProgram, Fleet, FleetPlan, SERVERS_A_GROUP, accept_document, wait_for};
+use tokio::runtime::Runtime;
+
+use super::faults::{fault, primary};
+use super::load::{Load, told};
+use super::script_session::{PASSWORD, ScriptSession, Target, unix_seconds, values};
+
+/// The time within which a background load must make progress once nothing is broken.
+const PROGRESS_LIMIT: Duration = Duration::from_secs(20);
+
+/// Writes that count as progress.
+const PROGRESS_WRITES: u64 = 20;
+
+/// A scenario in progress: a fleet, its callers, and what they were told.
+#[derive(Debug)]
+pub struct Scenario {
+    runtime: Runtime,
+    fleet: Option<Fleet>,
+    sessions: BTreeMap<String, ScriptSession>,
+    loads: BTreeMap<String, Load>,
+    ledger: Arc<Mutex<Ledger>>,
+    generation: u64,
+}
+
+type Said = Result<String, Box<dyn Error>>;
+
+impl Default for Scenario {
+    fn default() -> Self {
+        Self {
+            runtime: Runtime::new().expect("a runtime can be had"),
+            fleet: None,
+            sessions: BTreeMap::new(),
+            loads: BTreeMap::new(),
+            ledger: Arc::default(),
+            generation: 1,
+        }
+    }
+}
+
+impl Runner for Scenario {
+    fn run(&mut self, command: &Command) -> Said {
+        let mut args = command.consume_args();
+        let handle = self.runtime.handle().clone();
+        let said = handle.block_on(self.step(&command.name, &mut args))?;
+        args.reject_rest()?;
+        Ok(said)
+    }
+}
+
+impl Scenario {
+    async fn step(&mut self, name: &str, args: &mut ArgumentConsumer<'_>) -> Said {
+        match name {
+            "fleet" => self.start(args).await,
+            "session" => self.session(args).await,
+            "sql" => self.sql(args).await,
+            "write" => self.write(args).await,
+            "write-unkeyed" => self.write_unkeyed(args).await,
+            "reads-own" => self.reads_own(args).await,
+            "close" => self.close(args),
+            "load" => self.load(args),
+            "load-progress" => self.load_progress(args).await,
+            "load-stop" => self.load_stop(args).await,
+            "writes-land" => self.writes_land(args).await,
+            "platform" => self.platform(args),
+            "cut" => self.cut(args),
+            "heal" => self.heal(),
+            "apply" => self.apply(args).await,
+            "in-force" => self.in_force(args).await,
+            "check" => self.check().await,
+            _ => fault(self.fleet_mut()?, name, args).await,
+        }
+    }
+
+    fn fleet(&self) -> Result<&Fleet, &'static str> {
+        self.fleet.as_ref().ok_or("start with `fleet`")
+    }
+
+    fn fleet_mut(&mut self) -> Result<&mut Fleet, &'static str> {
+        self.fleet.as_mut().ok_or("start with `fleet`")
+    }
+
+    async fn start(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
+        let program = DaemonProgram {
+            path: env!("CARGO_BIN_EXE_sapphireslipd").into(),
+            arguments: Vec::new(),
+        };
+        let verifier = make_verifier(PASSWORD);
+        let mut plan = FleetPlan::new(program, super::script_session::USER, &verifier);
+        let millis = |value| Duration::from_millis(value);
+        if let Some(count) = args.lookup_parse("daemons")? {
+            plan = plan.daemons_per_zone(count);
+        }
+        if let Some(count) = args.lookup_parse("connections")? {
+            plan = plan.connections(count);
+        }
+        if let Some(value) = args.lookup_parse("lag")? {
+            plan = plan.lag(millis(value));
+        }
+        if let Some(value) = args.lookup_parse("staleness")? {
+            plan = plan.max_staleness(millis(value));
+        }
+        if let Some(value) = args.lookup_parse("deadline")? {
+            plan = plan.deadline(millis(value));
+        }
+        if let Some(value) = args.lookup_parse("drain")? {
+            plan = plan.drain_bound(millis(value));
+        }
+        if let Some(names) = args.lookup("databases") {
+            let names: Vec<&str> = names.value.split(',').collect();
+            plan = plan.databases(&names);
+        }
+        let fleet = Fleet::start(plan).await?;
+        for name in fleet.databases() {
+            let target = target(&fleet, 0, &name, None);
+            let mut session = ScriptSession::new("setup", target);
+            let sql = "CREATE TABLE IF NOT EXISTS entry (request TEXT, session TEXT)";
+            if let Attempt::NotRun { message, .. } | Attempt::Unknown { message } =
+                session.repeat(sql).await
+            {
+                return Err(message.into());
+            }
+        }
+        self.fleet = Some(fleet);
+        Ok(String::new())
+    }
+
+    async fn session(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
+        let name = args.next_pos().ok_or("name the session")?.value.clone();
+        let daemon = args.lookup_parse("daemon")?.unwrap_or(0);
+        let database = args.lookup("database").map_or("stock", |arg| &arg.value).to_owned();
+        let from = args.lookup("token-of").map(|arg| arg.value.clone());
+        let token = match from {
+            Some(from) => self.session_mut(&from)?.token().await,
+            None => args.lookup("token").map(|arg| arg.value.clone()),
+        };
+        let mut target = target(self.fleet()?, daemon, &database, token);
+        if let Some(password) = args.lookup("password") {
+            target.password.clone_from(&password.value);
+        }
+        let acknowledged = self.sessions.get(&name).map_or(0, |session| session.acknowledged);
+        let mut session = ScriptSession::new(&name, target);
+        session.acknowledged = acknowledged;
+        let connected = session.connect().await;
+        self.sessions.insert(name, session);
+        Ok(connected.map_or_else(|err| format!("refused: {}", code_of(&err)), |()| String::new()))
+    }
+
+    fn session_mut(&mut self, name: &str) -> Result<&mut ScriptSession, String> {
+        self.sessions.get_mut(name).ok_or_else(|| format!("no session `{name}`"))
+    }
+
+    async fn sql(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
+        let name = args.next_pos().ok_or("name the session")?.value.clone();
+        let text = args.next_pos().ok_or("give the statement")?.value.clone();
+        let text = text.replace("NOW", &unix_seconds().to_string());
+        let answer = self.session_mut(&name)?.query(&text).await;
+        Ok(match answer {
+            Ok(rows) if values(&rows).is_empty() => "ok".to_owned(),
+            Ok(rows) => values(&rows).join("\n"),
+            Err(attempt) => describe(&attempt),
+        })
+    }
+
+    async fn write(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
+        let name = args.next_pos().ok_or("name the session")?.value.clone();
+        let request = args.next_pos().ok_or("name the request")?.value.clone();
+        let attempt = self.session_mut(&name)?.write(&request).await;
+        Ok(self.note(&name, &request, &attempt))
+    }
+
+    async fn write_unkeyed(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
+        let name = args.next_pos().ok_or("name the session")?.value.clone();
+        let request = args.next_pos().ok_or("name the request")?.value.clone();
+        let attempt = self.session_mut(&name)?.write_unkeyed(&request).await;
+        Ok(self.note(&name, &request, &attempt))
+    }
+
+    fn note(&mut self, name: &str, request: &str, attempt: &Attempt) -> String {
+        if *attempt == Attempt::Done
+            && let Some(session) = self.sessions.get_mut(name)
+        {
+            session.acknowledged += 1;
+        }
+        self.ledger.lock().unwrap().note_write(request, told(attempt), Instant::now());
+        describe(attempt)
+    }
+
+    async fn reads_own(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
+        let name = args.next_pos().ok_or("name the session")?.value.clone();
+        let sees = self.session_mut(&name)?.sees_its_writes().await;
+        if let Ok(sees) = sees {
+            self.ledger.lock().unwrap().note_read(!sees);
+        }
+        Ok(match sees {
+            Ok(true) => "sees its writes".to_owned(),
+            Ok(false) => "stale".to_owned(),
+            Err(attempt) => describe(&attempt),
+        })
+    }
+
+    fn close(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
+        let name = args.next_pos().ok_or("name the session")?.value.clone();
+        self.session_mut(&name)?.client = None;
+        Ok(String::new())
+    }
+
+    fn load(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
+        let name = args.next_pos().ok_or("name the load")?.value.clone();
+        let sessions = args.lookup_parse("sessions")?.unwrap_or(6);
+        let database = args.lookup("database").map_or("stock", |arg| &arg.value).to_owned();
+        let daemon: Option<usize> = args.lookup_parse("daemon")?;
+        let fleet = self.fleet()?;
+        let daemons = fleet.daemons();
+        let targets = (0..sessions)
+            .map(|number| target(fleet, daemon.unwrap_or(number % daemons), &database, None))
+            .collect();
+        self.loads.insert(name.clone(), Load::start(&name, targets, &self.ledger));
+        Ok(String::new())
+    }
+
+    /// Waits until the load has had more writes acknowledged from now on.
+    async fn load_progress(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
+        let name = args.next_pos().ok_or("name the load")?.value.clone();
+        let load = self.loads.get(&name).ok_or("no such load")?;
+        let goal = load.writes() + PROGRESS_WRITES;
+        let is_reached = async || (load.writes() >= goal).then_some(());
+        wait_for("progress of the load", PROGRESS_LIMIT, is_reached).await?;
+        Ok(String::new())
+    }
+
+    async fn load_stop(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
+        let name = args.next_pos().ok_or("name the load")?.value.clone();
+        self.loads.remove(&name).ok_or("no such load")?.stop().await;
+        Ok(String::new())
+    }
+
+    /// Writes until one is acknowledged, and says whether that came within a bound.
+    async fn writes_land(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
+        let name = args.next_pos().ok_or("name the session")?.value.clone();
+        let bound = Duration::from_millis(args.lookup_parse("ms")?.ok_or("give a bound in `ms`")?);
+        let request = format!("{name}-lands-{}", self.ledger.lock().unwrap().writes());
+        let started = Instant::now();
+        let attempt = self.session_mut(&name)?.write(&request).await;
+        let took = started.elapsed();
+        let said = self.note(&name, &request, &attempt);
+        if took > bound {
+            return Err(format!("{said}, but after {took:?}, over {bound:?}").into());
+        }
+        Ok(said)
+    }
+
+    fn platform(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
+        let platform = self.fleet()?.platform();
+        match args.next_pos().ok_or("say `up`, `down` or `lose-answer`")?.value.as_str() {
+            "up" => platform.down(false),
+            "down" => platform.down(true),
+            "lose-answer" => platform.lose_next_answer(),
+            other => return Err(format!("no fault `{other}` of the platform").into()),
+        }
+        Ok(String::new())
+    }
+
+    fn cut(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
+        let zone = args.lookup("zone").ok_or("name the zone")?.value.clone();
+        self.fleet()?.cut_zone(&zone);
+        Ok(String::new())
+    }
+
+    fn heal(&mut self) -> Said {
+        self.fleet()?.heal();
+        Ok(String::new())
+    }
+
+    /// Has the next generation of the first database's document accepted.
+    async fn apply(&mut self, _args: &mut ArgumentConsumer<'_>) -> Said {
+        self.generation += 1;
+        let fleet = self.fleet()?;
+        let text = fleet.document(0, self.generation);
+        accept_document(fleet.platform_address(), &text).await?;
+        Ok(String::new())
+    }
+
+    /// Waits until the last generation applied is in force on a daemon.
+    async fn in_force(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
+        let bound = Duration::from_millis(args.lookup_parse("ms")?.ok_or("give a bound in `ms`")?);
+        let daemon: Option<usize> = args.lookup_parse("daemon")?;
+        let fleet = self.fleet()?;
+        let numbers = daemon.map_or(0..fleet.daemons(), |number| number..number + 1);
+        let started = Instant::now();
+        for number in numbers {
+            let left = bound.saturating_sub(started.elapsed());
+            let is_in_force = async || {
+                let generation = fleet.generation(number, 0).await?;
+                (generation == self.generation).then_some(())
+            };
+            wait_for(&format!("generation in force on {number}"), left, is_in_force).await?;
+        }
+        Ok(String::new())
+    }
+
+    /// Compares what every caller was told with what the servers hold, past the daemons.
+    async fn check(&mut self) -> Said {
+        let fleet = self.fleet()?;
+        let mut stored = Vec::new();
+        for database in 0..fleet.databases().len() {
+            let primary = async || primary(fleet, database);
+            let server = wait_for("primary", PROGRESS_LIMIT, primary).await?;
+            assert!(server < SERVERS_A_GROUP);
+            stored.extend(fleet.stored(database, server, "SELECT request FROM entry").await?);
+        }
+        let verdict = self.ledger.lock().unwrap().verdict(stored.iter().map(String::as_str));
+        Ok(format!(
+            "lost {}, doubled {}, refused but run {}, stale {}",
+            verdict.lost, verdict.doubled, verdict.ran_after_all, verdict.stale
+        ))
+    }
+}
+
+fn target(fleet: &Fleet, daemon: usize, database: &str, token: Option<String>) -> Target {
+    Target {
+        daemon: fleet.callers(daemon),
+        database: database.to_owned(),
+        token,
+        password: PASSWORD.to_owned(),
+    }
+}
+
+fn code_of(err: &tokio_postgres::Error) -> String {
+    err.code().map_or_else(|| err.to_string(), |code| code.code().to_owned())
+}
+
+fn describe(attempt: &Attempt) -> String {
+    match attempt {
+        Attempt::Done => "done".to_owned(),
+        Attempt::KeyTaken => "refused: 23505".to_owned(),
+        Attempt::NotRun { message, retry_after } => {
+            let code = message.split(':').next().unwrap_or_default();
+            let when = if retry_after.is_some() { ", come back" } else { "" };
+            format!("not run: {code}{when}")
+        }
+        Attempt::Unknown { .. } => "unknown".to_owned(),
+    }
+}
--- /dev/null
+++ b/sapphireslipd/tests/support/script_session.rs
@@ -0,0 +1,163 @@
+//! A caller's session in a scenario.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use sapphireslip::{Attempt, attempt_of};
+use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
+
+/// The user name of every caller.
+pub const USER: &str = "till";
+
+/// Its password.
+pub const PASSWORD: &str = "a counter by the door";
+
+/// The time within which a caller stops trying.
+const GIVE_UP_AFTER: Duration = Duration::from_secs(15);
+
+/// The wait of a caller that was not told when to come back.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// The longest that a caller waits for one answer; far above every deadline of a document.
+const ANSWER_LIMIT: Duration = Duration::from_secs(30);
+
+/// Where a session connects, and with what token.
+#[derive(Clone, Debug)]
+pub struct Target {
+    pub daemon: SocketAddr,
+    pub database: String,
+    pub token: Option<String>,
+    pub password: String,
+}
+
+/// A session and what it was told.
+#[derive(Debug)]
+pub struct ScriptSession {
+    pub name: String,
+    pub target: Target,
+    pub client: Option<Client>,
+    pub acknowledged: u64,
+}
+
+impl ScriptSession {
+    pub fn new(name: &str, target: Target) -> Self {
+        Self { name: name.to_owned(), target, client: None, acknowledged: 0 }
+    }
+
+    pub async fn connect(&mut self) -> Result<(), tokio_postgres::Error> {
+        if self.client.as_ref().is_some_and(|client| !client.is_closed()) {
+            return Ok(());
+        }
+        let mut config = tokio_postgres::Config::new();
+        let daemon = self.target.daemon;
+        config.host(daemon.ip().to_string()).port(daemon.port());
+        config.user(USER).password(&self.target.password).dbname(&self.target.database);
+        config.connect_timeout(Duration::from_secs(5));
+        if let Some(token) = &self.target.token {
+            config.options(format!("-c sapphireslip.token={token}"));
+        }
+        let (client, connection) = config.connect(NoTls).await?;
+        tokio::spawn(async move {
+            let _closed = connection.await;
+        });
+        self.client = Some(client);
+        Ok(())
+    }
+
+    /// Sends one statement; a lost connection counts as unknown, a failed connect as not run.
+    pub async fn query(&mut self, sql: &str) -> Result<Vec<SimpleQueryMessage>, Attempt> {
+        if let Err(err) = self.connect().await {
+            let told = attempt_of(&err);
+            let retry_after = match told {
+                Attempt::NotRun { retry_after, .. } => retry_after,
+                _ => None,
+            };
+            return Err(Attempt::NotRun { retry_after, message: format!("connect: {err:?}") });
+        }
+        let Some(client) = &self.client else { unreachable!("it has just been connected") };
+        let answer = tokio::time::timeout(ANSWER_LIMIT, client.simple_query(sql)).await;
+        match answer {
+            Ok(result) => result.map_err(|err| attempt_of(&err)),
+            Err(_elapsed) => Err(Attempt::Unknown { message: "no answer at all".to_owned() }),
+        }
+    }
+
+    /// Reads the token that the session's daemon has reported.
+    pub async fn token(&mut self) -> Option<String> {
+        let rows = self.query("SHOW sapphireslip.token").await.ok()?;
+        first_value(&rows)
+    }
+
+    /// Writes under a key and tries again as a caller should, until it is told what became of it.
+    pub async fn write(&mut self, request: &str) -> Attempt {
+        let key = format!("{}.{request}", unix_seconds());
+        let sql = format!("/* sapphireslip key={key} */ {}", self.insert(request));
+        self.repeat(&sql).await
+    }
+
+    /// Writes without a key, once.
+    pub async fn write_unkeyed(&mut self, request: &str) -> Attempt {
+        let sql = self.insert(request);
+        match self.query(&sql).await {
+            Ok(_) => Attempt::Done,
+            Err(attempt) => attempt,
+        }
+    }
+
+    fn insert(&self, request: &str) -> String {
+        format!("INSERT INTO entry VALUES ('{request}', '{}')", self.name)
+    }
+
+    pub async fn repeat(&mut self, sql: &str) -> Attempt {
+        let started = Instant::now();
+        let mut may_have_run = false;
+        let mut last = String::new();
+        while started.elapsed() < GIVE_UP_AFTER {
+            match self.query(sql).await {
+                Ok(_) => return Attempt::Done,
+                Err(Attempt::KeyTaken) => {
+                    return Attempt::NotRun { retry_after: None, message: "claimed".to_owned() };
+                }
+                Err(Attempt::NotRun { retry_after, message }) => {
+                    last = message;
+                    tokio::time::sleep(retry_after.unwrap_or(DEFAULT_RETRY_AFTER)).await;
+                }
+                Err(Attempt::Unknown { message }) => {
+                    may_have_run = true;
+                    last = message;
+                    tokio::time::sleep(DEFAULT_RETRY_AFTER).await;
+                }
+                Err(Attempt::Done) => return Attempt::Done,
+            }
+        }
+        if may_have_run {
+            return Attempt::Unknown { message: last };
+        }
+        Attempt::NotRun { retry_after: None, message: last }
+    }
+
+    /// Returns whether a read shows every write that this session was told is done.
+    pub async fn sees_its_writes(&mut self) -> Result<bool, Attempt> {
+        let sql = format!("SELECT count(*) FROM entry WHERE session = '{}'", self.name);
+        let rows = self.query(&sql).await?;
+        let count = first_value(&rows).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+        Ok(count >= self.acknowledged)
+    }
+}
+
+pub fn unix_seconds() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
+}
+
+pub fn first_value(rows: &[SimpleQueryMessage]) -> Option<String> {
+    values(rows).into_iter().next()
+}
+
+/// Returns the first column.
+pub fn values(rows: &[SimpleQueryMessage]) -> Vec<String> {
+    let value = |message: &SimpleQueryMessage| match message {
+        SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
+        _ => None,
+    };
+    rows.iter().filter_map(value).collect()
+}
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -283,6 +283,58 @@
         &self.groups[database]
     }
 
+    /// Returns the names of the databases.
+    #[must_use]
+    pub fn databases(&self) -> Vec<String> {
+        self.plan.databases.clone()
+    }
+
+    /// Returns the generation of a database's document that is in force on a daemon; none if the
+    /// daemon does not answer.
+    pub async fn generation(&self, daemon: usize, database: usize) -> Option<u64> {
+        let page = http_get(self.admin(daemon), "/status").await.ok()?;
+        let status: serde_json::Value = serde_json::from_str(&page.body).ok()?;
+        let service = format!("{}-service", self.plan.databases[database]);
+        let documents = status.get("documents")?.as_array()?;
+        let document = documents
+            .iter()
+            .find(|document| document["service"] == service.as_str())?;
+        document["generation"].as_u64()
+    }
+
+    /// Returns the first column that a query gives at a server, past the daemons.
+    ///
+    /// # Errors
+    ///
+    /// The server does not answer or refuses.
+    pub async fn stored(
+        &self,
+        database: usize,
+        server: usize,
+        sql: &str,
+    ) -> io::Result<Vec<String>> {
+        let address = self.addresses.server(database, server);
+        let mut config = tokio_postgres::Config::new();
+        config.host(address.ip().to_string()).port(address.port());
+        config
+            .user("standins")
+            .dbname(&self.plan.databases[database]);
+        let connected = config
+            .connect(tokio_postgres::NoTls)
+            .await
+            .map_err(io::Error::other)?;
+        let (client, connection) = connected;
+        tokio::spawn(async move {
+            let _closed = connection.await;
+        });
+        let rows = client.simple_query(sql).await.map_err(io::Error::other)?;
+        let value = |message: &tokio_postgres::SimpleQueryMessage| match message {
+            tokio_postgres::SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
+            _ => None,
+        };
+        Ok(rows.iter().filter_map(value).collect())
+    }
+
     /// Returns how many daemons there are.
     #[must_use]
     pub fn daemons(&self) -> usize {
