--- /dev/null
+++ b/sapphireslipd/tests/scenario.rs
@@ -0,0 +1,22 @@
+//! Scripted scenarios over real daemon processes: one test a script of `tests/scenarios`.
+
+mod support;
+
+use std::path::Path;
+
+use rstest::rstest;
+use support::Scenario;
+
+/// Runs a script and compares what it said with what the script expects; the expected text is part
+/// of the script, so a script that is changed by a run fails.
+#[rstest]
+fn scenario_script(#[files("tests/scenarios/*.script")] path: std::path::PathBuf) {
+    run_script(&path);
+}
+
+fn run_script(path: &Path) {
+    let expected = std::fs::read_to_string(path).expect("the script can be read");
+    let said = goldenscript::generate(&mut Scenario::default(), &expected)
+        .unwrap_or_else(|err| panic!("{}: {err}", path.display()));
+    assert_eq!(said, expected, "{}", path.display());
+}
