Caller edge: sessions, SCRAM, prepared statements and session commands

Named statements are kept at the edge, since the backend connection changes between batches; the parse message that is put in before a bind is swallowed from the answer again. What would outlive a transaction on a pooled connection is refused, driver settings without effect are acknowledged.

A batch that only prepares or describes is handed on as a read without a key: it runs nothing, and a key would be burnt by it.

Seen failing first: `session_closed_in_flight`, as the client library keeps its socket until all answers have come; the test now ends the socket itself.

--- /dev/null
+++ b/sapphireslipd/src/caller_batch.rs
@@ -0,0 +1,177 @@
+//! What a batch of a caller's messages asks for, and answers to session commands.
+
+use bytes::BytesMut;
+use pgwire::messages::PgWireBackendMessage as Out;
+use pgwire::messages::data::ParameterDescription;
+use pgwire::messages::extendedquery::{BindComplete, CloseComplete, ParseComplete};
+use sapphireslip_core::{RequestKey, TermPosition, Text};
+
+use crate::caller_messages::{
+    Severity, put, put_complete, put_error, put_no_data, put_text_column, put_text_row,
+};
+use crate::prepared::Step;
+use crate::session_command::{SessionCommand, TOKEN_PARAMETER, session_commands};
+
+/// The text of a batch that runs nothing and can go to any server.
+const DESCRIBES_ONLY: &str = "SELECT /* describes only */";
+
+/// An answer to session commands.
+#[derive(Debug)]
+pub(crate) struct LocalAnswer {
+    /// The messages.
+    pub(crate) buf: BytesMut,
+    /// The token that the caller gave.
+    pub(crate) given: Option<TermPosition>,
+    /// The key that the caller gave.
+    pub(crate) key: Option<RequestKey>,
+    /// Whether prepared statements are forgotten.
+    pub(crate) forget: bool,
+    token: Option<TermPosition>,
+}
+
+impl LocalAnswer {
+    /// Returns an empty answer for a session that has this token.
+    pub(crate) fn new(token: Option<TermPosition>) -> Self {
+        Self {
+            buf: BytesMut::new(),
+            given: None,
+            key: None,
+            forget: false,
+            token,
+        }
+    }
+
+    /// Describes a command's columns, if it has any.
+    pub(crate) fn describe(&mut self, command: &SessionCommand) -> bool {
+        let shows = *command == SessionCommand::ShowToken;
+        if shows {
+            put_text_column(&mut self.buf, TOKEN_PARAMETER);
+        }
+        shows
+    }
+
+    /// Answers a command; returns false after a refusal.
+    pub(crate) fn execute(&mut self, command: &SessionCommand) -> bool {
+        let tag = match command {
+            SessionCommand::GiveToken(token) => {
+                self.given = Some(*token);
+                self.token = Some(*token);
+                "SET"
+            }
+            SessionCommand::GiveKey(key) => {
+                self.key = Some(key.clone());
+                "SET"
+            }
+            SessionCommand::ShowToken => {
+                let token = self.token.map(|token| token.to_string());
+                put_text_row(&mut self.buf, &token.unwrap_or_default());
+                "SHOW"
+            }
+            SessionCommand::Acknowledge { tag } => tag,
+            SessionCommand::Forget { tag } => {
+                self.forget = true;
+                tag
+            }
+            SessionCommand::Refuse { sqlstate, message } => {
+                put_error(&mut self.buf, Severity::Error, sqlstate, message);
+                return false;
+            }
+        };
+        put_complete(&mut self.buf, tag);
+        true
+    }
+}
+
+/// The commands of a batch, one for each message that names a text.
+pub(crate) type BatchCommands = Vec<SessionCommand>;
+
+/// Returns the commands of a batch that needs no backend server.
+///
+/// Such a batch has only session commands, or only closes and a sync.
+pub(crate) fn batch_commands(steps: &[Step]) -> Option<BatchCommands> {
+    let mut commands = Vec::new();
+    let mut others = false;
+    for step in steps {
+        match step {
+            Step::Parse(text) | Step::Bind(Some(text)) => match session_commands(text) {
+                Some(found) => commands.extend(found.into_iter().next()),
+                None => others = true,
+            },
+            Step::Bind(None) => others = true,
+            Step::Execute | Step::Describe { .. } => others |= commands.is_empty(),
+            Step::Close | Step::Other => {}
+        }
+    }
+    if others && !commands.is_empty() {
+        let message = "`SET` and the like can't stand in a batch with other statements";
+        return Some(vec![SessionCommand::Refuse {
+            sqlstate: "0A000",
+            message: message.to_owned(),
+        }]);
+    }
+    (!others).then_some(commands)
+}
+
+/// Answers a batch of session commands; its ready message is left to the caller.
+pub(crate) fn answer_batch(answer: &mut LocalAnswer, steps: &[Step], commands: &[SessionCommand]) {
+    if let [refusal @ SessionCommand::Refuse { .. }] = commands {
+        answer.execute(refusal);
+        return;
+    }
+    let mut commands = commands.iter();
+    let mut current = None;
+    for step in steps {
+        match step {
+            Step::Parse(_) => {
+                current = commands.next();
+                put(&mut answer.buf, &Out::ParseComplete(ParseComplete::new()));
+            }
+            Step::Bind(_) => {
+                current = commands.next();
+                put(&mut answer.buf, &Out::BindComplete(BindComplete::new()));
+            }
+            Step::Describe { statement } => {
+                if *statement {
+                    let none = ParameterDescription::new(Vec::new());
+                    put(&mut answer.buf, &Out::ParameterDescription(none));
+                }
+                if !current.is_some_and(|command| answer.describe(command)) {
+                    put_no_data(&mut answer.buf);
+                }
+            }
+            Step::Execute => {
+                if !current.is_some_and(|command| answer.execute(command)) {
+                    return;
+                }
+            }
+            Step::Close => put(&mut answer.buf, &Out::CloseComplete(CloseComplete::new())),
+            Step::Other => {}
+        }
+    }
+}
+
+/// The text of a batch.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct BatchText {
+    /// The texts that it runs, joined by `;`.
+    pub(crate) text: Text,
+    /// Whether it runs anything.
+    pub(crate) executes: bool,
+}
+
+/// Returns the text of a batch, for classification.
+///
+/// A statement that is only prepared or described runs nothing, whatever it is.
+pub(crate) fn batch_text(steps: &[Step]) -> BatchText {
+    let executes = steps.contains(&Step::Execute);
+    let bound = steps.iter().filter_map(|step| match step {
+        Step::Bind(Some(text)) => Some(text.as_ref()),
+        _ => None,
+    });
+    let joined = bound.collect::<Vec<_>>().join(";");
+    let text = match executes && !joined.is_empty() {
+        true => joined.into(),
+        false => DESCRIBES_ONLY.into(),
+    };
+    BatchText { text, executes }
+}
--- /dev/null
+++ b/sapphireslipd/src/caller_edge.rs
@@ -0,0 +1,231 @@
+//! The caller edge: sessions of callers, as events and effects.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use flume::{Receiver, Sender};
+use sapphireslip_core::{CallerEffect, CallerEvent, Event, SessionId};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+use crate::caller_error::CallerError;
+use crate::caller_session::{self, SessionLinks};
+use crate::caller_startup::{
+    CancelKey, Purpose, STARTUP_TIMEOUT, STEP_STARTUP, Startup, read_startup,
+};
+use crate::caller_wire::CallerWire;
+use crate::scram::random_u64;
+
+/// Sessions at the most, those in their startup included.
+pub const SESSIONS_MAX: usize = 20_000;
+
+/// Effects that wait for one session at the most.
+pub const SESSION_QUEUE_MAX: usize = 4096;
+
+/// Bytes of answers that wait for one session at the most.
+///
+/// A session whose caller reads too slowly to stay below is ended.
+pub const SESSION_QUEUE_MAX_BYTES: usize = 64 * 1024 * 1024;
+
+/// A session as the edge's loop knows it; dropping it ends the session.
+#[derive(Debug)]
+struct Handle {
+    effects: Sender<CallerEffect>,
+    queued_bytes: Arc<AtomicUsize>,
+    cancel_key: CancelKey,
+}
+
+#[derive(Debug, Default)]
+struct Sessions {
+    handles: BTreeMap<SessionId, Handle>,
+    last: u64,
+    /// Connections that are being accepted, sessions included.
+    connections: usize,
+}
+
+/// What all tasks of the edge share.
+#[derive(Clone, Debug)]
+struct Edge {
+    events: Sender<Event>,
+    sessions: Arc<Mutex<Sessions>>,
+}
+
+/// Takes connections of callers and serves their sessions until the sender of effects is gone.
+///
+/// A batch of the extended protocol is sent on when its sync has come: a flush without a sync
+/// gives no early answer.
+///
+/// ```
+/// use sapphireslipd::serve_callers;
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> std::io::Result<()> {
+/// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+/// let (event_tx, _event_rx) = flume::bounded(16);
+/// let (effect_tx, effect_rx) = flume::bounded(16);
+/// drop(effect_tx);
+/// serve_callers(listener, event_tx, effect_rx).await;
+/// # Ok(())
+/// # }
+/// ```
+pub async fn serve(listener: TcpListener, events: Sender<Event>, effects: Receiver<CallerEffect>) {
+    let edge = Edge {
+        events,
+        sessions: Arc::default(),
+    };
+    let mut listener = Some(listener);
+    loop {
+        tokio::select! {
+            effect = effects.recv_async() => match effect {
+                Ok(CallerEffect::StopListening) => listener = None,
+                Ok(effect) => edge.dispatch(effect),
+                Err(_) => break,
+            },
+            accepted = accept(listener.as_ref()) => match accepted {
+                Ok((socket, peer)) => edge.accept(socket, peer),
+                Err(error) => {
+                    log::error!("accepting callers failed: {error}");
+                    tokio::task::yield_now().await;
+                }
+            },
+        }
+    }
+    edge.lock().handles.clear();
+}
+
+async fn accept(listener: Option<&TcpListener>) -> std::io::Result<(TcpStream, SocketAddr)> {
+    match listener {
+        Some(listener) => listener.accept().await,
+        None => std::future::pending().await,
+    }
+}
+
+fn session_of(effect: &CallerEffect) -> Option<SessionId> {
+    match effect {
+        CallerEffect::Authenticate { session, .. }
+        | CallerEffect::Answer { session, .. }
+        | CallerEffect::Finish { session, .. }
+        | CallerEffect::Close { session, .. } => Some(*session),
+        CallerEffect::StopListening => None,
+    }
+}
+
+impl Edge {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Sessions> {
+        self.sessions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Hands an effect to its session, without waiting for it.
+    fn dispatch(&self, effect: CallerEffect) {
+        let Some(session) = session_of(&effect) else {
+            return;
+        };
+        let mut sessions = self.lock();
+        let Some(handle) = sessions.handles.get(&session) else {
+            return;
+        };
+        let mut queued = 0;
+        if let CallerEffect::Answer { payload, .. } = &effect {
+            let bytes = payload.len();
+            queued = handle.queued_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        }
+        let sent = handle.effects.try_send(effect);
+        if queued > SESSION_QUEUE_MAX_BYTES || matches!(sent, Err(flume::TrySendError::Full(_))) {
+            log::warn!(
+                "session {} is ended: its caller reads too slowly",
+                session.0
+            );
+            sessions.handles.remove(&session);
+        }
+    }
+
+    fn accept(&self, socket: TcpStream, peer: SocketAddr) {
+        if let Err(error) = socket.set_nodelay(true) {
+            log::info!("{}", CallerError::Io(STEP_STARTUP, peer, error));
+            return;
+        }
+        let mut sessions = self.lock();
+        let full = sessions.connections >= SESSIONS_MAX;
+        sessions.connections += 1;
+        drop(sessions);
+        let edge = self.clone();
+        tokio::spawn(async move {
+            if let Err(error) = edge.serve(socket, peer, full).await {
+                log::info!("{error}");
+            }
+            edge.lock().connections -= 1;
+        });
+    }
+
+    async fn serve(
+        &self,
+        socket: TcpStream,
+        peer: SocketAddr,
+        full: bool,
+    ) -> Result<(), CallerError> {
+        let purpose = timeout(STARTUP_TIMEOUT, read_startup(socket, peer)).await;
+        let late = |_elapsed| CallerError::Timeout(STEP_STARTUP, peer);
+        match purpose.map_err(late)?? {
+            Purpose::Cancel(key) => {
+                self.cancel(key).await;
+                Ok(())
+            }
+            Purpose::Session(_, mut wire) if full => {
+                let message = "this daemon has too many sessions: try another one";
+                Err(wire.refuse(STEP_STARTUP, "53300", message).await)
+            }
+            Purpose::Session(startup, wire) => {
+                self.run_session(startup, *wire).await;
+                Ok(())
+            }
+        }
+    }
+
+    async fn run_session(&self, startup: Startup, wire: CallerWire) {
+        let links = self.register();
+        let id = links.id;
+        caller_session::run(links, startup, wire).await;
+        self.lock().handles.remove(&id);
+    }
+
+    fn register(&self) -> SessionLinks {
+        let (effect_tx, effects) = flume::bounded(SESSION_QUEUE_MAX);
+        let queued_bytes = Arc::default();
+        let mut sessions = self.lock();
+        sessions.last += 1;
+        let id = SessionId(sessions.last);
+        let cancel_key = CancelKey {
+            process: (sessions.last & 0x7fff_ffff) as i32,
+            secret: random_u64() as i32,
+        };
+        let handle = Handle {
+            effects: effect_tx,
+            queued_bytes: Arc::clone(&queued_bytes),
+            cancel_key,
+        };
+        sessions.handles.insert(id, handle);
+        drop(sessions);
+        SessionLinks {
+            id,
+            cancel_key,
+            events: self.events.clone(),
+            effects,
+            queued_bytes,
+        }
+    }
+
+    async fn cancel(&self, key: CancelKey) {
+        let found = {
+            let sessions = self.lock();
+            let mut handles = sessions.handles.iter();
+            let found = handles.find(|(_, handle)| handle.cancel_key == key);
+            found.map(|(session, _)| *session)
+        };
+        let Some(session) = found else {
+            return;
+        };
+        let cancel = CallerEvent::Cancel { session };
+        let _runner_gone = self.events.send_async(Event::Caller(cancel)).await;
+    }
+}
--- /dev/null
+++ b/sapphireslipd/src/caller_startup.rs
@@ -0,0 +1,193 @@
+//! The first messages of a caller: its startup and its password exchange.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use pgwire::api::auth::sasl::scram::ScramServerAuth;
+use pgwire::messages::response::SslResponse;
+use pgwire::messages::startup::{Authentication, PasswordMessageFamily};
+use pgwire::messages::{
+    DecodeContext, PgWireBackendMessage as Out, PgWireFrontendMessage as In, ProtocolVersion,
+    SslNegotiationMetaMessage,
+};
+use sapphireslip_core::{TermPosition, Text};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::caller_error::CallerError;
+use crate::caller_messages::put;
+use crate::caller_wire::{CallerWire, decode};
+use crate::scram::Verifier;
+use crate::session_command::TOKEN_PARAMETER;
+
+/// The time within which a caller must have named itself and proved its password.
+pub const STARTUP_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// The longest startup message in bytes.
+pub const STARTUP_MAX_BYTES: usize = 10_000;
+
+pub(crate) const STEP_STARTUP: &str = "the startup";
+const STEP_PASSWORD: &str = "the password exchange";
+const MECHANISM: &str = "SCRAM-SHA-256";
+
+/// What a new connection is for.
+#[derive(Debug)]
+pub(crate) enum Purpose {
+    /// A session.
+    Session(Startup, Box<CallerWire>),
+    /// Ending the statement of another connection's session.
+    Cancel(CancelKey),
+}
+
+/// What names a session in a request to cancel.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct CancelKey {
+    /// The process identifier that the session was told.
+    pub(crate) process: i32,
+    /// The secret that it was told.
+    pub(crate) secret: i32,
+}
+
+/// What a caller says of itself.
+#[derive(Clone, Debug)]
+pub(crate) struct Startup {
+    pub(crate) user: Text,
+    pub(crate) database: Text,
+    /// The session token as it was given.
+    pub(crate) token: Option<String>,
+}
+
+/// Reads a connection's first messages.
+pub(crate) async fn read_startup(
+    mut socket: TcpStream,
+    peer: SocketAddr,
+) -> Result<Purpose, CallerError> {
+    let io = |error| CallerError::Io(STEP_STARTUP, peer, error);
+    let mut cx = DecodeContext::default();
+    cx.protocol_version = ProtocolVersion::PROTOCOL3_0;
+    let mut buf = BytesMut::new();
+    loop {
+        let message = In::decode(&mut buf, &cx);
+        match message.map_err(|error| io(std::io::Error::other(error)))? {
+            Some(In::SslNegotiation(SslNegotiationMetaMessage::None)) => {
+                cx.awaiting_frontend_ssl = false;
+                continue;
+            }
+            Some(In::SslNegotiation(_)) => {
+                let refuse = [SslResponse::BYTE_REFUSE];
+                socket.write_all(&refuse).await.map_err(io)?;
+                continue;
+            }
+            Some(In::CancelRequest(request)) => {
+                let secret = request.secret_key.to_bytes();
+                let secret = secret.as_ref().try_into().map_or(0, i32::from_be_bytes);
+                let process = request.pid;
+                return Ok(Purpose::Cancel(CancelKey { process, secret }));
+            }
+            Some(In::Startup(startup)) => {
+                let wire = CallerWire::new(socket, peer, buf);
+                let startup = named(&startup.parameters);
+                return Ok(Purpose::Session(startup, Box::new(wire)));
+            }
+            Some(_) => return Err(CallerError::Closed(STEP_STARTUP, peer)),
+            None => {}
+        }
+        if buf.len() > STARTUP_MAX_BYTES || socket.read_buf(&mut buf).await.map_err(io)? == 0 {
+            return Err(CallerError::Closed(STEP_STARTUP, peer));
+        }
+    }
+}
+
+fn named(parameters: &std::collections::BTreeMap<String, String>) -> Startup {
+    let get = |name| parameters.get(name).map(String::as_str);
+    let user = get("user").unwrap_or("");
+    let options = get("options").unwrap_or("");
+    let token = get(TOKEN_PARAMETER).or_else(|| option(options, TOKEN_PARAMETER));
+    Startup {
+        user: user.into(),
+        database: get("database").unwrap_or(user).into(),
+        token: token.map(str::to_owned),
+    }
+}
+
+/// Returns a setting in the text of the `options` parameter, as in `-c name=value`.
+fn option<'a>(options: &'a str, name: &str) -> Option<&'a str> {
+    options.split_whitespace().find_map(|word| {
+        let word = word.trim_start_matches("-c").trim_start_matches("--");
+        let value = word.strip_prefix(name)?.strip_prefix('=')?;
+        Some(value)
+    })
+}
+
+impl Startup {
+    /// Returns the checked session token.
+    pub(crate) fn token(
+        &self,
+    ) -> Result<Option<TermPosition>, sapphireslip_core::TermPositionError> {
+        let token = self.token.as_deref();
+        token.map(TermPosition::try_from).transpose()
+    }
+}
+
+/// Proves that the caller knows the verifier's password; if not, it is refused.
+pub(crate) async fn authenticate(
+    wire: &mut CallerWire,
+    user: &str,
+    verifier: &str,
+) -> Result<(), CallerError> {
+    let secret = match Verifier::try_from(verifier) {
+        Ok(Verifier(secret)) => secret,
+        Err(error) => {
+            log::error!("caller `{user}` can't log in: {error}");
+            return Err(wire
+                .refuse(STEP_PASSWORD, "28000", "no usable password is set")
+                .await);
+        }
+    };
+    let offer = Authentication::SASL(vec![MECHANISM.to_owned()]);
+    send(wire, offer).await?;
+    let first = password_message(wire).await?.into_sasl_initial_response();
+    let first = match first {
+        Ok(first) if first.auth_method == MECHANISM => first.data.unwrap_or_default(),
+        _ => return Err(malformed(wire).await),
+    };
+    let exchange = ScramServerAuth::new().on_client_first_message_with_secret(&first, secret);
+    let Ok((answer, exchange)) = exchange else {
+        return Err(malformed(wire).await);
+    };
+    send(wire, Authentication::SASLContinue(answer.into())).await?;
+    let Ok(last) = password_message(wire).await?.into_sasl_response() else {
+        return Err(malformed(wire).await);
+    };
+    match exchange.on_client_final_message(&last.data) {
+        Ok(answer) => send(wire, Authentication::SASLFinal(answer.into())).await,
+        Err(_wrong) => {
+            let message = format!("password authentication failed for user \"{user}\"");
+            Err(wire.refuse(STEP_PASSWORD, "28P01", message).await)
+        }
+    }
+}
+
+async fn send(wire: &mut CallerWire, message: Authentication) -> Result<(), CallerError> {
+    let mut buf = BytesMut::new();
+    put(&mut buf, &Out::Authentication(message));
+    wire.write(STEP_PASSWORD, &buf).await
+}
+
+async fn password_message(wire: &mut CallerWire) -> Result<PasswordMessageFamily, CallerError> {
+    let frame = wire.next(STEP_PASSWORD).await?;
+    match decode(&frame) {
+        Some(In::PasswordMessageFamily(message)) => Ok(message),
+        _ => Err(malformed(wire).await),
+    }
+}
+
+async fn malformed(wire: &mut CallerWire) -> CallerError {
+    wire.refuse(
+        STEP_PASSWORD,
+        "08P01",
+        "a message of the password exchange is malformed",
+    )
+    .await
+}
--- a/sapphireslipd/src/frames.rs
+++ b/sapphireslipd/src/frames.rs
@@ -29,6 +29,18 @@
         Self { codec, buf }
     }
 
+    /// Returns how many bytes have been read ahead.
+    pub(crate) fn buffered(&self) -> usize {
+        self.buf.len()
+    }
+
+    /// Reads ahead; returns whether the peer has not closed.
+    ///
+    /// Nothing is lost if the future is dropped.
+    pub(crate) async fn fill(&mut self, socket: &mut (impl AsyncRead + Unpin)) -> io::Result<bool> {
+        Ok(socket.read_buf(&mut self.buf).await? > 0)
+    }
+
     /// Returns the next message with its header, or none when the peer has closed.
     ///
     /// Nothing is lost if the future is dropped.
@@ -40,9 +52,29 @@
             if let Some(frame) = self.codec.decode(&mut self.buf)? {
                 return Ok(Some(frame.freeze()));
             }
-            if socket.read_buf(&mut self.buf).await? == 0 {
+            if !self.fill(socket).await? {
                 return Ok(None);
             }
         }
     }
 }
+
+/// Returns the kind of the first message and its length with the header, if it is whole.
+pub(crate) fn split_first(messages: &[u8]) -> Option<FrameHead> {
+    let (kind, rest) = messages.split_first()?;
+    let length = rest.first_chunk::<4>()?;
+    let length = usize::try_from(u32::from_be_bytes(*length)).ok()? + 1;
+    (messages.len() >= length).then_some(FrameHead {
+        kind: *kind,
+        length,
+    })
+}
+
+/// The head of a message.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct FrameHead {
+    /// The message's kind.
+    pub(crate) kind: u8,
+    /// The message's length in bytes, its head included.
+    pub(crate) length: usize,
+}
--- /dev/null
+++ b/sapphireslipd/src/session_command.rs
@@ -0,0 +1,168 @@
+//! Statements about the session itself, which the caller edge answers without a backend server.
+//!
+//! A backend connection serves another session next, so that nothing may be set on it for longer
+//! than a transaction. Settings that drivers make as a matter of course are acknowledged and have
+//! no effect; all others are refused.
+
+use sapphireslip_core::{RequestKey, RequestKeyError, TermPosition};
+
+use crate::sql_scan::{comments, statements};
+
+/// The parameter by which the session token is given, reported and shown.
+pub const TOKEN_PARAMETER: &str = "sapphireslip.token";
+
+/// The parameter that names the key of the next statement.
+pub const KEY_PARAMETER: &str = "sapphireslip.request_key";
+
+/// Settings that are acknowledged and have no effect.
+const HARMLESS: [&str; 9] = [
+    "application_name",
+    "bytea_output",
+    "client_encoding",
+    "client_min_messages",
+    "datestyle",
+    "extra_float_digits",
+    "intervalstyle",
+    "names",
+    "timezone",
+];
+
+/// A statement about the session itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SessionCommand {
+    /// The session has seen this record.
+    GiveToken(TermPosition),
+    /// The next statement has this key.
+    GiveKey(RequestKey),
+    /// Show the token.
+    ShowToken,
+    /// Say that it is done, and do nothing.
+    Acknowledge {
+        /// The tag with which it is reported as done.
+        tag: &'static str,
+    },
+    /// Forget the session's prepared statements.
+    Forget {
+        /// The tag with which it is reported as done.
+        tag: &'static str,
+    },
+    /// Refuse it.
+    Refuse {
+        /// The SQLSTATE.
+        sqlstate: &'static str,
+        /// Why, and what to do instead.
+        message: String,
+    },
+}
+
+/// Returns the session commands of a text, or none if it is for a backend server.
+///
+/// ```
+/// use sapphireslipd::{SessionCommand, session_commands};
+/// let commands = session_commands("SET application_name = 'till'");
+/// assert_eq!(commands, Some(vec![SessionCommand::Acknowledge { tag: "SET" }]));
+/// assert_eq!(session_commands("SELECT 1"), None);
+/// ```
+#[must_use]
+pub fn session_commands(text: &str) -> Option<Vec<SessionCommand>> {
+    let statements = statements(text);
+    let commands: Vec<_> = statements.iter().filter_map(|sql| command(sql)).collect();
+    if commands.is_empty() {
+        return None;
+    }
+    if commands.len() < statements.len() {
+        let message = "`SET` and the like can't stand with other statements: send them alone";
+        return Some(vec![unsupported(message)]);
+    }
+    Some(commands)
+}
+
+/// Returns the key that a comment of a text names.
+///
+/// # Errors
+///
+/// The comment names a key that is malformed.
+///
+/// ```
+/// use sapphireslipd::key_of_comment;
+/// let key = key_of_comment("INSERT INTO t VALUES (1) /* sapphireslip key=1764794258.a */")?;
+/// assert_eq!(key.map(|key| key.to_string()).as_deref(), Some("1764794258.a"));
+/// # Ok::<(), sapphireslip_core::RequestKeyError>(())
+/// ```
+pub fn key_of_comment(text: &str) -> Result<Option<RequestKey>, RequestKeyError> {
+    for comment in comments(text) {
+        let inner = comment.trim_start_matches("/*").trim_end_matches("*/");
+        let Some(rest) = inner.trim().strip_prefix("sapphireslip key=") else {
+            continue;
+        };
+        return RequestKey::try_from(rest.trim()).map(Some);
+    }
+    Ok(None)
+}
+
+fn unsupported(message: impl Into<String>) -> SessionCommand {
+    SessionCommand::Refuse {
+        sqlstate: "0A000",
+        message: message.into(),
+    }
+}
+
+fn command(sql: &str) -> Option<SessionCommand> {
+    let sql = sql.trim();
+    let (word, rest) = first_word(sql);
+    match word.to_ascii_uppercase().as_str() {
+        "SET" => set(rest),
+        "SHOW" if rest.eq_ignore_ascii_case(TOKEN_PARAMETER) => Some(SessionCommand::ShowToken),
+        "RESET" => Some(SessionCommand::Acknowledge { tag: "RESET" }),
+        "UNLISTEN" => Some(SessionCommand::Acknowledge { tag: "UNLISTEN" }),
+        "DISCARD" => Some(SessionCommand::Forget { tag: "DISCARD ALL" }),
+        "DEALLOCATE" => Some(SessionCommand::Forget { tag: "DEALLOCATE" }),
+        "LISTEN" | "COPY" | "PREPARE" | "EXECUTE" => Some(unsupported(format!(
+            "`{word}` is not supported through the proxy"
+        ))),
+        _ => None,
+    }
+}
+
+fn first_word(sql: &str) -> (&str, &str) {
+    let end = sql.find(|c: char| !c.is_ascii_alphanumeric() && c != '_' && c != '.');
+    let (word, rest) = sql.split_at(end.unwrap_or(sql.len()));
+    (word, rest.trim())
+}
+
+fn set(rest: &str) -> Option<SessionCommand> {
+    let (mut name, mut value) = first_word(rest);
+    if name.eq_ignore_ascii_case("session") {
+        (name, value) = first_word(value);
+    }
+    let name = name.to_ascii_lowercase();
+    let value = match value.strip_prefix('=') {
+        Some(value) => value,
+        None => match first_word(value) {
+            (to, value) if to.eq_ignore_ascii_case("to") => value,
+            _ => value,
+        },
+    };
+    let value = value.trim().trim_matches('\'');
+    let malformed = |message: String| SessionCommand::Refuse {
+        sqlstate: "22023",
+        message,
+    };
+    match name.as_str() {
+        // These end with the transaction.
+        "local" | "transaction" | "constraints" => None,
+        "time" => Some(SessionCommand::Acknowledge { tag: "SET" }),
+        TOKEN_PARAMETER => Some(match TermPosition::try_from(value) {
+            Ok(token) => SessionCommand::GiveToken(token),
+            Err(error) => malformed(error.to_string()),
+        }),
+        KEY_PARAMETER => Some(match RequestKey::try_from(value) {
+            Ok(key) => SessionCommand::GiveKey(key),
+            Err(error) => malformed(error.to_string()),
+        }),
+        name if HARMLESS.contains(&name) => Some(SessionCommand::Acknowledge { tag: "SET" }),
+        name => Some(unsupported(format!(
+            "`SET {name}` would outlive the transaction: use `SET LOCAL` within one"
+        ))),
+    }
+}
--- /dev/null
+++ b/sapphireslipd/tests/caller_edge.rs
@@ -0,0 +1,536 @@
+//! The caller edge between a real client and a scripted reducer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use flume::{Receiver, Sender};
+use sapphireslip_core::{
+    BackendEffect, BackendEvent, CallerEffect, CallerEvent, ConnectionId, DatabaseName, Event,
+    Refusal, RefusalReason, SessionId, TermPosition, TransactionStatus, VmId, WorkId, WorkPayload,
+    ZoneName,
+};
+use sapphireslipd::{BackendSettings, make_verifier, run_backend_edge, serve_callers};
+use standins::{BackendGroup, BackendGroupSettings};
+use tokio::task::JoinHandle;
+use tokio_postgres::{Client, NoTls, SimpleQueryMessage, error::SqlState};
+
+const WAIT: Duration = Duration::from_secs(20);
+
+/// The caller edge, with the reducer's side of its channels.
+struct Bench {
+    address: SocketAddr,
+    events: Receiver<Event>,
+    effects: Sender<CallerEffect>,
+    verifier: String,
+}
+
+fn session_of(event: &CallerEvent) -> SessionId {
+    match event {
+        CallerEvent::Connecting { session, .. }
+        | CallerEvent::Opened { session, .. }
+        | CallerEvent::TokenGiven { session, .. }
+        | CallerEvent::Statement { session, .. }
+        | CallerEvent::Cancel { session }
+        | CallerEvent::Closed { session } => *session,
+    }
+}
+
+impl Bench {
+    async fn start() -> Self {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a free port");
+        let address = listener.local_addr().expect("it is bound");
+        let (event_tx, events) = flume::bounded(256);
+        let (effects, effect_rx) = flume::bounded(256);
+        tokio::spawn(serve_callers(listener, event_tx, effect_rx));
+        Self {
+            address,
+            events,
+            effects,
+            verifier: make_verifier("secret"),
+        }
+    }
+
+    fn give(&self, effect: CallerEffect) {
+        self.effects.send(effect).expect("the edge runs");
+    }
+
+    async fn event(&self) -> CallerEvent {
+        let event = tokio::time::timeout(WAIT, self.events.recv_async()).await;
+        match event.expect("an event in time").expect("the edge runs") {
+            Event::Caller(event) => event,
+            other => panic!("not of the caller edge: {other:?}"),
+        }
+    }
+
+    async fn connect(&self, password: &str, options: &str) -> Result<Connected, String> {
+        let config = format!(
+            "host=127.0.0.1 port={} user=till dbname=stock password={password} {options}",
+            self.address.port()
+        );
+        let client = async move {
+            let (client, connection) = tokio_postgres::connect(&config, NoTls)
+                .await
+                .map_err(code)?;
+            let socket = tokio::spawn(async { drop(connection.await) });
+            Ok(Connected { client, socket })
+        };
+        let reducer = async {
+            let event = self.event().await;
+            let CallerEvent::Connecting {
+                session,
+                user,
+                database,
+            } = event
+            else {
+                panic!("not connecting: {event:?}");
+            };
+            assert_eq!((user.as_ref(), database.as_ref()), ("till", "stock"));
+            self.give(CallerEffect::Authenticate {
+                session,
+                verifier: self.verifier.as_str().into(),
+            });
+        };
+        let (client, ()) = tokio::join!(client, reducer);
+        client
+    }
+
+    /// Opens a session and returns it with the token that it brought.
+    async fn open(&self, options: &str) -> Opened {
+        let connected = self.connect("secret", options).await;
+        let connected = connected.expect("the password is right");
+        match self.event().await {
+            CallerEvent::Opened { session, token, .. } => Opened {
+                client: connected.client,
+                socket: connected.socket,
+                session,
+                token,
+            },
+            other => panic!("not opened: {other:?}"),
+        }
+    }
+
+    async fn statement(&self) -> Statement {
+        let event = self.event().await;
+        let CallerEvent::Statement {
+            text, key, payload, ..
+        } = event
+        else {
+            panic!("no statement: {event:?}");
+        };
+        Statement {
+            text: text.to_string(),
+            key: key.map(|key| key.to_string()),
+            payload,
+        }
+    }
+
+    fn finish(&self, session: SessionId, refusal: Option<Refusal>, token: Option<TermPosition>) {
+        self.give(CallerEffect::Finish {
+            session,
+            refusal,
+            transaction: TransactionStatus::Idle,
+            token,
+        });
+    }
+
+    /// Answers the next statement as done, without rows.
+    async fn answer(&self, session: SessionId) -> Statement {
+        let statement = self.statement().await;
+        let payload = Bytes::from_static(b"C\0\0\0\x0dINSERT 0\0");
+        self.give(CallerEffect::Answer { session, payload });
+        self.finish(session, None, None);
+        statement
+    }
+}
+
+struct Connected {
+    client: Client,
+    /// The task that owns the socket; the library ends it only after all answers.
+    socket: JoinHandle<()>,
+}
+
+struct Opened {
+    client: Client,
+    socket: JoinHandle<()>,
+    session: SessionId,
+    token: Option<TermPosition>,
+}
+
+struct Statement {
+    text: String,
+    key: Option<String>,
+    payload: Bytes,
+}
+
+fn code(error: tokio_postgres::Error) -> String {
+    error.code().map_or("none", SqlState::code).to_owned()
+}
+
+fn token(text: &str) -> TermPosition {
+    TermPosition::try_from(text).expect("well formed")
+}
+
+fn shown(messages: &[SimpleQueryMessage]) -> Option<&str> {
+    messages.iter().find_map(|message| match message {
+        SimpleQueryMessage::Row(row) => row.get(0),
+        _ => None,
+    })
+}
+
+#[tokio::test]
+async fn connect_right_password() {
+    let bench = Bench::start().await;
+    let opened = bench.open("").await;
+    assert_eq!(opened.token, None);
+    drop(opened.client);
+    let closed = CallerEvent::Closed {
+        session: opened.session,
+    };
+    assert_eq!(bench.event().await, closed);
+}
+
+#[tokio::test]
+async fn connect_wrong_password() {
+    let bench = Bench::start().await;
+    let refused = bench.connect("guess", "").await.map(drop);
+    assert_eq!(refused, Err("28P01".to_owned()));
+    let event = bench.event().await;
+    assert!(matches!(event, CallerEvent::Closed { .. }), "{event:?}");
+}
+
+#[tokio::test]
+async fn connect_refused() {
+    let bench = Bench::start().await;
+    let address = bench.address;
+    let client = tokio::spawn(async move {
+        let config = format!(
+            "host=127.0.0.1 port={} user=till dbname=other",
+            address.port()
+        );
+        tokio_postgres::connect(&config, NoTls)
+            .await
+            .map(drop)
+            .map_err(code)
+    });
+    let session = session_of(&bench.event().await);
+    let refusal = Refusal::not_run(RefusalReason::UnknownDatabase, None, "no database `other`");
+    bench.give(CallerEffect::Close { session, refusal });
+    assert_eq!(client.await.expect("it ends"), Err("3D000".to_owned()));
+    assert_eq!(bench.event().await, CallerEvent::Closed { session });
+}
+
+#[tokio::test]
+async fn connect_with_token() {
+    let bench = Bench::start().await;
+    let opened = bench.open("options='-c sapphireslip.token=3/1042'").await;
+    assert_eq!(opened.token, Some(token("3/1042")));
+    let rows = opened
+        .client
+        .simple_query("SHOW sapphireslip.token")
+        .await
+        .expect("it is local");
+    assert_eq!(shown(&rows), Some("3/1042"));
+}
+
+#[tokio::test]
+async fn statement_answer() {
+    let bench = Bench::start().await;
+    let Opened {
+        client, session, ..
+    } = bench.open("").await;
+    let sql = "INSERT INTO t VALUES (1)";
+    let (done, statement) = tokio::join!(client.batch_execute(sql), bench.answer(session));
+    done.expect("it is answered");
+    assert_eq!((statement.text.as_str(), statement.key), (sql, None));
+    let mut message = vec![b'Q', 0, 0, 0, 29];
+    message.extend_from_slice(sql.as_bytes());
+    message.push(0);
+    assert_eq!(statement.payload, message);
+}
+
+#[tokio::test]
+async fn statement_refused() {
+    let bench = Bench::start().await;
+    let Opened {
+        client, session, ..
+    } = bench.open("").await;
+    let reducer = async {
+        bench.statement().await;
+        let retry_after = Some(Duration::from_millis(250));
+        let refusal = Refusal::not_run(RefusalReason::NoMajority, retry_after, "no majority");
+        bench.finish(session, Some(refusal), None);
+    };
+    let (refused, ()) = tokio::join!(client.batch_execute("DELETE FROM t"), reducer);
+    let error = refused.expect_err("it was refused");
+    let error = error.as_db_error().expect("by the edge");
+    assert_eq!(error.code().code(), "57P03");
+    assert_eq!(error.message(), "no majority");
+    assert_eq!(error.hint(), Some("retry after 250 ms"));
+}
+
+#[tokio::test]
+async fn statement_reports_token() {
+    let bench = Bench::start().await;
+    let Opened {
+        client, session, ..
+    } = bench.open("").await;
+    let reducer = async {
+        bench.statement().await;
+        bench.finish(session, None, Some(token("2/7")));
+    };
+    let (done, ()) = tokio::join!(client.simple_query("DELETE FROM t"), reducer);
+    done.expect("it is answered");
+    let rows = client
+        .simple_query("SHOW sapphireslip.token")
+        .await
+        .expect("it is local");
+    assert_eq!(shown(&rows), Some("2/7"));
+}
+
+#[tokio::test]
+async fn statement_keys() {
+    let bench = Bench::start().await;
+    let Opened {
+        client, session, ..
+    } = bench.open("").await;
+    let sql = "DELETE FROM t /* sapphireslip key=1764794258.a */";
+    let (_, statement) = tokio::join!(client.batch_execute(sql), bench.answer(session));
+    assert_eq!(statement.key.as_deref(), Some("1764794258.a"));
+    let set = "SET sapphireslip.request_key = '1764794258.b'";
+    client.batch_execute(set).await.expect("it is local");
+    let sql = "DELETE FROM t";
+    let (_, statement) = tokio::join!(client.batch_execute(sql), bench.answer(session));
+    assert_eq!(statement.key.as_deref(), Some("1764794258.b"));
+    let (_, statement) = tokio::join!(client.batch_execute(sql), bench.answer(session));
+    assert_eq!(statement.key, None);
+    let sql = "DELETE FROM t /* sapphireslip key=b */";
+    let refused = client.batch_execute(sql).await.map_err(code);
+    assert_eq!(refused, Err("22023".to_owned()));
+}
+
+#[tokio::test]
+async fn session_token_given() {
+    let bench = Bench::start().await;
+    let Opened {
+        client, session, ..
+    } = bench.open("").await;
+    let set = "SET sapphireslip.token = '4/9'";
+    client.batch_execute(set).await.expect("it is local");
+    let given = CallerEvent::TokenGiven {
+        session,
+        token: token("4/9"),
+    };
+    assert_eq!(bench.event().await, given);
+}
+
+#[tokio::test]
+async fn session_settings() {
+    let bench = Bench::start().await;
+    let opened = bench.open("").await;
+    let client = opened.client;
+    client
+        .batch_execute("SET application_name = 'till'")
+        .await
+        .expect("harmless");
+    client
+        .execute("SET extra_float_digits = 3", &[])
+        .await
+        .expect("harmless");
+    let refused = client
+        .batch_execute("SET search_path = x")
+        .await
+        .map_err(code);
+    assert_eq!(refused, Err("0A000".to_owned()));
+    let refused = client
+        .execute("SET search_path = x", &[])
+        .await
+        .map(drop)
+        .map_err(code);
+    assert_eq!(refused, Err("0A000".to_owned()));
+}
+
+#[tokio::test]
+async fn session_closed_in_flight() {
+    let bench = Bench::start().await;
+    let Opened {
+        client,
+        socket,
+        session,
+        ..
+    } = bench.open("").await;
+    let running = tokio::spawn(async move { client.batch_execute("DELETE FROM t").await });
+    bench.statement().await;
+    socket.abort();
+    assert_eq!(bench.event().await, CallerEvent::Closed { session });
+    running
+        .await
+        .expect("it ends")
+        .expect_err("there is no answer");
+}
+
+#[tokio::test]
+async fn session_ended_by_reducer() {
+    let bench = Bench::start().await;
+    let Opened {
+        client, session, ..
+    } = bench.open("").await;
+    let refusal = Refusal::not_run(RefusalReason::Draining, None, "this daemon is stopping");
+    bench.give(CallerEffect::Close { session, refusal });
+    assert_eq!(bench.event().await, CallerEvent::Closed { session });
+    client
+        .batch_execute("SELECT 1")
+        .await
+        .expect_err("the session is over");
+}
+
+#[tokio::test]
+async fn cancel_running() {
+    let bench = Bench::start().await;
+    let Opened {
+        client, session, ..
+    } = bench.open("").await;
+    let cancel = client.cancel_token();
+    let running = tokio::spawn(async move { client.batch_execute("SELECT 1").await });
+    bench.statement().await;
+    cancel.cancel_query(NoTls).await.expect("the edge takes it");
+    assert_eq!(bench.event().await, CallerEvent::Cancel { session });
+    bench.finish(session, None, None);
+    running.await.expect("it ends").expect("it is answered");
+}
+
+#[tokio::test]
+async fn stop_listening() {
+    let bench = Bench::start().await;
+    let Opened {
+        client, session, ..
+    } = bench.open("").await;
+    bench.give(CallerEffect::StopListening);
+    let closed = async {
+        while tokio::net::TcpStream::connect(bench.address).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(WAIT, closed)
+        .await
+        .expect("the listener closes");
+    let (done, _) = tokio::join!(client.batch_execute("DELETE FROM t"), bench.answer(session));
+    done.expect("open sessions go on");
+}
+
+/// Passes statements to a backend server through the backend edge, each on a new connection.
+async fn relay(bench: &Bench, group: &BackendGroup) {
+    let (event_tx, events) = flume::bounded(256);
+    let (effects, effect_rx) = flume::bounded(256);
+    let settings = BackendSettings {
+        user: "sapphireslip".into(),
+        password: None,
+        vm: VmId::try_from("vm-1").expect("well formed"),
+        zone: ZoneName::try_from("zone-a").expect("well formed"),
+    };
+    tokio::spawn(run_backend_edge(event_tx, effect_rx, settings));
+    for number in 0_u64.. {
+        let event = bench.event().await;
+        let CallerEvent::Statement {
+            session, payload, ..
+        } = event
+        else {
+            continue;
+        };
+        let connection = ConnectionId(number);
+        effects
+            .send(BackendEffect::Connect {
+                connection,
+                server: group.id(0),
+                address: group.addresses()[0],
+                database: DatabaseName::try_from("stock").expect("well formed"),
+            })
+            .expect("the edge runs");
+        let mut pending = Some(payload);
+        while let Ok(Event::Backend(event)) = events.recv_async().await {
+            match event {
+                BackendEvent::Connected { .. } => {
+                    let payload = pending.take().expect("it connects once");
+                    let work = WorkId(number);
+                    let payload = WorkPayload::Messages(payload);
+                    let send = BackendEffect::Send {
+                        connection,
+                        work,
+                        payload,
+                    };
+                    effects.send(send).expect("the edge runs");
+                }
+                BackendEvent::Answered { payload, end, .. } => {
+                    bench.give(CallerEffect::Answer { session, payload });
+                    if let Some(end) = end {
+                        bench.give(CallerEffect::Finish {
+                            session,
+                            refusal: None,
+                            transaction: end.transaction,
+                            token: end.committed,
+                        });
+                        break;
+                    }
+                }
+                other => panic!("the backend edge said {other:?}"),
+            }
+        }
+        effects
+            .send(BackendEffect::Close { connection })
+            .expect("the edge runs");
+    }
+}
+
+#[tokio::test]
+async fn prepared_over_changing_connections() {
+    let group = BackendGroup::start(BackendGroupSettings {
+        open_cost: Duration::ZERO,
+        ..Default::default()
+    })
+    .await
+    .expect("loopback has free ports");
+    let bench = Bench::start().await;
+    let Opened { client, .. } = bench.open("").await;
+    let work = async {
+        let sql = "CREATE TABLE t (id BIGINT PRIMARY KEY, name TEXT)";
+        client.batch_execute(sql).await.expect("the table is new");
+        let insert = client
+            .prepare("INSERT INTO t VALUES ($1, $2)")
+            .await
+            .expect("prepares");
+        let select = client
+            .prepare("SELECT name FROM t WHERE id = $1")
+            .await
+            .expect("prepares");
+        for id in 0_i64..3 {
+            let name = format!("name {id}");
+            client
+                .execute(&insert, &[&id, &name])
+                .await
+                .expect("inserts");
+            let row = client.query_one(&select, &[&id]).await.expect("one row");
+            assert_eq!(row.get::<_, String>(0), name);
+        }
+        let twice = client.execute(&insert, &[&0_i64, &"again"]).await;
+        assert_eq!(twice.map_err(code), Err("23505".to_owned()));
+        let rows = client
+            .query("SELECT id FROM t", &[])
+            .await
+            .expect("the session goes on");
+        assert_eq!(rows.len(), 3);
+        let rows = client
+            .simple_query("SHOW sapphireslip.token")
+            .await
+            .expect("it is local");
+        assert_eq!(shown(&rows), Some("1/5"));
+    };
+    let worked = tokio::time::timeout(WAIT, async {
+        tokio::select! {
+            () = work => {}
+            () = relay(&bench, &group) => {}
+        }
+    });
+    worked.await.expect("in time");
+}
