--- a/sapphireslipd/examples/demo.rs
+++ b/sapphireslipd/examples/demo.rs
@@ -64,17 +64,33 @@
 /// A session writes through one daemon and reads its write through another zone's.
 async fn show_roaming(fleet: &Fleet) -> Result<(), Box<dyn Error>> {
     let client = connect(fleet, 0, None).await?;
-    write(&client, "CREATE TABLE reservation (laptop TEXT, branch TEXT)").await?;
-    write(&client, "INSERT INTO reservation VALUES ('laptop-7', 'xela')").await?;
+    write(
+        &client,
+        "CREATE TABLE reservation (laptop TEXT, branch TEXT)",
+    )
+    .await?;
+    write(
+        &client,
+        "INSERT INTO reservation VALUES ('laptop-7', 'xela')",
+    )
+    .await?;
     let token = first_value(&client.simple_query("SHOW sapphireslip.token").await?);
     let token = token.ok_or("no session token was reported")?;
-    say(&format!("reserved laptop-7 through vm-0 in zone a, session token {token}"));
+    say(&format!(
+        "reserved laptop-7 through vm-0 in zone a, session token {token}"
+    ));
     for (number, token) in [(2, Some(token.as_str())), (4, None)] {
         let moved = connect(fleet, number, token).await?;
         let rows = moved.simple_query("SELECT branch FROM reservation").await?;
         let branch = first_value(&rows).ok_or("the session does not see its own write")?;
-        let how = if token.is_some() { "with its token" } else { "its token lost" };
-        say(&format!("vm-{number} in another zone, {how}: reserved by {branch}"));
+        let how = if token.is_some() {
+            "with its token"
+        } else {
+            "its token lost"
+        };
+        say(&format!(
+            "vm-{number} in another zone, {how}: reserved by {branch}"
+        ));
     }
     Ok(())
 }
@@ -93,12 +109,21 @@
     let unix = SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs();
     let sql = format!("/* sapphireslip key={unix}.repair-42 */ INSERT INTO payment VALUES ('42')");
     write(&client, &sql).await?;
-    say(&format!("the payment landed {:?} after the kill", killed.elapsed()));
+    say(&format!(
+        "the payment landed {:?} after the kill",
+        killed.elapsed()
+    ));
     write(&client, &sql).await?;
     let rows = client.simple_query("SELECT count(*) FROM payment").await?;
     let count = first_value(&rows).unwrap_or_default();
-    say(&format!("sent again under the same key: stored {count} time"));
-    if count == "1" { Ok(()) } else { Err(format!("the payment is stored {count} times").into()) }
+    say(&format!(
+        "sent again under the same key: stored {count} time"
+    ));
+    if count == "1" {
+        Ok(())
+    } else {
+        Err(format!("the payment is stored {count} times").into())
+    }
 }
 
 async fn connect(
--- a/sapphireslipd/tests/support/faults.rs
+++ b/sapphireslipd/tests/support/faults.rs
@@ -31,7 +31,9 @@
 pub fn primary(fleet: &Fleet, database: usize) -> Option<usize> {
     let group = fleet.group(database);
     let is_primary = |server: &usize| group.status(*server).role == ServerRole::Primary;
-    (0..SERVERS_A_GROUP).filter(is_primary).max_by_key(|server| group.status(*server).fenced)
+    (0..SERVERS_A_GROUP)
+        .filter(is_primary)
+        .max_by_key(|server| group.status(*server).fenced)
 }
 
 /// Carries out a fault on a server or a daemon.
@@ -44,7 +46,9 @@
         let server = server(fleet, which.value.as_str()).await?;
         return server_fault(fleet, name, server, args).await;
     }
-    let number: usize = args.lookup_parse("daemon")?.ok_or("name a server or a daemon")?;
+    let number: usize = args
+        .lookup_parse("daemon")?
+        .ok_or("name a server or a daemon")?;
     match name {
         "kill" => fleet.kill_daemon(number)?,
         "freeze" => fleet.signal_daemon(number, Signal::STOP)?,
--- a/sapphireslipd/tests/support/load.rs
+++ b/sapphireslipd/tests/support/load.rs
@@ -27,10 +27,19 @@
         let writes = Arc::new(AtomicU64::new(0));
         let tasks = targets.into_iter().enumerate().map(|(number, target)| {
             let session = ScriptSession::new(&format!("{name}-{number}"), target);
-            let run = run(session, Arc::clone(ledger), Arc::clone(&stop), Arc::clone(&writes));
+            let run = run(
+                session,
+                Arc::clone(ledger),
+                Arc::clone(&stop),
+                Arc::clone(&writes),
+            );
             tokio::spawn(run)
         });
-        Self { tasks: tasks.collect(), stop, writes }
+        Self {
+            tasks: tasks.collect(),
+            stop,
+            writes,
+        }
     }
 
     /// Returns how many writes have been acknowledged.
@@ -62,7 +71,10 @@
             session.acknowledged += 1;
             writes.fetch_add(1, Ordering::Relaxed);
         }
-        ledger.lock().unwrap().note_write(&request, told, Instant::now());
+        ledger
+            .lock()
+            .unwrap()
+            .note_write(&request, told, Instant::now());
         match session.sees_its_writes().await {
             Ok(sees) => ledger.lock().unwrap().note_read(!sees),
             Err(_refused) => ledger.lock().unwrap().note_read_refused(),
--- a/sapphireslipd/tests/support/scenario.rs
+++ b/sapphireslipd/tests/support/scenario.rs
@@ -137,7 +137,10 @@
     async fn session(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
         let name = args.next_pos().ok_or("name the session")?.value.clone();
         let daemon = args.lookup_parse("daemon")?.unwrap_or(0);
-        let database = args.lookup("database").map_or("stock", |arg| &arg.value).to_owned();
+        let database = args
+            .lookup("database")
+            .map_or("stock", |arg| &arg.value)
+            .to_owned();
         let from = args.lookup("token-of").map(|arg| arg.value.clone());
         let token = match from {
             Some(from) => self.session_mut(&from)?.token().await,
@@ -147,16 +150,24 @@
         if let Some(password) = args.lookup("password") {
             target.password.clone_from(&password.value);
         }
-        let acknowledged = self.sessions.get(&name).map_or(0, |session| session.acknowledged);
+        let acknowledged = self
+            .sessions
+            .get(&name)
+            .map_or(0, |session| session.acknowledged);
         let mut session = ScriptSession::new(&name, target);
         session.acknowledged = acknowledged;
         let connected = session.connect().await;
         self.sessions.insert(name, session);
-        Ok(connected.map_or_else(|err| format!("refused: {}", code_of(&err)), |()| String::new()))
+        Ok(connected.map_or_else(
+            |err| format!("refused: {}", code_of(&err)),
+            |()| String::new(),
+        ))
     }
 
     fn session_mut(&mut self, name: &str) -> Result<&mut ScriptSession, String> {
-        self.sessions.get_mut(name).ok_or_else(|| format!("no session `{name}`"))
+        self.sessions
+            .get_mut(name)
+            .ok_or_else(|| format!("no session `{name}`"))
     }
 
     async fn sql(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
@@ -191,7 +202,10 @@
         {
             session.acknowledged += 1;
         }
-        self.ledger.lock().unwrap().note_write(request, told(attempt), Instant::now());
+        self.ledger
+            .lock()
+            .unwrap()
+            .note_write(request, told(attempt), Instant::now());
         describe(attempt)
     }
 
@@ -217,14 +231,18 @@
     fn load(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
         let name = args.next_pos().ok_or("name the load")?.value.clone();
         let sessions = args.lookup_parse("sessions")?.unwrap_or(6);
-        let database = args.lookup("database").map_or("stock", |arg| &arg.value).to_owned();
+        let database = args
+            .lookup("database")
+            .map_or("stock", |arg| &arg.value)
+            .to_owned();
         let daemon: Option<usize> = args.lookup_parse("daemon")?;
         let fleet = self.fleet()?;
         let daemons = fleet.daemons();
         let targets = (0..sessions)
             .map(|number| target(fleet, daemon.unwrap_or(number % daemons), &database, None))
             .collect();
-        self.loads.insert(name.clone(), Load::start(&name, targets, &self.ledger));
+        self.loads
+            .insert(name.clone(), Load::start(&name, targets, &self.ledger));
         Ok(String::new())
     }
 
@@ -261,7 +279,12 @@
 
     fn platform(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
         let platform = self.fleet()?.platform();
-        match args.next_pos().ok_or("say `up`, `down` or `lose-answer`")?.value.as_str() {
+        match args
+            .next_pos()
+            .ok_or("say `up`, `down` or `lose-answer`")?
+            .value
+            .as_str()
+        {
             "up" => platform.down(false),
             "down" => platform.down(true),
             "lose-answer" => platform.lose_next_answer(),
@@ -303,7 +326,12 @@
                 let generation = fleet.generation(number, 0).await?;
                 (generation == self.generation).then_some(())
             };
-            wait_for(&format!("generation in force on {number}"), left, is_in_force).await?;
+            wait_for(
+                &format!("generation in force on {number}"),
+                left,
+                is_in_force,
+            )
+            .await?;
         }
         Ok(String::new())
     }
@@ -316,9 +344,17 @@
             let primary = async || primary(fleet, database);
             let server = wait_for("primary", PROGRESS_LIMIT, primary).await?;
             assert!(server < SERVERS_A_GROUP);
-            stored.extend(fleet.stored(database, server, "SELECT request FROM entry").await?);
+            stored.extend(
+                fleet
+                    .stored(database, server, "SELECT request FROM entry")
+                    .await?,
+            );
         }
-        let verdict = self.ledger.lock().unwrap().verdict(stored.iter().map(String::as_str));
+        let verdict = self
+            .ledger
+            .lock()
+            .unwrap()
+            .verdict(stored.iter().map(String::as_str));
         Ok(format!(
             "lost {}, doubled {}, refused but run {}, stale {}",
             verdict.lost, verdict.doubled, verdict.ran_after_all, verdict.stale
@@ -336,16 +372,24 @@
 }
 
 fn code_of(err: &tokio_postgres::Error) -> String {
-    err.code().map_or_else(|| err.to_string(), |code| code.code().to_owned())
+    err.code()
+        .map_or_else(|| err.to_string(), |code| code.code().to_owned())
 }
 
 fn describe(attempt: &Attempt) -> String {
     match attempt {
         Attempt::Done => "done".to_owned(),
         Attempt::KeyTaken => "refused: 23505".to_owned(),
-        Attempt::NotRun { message, retry_after } => {
+        Attempt::NotRun {
+            message,
+            retry_after,
+        } => {
             let code = message.split(':').next().unwrap_or_default();
-            let when = if retry_after.is_some() { ", come back" } else { "" };
+            let when = if retry_after.is_some() {
+                ", come back"
+            } else {
+                ""
+            };
             format!("not run: {code}{when}")
         }
         Attempt::Unknown { .. } => "unknown".to_owned(),
--- a/sapphireslipd/tests/support/script_session.rs
+++ b/sapphireslipd/tests/support/script_session.rs
@@ -41,17 +41,29 @@
 
 impl ScriptSession {
     pub fn new(name: &str, target: Target) -> Self {
-        Self { name: name.to_owned(), target, client: None, acknowledged: 0 }
+        Self {
+            name: name.to_owned(),
+            target,
+            client: None,
+            acknowledged: 0,
+        }
     }
 
     pub async fn connect(&mut self) -> Result<(), tokio_postgres::Error> {
-        if self.client.as_ref().is_some_and(|client| !client.is_closed()) {
+        if self
+            .client
+            .as_ref()
+            .is_some_and(|client| !client.is_closed())
+        {
             return Ok(());
         }
         let mut config = tokio_postgres::Config::new();
         let daemon = self.target.daemon;
         config.host(daemon.ip().to_string()).port(daemon.port());
-        config.user(USER).password(&self.target.password).dbname(&self.target.database);
+        config
+            .user(USER)
+            .password(&self.target.password)
+            .dbname(&self.target.database);
         config.connect_timeout(Duration::from_secs(5));
         if let Some(token) = &self.target.token {
             config.options(format!("-c sapphireslip.token={token}"));
@@ -72,13 +84,20 @@
                 Attempt::NotRun { retry_after, .. } => retry_after,
                 _ => None,
             };
-            return Err(Attempt::NotRun { retry_after, message: format!("connect: {err:?}") });
+            return Err(Attempt::NotRun {
+                retry_after,
+                message: format!("connect: {err:?}"),
+            });
         }
-        let Some(client) = &self.client else { unreachable!("it has just been connected") };
+        let Some(client) = &self.client else {
+            unreachable!("it has just been connected")
+        };
         let answer = tokio::time::timeout(ANSWER_LIMIT, client.simple_query(sql)).await;
         match answer {
             Ok(result) => result.map_err(|err| attempt_of(&err)),
-            Err(_elapsed) => Err(Attempt::Unknown { message: "no answer at all".to_owned() }),
+            Err(_elapsed) => Err(Attempt::Unknown {
+                message: "no answer at all".to_owned(),
+            }),
         }
     }
 
@@ -116,9 +135,15 @@
             match self.query(sql).await {
                 Ok(_) => return Attempt::Done,
                 Err(Attempt::KeyTaken) => {
-                    return Attempt::NotRun { retry_after: None, message: "claimed".to_owned() };
+                    return Attempt::NotRun {
+                        retry_after: None,
+                        message: "claimed".to_owned(),
+                    };
                 }
-                Err(Attempt::NotRun { retry_after, message }) => {
+                Err(Attempt::NotRun {
+                    retry_after,
+                    message,
+                }) => {
                     last = message;
                     tokio::time::sleep(retry_after.unwrap_or(DEFAULT_RETRY_AFTER)).await;
                 }
@@ -133,20 +158,28 @@
         if may_have_run {
             return Attempt::Unknown { message: last };
         }
-        Attempt::NotRun { retry_after: None, message: last }
+        Attempt::NotRun {
+            retry_after: None,
+            message: last,
+        }
     }
 
     /// Returns whether a read shows every write that this session was told is done.
     pub async fn sees_its_writes(&mut self) -> Result<bool, Attempt> {
         let sql = format!("SELECT count(*) FROM entry WHERE session = '{}'", self.name);
         let rows = self.query(&sql).await?;
-        let count = first_value(&rows).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+        let count = first_value(&rows)
+            .and_then(|text| text.parse::<u64>().ok())
+            .unwrap_or(0);
         Ok(count >= self.acknowledged)
     }
 }
 
 pub fn unix_seconds() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_secs()
 }
 
 pub fn first_value(rows: &[SimpleQueryMessage]) -> Option<String> {
