Core: tests of the home, event by event and over random orders

Reads that look for a fresh replica now make the home ask the group anew when the best replica's known age passes half of what is allowed, since the quiet poll of once a second would leave every replica too old at a limit below that. A home asks the group at once when it opens: a test of the probe showed that the first poll came only with the next tick.

The server is now always known when a request is lost.

--- a/sapphireslip-core/src/dispatch.rs
+++ b/sapphireslip-core/src/dispatch.rs
@@ -19,6 +19,12 @@
 /// How long an answer to a probe of the group is awaited before it is asked again.
 const PROBE_RETRY: Duration = Duration::from_millis(100);
 
+/// The part of the allowed age past which the replicas' ages are learnt anew, as one in so many.
+const AGE_REFRESH_SHARE: u32 = 2;
+
+/// The least time between two rounds that learn the replicas' ages for reads.
+const AGE_REFRESH_MIN: Duration = Duration::from_millis(50);
+
 /// What becomes of a queued request now.
 enum Target {
     Server(ServerId),
@@ -34,6 +40,7 @@
         let queued: Vec<_> = self.queue.ids().cloned().collect();
         for id in queued {
             self.learn_floor(cx, &id);
+            self.refresh_ages(cx, &id);
             match self.target(cx, fleet, &id) {
                 Target::Server(server) => self.send_to(cx, ids, &id, &server),
                 Target::Wait => {}
@@ -60,6 +67,30 @@
         self.group.probe(cx);
     }
 
+    /// Asks the group anew while reads come in and the best replica's known age nears the limit.
+    fn refresh_ages(&mut self, cx: &mut Cx<'_>, id: &RequestId) {
+        let now = cx.now.instant;
+        let max_staleness = self.spec.max_staleness;
+        let wants_replica = self.jobs.get(id).is_some_and(|job| !job.at_primary);
+        let interval = AGE_REFRESH_MIN.max(max_staleness / AGE_REFRESH_SHARE);
+        let is_recent = self.ages_asked.is_some_and(|at| now < at + interval);
+        if !wants_replica || max_staleness.is_zero() || is_recent {
+            return;
+        }
+        let primary = self.group.primary().map(|primary| primary.server);
+        let best = self
+            .spec
+            .servers
+            .iter()
+            .filter(|spec| Some(&spec.id) != primary.as_ref())
+            .filter_map(|spec| self.group.staleness(&spec.id, now))
+            .min();
+        if best.is_none_or(|age| age >= max_staleness / AGE_REFRESH_SHARE) {
+            self.ages_asked = Some(now);
+            self.group.probe(cx);
+        }
+    }
+
     fn target(&self, cx: &Cx<'_>, fleet: Fleet<'_>, id: &RequestId) -> Target {
         let Some(job) = self.jobs.get(id) else {
             return Target::Wait;
@@ -120,9 +151,10 @@
         let candidates = self.candidates(cx, fleet, job);
         let replica_wait_end = job.arrived + REPLICA_WAIT;
         let max_staleness = self.spec.max_staleness;
+        let is_asking = self.ages_asked.is_some_and(|at| now < at + REPLICA_WAIT);
         let may_gain_replica = candidates
             .iter()
-            .any(|c| c.is_nearly_fit_replica(max_staleness));
+            .any(|c| c.may_become_fit(max_staleness, is_asking));
         match route_read(&candidates, max_staleness) {
             ReadRoute::Replica(server) => Target::Server(server),
             ReadRoute::Primary(_) | ReadRoute::Busy if job.may_have_run => {
@@ -161,6 +193,7 @@
                 let leads = primary.as_ref().filter(|p| p.server == spec.id);
                 let visibility = match leads {
                     Some(primary) => self.primary_visibility(primary, job.floor),
+                    None if floor == TermPosition::default() => self.any_visibility(&spec.id),
                     None => self.group.visibility(&spec.id, floor),
                 };
                 Some(Candidate {
@@ -179,6 +212,14 @@
             .collect()
     }
 
+    /// Returns what a session that has seen nothing yet may read.
+    fn any_visibility(&self, server: &ServerId) -> Visibility {
+        match self.group.status(server) {
+            Some(_) => Visibility::Visible,
+            None => Visibility::Behind,
+        }
+    }
+
     /// Returns whether the primary's reads see a record: those of its own term it wrote itself,
     /// whether or not its status has told so yet.
     fn primary_visibility(&self, primary: &Primary, floor: Option<TermPosition>) -> Visibility {
--- a/sapphireslip-core/src/home.rs
+++ b/sapphireslip-core/src/home.rs
@@ -6,6 +6,7 @@
 use crate::derives::data;
 use crate::job::{Job, Timer, Transaction};
 use crate::link::{HomeIds, Link};
+use crate::placement::homes_of;
 use crate::{
     AnswerEnd, Certainty, ConnectionId, Cx, DatabaseSpec, Fleet, Group, Instant, Outcome, Pool,
     Queue, Refusal, RefusalReason, RequestId, RetryBudget, ServerId, ServerSpec, SessionKey,
@@ -33,17 +34,21 @@
         pub(crate) budget: RetryBudget,
         /// When each server last answered a group request.
         pub(crate) replies: BTreeMap<ServerId, Instant>,
+        /// When the replicas' ages were last asked for.
+        pub(crate) ages_asked: Option<Instant>,
         wake: Option<Instant>,
     }
 }
 
 impl Home {
-    pub(crate) fn new(cx: &Cx<'_>, spec: DatabaseSpec) -> Self {
+    /// Opens a home, which asks the group for its status at once.
+    pub(crate) fn open(cx: &mut Cx<'_>, fleet: Fleet<'_>, spec: &DatabaseSpec) -> Self {
+        let is_home = homes_of(fleet.membership, spec).contains(&cx.local.vm);
         let mut home = Self {
             group: Group::new(spec.clone()),
-            spec,
+            spec: spec.clone(),
             opened: cx.now.instant,
-            is_closing: false,
+            is_closing: !is_home,
             jobs: BTreeMap::new(),
             queue: Queue::default(),
             acknowledging: BTreeSet::new(),
@@ -53,9 +58,11 @@
             transactions: BTreeMap::new(),
             budget: RetryBudget::default(),
             replies: BTreeMap::new(),
+            ages_asked: None,
             wake: None,
         };
         home.sync_pools(cx);
+        home.group.on_tick(cx, fleet);
         home
     }
 
--- a/sapphireslip-core/src/homes.rs
+++ b/sapphireslip-core/src/homes.rs
@@ -29,8 +29,8 @@
                 match self.homes.get_mut(&spec.name) {
                     Some(home) => home.update(cx, spec, is_home),
                     None if is_home => {
-                        self.homes
-                            .insert(spec.name.clone(), Home::new(cx, spec.clone()));
+                        let home = Home::open(cx, fleet, spec);
+                        self.homes.insert(spec.name.clone(), home);
                     }
                     None => {}
                 }
@@ -60,7 +60,7 @@
         let home = self
             .homes
             .entry(request.database.clone())
-            .or_insert_with(|| Home::new(cx, spec.clone()));
+            .or_insert_with(|| Home::open(cx, fleet, spec));
         home.accept(cx, fleet, &mut self.ids, request);
         home.advance(cx, fleet, &mut self.ids);
     }
--- a/sapphireslip-core/src/loss.rs
+++ b/sapphireslip-core/src/loss.rs
@@ -2,10 +2,21 @@
 
 use std::time::Duration;
 
+use crate::derives::key;
 use crate::job::{LossClass, Stage};
 use crate::link::LinkState;
 use crate::{ConnectionId, Cx, Home, KeyedNext, RefusalReason, RequestId, ServerId, StatementKind};
 
+key! {
+    /// Whether a lost request may be tried on another server, within the budget.
+    pub(crate) enum Retry {
+        /// If it can do no harm.
+        Elsewhere,
+        /// The request itself was given up.
+        Never,
+    }
+}
+
 /// The wait between two attempts to learn whether a keyed write ran.
 pub const RESOLVE_RETRY: Duration = Duration::from_millis(50);
 
@@ -23,20 +34,25 @@
             }
             LinkState::Working(work) => {
                 self.unpin(&work.request, connection);
-                let server = Some(&link.server);
-                self.lose(cx, &work.request, server, RefusalReason::AnswerLost);
+                let retry = Retry::Elsewhere;
+                self.lose(
+                    cx,
+                    &work.request,
+                    &link.server,
+                    retry,
+                    RefusalReason::AnswerLost,
+                );
             }
         }
     }
 
     /// Works off a request that was at a server and whose connection is gone from the books.
-    ///
-    /// It is tried again elsewhere, within the budget, only if the server that failed is given.
     pub(crate) fn lose(
         &mut self,
         cx: &mut Cx<'_>,
         id: &RequestId,
-        failed: Option<&ServerId>,
+        server: &ServerId,
+        retry: Retry,
         reason: RefusalReason,
     ) {
         let Some(job) = self.jobs.get_mut(id) else {
@@ -56,14 +72,15 @@
             }
             return;
         }
-        self.lose_unkeyed(cx, id, failed, reason);
+        self.lose_unkeyed(cx, id, server, retry, reason);
     }
 
     fn lose_unkeyed(
         &mut self,
         cx: &mut Cx<'_>,
         id: &RequestId,
-        failed: Option<&ServerId>,
+        server: &ServerId,
+        retry: Retry,
         reason: RefusalReason,
     ) {
         let primary = self.group.primary();
@@ -71,8 +88,7 @@
             return;
         };
         // A server that was no primary when asked may be one by now.
-        let may_write = job.could_write
-            || failed.is_none_or(|server| primary.is_none_or(|p| p.server == *server));
+        let may_write = job.could_write || primary.is_none_or(|p| p.server == *server);
         let in_transaction = job.request.in_transaction;
         let class = job.loss_class(may_write, in_transaction);
         job.may_have_run |= class == LossClass::Doubtful;
@@ -85,9 +101,7 @@
             self.refuse(cx, id, RefusalReason::TransactionLost, detail);
             return;
         }
-        if let Some(server) = failed
-            && self.may_retry(id)
-        {
+        if retry == Retry::Elsewhere && self.may_retry(id) {
             self.retry(id, server);
             return;
         }
@@ -148,8 +162,11 @@
             return;
         };
         self.unpin(id, connection);
+        let server = self.links.get(&connection).map(|link| link.server.clone());
         self.close(cx, connection);
-        self.lose(cx, id, None, reason);
+        if let Some(server) = server {
+            self.lose(cx, id, &server, Retry::Never, reason);
+        }
     }
 
     /// Takes a caller's wish to end its request.
--- a/sapphireslip-core/src/route.rs
+++ b/sapphireslip-core/src/route.rs
@@ -51,13 +51,14 @@
             && self.staleness.is_some_and(|age| age <= max_staleness)
     }
 
-    /// Returns whether a replica may soon be fit and free: it lags within the age allowed.
-    pub(crate) fn is_nearly_fit_replica(&self, max_staleness: Duration) -> bool {
+    /// Returns whether a replica may soon be fit and free: it lags within the age allowed, or its
+    /// age is being learnt anew.
+    pub(crate) fn may_become_fit(&self, max_staleness: Duration, is_asking: bool) -> bool {
         !self.is_primary
             && !self.excluded
             && self.is_reachable
             && !max_staleness.is_zero()
-            && self.staleness.is_some_and(|age| age <= max_staleness)
+            && (is_asking || self.staleness.is_some_and(|age| age <= max_staleness))
     }
 
     fn is_fit_primary(&self) -> bool {
--- a/sapphireslip-core/src/silence.rs
+++ b/sapphireslip-core/src/silence.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::link::{LinkState, Work};
+use crate::loss::Retry;
 use crate::{
     ConnectionId, Cx, Home, Instant, RefusalReason, RequestId, ServerId, StatementKind,
     TimelineEntry, TimelineKind,
@@ -97,7 +98,7 @@
         };
         self.unpin(&id, connection);
         self.close(cx, connection);
-        self.lose(cx, &id, Some(server), RefusalReason::AnswerLost);
+        self.lose(cx, &id, server, Retry::Elsewhere, RefusalReason::AnswerLost);
     }
 
     fn record_silence(&self, cx: &mut Cx<'_>, server: &ServerId) {
--- a/sapphireslip-core/src/transaction.rs
+++ b/sapphireslip-core/src/transaction.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use crate::job::Transaction;
-use crate::link::{HomeIds, LinkState};
+use crate::link::{HomeIds, Link, LinkState};
+use crate::loss::Retry;
 use crate::{
     ConnectionId, Cx, Home, Incarnation, Instant, RefusalReason, RequestId, SessionId, SessionKey,
     StatementKind, TransactionStatus, VmId,
@@ -97,10 +98,14 @@
             return;
         };
         let connection = transaction.connection;
-        let link = self.links.get(&connection).map(|link| link.state.clone());
+        let link = self.links.get(&connection).cloned();
         self.close(cx, connection);
-        if let Some(LinkState::Working(work)) = link {
-            self.lose(cx, &work.request, None, RefusalReason::TransactionLost);
+        let Some(Link { server, state }) = link else {
+            return;
+        };
+        if let LinkState::Working(work) = state {
+            let reason = RefusalReason::TransactionLost;
+            self.lose(cx, &work.request, &server, Retry::Never, reason);
         }
     }
 
--- /dev/null
+++ b/sapphireslip-core/tests/home_order.rs
@@ -0,0 +1,341 @@
+//! Over random orders of events: no two transactions share a connection, every request gets just
+//! one final answer, nothing that may write is sent twice, and "not run" is never said of what ran.
+
+mod home_fake;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use home_fake::{Fake, Sent, committed, failed, ok, open};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use sapphireslip_core::*;
+
+const CASES: u32 = 256;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Ask {
+        session: u64,
+        kind: StatementKind,
+        keyed: bool,
+    },
+    Reply {
+        pick: usize,
+        end: End,
+    },
+    Lose {
+        pick: usize,
+    },
+    Cancel {
+        pick: usize,
+    },
+    CloseSession {
+        session: u64,
+    },
+    Entry,
+    Cut {
+        server: usize,
+        up: bool,
+    },
+    Hold,
+    Run {
+        ms: u64,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+enum End {
+    Idle,
+    Open,
+    Committed,
+    Error(&'static [u8; 5]),
+    Aborted(&'static [u8; 5]),
+    ReadBack(&'static str),
+    Part,
+}
+
+fn end() -> impl Strategy<Value = End> {
+    prop_oneof![
+        3 => Just(End::Idle),
+        3 => Just(End::Open),
+        3 => Just(End::Committed),
+        1 => Just(End::Error(b"25006")),
+        1 => Just(End::Error(b"57P04")),
+        1 => Just(End::Error(b"23505")),
+        1 => Just(End::Aborted(b"23505")),
+        1 => Just(End::Aborted(b"42P01")),
+        1 => Just(End::ReadBack("done:4f4b")),
+        1 => Just(End::ReadBack("refused:")),
+        1 => Just(End::Part),
+    ]
+}
+
+fn kind() -> impl Strategy<Value = StatementKind> {
+    prop_oneof![
+        Just(StatementKind::Read),
+        Just(StatementKind::Write),
+        Just(StatementKind::Begin),
+        Just(StatementKind::BeginReadOnly),
+        Just(StatementKind::Commit),
+        Just(StatementKind::Rollback),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        8 => (0..4_u64, kind(), any::<bool>())
+            .prop_map(|(session, kind, keyed)| Step::Ask { session, kind, keyed }),
+        12 => (any::<usize>(), end()).prop_map(|(pick, end)| Step::Reply { pick, end }),
+        2 => any::<usize>().prop_map(|pick| Step::Lose { pick }),
+        1 => any::<usize>().prop_map(|pick| Step::Cancel { pick }),
+        1 => (0..4_u64).prop_map(|session| Step::CloseSession { session }),
+        1 => Just(Step::Entry),
+        1 => (0..3_usize, any::<bool>()).prop_map(|(server, up)| Step::Cut { server, up }),
+        2 => Just(Step::Hold),
+        3 => (1..800_u64).prop_map(|ms| Step::Run { ms }),
+    ]
+}
+
+/// What is known of one request from outside.
+struct Asked {
+    session: u64,
+    kind: StatementKind,
+    in_transaction: bool,
+    keyed: bool,
+    /// How often its own messages went to a server.
+    sends: u32,
+    /// Whether its messages are at a server, and on which connection.
+    running: Option<ConnectionId>,
+    /// Whether it may have been run outside a transaction.
+    may_have_run: bool,
+}
+
+struct World {
+    fake: Fake,
+    asked: BTreeMap<u64, Asked>,
+    seen: BTreeSet<WorkId>,
+    /// The session whose transaction a connection was last reported to be in.
+    owners: BTreeMap<ConnectionId, u64>,
+    position: u64,
+}
+
+fn number(sent: &Sent) -> Option<u64> {
+    match &sent.payload {
+        WorkPayload::Messages(payload) => std::str::from_utf8(payload).unwrap().parse().ok(),
+        WorkPayload::Sql(_) => None,
+    }
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            fake: Fake::new(),
+            asked: BTreeMap::new(),
+            seen: BTreeSet::new(),
+            owners: BTreeMap::new(),
+            position: 10,
+        }
+    }
+
+    /// Checks what the last event has led to.
+    fn observe(&mut self) {
+        for asked in self.asked.values_mut() {
+            let at = |connection| {
+                let sent = self.fake.sent.iter();
+                sent.into_iter().any(|sent| sent.connection == connection)
+            };
+            if asked.running.is_some_and(|connection| !at(connection)) {
+                asked.running = None;
+                asked.may_have_run = true;
+            }
+        }
+        for sent in self.fake.sent.clone() {
+            if !self.seen.insert(sent.work) {
+                continue;
+            }
+            let Some(number) = number(&sent) else {
+                continue;
+            };
+            let asked = self.asked.get_mut(&number).unwrap();
+            asked.sends += 1;
+            asked.running = Some(sent.connection);
+            let owner = self.owners.get(&sent.connection);
+            let is_own = owner.is_none_or(|owner| *owner == asked.session || asked.keyed);
+            assert!(
+                is_own,
+                "session {} on the connection of {owner:?}",
+                asked.session
+            );
+            let may_write = asked.keyed || asked.kind == StatementKind::Write;
+            assert!(
+                !may_write || asked.sends == 1,
+                "request {number} was sent twice"
+            );
+        }
+        let open = &self.fake.open;
+        self.owners
+            .retain(|connection, _| open.contains_key(connection));
+    }
+
+    fn ask(&mut self, session: u64, kind: StatementKind, keyed: bool) {
+        let last = self.asked.iter().rev().find(|(_, a)| a.session == session);
+        // A session has one request at a time.
+        let transaction = match last {
+            None => TransactionStatus::Idle,
+            Some((number, _)) => match self.fake.end(*number) {
+                None => return,
+                Some(end) => end.transaction,
+            },
+        };
+        let next = self.asked.len() as u64 + 1;
+        let mut request = self.fake.request(kind);
+        request.session = SessionId(session);
+        request.in_transaction = transaction != TransactionStatus::Idle;
+        request.payload = Bytes::from(next.to_string());
+        let is_keyed = keyed && kind == StatementKind::Write;
+        if is_keyed {
+            let key = format!("999999.key-{next}");
+            request.key = Some(RequestKey::try_from(key.as_str()).unwrap());
+        }
+        let asked = Asked {
+            session,
+            kind,
+            in_transaction: request.in_transaction,
+            keyed: is_keyed,
+            sends: 0,
+            running: None,
+            may_have_run: false,
+        };
+        self.asked.insert(next, asked);
+        assert_eq!(self.fake.ask(request), next);
+    }
+
+    fn reply(&mut self, pick: usize, end: End) {
+        let Some(sent) = self.pick(pick) else {
+            return;
+        };
+        let end = match end {
+            End::Part => return self.fake.reply(&sent, b"part", None),
+            End::Idle => ok(),
+            End::Open => open(),
+            End::Error(sqlstate) => failed(sqlstate),
+            End::Aborted(sqlstate) => WorkEnd {
+                transaction: TransactionStatus::Failed,
+                ..failed(sqlstate)
+            },
+            End::Committed | End::ReadBack(_) if sent.server != "s-a" => ok(),
+            End::Committed => self.commit(),
+            End::ReadBack(value) => WorkEnd {
+                value: Some(value.into()),
+                ..self.commit()
+            },
+        };
+        self.own(&sent, &end);
+        self.fake.reply(&sent, b"answer", Some(end));
+    }
+
+    fn commit(&mut self) -> WorkEnd {
+        self.position += 1;
+        self.fake.hold("s-a", self.position);
+        committed(1, self.position)
+    }
+
+    /// Keeps the books of what a work's end proves.
+    fn own(&mut self, sent: &Sent, end: &WorkEnd) {
+        if end.transaction == TransactionStatus::Idle {
+            self.owners.remove(&sent.connection);
+        }
+        let Some(asked) = number(sent).and_then(|number| self.asked.get_mut(&number)) else {
+            return;
+        };
+        asked.running = None;
+        asked.may_have_run |= end.committed.is_some();
+        if end.transaction != TransactionStatus::Idle {
+            self.owners.insert(sent.connection, asked.session);
+        }
+    }
+
+    fn pick(&self, pick: usize) -> Option<Sent> {
+        let sent = &self.fake.sent;
+        sent.get(pick % sent.len().max(1)).cloned()
+    }
+
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Ask {
+                session,
+                kind,
+                keyed,
+            } => self.ask(session, kind, keyed),
+            Step::Reply { pick, end } => self.reply(pick, end),
+            Step::Lose { pick } => {
+                if let Some(sent) = self.pick(pick) {
+                    self.fake.lose(&sent);
+                }
+            }
+            Step::Cancel { pick } => {
+                let number = pick as u64 % (self.asked.len() as u64 + 1);
+                self.fake.cancel(number);
+            }
+            Step::CloseSession { session } => self.fake.peer(PeerMessage::SessionClosed {
+                incarnation: Incarnation(1),
+                session: SessionId(session),
+            }),
+            Step::Entry => self.fake.event(Event::PeerLost {
+                vm: VmId::try_from(home_fake::ENTRY).unwrap(),
+            }),
+            Step::Cut { server, up } => {
+                let server = home_fake::SERVERS[server].to_owned();
+                self.fake.up.insert(server, up);
+            }
+            Step::Hold => self.fake.hold("s-b", self.position),
+            Step::Run { ms } => self.fake.run_ms(ms),
+        }
+        self.observe();
+    }
+
+    fn finish(&mut self) {
+        self.fake.run_ms(10_000);
+        self.observe();
+        for (number, asked) in &self.asked {
+            let ends = self.fake.answers.get(number).map_or(0, |a| a.ends.len());
+            assert_eq!(ends, 1, "request {number} has {ends} final answers");
+            let is_plain = !asked.keyed && !asked.in_transaction;
+            let has_run = asked.may_have_run && asked.kind == StatementKind::Write;
+            let said_not_run = self
+                .fake
+                .refusal(*number)
+                .is_some_and(|(_, ran)| ran == Certainty::NotRun);
+            assert!(
+                !(is_plain && has_run && said_not_run),
+                "request {number} may have run"
+            );
+        }
+        self.fake.run(TRANSACTION_IDLE_MAX);
+        assert!(self.fake.state.homes.is_idle());
+    }
+}
+
+#[test]
+fn order_random_events() {
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let steps = prop::collection::vec(step(), 1..120);
+    let result = runner.run(&steps, |steps| {
+        let mut world = World::new();
+        for step in steps {
+            world.take(step);
+        }
+        world.finish();
+        Ok(())
+    });
+    if let Err(err) = result {
+        panic!("{err}");
+    }
+}
--- /dev/null
+++ b/sapphireslip-core/tests/home_route.rs
@@ -0,0 +1,172 @@
+//! Where a home sends reads and writes.
+
+mod home_fake;
+
+use std::time::Duration;
+
+use home_fake::{Fake, committed, failed, ok, open, record};
+use rstest::rstest;
+use sapphireslip_core::*;
+
+fn candidate(server: &str) -> Candidate {
+    Candidate {
+        server: ServerId::try_from(server).unwrap(),
+        is_primary: false,
+        own_zone: false,
+        excluded: false,
+        visibility: Visibility::Visible,
+        staleness: Some(Duration::from_millis(10)),
+        is_reachable: true,
+        is_free: true,
+        in_flight: 0,
+    }
+}
+
+fn primary() -> Candidate {
+    Candidate {
+        is_primary: true,
+        ..candidate("p")
+    }
+}
+
+#[rstest]
+#[case::replica_first(|_: &mut Candidate| (), "replica r")]
+#[case::stale_replica(|c: &mut Candidate| c.staleness = Some(Duration::from_secs(1)), "primary p")]
+#[case::unknown_age(|c: &mut Candidate| c.staleness = None, "primary p")]
+#[case::behind_replica(|c: &mut Candidate| c.visibility = Visibility::Behind, "primary p")]
+#[case::excluded_replica(|c: &mut Candidate| c.excluded = true, "primary p")]
+#[case::busy_replica(|c: &mut Candidate| c.is_free = false, "primary p")]
+fn route_replica(#[case] change: fn(&mut Candidate), #[case] expected: &str) {
+    let mut replica = candidate("r");
+    change(&mut replica);
+    let route = match route_read(&[primary(), replica], Duration::from_millis(500)) {
+        ReadRoute::Replica(server) => format!("replica {server}"),
+        ReadRoute::Primary(server) => format!("primary {server}"),
+        other => format!("{other:?}"),
+    };
+    assert_eq!(route, expected);
+}
+
+#[test]
+fn route_own_zone_before_load() {
+    let near = Candidate {
+        own_zone: true,
+        in_flight: 3,
+        ..candidate("near")
+    };
+    let route = route_read(&[candidate("far"), near.clone()], Duration::from_secs(1));
+    assert_eq!(route, ReadRoute::Replica(near.server));
+}
+
+#[test]
+fn route_zero_staleness_primary_only() {
+    let route = route_read(&[primary(), candidate("r")], Duration::ZERO);
+    assert_eq!(route, ReadRoute::Primary(primary().server));
+}
+
+#[test]
+fn route_lost_branch() {
+    let lost = Candidate {
+        visibility: Visibility::LostBranch,
+        ..primary()
+    };
+    let route = route_read(&[lost], Duration::from_secs(1));
+    assert_eq!(route, ReadRoute::LostBranch);
+}
+
+#[test]
+fn read_goes_to_replica() {
+    let mut fake = Fake::new();
+    let read = fake.ask_kind(StatementKind::Read);
+    assert_ne!(fake.only().server, "s-a");
+    fake.reply_only(b"rows", ok());
+    assert!(fake.is_done(read));
+    assert_eq!(fake.answers[&read].payload, b"rows");
+    assert_eq!(fake.end(read).unwrap().seen, Some(record(1, 10)));
+}
+
+#[test]
+fn read_token_ahead_of_replicas_goes_to_primary() {
+    let mut fake = Fake::new();
+    fake.hold("s-a", 11);
+    let mut request = fake.request(StatementKind::Read);
+    request.freshness = Freshness::AtLeast(record(1, 11));
+    fake.ask(request);
+    assert!(fake.sent.is_empty(), "waits a moment for a replica");
+    fake.run_ms(6);
+    assert_eq!(fake.only().server, "s-a");
+}
+
+#[test]
+fn read_token_of_later_term_is_refused() {
+    let mut fake = Fake::new();
+    let mut request = fake.request(StatementKind::Read);
+    request.freshness = Freshness::AtLeast(record(2, 11));
+    let read = fake.ask(request);
+    fake.run_ms(600);
+    assert!(fake.sent.is_empty());
+    let expected = (RefusalReason::NoFreshServer, Certainty::NotRun);
+    assert_eq!(fake.refusal(read), Some(expected));
+}
+
+#[test]
+fn read_probe_learns_confirmed_record() {
+    let mut fake = Fake::new();
+    for server in home_fake::SERVERS {
+        fake.hold(server, 15);
+    }
+    let mut request = fake.request(StatementKind::Read);
+    request.freshness = Freshness::Probe;
+    let read = fake.ask(request);
+    fake.reply_only(b"rows", ok());
+    assert_eq!(fake.end(read).unwrap().seen, Some(record(1, 15)));
+}
+
+#[test]
+fn read_refused_by_replica_runs_at_primary() {
+    let mut fake = Fake::new();
+    let read = fake.ask_kind(StatementKind::Read);
+    fake.reply_only(b"error", failed(b"25006"));
+    assert_eq!(fake.only().server, "s-a");
+    fake.hold("s-b", 11);
+    fake.reply_only(b"INSERT 0 1", committed(1, 11));
+    fake.run_ms(5);
+    assert!(fake.is_done(read));
+    assert_eq!(fake.answers[&read].payload, b"INSERT 0 1");
+    assert_eq!(fake.end(read).unwrap().seen, Some(record(1, 11)));
+}
+
+#[test]
+fn write_without_majority_is_refused_at_once() {
+    let mut fake = Fake::new();
+    fake.up.insert("s-b".to_owned(), false);
+    fake.up.insert("s-c".to_owned(), false);
+    fake.run_ms(5000);
+    let write = fake.ask_kind(StatementKind::Write);
+    let expected = (RefusalReason::NoMajority, Certainty::NotRun);
+    assert_eq!(fake.refusal(write), Some(expected));
+    assert!(fake.sent.is_empty());
+}
+
+#[test]
+fn read_only_transaction_stays_on_its_replica() {
+    let mut fake = Fake::new();
+    fake.ask_kind(StatementKind::BeginReadOnly);
+    let begin = fake.only();
+    assert_ne!(begin.server, "s-a");
+    fake.reply_only(b"BEGIN", open());
+    let mut request = fake.request(StatementKind::Read);
+    request.in_transaction = true;
+    fake.ask(request);
+    assert_eq!(fake.only().connection, begin.connection);
+}
+
+#[test]
+fn request_unknown_database() {
+    let mut fake = Fake::new();
+    let mut request = fake.request(StatementKind::Read);
+    request.database = DatabaseName::try_from("other").unwrap();
+    let read = fake.ask(request);
+    let expected = (RefusalReason::UnknownDatabase, Certainty::NotRun);
+    assert_eq!(fake.refusal(read), Some(expected));
+}
