Core: scripts and random faults for a group, with a checker of its true logs

The checker reads the servers' true logs after each event.

It found two faults, now mended. A sample of a superseded primary's position was confirmed by the statuses of the next term: 'sb lacks 3/4, older than 2ms'; samples count only in their own term.

A home never proposes one term twice, so that orders held back can't mix.

--- a/sapphireslip-core/src/group.rs
+++ b/sapphireslip-core/src/group.rs
@@ -7,7 +7,7 @@
 use crate::{
     CallId, CallKind, Containment, Cx, DatabaseSpec, Fleet, GroupCall, GroupFailure, Instant,
     KnownServer, Promotion, Sample, Samples, ServerId, ServerStatus, Suspicion, Term, TermPosition,
-    TimelineEntry, TimelineKind, VmId, log_contains, placement,
+    TimelineEntry, TimelineKind, VmId, led_term, log_contains, placement,
 };
 
 /// Within what time a majority must have answered for writes to be taken.
@@ -281,7 +281,7 @@
             return (now.since(confirmed) <= CONFIRMED_WINDOW).then_some(Duration::ZERO);
         }
         self.samples
-            .until(confirmed)
+            .until(confirmed, primary.term)
             .find(|sample| self.visibility(server, sample.held) == Visibility::Visible)
             .map(|sample| now.since(sample.asked))
     }
@@ -393,8 +393,8 @@
             return;
         };
         known.absorb(status, asked, now);
-        let leads = self.leader().is_some_and(|leader| leader.server == *server);
-        if leads && status.held.term == status.fenced {
+        let led = led_term(status);
+        if led.is_some() && led == self.leader().map(|leader| leader.term) {
             self.samples.add(Sample {
                 asked,
                 held: status.held,
--- a/sapphireslip-core/src/known_server.rs
+++ b/sapphireslip-core/src/known_server.rs
@@ -149,11 +149,7 @@
 
     /// Returns the term that the server leads, once it has written that term's start.
     pub(crate) fn leads(&self) -> Option<Term> {
-        let status = self.status.as_ref()?;
-        let leads = status.role == ServerRole::Primary
-            && status.held.term == status.fenced
-            && status.fenced > Term(0);
-        leads.then_some(status.fenced)
+        self.status.as_ref().and_then(led_term)
     }
 
     /// Returns the highest term that the server was fenced at, as far as is known.
@@ -161,3 +157,11 @@
         self.status.as_ref().map_or(Term(0), |status| status.fenced)
     }
 }
+
+/// Returns the term that a status's server leads, once it has written that term's start.
+pub(crate) fn led_term(status: &ServerStatus) -> Option<Term> {
+    let leads = status.role == ServerRole::Primary
+        && status.held.term == status.fenced
+        && status.fenced > Term(0);
+    leads.then_some(status.fenced)
+}
--- a/sapphireslip-core/src/promotion.rs
+++ b/sapphireslip-core/src/promotion.rs
@@ -45,6 +45,8 @@
     #[derive(Default)]
     pub struct Promotion {
         stage: Stage,
+        /// The highest term that this home ever proposed: none is proposed twice.
+        proposed: Term,
         retry_at: Instant,
         attempts: u32,
     }
@@ -62,6 +64,9 @@
     /// A term that is being fenced.
     struct Fencing {
         term: Term,
+        /// The server that is to be replaced, though it may answer.
+        replaces: Option<ServerId>,
+        /// Whether that one does answer, so that more than a majority is worth a wait.
         planned: bool,
         since: Instant,
         granted: BTreeMap<ServerId, ServerStatus>,
@@ -111,8 +116,8 @@
     }
 }
 
-/// Returns the server to promote: one whose log is at or past those of a majority, all fenced; a
-/// leaving one only if there is no other.
+/// Returns the server to promote: one whose log is at or past those of a majority, all fenced; an
+/// avoided one only if there is no other.
 ///
 /// ```
 /// use std::collections::BTreeMap;
@@ -123,13 +128,13 @@
 pub fn choose_primary(
     fenced: &BTreeMap<ServerId, ServerStatus>,
     majority: usize,
-    leaving: &[ServerId],
+    avoided: &[ServerId],
 ) -> Option<ServerId> {
     let covers = |held| fenced.values().filter(|s| s.held <= held).count();
     fenced
         .iter()
         .filter(|(_, status)| covers(status.held) >= majority)
-        .max_by_key(|(id, status)| (!leaving.contains(id), status.held, Reverse(*id)))
+        .max_by_key(|(id, status)| (!avoided.contains(id), status.held, Reverse(*id)))
         .map(|(id, _)| id.clone())
 }
 
@@ -203,6 +208,10 @@
             && self.reachable() >= self.majority()
     }
 
+    const fn is_leaderless(&self) -> bool {
+        matches!(self.suspicion.trouble, Some(Trouble::Leaderless(_)))
+    }
+
     /// Returns whether each server has answered or failed to: else one may lead unseen.
     fn is_surveyed(&self) -> bool {
         let known = |server: &crate::KnownServer| server.status.is_some() || server.failures > 0;
@@ -232,11 +241,16 @@
     }
 
     fn propose(&mut self, cx: &mut Cx<'_>) {
-        let term = Term(self.highest_term().0 + 1);
-        let planned = matches!(self.suspicion.trouble, Some(Trouble::Leaving(_)));
+        let term = Term(self.highest_term().max(self.promotion.proposed).0 + 1);
+        let leader = self.leader().map(|leader| leader.server);
+        let replaces = leader.filter(|_| !self.is_leaderless());
+        let answers = |id| self.servers.get(id).is_some_and(|s| s.failures == 0);
+        let planned = replaces.as_ref().is_some_and(answers);
+        self.promotion.proposed = term;
         let servers: Vec<_> = self.servers.keys().cloned().collect();
         self.promotion.stage = Stage::Fencing(Fencing {
             term,
+            replaces,
             planned,
             since: self.now,
             granted: BTreeMap::new(),
@@ -294,8 +308,9 @@
             return;
         };
         let term = fencing.term;
-        let Some(server) = choose_primary(&fencing.granted, self.majority(), &around.leaving)
-        else {
+        let mut avoided = around.leaving.clone();
+        avoided.extend(fencing.replaces.clone());
+        let Some(server) = choose_primary(&fencing.granted, self.majority(), &avoided) else {
             return self.promotion.give_up(cx);
         };
         self.record(cx, TimelineKind::TermFenced, &server, term);
--- a/sapphireslip-core/src/staleness.rs
+++ b/sapphireslip-core/src/staleness.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use crate::derives::{data, key};
-use crate::{Instant, TermPosition};
+use crate::{Instant, Term, TermPosition};
 
 /// The most samples kept, the newest ones.
 pub const SAMPLES_MAX: usize = 64;
@@ -50,11 +50,13 @@
         self.ring.len() >= 2 && self.ring.iter().rev().take(2).all(|last| last.held == held)
     }
 
-    /// Returns the samples asked at or before `confirmed`, newest first.
-    pub(crate) fn until(&self, confirmed: Instant) -> impl Iterator<Item = &Sample> {
+    /// Returns the samples of a term's primary asked at or before `confirmed`, newest first.
+    ///
+    /// Those of an earlier term's don't count: it may not have known that it was superseded.
+    pub(crate) fn until(&self, confirmed: Instant, term: Term) -> impl Iterator<Item = &Sample> {
         self.ring
             .iter()
             .rev()
-            .filter(move |sample| sample.asked <= confirmed)
+            .filter(move |sample| sample.asked <= confirmed && sample.held.term == term)
     }
 }
--- /dev/null
+++ b/sapphireslip-core/tests/support/mod.rs
@@ -0,0 +1,7 @@
+//! A small fake group, and the checker of its history.
+
+#![allow(dead_code, reason = "no test file uses all of it")]
+
+pub mod checker;
+pub mod fake_server;
+pub mod world;
