--- /dev/null
+++ b/sapphireslip-core/tests/group_view.rs
@@ -0,0 +1,171 @@
+//! What a home concludes from the statuses of its servers.
+
+mod support;
+
+use std::time::Duration;
+
+use rstest::rstest;
+use sapphireslip_core::{
+    GroupFailure, Holding, RETRY_NO_MAJORITY, RETRY_QUIET, ServerRole, TermPosition, Visibility,
+};
+use support::lone_home::{LoneHome, at, id, status};
+
+const PRIMARY: ServerRole = ServerRole::Primary;
+const REPLICA: ServerRole = ServerRole::Replica;
+
+/// Term 3 was opened on a log with terms 1 and 2; `sc` still has a record of a lost branch.
+fn opened() -> LoneHome {
+    let starts = [at(1, 1), at(2, 5), at(3, 8)];
+    let mut home = LoneHome::new();
+    home.answer("sa", status(PRIMARY, 3, at(3, 10), &starts));
+    home.answer("sb", status(REPLICA, 3, at(3, 9), &starts));
+    home.answer("sc", status(REPLICA, 2, at(2, 9), &starts[..2]));
+    home
+}
+
+#[rstest]
+#[case::in_term(at(3, 9), Holding::Majority)]
+#[case::not_yet(at(3, 10), Holding::Pending)]
+#[case::earlier_term(at(2, 7), Holding::Majority)]
+#[case::lost_branch(at(2, 8), Holding::Superseded)]
+#[case::other_term_at_its_place(at(2, 4), Holding::Superseded)]
+fn holding_record(#[case] record: TermPosition, #[case] expected: Holding) {
+    assert_eq!(opened().group.holding(record), expected);
+}
+
+/// A record of term 2 is copied by a replica that follows the primary of term 4 but does not hold
+/// that term's start yet: the primary of term 3, lost meanwhile, may still win and drop it.
+#[test]
+fn holding_copied_after_later_fence() {
+    let mut home = LoneHome::new();
+    home.answer("sa", status(PRIMARY, 2, at(2, 6), &[at(2, 5)]));
+    home.answer("sc", status(REPLICA, 4, at(2, 6), &[at(2, 5)]));
+    assert_eq!(home.group.holding(at(2, 6)), Holding::Superseded);
+}
+
+#[rstest]
+#[case::applied("sb", at(3, 9), Visibility::Visible)]
+#[case::not_applied("sb", at(3, 10), Visibility::Behind)]
+#[case::earlier_term("sb", at(2, 7), Visibility::Visible)]
+#[case::past_fork("sc", at(2, 9), Visibility::LostBranch)]
+#[case::before_fork("sc", at(2, 7), Visibility::Visible)]
+#[case::later_term("sc", at(3, 8), Visibility::Behind)]
+fn visibility_of_record(
+    #[case] server: &str,
+    #[case] record: TermPosition,
+    #[case] expected: Visibility,
+) {
+    assert_eq!(opened().group.visibility(&id(server), record), expected);
+}
+
+#[test]
+fn primary_needs_majority_of_start() {
+    let mut home = LoneHome::new();
+    home.answer("sa", status(PRIMARY, 3, at(3, 8), &[at(3, 8)]));
+    home.answer("sc", status(REPLICA, 3, at(2, 7), &[at(2, 5)]));
+    assert_eq!(home.group.primary(), None);
+    home.answer("sb", status(REPLICA, 3, at(3, 8), &[at(3, 8)]));
+    let primary = home.group.primary().expect("an open primary");
+    assert_eq!(primary.server, id("sa"));
+}
+
+#[test]
+fn primary_fenced_above() {
+    let mut home = opened();
+    home.now += Duration::from_secs(2);
+    home.tick();
+    home.answer("sc", status(REPLICA, 4, at(2, 9), &[at(2, 5)]));
+    assert_eq!(home.group.primary(), None);
+}
+
+/// All three asked: what fewer than a majority hold was not acknowledged.
+#[test]
+fn confirmed_since_probe() {
+    let mut home = opened();
+    home.now += Duration::from_millis(500);
+    let since = home.instant();
+    home.probe();
+    let starts = [at(1, 1), at(2, 5), at(3, 8)];
+    home.answer("sa", status(PRIMARY, 3, at(3, 12), &starts));
+    assert_eq!(home.group.confirmed_since(since), None);
+    home.answer("sb", status(REPLICA, 3, at(3, 11), &starts));
+    assert_eq!(home.group.confirmed_since(since), Some(at(3, 12)));
+    home.answer("sc", status(REPLICA, 3, at(3, 9), &starts));
+    assert_eq!(home.group.confirmed_since(since), Some(at(3, 11)));
+}
+
+/// An answer to a poll sent before the probe proves nothing about it.
+#[test]
+fn confirmed_since_earlier_poll() {
+    let mut home = LoneHome::new();
+    home.now += Duration::from_millis(10);
+    let since = home.instant();
+    home.probe();
+    for server in ["sa", "sb", "sc"] {
+        home.answer(server, status(REPLICA, 3, at(3, 8), &[at(3, 8)]));
+    }
+    assert_eq!(home.group.confirmed_since(since), None);
+    for server in ["sa", "sb", "sc"] {
+        home.answer(server, status(REPLICA, 3, at(3, 9), &[at(3, 8)]));
+    }
+    assert_eq!(home.group.confirmed_since(since), Some(at(3, 9)));
+}
+
+#[test]
+fn retry_after_no_majority() {
+    let mut home = opened();
+    assert_eq!(home.group.retry_after(), RETRY_QUIET);
+    home.now += Duration::from_secs(4);
+    home.tick();
+    assert!(!home.group.has_majority(home.instant()));
+    assert_eq!(home.group.retry_after(), RETRY_NO_MAJORITY);
+}
+
+#[test]
+fn update_keeps_statuses() {
+    let mut home = opened();
+    let mut spec = support::world::spec();
+    spec.servers.pop();
+    home.with(|group, cx| group.update(cx, spec));
+    assert!(home.group.primary().is_some());
+    assert_eq!(home.group.status(&id("sc")), None);
+}
+
+/// In a quiet group each server is polled about once a second.
+#[test]
+fn polling_quiet() {
+    let mut home = opened();
+    let starts = [at(1, 1), at(2, 5), at(3, 8)];
+    for server in ["sa", "sb", "sc"] {
+        let role = if server == "sa" { PRIMARY } else { REPLICA };
+        let answer = || status(role, 3, at(3, 10), &starts);
+        if home.polls.contains_key(&id(server)) {
+            home.answer(server, answer());
+        }
+    }
+    home.sent.clear();
+    for _ in 0..1000 {
+        home.now += Duration::from_millis(10);
+        home.tick();
+        for server in ["sa", "sb", "sc"] {
+            let role = if server == "sa" { PRIMARY } else { REPLICA };
+            if home.polls.contains_key(&id(server)) {
+                home.answer(server, status(role, 3, at(3, 10), &starts));
+            }
+        }
+    }
+    let sent = home.sent.len();
+    assert!(
+        (27..=36).contains(&sent),
+        "{sent} requests in 10 s to 3 servers"
+    );
+}
+
+#[test]
+fn primary_despite_silent_replica() {
+    let mut home = opened();
+    home.now += Duration::from_secs(1);
+    home.tick();
+    home.reply("sc", Err(GroupFailure::NoAnswer));
+    assert!(home.group.primary().is_some());
+}
