Fleet: suspicion apart from probing, checks of changes, tests

The word that a VM is dead, and a refutation, now go to the whole zone at once.

A zone's judgement of another zone's VMs stays in that zone: a zone cut off from a second one must not persuade a third that the second is gone.

--- a/sapphireslip-core/src/document_check.rs
+++ b/sapphireslip-core/src/document_check.rs
@@ -39,7 +39,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::raw_table::{Faults, Placed, RawTable};
+use crate::document_faults::Faults;
+use crate::raw_table::{Placed, RawTable};
 use crate::{
     CallerAccount, CallerName, DatabaseName, DatabaseSpec, Document, DocumentErrors, DocumentFault,
     Generation, RawDocument, ServerId, ServerSpec, ServiceLimits, StopPolicy, ZoneName,
--- a/sapphireslip-core/src/document_exchange.rs
+++ b/sapphireslip-core/src/document_exchange.rs
@@ -10,7 +10,7 @@
 use crate::probe::pick;
 use crate::{
     AcceptedDocument, ChangeCount, Configuration, Cx, Effect, Instant, Membership, PeerMessage,
-    PlatformEffect, PlatformEvent, VmId,
+    PlatformEffect, PlatformEvent, VmId, VmState,
 };
 
 /// The time between a relay's reads of the platform's count of changes.
@@ -218,7 +218,7 @@
     }
 
     pub(crate) fn on_tick(&mut self, cx: &mut Cx<'_>, membership: &Membership) {
-        self.tick_ready(cx);
+        self.tick_ready(cx, membership);
         self.tick_push(cx, membership);
         self.tick_start(cx, membership);
         if membership.is_relay() {
@@ -227,8 +227,15 @@
         }
     }
 
-    fn tick_ready(&mut self, cx: &mut Cx<'_>) {
-        if self.is_known() && !self.exchange.is_ready {
+    /// Reports once that callers can be served.
+    fn tick_ready(&mut self, cx: &mut Cx<'_>, membership: &Membership) {
+        let own = membership.record(membership.local());
+        let is_leaving = own.is_some_and(|own| own.state == VmState::Leaving);
+        let is_learnt = membership.is_learnt(cx.now.instant);
+        if self.exchange.is_ready || is_leaving {
+            return;
+        }
+        if self.is_known() && is_learnt {
             self.exchange.is_ready = true;
             cx.effects.push(Effect::Ready(true));
         }
@@ -266,8 +273,7 @@
         if self.is_known() {
             return;
         }
-        if let Some(at) = self.exchange.start_ask_at.filter(|at| now < *at) {
-            cx.wake_at(at);
+        if self.exchange.start_ask_at.is_some_and(|at| now < at) {
             return;
         }
         let delay = self.exchange.start_delay.unwrap_or(START_ASK_FIRST);
@@ -280,14 +286,14 @@
             peers = membership.foreign_relays();
         }
         if let Some(vm) = peers.get(pick(cx, peers.len())) {
+            membership.introduce(cx, vm);
             self.ask(cx, vm);
         }
     }
 
     fn tick_read(&mut self, cx: &mut Cx<'_>) {
         let now = cx.now.instant;
-        if let Some(at) = self.exchange.read_at.filter(|at| now < *at) {
-            cx.wake_at(at);
+        if self.exchange.read_at.is_some_and(|at| now < at) {
             return;
         }
         let next = now + CHANGES_READ_INTERVAL;
@@ -308,8 +314,7 @@
         if now.since(answered) < PLATFORM_SILENCE {
             return;
         }
-        if let Some(at) = self.exchange.far_ask_at.filter(|at| now < *at) {
-            cx.wake_at(at);
+        if self.exchange.far_ask_at.is_some_and(|at| now < at) {
             return;
         }
         let next = now + cx.random.jitter(FAR_ASK_INTERVAL);
--- a/sapphireslip-core/src/lib.rs
+++ b/sapphireslip-core/src/lib.rs
@@ -8,9 +8,11 @@
 mod cx;
 mod derives;
 mod document;
+mod document_change;
 mod document_check;
 mod document_error;
 mod document_exchange;
+mod document_faults;
 mod drain;
 mod effect;
 mod entry;
@@ -30,12 +32,14 @@
 mod random;
 mod raw_document;
 mod raw_table;
+mod raw_value;
 mod reducer;
 mod refusal;
 mod relay;
 mod request;
 mod request_key;
 mod server_status;
+mod suspicion;
 mod term;
 mod timeline_entry;
 mod vm_exchange;
@@ -44,11 +48,11 @@
 use std::sync::Arc;
 
 pub use self::{
-    configuration::*, cx::*, document::*, document_check::*, document_error::*,
+    configuration::*, cx::*, document::*, document_change::*, document_check::*, document_error::*,
     document_exchange::*, drain::*, effect::*, entry::*, event::*, group::*, held_documents::*,
     homes::*, instant::*, membership::*, name::*, peer_message::*, probe::*, random::*,
     raw_document::*, reducer::*, refusal::*, relay::*, request::*, request_key::*,
-    server_status::*, term::*, timeline_entry::*, vm_exchange::*, vm_news::*,
+    server_status::*, suspicion::*, term::*, timeline_entry::*, vm_exchange::*, vm_news::*,
 };
 
 /// An opaque shared text.
--- a/sapphireslip-core/src/membership.rs
+++ b/sapphireslip-core/src/membership.rs
@@ -1,7 +1,7 @@
 //! Which VMs take part, learnt by probing peers of the same zone and from the platform's list.
 //!
 //! This module keeps the records and the rules by which one supersedes another; probing is in
-//! `probe`, the exchange of lists in `vm_exchange`.
+//! `probe` and `suspicion`, the exchange of lists in `vm_exchange`.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -15,15 +15,13 @@
 use crate::vm_exchange::VmExchange;
 use crate::vm_news::VmNews;
 use crate::{
-    ChangeCount, Cx, Incarnation, Instant, Local, TimelineKind, VmId, VmRecord, VmState, ZoneName,
+    ChangeCount, Cx, Incarnation, Instant, Local, SUSPECT_TIMEOUT, TimelineKind, VmId, VmRecord,
+    VmState, ZoneName,
 };
 
 /// The most VMs that are kept, those gone included.
 pub const MEMBERS_MAX: usize = 4096;
 
-/// How long a suspect VM has to show that it is alive.
-pub const SUSPECT_TIMEOUT: Duration = Duration::from_millis(1200);
-
 /// How long the record of a dead VM is kept, so that old news does not revive it.
 pub const DEAD_KEEP: Duration = Duration::from_secs(2 * 60 * 60);
 
@@ -35,6 +33,7 @@
         members: BTreeMap<VmId, Member>,
         usable: BTreeMap<ZoneName, Vec<Candidate>>,
         version: u64,
+        is_relay: bool,
         /// The count of configuration changes that goes out with probes.
         pub(crate) changes: ChangeCount,
         pub(crate) news: VmNews,
@@ -77,6 +76,7 @@
             members: BTreeMap::new(),
             usable: BTreeMap::new(),
             version: 0,
+            is_relay: false,
             changes: ChangeCount::default(),
             news: VmNews::default(),
             prober: Prober::default(),
@@ -148,6 +148,11 @@
         others.filter(|vm| **vm != self.local).cloned().collect()
     }
 
+    /// Returns whether this daemon is a relay of its zone.
+    pub(crate) const fn is_relay(&self) -> bool {
+        self.is_relay
+    }
+
     pub(crate) fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
     }
@@ -179,7 +184,8 @@
         superseded
     }
 
-    /// Answers what others say of this daemon: it refutes its death by a higher incarnation.
+    /// Answers what others say of this daemon: it refutes its death by a higher incarnation,
+    /// and tells its zone before anyone's time for suspicion is over.
     fn merge_own(&mut self, cx: &mut Cx<'_>, given: &VmRecord) -> bool {
         let Some(own) = self.record(&self.local).cloned() else {
             return false;
@@ -194,7 +200,8 @@
         } else {
             own.incarnation = Incarnation(given.incarnation.0.saturating_add(1));
         }
-        self.set(cx, own);
+        self.set(cx, own.clone());
+        self.tell_zone(cx, &[own]);
         true
     }
 
@@ -207,7 +214,9 @@
         self.put(given, cx.now.instant);
         if let Some(member) = self.members.get_mut(&vm) {
             member.dead_at = suspect.then(|| cx.now.instant + SUSPECT_TIMEOUT);
-            cx.effects.extend(member.dead_at.map(crate::Effect::WakeAt));
+            if let Some(at) = member.dead_at {
+                self.prober.plan(cx, at);
+            }
         }
         self.news.add(vm.clone());
         if before != Some(state) {
@@ -251,6 +260,7 @@
         } else {
             self.usable.insert(zone.clone(), candidates);
         }
+        self.is_relay = self.relays(&self.zone).contains(&self.local);
     }
 
     /// Makes room for one more member by forgetting the one that has been dead longest.
--- a/sapphireslip-core/src/probe.rs
+++ b/sapphireslip-core/src/probe.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use crate::derives::{data, key};
-use crate::{Cx, Instant, Membership, PeerMessage, ProbeNumber, VmId, VmRecord, VmState};
+use crate::{Cx, Instant, Membership, PeerMessage, ProbeNumber, VmId, VmRecord, VmState, ZoneName};
 
 /// The mean time between probes of VMs of the own zone.
 pub const PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -19,49 +19,55 @@
 /// How long a probe may go unanswered.
 pub const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// How long the probes through others may go unanswered.
-pub const PROBE_FOR_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Through how many others an unanswering VM is probed.
-pub const PROBE_HELPERS: usize = 2;
-
 /// The most probes that wait for an answer.
 pub const PROBES_MAX: usize = 256;
 
-/// How late a tick must be for this process to count as having been paused.
-pub const PAUSE_MIN: Duration = Duration::from_millis(200);
-
 key! {
-    enum Stage {
+    /// How far a probe has come.
+    pub(crate) enum Stage {
+        /// It was sent to the VM.
         Direct,
+        /// Others were asked to probe the VM.
         ThroughOthers,
     }
 }
 
 data! {
     /// Whose question a probe made on behalf of another daemon answers.
-    struct Asker {
+    pub(crate) struct Asker {
         vm: VmId,
         number: ProbeNumber,
     }
 
-    struct Pending {
-        number: ProbeNumber,
-        vm: VmId,
-        deadline: Instant,
-        stage: Stage,
-        asker: Option<Asker>,
+    /// A probe that waits for an answer.
+    pub(crate) struct Pending {
+        pub(crate) number: ProbeNumber,
+        pub(crate) vm: VmId,
+        pub(crate) deadline: Instant,
+        pub(crate) stage: Stage,
+        pub(crate) asker: Option<Asker>,
     }
 
     /// The probes that are out and the order of those to come.
     #[derive(Default)]
     pub(crate) struct Prober {
         last_number: u64,
-        pending: Vec<Pending>,
+        pub(crate) pending: Vec<Pending>,
         round: Vec<VmId>,
         next_at: Option<Instant>,
         next_far_at: Option<Instant>,
-        planned_tick: Option<Instant>,
+        pub(crate) planned_tick: Option<Instant>,
+    }
+}
+
+impl Prober {
+    /// Asks for a tick at `at`.
+    pub(crate) fn plan(&mut self, cx: &mut Cx<'_>, at: Instant) {
+        let is_sooner = self.planned_tick.is_none_or(|planned| at < planned);
+        if is_sooner {
+            self.planned_tick = Some(at);
+        }
+        cx.wake_at(at);
     }
 }
 
@@ -138,100 +144,22 @@
 
     /// Sends what is due, suspects what did not answer and buries what stayed suspect.
     pub(crate) fn tick_probes(&mut self, cx: &mut Cx<'_>) {
+        if self
+            .prober
+            .planned_tick
+            .is_some_and(|at| cx.now.instant < at)
+        {
+            return;
+        }
         self.forgive_pause(cx.now.instant);
         self.expire_probes(cx);
         self.bury_suspects(cx);
+        self.forget_dead(cx.now.instant);
         self.probe_next(cx);
         self.probe_far(cx);
         self.plan_tick(cx);
     }
 
-    /// Gives others the time back during which this process did not run.
-    fn forgive_pause(&mut self, now: Instant) {
-        let late = self
-            .prober
-            .planned_tick
-            .map_or(Duration::ZERO, |at| now.since(at));
-        if late < PAUSE_MIN {
-            return;
-        }
-        for probe in &mut self.prober.pending {
-            probe.deadline = probe.deadline + late;
-        }
-        for member in self.members_mut() {
-            member.dead_at = member.dead_at.map(|at| at + late);
-        }
-    }
-
-    fn expire_probes(&mut self, cx: &mut Cx<'_>) {
-        let now = cx.now.instant;
-        let (due, waiting) = std::mem::take(&mut self.prober.pending)
-            .into_iter()
-            .partition(|probe| probe.deadline <= now);
-        self.prober.pending = waiting;
-        let due: Vec<Pending> = due;
-        for probe in due.into_iter().filter(|probe| probe.asker.is_none()) {
-            if probe.stage == Stage::ThroughOthers || !self.ask_others(cx, &probe) {
-                self.suspect(cx, &probe.vm);
-            }
-        }
-    }
-
-    /// Asks other VMs of the zone to probe; returns false if there are none to ask.
-    fn ask_others(&mut self, cx: &mut Cx<'_>, probe: &Pending) -> bool {
-        let is_near = self
-            .record(&probe.vm)
-            .is_some_and(|record| record.zone == *self.zone());
-        let mut others = self.zone_peers();
-        others.retain(|vm| *vm != probe.vm);
-        if !is_near || others.is_empty() {
-            return false;
-        }
-        for _ in 0..PROBE_HELPERS.min(others.len()) {
-            let helper = others.swap_remove(pick(cx, others.len()));
-            let vm = probe.vm.clone();
-            let number = probe.number;
-            cx.send(helper, PeerMessage::ProbeFor { number, vm });
-        }
-        self.prober.pending.push(Pending {
-            deadline: cx.now.instant + PROBE_FOR_TIMEOUT,
-            stage: Stage::ThroughOthers,
-            ..probe.clone()
-        });
-        true
-    }
-
-    /// Counts a VM as dead after a time unless it is heard from, and tells it so.
-    pub(crate) fn suspect(&mut self, cx: &mut Cx<'_>, vm: &VmId) {
-        let Some(member) = self.member(vm) else {
-            return;
-        };
-        let is_new = member.dead_at.is_none() && member.record.state != VmState::Dead;
-        if !is_new || vm == self.local() {
-            return;
-        }
-        let record = member.record.clone();
-        if record.state == VmState::Alive {
-            let state = VmState::Suspect;
-            self.set(cx, VmRecord { state, ..record });
-        } else if let Some(member) = self.member_mut(vm) {
-            member.dead_at = Some(cx.now.instant + crate::SUSPECT_TIMEOUT);
-        }
-        self.probe(cx, vm.clone(), None);
-    }
-
-    fn bury_suspects(&mut self, cx: &mut Cx<'_>) {
-        let now = cx.now.instant;
-        let due = self
-            .members()
-            .filter(|member| member.dead_at.is_some_and(|at| at <= now));
-        let records: Vec<_> = due.map(|member| member.record.clone()).collect();
-        for record in records {
-            let state = VmState::Dead;
-            self.set(cx, VmRecord { state, ..record });
-        }
-    }
-
     fn probe_next(&mut self, cx: &mut Cx<'_>) {
         let now = cx.now.instant;
         if self.prober.next_at.is_some_and(|at| now < at) {
@@ -279,7 +207,8 @@
         }
     }
 
-    fn probe(&mut self, cx: &mut Cx<'_>, vm: VmId, asker: Option<Asker>) {
+    /// Probes a VM unless a probe to it is out already.
+    pub(crate) fn probe(&mut self, cx: &mut Cx<'_>, vm: VmId, asker: Option<Asker>) {
         let is_out = |probe: &Pending| probe.vm == vm && asker.is_none() && probe.asker.is_none();
         let is_full = self.prober.pending.len() >= PROBES_MAX;
         if is_full || self.record(&vm).is_none() || self.prober.pending.iter().any(is_out) {
@@ -297,7 +226,7 @@
             stage: Stage::Direct,
             asker,
         });
-        cx.wake_at(deadline);
+        self.prober.plan(cx, deadline);
         cx.send(
             vm,
             PeerMessage::Probe {
@@ -309,6 +238,8 @@
     }
 
     /// Returns this daemon's record, the receiver's if it must refute it, and some news.
+    ///
+    /// News for another zone leaves out what this zone cannot judge, see [`Self::may_tell`].
     fn news_for(&mut self, receiver: &VmId) -> Vec<VmRecord> {
         let mut vms = vec![self.local().clone()];
         if self
@@ -317,8 +248,10 @@
         {
             vms.push(receiver.clone());
         }
+        let zone = self.record(receiver).map(|record| record.zone.clone());
         for vm in self.news.take() {
-            if !vms.contains(&vm) {
+            let record = self.record(&vm);
+            if !vms.contains(&vm) && record.is_some_and(|r| self.may_tell(r, zone.as_ref())) {
                 vms.push(vm);
             }
         }
@@ -327,6 +260,15 @@
             .collect()
     }
 
+    /// Returns whether a record may be told to a VM of `zone`.
+    ///
+    /// Which VMs of a zone are gone is for that zone to say: a zone that is cut off from another
+    /// one takes its VMs for dead, and must not persuade a third zone of it.
+    pub(crate) fn may_tell(&self, record: &VmRecord, zone: Option<&ZoneName>) -> bool {
+        let is_judgement = matches!(record.state, VmState::Suspect | VmState::Dead);
+        !is_judgement || record.zone == *self.zone() || zone == Some(self.zone())
+    }
+
     fn plan_tick(&mut self, cx: &mut Cx<'_>) {
         let probes = self.prober.pending.iter().map(|probe| probe.deadline);
         let suspects = self.members().filter_map(|member| member.dead_at);
@@ -335,9 +277,9 @@
             .chain(suspects)
             .chain(intervals.into_iter().flatten())
             .min();
-        self.prober.planned_tick = next;
+        self.prober.planned_tick = None;
         if let Some(next) = next {
-            cx.wake_at(next);
+            self.prober.plan(cx, next);
         }
     }
 }
--- a/sapphireslip-core/src/raw_table.rs
+++ b/sapphireslip-core/src/raw_table.rs
@@ -7,41 +7,9 @@
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
 
-use crate::raw_document::line_of;
-use crate::{DocumentError, DocumentFault, NameError};
-
-/// The text of a document with the faults found so far.
-pub(crate) struct Faults<'a> {
-    text: &'a str,
-    found: Vec<DocumentError>,
-}
-
-impl<'a> Faults<'a> {
-    pub(crate) const fn new(text: &'a str) -> Self {
-        Self {
-            text,
-            found: Vec::new(),
-        }
-    }
-
-    pub(crate) fn line(&self, offset: usize) -> usize {
-        line_of(self.text, offset)
-    }
-
-    pub(crate) fn add(&mut self, offset: usize, path: &str, fault: DocumentFault) {
-        self.found.push(DocumentError {
-            line: Some(self.line(offset)),
-            path: path.to_owned(),
-            fault,
-        });
-    }
-
-    /// Returns the faults in the order of their lines.
-    pub(crate) fn into_sorted(mut self) -> Vec<DocumentError> {
-        self.found.sort_by_key(|error| error.line);
-        self.found
-    }
-}
+use crate::document_faults::Faults;
+use crate::raw_value::{parse_address, parse_duration};
+use crate::{DocumentFault, NameError};
 
 /// A value with its place in the text.
 pub(crate) struct Placed<T> {
@@ -339,34 +307,3 @@
         }
     }
 }
-
-fn parse_duration(text: &str) -> Option<Duration> {
-    let digits = text.bytes().take_while(u8::is_ascii_digit).count();
-    let (number, unit) = text.split_at(digits);
-    let number: u64 = number.parse().ok()?;
-    let millis_per_unit = match unit {
-        "ms" => 1,
-        "s" => 1_000,
-        "m" => 60_000,
-        "h" => 3_600_000,
-        _ => return None,
-    };
-    number
-        .checked_mul(millis_per_unit)
-        .map(Duration::from_millis)
-}
-
-fn parse_address(text: &str) -> Result<SocketAddr, DocumentFault> {
-    if let Ok(address) = text.parse::<SocketAddr>() {
-        return if address.port() == 0 {
-            Err(DocumentFault::PortZero(text.to_owned()))
-        } else {
-            Ok(address)
-        };
-    }
-    let host = text.rsplit_once(':').map_or(text, |(host, _)| host);
-    if host.chars().any(|c| c.is_ascii_alphabetic()) && !host.contains(':') {
-        return Err(DocumentFault::HostName(text.to_owned()));
-    }
-    Err(DocumentFault::Address(text.to_owned()))
-}
--- a/sapphireslip-core/src/relay.rs
+++ b/sapphireslip-core/src/relay.rs
@@ -34,12 +34,6 @@
         first.map(|candidate| candidate.vm.clone()).collect()
     }
 
-    /// Returns whether this daemon is a relay of its zone.
-    #[must_use]
-    pub(crate) fn is_relay(&self) -> bool {
-        self.relays(self.zone()).contains(self.local())
-    }
-
     /// Returns the relays of the other zones.
     pub(crate) fn foreign_relays(&self) -> Vec<VmId> {
         let foreign = self.zones().filter(|zone| *zone != self.zone());
--- /dev/null
+++ b/sapphireslip-core/src/suspicion.rs
@@ -0,0 +1,116 @@
+//! From an unanswered probe to the word that a VM is dead.
+
+use std::time::Duration;
+
+use crate::probe::{Pending, Stage, pick};
+use crate::{Cx, Instant, Membership, PeerMessage, VmId, VmRecord, VmState};
+
+/// How long the probes through others may go unanswered.
+pub const PROBE_FOR_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Through how many others an unanswering VM is probed.
+pub const PROBE_HELPERS: usize = 2;
+
+/// How long a suspect VM has to show that it is alive.
+pub const SUSPECT_TIMEOUT: Duration = Duration::from_millis(1200);
+
+/// How late a tick must be for this process to count as having been paused.
+pub const PAUSE_MIN: Duration = Duration::from_millis(200);
+
+impl Membership {
+    /// Gives others the time back during which this process did not run.
+    pub(crate) fn forgive_pause(&mut self, now: Instant) {
+        let late = self
+            .prober
+            .planned_tick
+            .map_or(Duration::ZERO, |at| now.since(at));
+        if late < PAUSE_MIN {
+            return;
+        }
+        for probe in &mut self.prober.pending {
+            probe.deadline = probe.deadline + late;
+        }
+        for member in self.members_mut() {
+            member.dead_at = member.dead_at.map(|at| at + late);
+        }
+    }
+
+    /// Takes up the probes that nobody answered.
+    pub(crate) fn expire_probes(&mut self, cx: &mut Cx<'_>) {
+        let now = cx.now.instant;
+        let (due, waiting) = std::mem::take(&mut self.prober.pending)
+            .into_iter()
+            .partition(|probe| probe.deadline <= now);
+        self.prober.pending = waiting;
+        let due: Vec<Pending> = due;
+        for probe in due.into_iter().filter(|probe| probe.asker.is_none()) {
+            if probe.stage == Stage::ThroughOthers || !self.ask_others(cx, &probe) {
+                self.suspect(cx, &probe.vm);
+            }
+        }
+    }
+
+    /// Asks other VMs of the zone to probe; returns false if there are none to ask.
+    fn ask_others(&mut self, cx: &mut Cx<'_>, probe: &Pending) -> bool {
+        let is_near = self
+            .record(&probe.vm)
+            .is_some_and(|record| record.zone == *self.zone());
+        let mut others = self.zone_peers();
+        others.retain(|vm| *vm != probe.vm);
+        if !is_near || others.is_empty() {
+            return false;
+        }
+        for _ in 0..PROBE_HELPERS.min(others.len()) {
+            let helper = others.swap_remove(pick(cx, others.len()));
+            let vm = probe.vm.clone();
+            let number = probe.number;
+            cx.send(helper, PeerMessage::ProbeFor { number, vm });
+        }
+        self.prober.pending.push(Pending {
+            deadline: cx.now.instant + PROBE_FOR_TIMEOUT,
+            stage: Stage::ThroughOthers,
+            ..probe.clone()
+        });
+        true
+    }
+
+    /// Counts a VM as dead after a time unless it is heard from, and tells it so.
+    pub(crate) fn suspect(&mut self, cx: &mut Cx<'_>, vm: &VmId) {
+        let Some(member) = self.member(vm) else {
+            return;
+        };
+        let is_new = member.dead_at.is_none() && member.record.state != VmState::Dead;
+        if !is_new || vm == self.local() {
+            return;
+        }
+        let record = member.record.clone();
+        if record.state == VmState::Alive {
+            let state = VmState::Suspect;
+            self.set(cx, VmRecord { state, ..record });
+        } else if let Some(member) = self.member_mut(vm) {
+            let at = cx.now.instant + SUSPECT_TIMEOUT;
+            member.dead_at = Some(at);
+            self.prober.plan(cx, at);
+        }
+        self.probe(cx, vm.clone(), None);
+    }
+
+    /// Counts as dead what stayed suspect, and tells the zone at once: probes alone would take
+    /// several seconds to bring it to all of a hundred VMs.
+    pub(crate) fn bury_suspects(&mut self, cx: &mut Cx<'_>) {
+        let now = cx.now.instant;
+        let due = self
+            .members()
+            .filter(|member| member.dead_at.is_some_and(|at| at <= now));
+        let records: Vec<_> = due.map(|member| member.record.clone()).collect();
+        let mut dead = Vec::new();
+        for record in records {
+            let state = VmState::Dead;
+            let record = VmRecord { state, ..record };
+            self.set(cx, record.clone());
+            dead.push(record);
+        }
+        dead.retain(|record| record.zone == *self.zone());
+        self.tell_zone(cx, &dead);
+    }
+}
--- /dev/null
+++ b/sapphireslip-core/tests/fleet_size.rs
@@ -0,0 +1,100 @@
+//! What control costs a daemon in a zone of the size to design for, and how fast news spreads.
+
+mod support;
+
+use std::time::Duration;
+
+use rstest::rstest;
+use sapphireslip_core::{ChangeCount, VmId, VmState};
+use support::{Fleet, document, vm, zone_of};
+
+const SECOND: Duration = Duration::from_secs(1);
+const ZONE_VMS: usize = 127;
+const OTHER_ZONES: [&str; 6] = ["b", "c", "d", "e", "f", "g"];
+const OTHER_ZONE_VMS: usize = 4;
+const CONTROL_BYTES_PER_SECOND: u64 = 18 * 1024;
+
+fn vms(zone: &str, count: usize) -> Vec<VmId> {
+    (1..=count)
+        .map(|number| vm(&format!("{zone}-{number}")))
+        .collect()
+}
+
+fn started() -> Fleet {
+    let mut all = vms("a", ZONE_VMS);
+    all.extend(
+        OTHER_ZONES
+            .iter()
+            .flat_map(|zone| vms(zone, OTHER_ZONE_VMS)),
+    );
+    let mut fleet = Fleet::start(&all);
+    fleet.run_for(SECOND * 3);
+    fleet
+}
+
+fn zone_holds(fleet: &Fleet, of: &VmId, state: VmState) -> bool {
+    let peers = fleet
+        .daemons
+        .keys()
+        .filter(|at| zone_of(at) == zone_of(of) && *at != of);
+    peers
+        .into_iter()
+        .all(|at| fleet.view(at, of) == Some(state))
+}
+
+#[test]
+fn fleet_quiet_traffic() {
+    let mut fleet = started();
+    fleet.bytes.clear();
+    fleet.platform.reads = 0;
+    fleet.run_for(SECOND * 60);
+    let most = fleet.bytes.values().max().unwrap() / 60;
+    let reads = fleet.platform.reads / 60;
+    println!("sent at most {most} B/s by a daemon; {reads} reads of the platform a second");
+    assert!(most < CONTROL_BYTES_PER_SECOND / 4, "{most}");
+    assert!(reads <= 7 * 2 * 3, "{reads}");
+}
+
+#[test]
+fn fleet_change_in_force() {
+    let mut fleet = started();
+    fleet.bytes.clear();
+    fleet.platform.accept(document("stock", 1, 1, &["stock"]));
+    let took = fleet.run_until(SECOND * 3, |fleet| {
+        let mut states = fleet.daemons.values();
+        states.all(|state| state.configuration.changes() == ChangeCount(1))
+    });
+    let most = fleet.bytes.values().max().unwrap();
+    println!("in force everywhere after {took:?}; {most} B sent by a relay");
+}
+
+#[rstest]
+#[case::killed(false)]
+#[case::frozen(true)]
+fn fleet_dead_vm_known_in_its_zone(#[case] is_frozen: bool) {
+    let mut fleet = started();
+    let gone = vm("a-60");
+    if is_frozen {
+        fleet.frozen.insert(gone.clone());
+    } else {
+        fleet.kill(&gone);
+    }
+    let took = fleet.run_until(SECOND * 6, |fleet| {
+        fleet
+            .daemons
+            .iter()
+            .any(|(at, _)| fleet.view(at, &gone) == Some(VmState::Dead))
+    });
+    println!("frozen {is_frozen}: first held dead after {took:?}");
+    let took = fleet.run_until(SECOND * 6, |fleet| zone_holds(fleet, &gone, VmState::Dead));
+    println!("frozen {is_frozen}: held dead by all {took:?} later");
+}
+
+#[test]
+fn fleet_leaving_vm_known_at_once() {
+    let mut fleet = started();
+    let gone = vm("a-60");
+    fleet.drain(&gone, SECOND * 30);
+    let took = fleet.run_until(SECOND, |fleet| zone_holds(fleet, &gone, VmState::Leaving));
+    println!("leaving known in the zone after {took:?}");
+}
