--- a/sapphireslipd/tests/peer_edge.rs
+++ b/sapphireslipd/tests/peer_edge.rs
@@ -40,7 +40,13 @@
         let clock = Arc::new(HybridClock::new(local.incarnation));
         let (tx, events) = flume::bounded(64);
         let metrics = Arc::new(Metrics::default());
-        let edge = PeerEdge::new(local.clone(), Arc::clone(&clock), tx, metrics);
+        let edge = PeerEdge::new(
+            local.clone(),
+            local.address.ip(),
+            Arc::clone(&clock),
+            tx,
+            metrics,
+        );
         let served = edge.clone();
         tokio::spawn(async move {
             served.serve(listener).await.expect("serves");
--- a/sapphireslipd/tests/support/mod.rs
+++ b/sapphireslipd/tests/support/mod.rs
@@ -3,6 +3,7 @@
 mod faults;
 mod load;
 mod scenario;
+mod script_args;
 mod script_session;
 
 pub use self::scenario::Scenario;
--- a/sapphireslipd/tests/support/scenario.rs
+++ b/sapphireslipd/tests/support/scenario.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use goldenscript::{ArgumentConsumer, Command, Runner};
+use goldenscript::{Command, Context, Runner};
 use sapphireslip::{Attempt, Ledger};
 use sapphireslipd::make_verifier;
 use standins::{DaemonProgram, Fleet, FleetPlan, SERVERS_A_GROUP, accept_document, wait_for};
@@ -13,6 +13,7 @@
 
 use super::faults::{fault, primary};
 use super::load::{Load, told};
+use super::script_args::ScriptArgs;
 use super::script_session::{PASSWORD, ScriptSession, Target, unix_seconds, values};
 
 /// The time within which a background load must make progress once nothing is broken.
@@ -48,8 +49,10 @@
 }
 
 impl Runner for Scenario {
-    fn run(&mut self, command: &Command) -> Said {
-        let mut args = command.consume_args();
+    type Command = Command;
+
+    fn run(&mut self, command: &Command, _context: &Context) -> Said {
+        let mut args = ScriptArgs::new(command);
         let handle = self.runtime.handle().clone();
         let said = handle.block_on(self.step(&command.name, &mut args))?;
         args.reject_rest()?;
@@ -58,7 +61,7 @@
 }
 
 impl Scenario {
-    async fn step(&mut self, name: &str, args: &mut ArgumentConsumer<'_>) -> Said {
+    async fn step(&mut self, name: &str, args: &mut ScriptArgs<'_>) -> Said {
         match name {
             "fleet" => self.start(args).await,
             "session" => self.session(args).await,
@@ -89,7 +92,7 @@
         self.fleet.as_mut().ok_or("start with `fleet`")
     }
 
-    async fn start(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
+    async fn start(&mut self, args: &mut ScriptArgs<'_>) -> Said {
         let program = DaemonProgram {
             path: env!("CARGO_BIN_EXE_sapphireslipd").into(),
             arguments: Vec::new(),
@@ -97,26 +100,26 @@
         let verifier = make_verifier(PASSWORD);
         let mut plan = FleetPlan::new(program, super::script_session::USER, &verifier);
         let millis = |value| Duration::from_millis(value);
-        if let Some(count) = args.lookup_parse("daemons")? {
+        if let Some(count) = args.parse("daemons")? {
             plan = plan.daemons_per_zone(count);
         }
-        if let Some(count) = args.lookup_parse("connections")? {
+        if let Some(count) = args.parse("connections")? {
             plan = plan.connections(count);
         }
-        if let Some(value) = args.lookup_parse("lag")? {
+        if let Some(value) = args.parse("lag")? {
             plan = plan.lag(millis(value));
         }
-        if let Some(value) = args.lookup_parse("staleness")? {
+        if let Some(value) = args.parse("staleness")? {
             plan = plan.max_staleness(millis(value));
         }
-        if let Some(value) = args.lookup_parse("deadline")? {
+        if let Some(value) = args.parse("deadline")? {
             plan = plan.deadline(millis(value));
         }
-        if let Some(value) = args.lookup_parse("drain")? {
+        if let Some(value) = args.parse("drain")? {
             plan = plan.drain_bound(millis(value));
         }
-        if let Some(names) = args.lookup("databases") {
-            let names: Vec<&str> = names.value.split(',').collect();
+        if let Some(names) = args.text("databases") {
+            let names: Vec<&str> = names.split(',').collect();
             plan = plan.databases(&names);
         }
         let fleet = Fleet::start(plan).await?;
@@ -134,21 +137,18 @@
         Ok(String::new())
     }
 
-    async fn session(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
-        let name = args.next_pos().ok_or("name the session")?.value.clone();
-        let daemon = args.lookup_parse("daemon")?.unwrap_or(0);
-        let database = args
-            .lookup("database")
-            .map_or("stock", |arg| &arg.value)
-            .to_owned();
-        let from = args.lookup("token-of").map(|arg| arg.value.clone());
+    async fn session(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let name = args.next("the session")?.to_owned();
+        let daemon = args.parse("daemon")?.unwrap_or(0);
+        let database = args.text("database").unwrap_or("stock").to_owned();
+        let from = args.text("token-of");
         let token = match from {
-            Some(from) => self.session_mut(&from)?.token().await,
-            None => args.lookup("token").map(|arg| arg.value.clone()),
+            Some(from) => self.session_mut(from)?.token().await,
+            None => args.text("token").map(str::to_owned),
         };
         let mut target = target(self.fleet()?, daemon, &database, token);
-        if let Some(password) = args.lookup("password") {
-            target.password.clone_from(&password.value);
+        if let Some(password) = args.text("password") {
+            target.password = password.to_owned();
         }
         let acknowledged = self
             .sessions
@@ -170,9 +170,9 @@
             .ok_or_else(|| format!("no session `{name}`"))
     }
 
-    async fn sql(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
-        let name = args.next_pos().ok_or("name the session")?.value.clone();
-        let text = args.next_pos().ok_or("give the statement")?.value.clone();
+    async fn sql(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let name = args.next("the session")?.to_owned();
+        let text = args.next("the statement")?.to_owned();
         let text = text.replace("NOW", &unix_seconds().to_string());
         let answer = self.session_mut(&name)?.query(&text).await;
         Ok(match answer {
@@ -182,16 +182,16 @@
         })
     }
 
-    async fn write(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
-        let name = args.next_pos().ok_or("name the session")?.value.clone();
-        let request = args.next_pos().ok_or("name the request")?.value.clone();
+    async fn write(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let name = args.next("the session")?.to_owned();
+        let request = args.next("the request")?.to_owned();
         let attempt = self.session_mut(&name)?.write(&request).await;
         Ok(self.note(&name, &request, &attempt))
     }
 
-    async fn write_unkeyed(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
-        let name = args.next_pos().ok_or("name the session")?.value.clone();
-        let request = args.next_pos().ok_or("name the request")?.value.clone();
+    async fn write_unkeyed(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let name = args.next("the session")?.to_owned();
+        let request = args.next("the request")?.to_owned();
         let attempt = self.session_mut(&name)?.write_unkeyed(&request).await;
         Ok(self.note(&name, &request, &attempt))
     }
@@ -209,8 +209,8 @@
         describe(attempt)
     }
 
-    async fn reads_own(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
-        let name = args.next_pos().ok_or("name the session")?.value.clone();
+    async fn reads_own(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let name = args.next("the session")?.to_owned();
         let sees = self.session_mut(&name)?.sees_its_writes().await;
         if let Ok(sees) = sees {
             self.ledger.lock().unwrap().note_read(!sees);
@@ -222,20 +222,17 @@
         })
     }
 
-    fn close(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
-        let name = args.next_pos().ok_or("name the session")?.value.clone();
+    fn close(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let name = args.next("the session")?.to_owned();
         self.session_mut(&name)?.client = None;
         Ok(String::new())
     }
 
-    fn load(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
-        let name = args.next_pos().ok_or("name the load")?.value.clone();
-        let sessions = args.lookup_parse("sessions")?.unwrap_or(6);
-        let database = args
-            .lookup("database")
-            .map_or("stock", |arg| &arg.value)
-            .to_owned();
-        let daemon: Option<usize> = args.lookup_parse("daemon")?;
+    fn load(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let name = args.next("the load")?.to_owned();
+        let sessions = args.parse("sessions")?.unwrap_or(6);
+        let database = args.text("database").unwrap_or("stock").to_owned();
+        let daemon: Option<usize> = args.parse("daemon")?;
         let fleet = self.fleet()?;
         let daemons = fleet.daemons();
         let targets = (0..sessions)
@@ -247,8 +244,8 @@
     }
 
     /// Waits until the load has had more writes acknowledged from now on.
-    async fn load_progress(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
-        let name = args.next_pos().ok_or("name the load")?.value.clone();
+    async fn load_progress(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let name = args.next("the load")?.to_owned();
         let load = self.loads.get(&name).ok_or("no such load")?;
         let goal = load.writes() + PROGRESS_WRITES;
         let is_reached = async || (load.writes() >= goal).then_some(());
@@ -256,16 +253,16 @@
         Ok(String::new())
     }
 
-    async fn load_stop(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
-        let name = args.next_pos().ok_or("name the load")?.value.clone();
+    async fn load_stop(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let name = args.next("the load")?.to_owned();
         self.loads.remove(&name).ok_or("no such load")?.stop().await;
         Ok(String::new())
     }
 
     /// Writes until one is acknowledged, and says whether that came within a bound.
-    async fn writes_land(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
-        let name = args.next_pos().ok_or("name the session")?.value.clone();
-        let bound = Duration::from_millis(args.lookup_parse("ms")?.ok_or("give a bound in `ms`")?);
+    async fn writes_land(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let name = args.next("the session")?.to_owned();
+        let bound = Duration::from_millis(args.parse("ms")?.ok_or("give a bound in `ms`")?);
         let request = format!("{name}-lands-{}", self.ledger.lock().unwrap().writes());
         let started = Instant::now();
         let attempt = self.session_mut(&name)?.write(&request).await;
@@ -277,14 +274,9 @@
         Ok(said)
     }
 
-    fn platform(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
+    fn platform(&mut self, args: &mut ScriptArgs<'_>) -> Said {
         let platform = self.fleet()?.platform();
-        match args
-            .next_pos()
-            .ok_or("say `up`, `down` or `lose-answer`")?
-            .value
-            .as_str()
-        {
+        match args.next("`up`, `down` or `lose-answer`")? {
             "up" => platform.down(false),
             "down" => platform.down(true),
             "lose-answer" => platform.lose_next_answer(),
@@ -293,8 +285,8 @@
         Ok(String::new())
     }
 
-    fn cut(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
-        let zone = args.lookup("zone").ok_or("name the zone")?.value.clone();
+    fn cut(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let zone = args.text("zone").ok_or("name the zone")?.to_owned();
         self.fleet()?.cut_zone(&zone);
         Ok(String::new())
     }
@@ -305,7 +297,7 @@
     }
 
     /// Has the next generation of the first database's document accepted.
-    async fn apply(&mut self, _args: &mut ArgumentConsumer<'_>) -> Said {
+    async fn apply(&mut self, _args: &mut ScriptArgs<'_>) -> Said {
         self.generation += 1;
         let fleet = self.fleet()?;
         let text = fleet.document(0, self.generation);
@@ -314,9 +306,9 @@
     }
 
     /// Waits until the last generation applied is in force on a daemon.
-    async fn in_force(&mut self, args: &mut ArgumentConsumer<'_>) -> Said {
-        let bound = Duration::from_millis(args.lookup_parse("ms")?.ok_or("give a bound in `ms`")?);
-        let daemon: Option<usize> = args.lookup_parse("daemon")?;
+    async fn in_force(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let bound = Duration::from_millis(args.parse("ms")?.ok_or("give a bound in `ms`")?);
+        let daemon: Option<usize> = args.parse("daemon")?;
         let fleet = self.fleet()?;
         let numbers = daemon.map_or(0..fleet.daemons(), |number| number..number + 1);
         let started = Instant::now();
