--- a/sapphireslipd/tests/support/scenario.rs
+++ b/sapphireslipd/tests/support/scenario.rs
@@ -1,6 +1,6 @@
 //! The commands of a scenario script.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::error::Error;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -8,8 +8,12 @@
 use goldenscript::{Command, Context, Runner};
 use sapphireslip::{Attempt, Ledger};
 use sapphireslipd::make_verifier;
-use standins::{DaemonProgram, Fleet, FleetPlan, SERVERS_A_GROUP, accept_document, wait_for};
+use standins::{
+    DaemonProgram, Fleet, FleetPlan, SERVERS_A_GROUP, accept_document, http_get, wait_for,
+};
 use tokio::runtime::Runtime;
+use tokio::task::JoinHandle;
+use tokio_postgres::SimpleQueryMessage;
 
 use super::faults::{fault, primary};
 use super::load::{Load, told};
@@ -31,8 +35,13 @@
     loads: BTreeMap<String, Load>,
     ledger: Arc<Mutex<Ledger>>,
     generation: u64,
+    started: BTreeMap<String, JoinHandle<StartedSql>>,
+    killed: BTreeSet<usize>,
 }
 
+/// A session and the answer to the statement that it was given.
+type StartedSql = (ScriptSession, Result<Vec<SimpleQueryMessage>, Attempt>);
+
 type Said = Result<String, Box<dyn Error>>;
 
 impl Default for Scenario {
@@ -44,6 +53,8 @@
             loads: BTreeMap::new(),
             ledger: Arc::default(),
             generation: 1,
+            started: BTreeMap::new(),
+            killed: BTreeSet::new(),
         }
     }
 }
@@ -66,6 +77,10 @@
             "fleet" => self.start(args).await,
             "session" => self.session(args).await,
             "sql" => self.sql(args).await,
+            "sql-start" => self.sql_start(args).await,
+            "sql-wait" => self.sql_wait(args).await,
+            "kill-primary" => self.kill_primary().await,
+            "restart-killed" => self.restart_killed().await,
             "write" => self.write(args).await,
             "write-unkeyed" => self.write_unkeyed(args).await,
             "reads-own" => self.reads_own(args).await,
@@ -175,11 +190,59 @@
         let text = args.next("the statement")?.to_owned();
         let text = text.replace("NOW", &unix_seconds().to_string());
         let answer = self.session_mut(&name)?.query(&text).await;
-        Ok(match answer {
-            Ok(rows) if values(&rows).is_empty() => "ok".to_owned(),
-            Ok(rows) => values(&rows).join("\n"),
-            Err(attempt) => describe(&attempt),
-        })
+        Ok(describe_answer(&answer))
+    }
+
+    /// Sends a statement and returns once its daemon has it.
+    async fn sql_start(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let name = args.next("the session")?.to_owned();
+        let text = args.next("the statement")?.to_owned();
+        let mut session = self.sessions.remove(&name).ok_or("no such session")?;
+        let fleet = self.fleet()?;
+        let daemon = (0..fleet.daemons())
+            .find(|number| fleet.callers(*number) == session.target.daemon)
+            .ok_or("the session's daemon is not of this fleet")?;
+        let before = sent_requests(fleet).await;
+        let sent = async move {
+            let answer = session.query(&text).await;
+            (session, answer)
+        };
+        let handle = tokio::spawn(sent);
+        let is_sent = async || (sent_requests(fleet).await > before).then_some(());
+        wait_for(
+            &format!("statement at daemon {daemon}"),
+            PROGRESS_LIMIT,
+            is_sent,
+        )
+        .await?;
+        self.started.insert(name, handle);
+        Ok(String::new())
+    }
+
+    async fn sql_wait(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let name = args.next("the session")?.to_owned();
+        let (session, answer) = self
+            .started
+            .remove(&name)
+            .ok_or("nothing was started")?
+            .await?;
+        self.sessions.insert(name, session);
+        Ok(describe_answer(&answer))
+    }
+
+    async fn kill_primary(&mut self) -> Said {
+        let fleet = self.fleet()?;
+        let server = super::faults::server(fleet, "primary").await?;
+        fleet.group(0).kill(server);
+        self.killed.insert(server);
+        Ok(String::new())
+    }
+
+    async fn restart_killed(&mut self) -> Said {
+        for server in std::mem::take(&mut self.killed) {
+            self.fleet()?.group(0).restart(server).await?;
+        }
+        Ok(String::new())
     }
 
     async fn write(&mut self, args: &mut ScriptArgs<'_>) -> Said {
@@ -368,6 +431,26 @@
         .map_or_else(|| err.to_string(), |code| code.code().to_owned())
 }
 
+/// Returns how many requests homes have sent to backend servers.
+async fn sent_requests(fleet: &Fleet) -> usize {
+    let mut sent = 0;
+    for number in 0..fleet.daemons() {
+        let Ok(page) = http_get(fleet.admin(number), "/timeline?since=0").await else {
+            continue;
+        };
+        sent += page.body.matches("RequestSent").count();
+    }
+    sent
+}
+
+fn describe_answer(answer: &Result<Vec<SimpleQueryMessage>, Attempt>) -> String {
+    match answer {
+        Ok(rows) if values(rows).concat().is_empty() => "ok".to_owned(),
+        Ok(rows) => values(rows).join("\n"),
+        Err(attempt) => describe(attempt),
+    }
+}
+
 fn describe(attempt: &Attempt) -> String {
     match attempt {
         Attempt::Done => "done".to_owned(),
