--- a/sapphireslip/src/main.rs
+++ b/sapphireslip/src/main.rs
@@ -1,2 +1,7 @@
-//! Placeholder.
-fn main() {}
+//! The operator's command.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    sapphireslip::run(std::env::args_os().skip(1))
+}
--- a/sapphireslipd/src/lib.rs
+++ b/sapphireslipd/src/lib.rs
@@ -1,23 +1,41 @@
-//! The parts of the daemon: edges, effect runner, timers and the admin interface.
+//! The daemon: edges that turn bytes into events and effects into bytes, around the one reducer.
 
+mod admin;
 mod backend_connection;
-mod backend_edge;
+pub mod backend_edge;
 mod backend_error;
 mod backend_work;
 mod caller_batch;
-mod caller_edge;
+pub mod caller_edge;
 mod caller_error;
 mod caller_messages;
 mod caller_session;
 mod caller_startup;
 mod caller_wire;
+mod clock;
+mod error;
 mod frames;
 mod group_call;
+mod hybrid_clock;
+mod logging;
+mod metrics;
+mod peer_edge;
+mod peer_links;
+pub mod platform_edge;
 mod prepared;
+mod raw_settings;
+mod run;
+mod runner;
 mod scram;
 mod session_command;
+mod settings;
+mod settings_fault;
 mod sql_scan;
+mod status;
+mod timeline_ring;
+mod timers;
 
+pub use self::admin::*;
 pub use self::backend_connection::{BackendSettings, CONNECT_TIMEOUT};
 pub use self::backend_edge::{CALL_QUEUE_MAX, WORK_QUEUE_MAX, run as run_backend_edge};
 pub use self::backend_error::BackendError;
@@ -29,12 +47,26 @@
 pub use self::caller_session::BATCH_MAX_MESSAGES;
 pub use self::caller_startup::{STARTUP_MAX_BYTES, STARTUP_TIMEOUT};
 pub use self::caller_wire::{READ_AHEAD_MAX_BYTES, WRITE_TIMEOUT};
+pub use self::clock::*;
+pub use self::error::*;
 pub use self::frames::MESSAGE_MAX_BYTES;
 pub use self::group_call::{CONTROL_DATABASE, CONTROL_IDLE, StatusText, StatusTextError};
+pub use self::hybrid_clock::*;
+pub use self::logging::*;
+pub use self::metrics::*;
+pub use self::peer_edge::*;
 pub use self::prepared::{
     PREPARED_MAX, PREPARED_MAX_BYTES, PreparedError, PreparedStatements, Rewritten, Step,
 };
+pub use self::raw_settings::*;
+pub use self::run::*;
+pub use self::runner::*;
 pub use self::scram::{VerifierError, make_verifier};
 pub use self::session_command::{
     KEY_PARAMETER, SessionCommand, TOKEN_PARAMETER, key_of_comment, session_commands,
 };
+pub use self::settings::*;
+pub use self::settings_fault::*;
+pub use self::status::*;
+pub use self::timeline_ring::*;
+pub use self::timers::*;
