Platform edge reads what was changed meanwhile; advertised peer address

A document that is changed again while it is read bears a later count than the one that was read up to. The reader would take that count for its own and never read another document's change before it. The edge now reads on until no document is past what it has covered. Seen failing without that: the answer bore the changes [3] where 2 was another document's.

Settings: `peers_advertised` for a daemon that peers reach through a relay.

--- a/sapphireslipd/src/platform_edge.rs
+++ b/sapphireslipd/src/platform_edge.rs
@@ -1,6 +1,6 @@
 //! Calls to the platform: the table service and the list of VMs.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -162,21 +162,41 @@
         changes(&reply).map_err(bad_answer)
     }
 
+    /// Reads the documents accepted after a count.
+    ///
+    /// A document may be changed again while it is read, and then bears a later count. What was
+    /// changed before that has to be read as well, or the reader would take itself to be further
+    /// than it is.
     async fn documents(&self, since: ChangeCount) -> Result<Vec<AcceptedDocument>, Status> {
-        let until = self.changes().await?;
+        let mut documents = BTreeMap::new();
+        let (mut covered, mut until) = (since, self.changes().await?);
+        while covered < until {
+            for read in document_reads(self.changed(covered, until).await?) {
+                for row in self.read(read).await?.rows {
+                    let read = document(&row).map_err(bad_answer)?;
+                    documents.extend(read.map(|document| (row.key, document)));
+                }
+            }
+            covered = until;
+            let last = documents.values().map(|document| document.change).max();
+            until = until.max(last.unwrap_or_default());
+        }
+        let mut documents: Vec<_> = documents.into_values().collect();
+        documents.sort_by_key(|document| document.change);
+        Ok(documents)
+    }
+
+    async fn changed(
+        &self,
+        since: ChangeCount,
+        until: ChangeCount,
+    ) -> Result<BTreeSet<String>, Status> {
         let mut keys = BTreeSet::new();
         for read in change_reads(since, until) {
             let reply = self.read(read).await?;
             keys.extend(changed_documents(&reply).map_err(bad_answer)?);
         }
-        let mut documents = Vec::new();
-        for read in document_reads(keys) {
-            for row in self.read(read).await?.rows {
-                documents.extend(document(&row).map_err(bad_answer)?);
-            }
-        }
-        documents.sort_by_key(|document| document.change);
-        Ok(documents)
+        Ok(keys)
     }
 
     async fn vms(&self) -> Result<VmList, Status> {
--- a/sapphireslipd/src/raw_settings.rs
+++ b/sapphireslipd/src/raw_settings.rs
@@ -183,7 +183,27 @@
         key: &'static str,
     ) -> Option<Placed<SocketAddr>> {
         let expected = "an IP number and a port, such as `10.0.0.1:5432`";
-        let Placed { value, offset } = self.text(faults, key, expected)?;
+        let text = self.text(faults, key, expected)?;
+        self.address_of(faults, key, &text)
+    }
+
+    /// Returns an IP number with a port that may be left out.
+    pub(crate) fn optional_address(
+        &mut self,
+        faults: &mut Faults<'_>,
+        key: &'static str,
+    ) -> Option<Placed<SocketAddr>> {
+        let text = self.optional_text(faults, key)?;
+        self.address_of(faults, key, &text)
+    }
+
+    fn address_of(
+        &self,
+        faults: &mut Faults<'_>,
+        key: &str,
+        text: &Placed<&str>,
+    ) -> Option<Placed<SocketAddr>> {
+        let &Placed { value, offset } = text;
         let fault = match value.parse::<SocketAddr>() {
             Ok(address) if address.port() == 0 => SettingsFault::PortZero(value.to_owned()),
             Ok(value) => return Some(Placed { value, offset }),
--- a/sapphireslipd/src/run.rs
+++ b/sapphireslipd/src/run.rs
@@ -129,7 +129,7 @@
     let local = Local {
         vm: settings.vm.clone(),
         zone: settings.zone.clone(),
-        address: settings.peers,
+        address: settings.peers_advertised,
         incarnation: new_incarnation(),
     };
     let (events_tx, events) = flume::bounded(EVENTS_MAX);
--- a/sapphireslipd/src/settings.rs
+++ b/sapphireslipd/src/settings.rs
@@ -5,6 +5,7 @@
 //! zone = "a"
 //! callers = "10.0.0.1:5432"    # where callers connect
 //! peers = "10.0.0.1:7000"      # where other daemons connect
+//! peers_advertised = "10.0.0.1:7000"  # where they reach it, if that differs; may be left out
 //! admin = "10.0.0.1:9000"      # metrics, readiness and the time line
 //! platform = "10.0.9.1:443"
 //! log_level = "info"           # may be left out
@@ -48,6 +49,8 @@
     pub callers: SocketAddr,
     /// Where it takes calls from peers.
     pub peers: SocketAddr,
+    /// Where peers reach it, as it tells them.
+    pub peers_advertised: SocketAddr,
     /// Where it serves the admin interface.
     pub admin: SocketAddr,
     /// Where the platform is.
@@ -121,6 +124,7 @@
     let zone = root.name(faults, "zone");
     let callers = root.address(faults, "callers");
     let peers = root.address(faults, "peers");
+    let advertised = root.optional_address(faults, "peers_advertised");
     let admin = root.address(faults, "admin");
     let platform = root.address(faults, "platform");
     let log_level = log_level(&mut root, faults);
@@ -136,18 +140,20 @@
             ("admin", admin.as_ref()),
         ],
     );
-    if let Some(peers) = peers
-        .as_ref()
-        .filter(|peers| peers.value.ip().is_unspecified())
-    {
-        let fault = SettingsFault::Unspecified(peers.value.to_string());
-        faults.add(peers.offset, root.path_of("peers"), fault);
+    let (key, reached) = match &advertised {
+        Some(advertised) => ("peers_advertised", Some(advertised)),
+        None => ("peers", peers.as_ref()),
+    };
+    if let Some(reached) = reached.filter(|address| address.value.ip().is_unspecified()) {
+        let fault = SettingsFault::Unspecified(reached.value.to_string());
+        faults.add(reached.offset, root.path_of(key), fault);
     }
     root.finish(faults);
     Some(Settings {
         vm: vm?.value,
         zone: zone?.value,
         callers: callers?.value,
+        peers_advertised: advertised.or_else(|| peers.clone())?.value,
         peers: peers?.value,
         admin: admin?.value,
         platform: platform?.value,
--- /dev/null
+++ b/sapphireslipd/tests/platform_edge.rs
@@ -0,0 +1,216 @@
+//! The platform edge against the stand-in: answers, no answers, and documents that change.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use sapphireslip_core::{
+    ChangeCount, DatabaseName, Event, Generation, Incarnation, Local, MemberName, PlatformEffect,
+    PlatformEvent, ServiceName, VmId, ZoneName,
+};
+use sapphireslip_wire::Apply;
+use sapphireslip_wire::platform::table_client::TableClient;
+use sapphireslip_wire::platform::{Vm, VmState};
+use sapphireslipd::platform_edge;
+use standins::{Platform, PlatformSettings};
+
+/// How long a condition is waited for.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+struct Fixture {
+    platform: Platform,
+    effects: flume::Sender<PlatformEffect>,
+    events: flume::Receiver<Event>,
+}
+
+impl Fixture {
+    async fn start() -> Self {
+        let platform = Platform::start(PlatformSettings::default())
+            .await
+            .expect("starts");
+        let local = Local {
+            vm: VmId::try_from("vm-1").expect("name"),
+            zone: ZoneName::try_from("a").expect("name"),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 7000)),
+            incarnation: Incarnation(1),
+        };
+        let (events_tx, events) = flume::bounded(64);
+        let (effects, effects_rx) = flume::bounded(64);
+        let edge = platform_edge::run(platform.address(), local, events_tx, effects_rx);
+        tokio::spawn(edge);
+        Self {
+            platform,
+            effects,
+            events,
+        }
+    }
+
+    async fn ask(&self, effect: PlatformEffect) -> PlatformEvent {
+        self.effects.send(effect).expect("queued");
+        self.event().await
+    }
+
+    async fn event(&self) -> PlatformEvent {
+        let event = tokio::time::timeout(PATIENCE, self.events.recv_async()).await;
+        match event.expect("an event in time") {
+            Ok(Event::Platform(event)) => event,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Has a document accepted at its next generation.
+    async fn accept(&self, service: &str, against: u64) {
+        let apply = Apply {
+            member: MemberName::try_from("acme").expect("name"),
+            service: ServiceName::try_from(service).expect("name"),
+            against: Generation(against),
+            databases: vec![DatabaseName::try_from(service).expect("name")],
+            released: vec![],
+            text: format!("{service} {}", against + 1).into(),
+            writer: format!("{service}-{against}").into(),
+        };
+        let url = format!("http://{}", self.platform.address());
+        let mut table = TableClient::connect(url).await.expect("connects");
+        let rows = table.read(apply.reads()).await.expect("rows").into_inner();
+        let transaction = apply.transaction(&rows).expect("transaction");
+        let reply = table
+            .transact(transaction)
+            .await
+            .expect("answer")
+            .into_inner();
+        assert_eq!(reply.failed, None);
+    }
+
+    /// Returns the changes and the texts of the documents accepted after a count.
+    async fn documents(&self, since: u64) -> Vec<(u64, String)> {
+        let since = ChangeCount(since);
+        match self.ask(PlatformEffect::ReadDocuments { since }).await {
+            PlatformEvent::Documents(Some(documents)) => {
+                let found = documents.iter();
+                found
+                    .map(|found| (found.change.0, found.text.to_string()))
+                    .collect()
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+#[tokio::test]
+async fn changes_none_yet() {
+    let fixture = Fixture::start().await;
+    let answer = fixture.ask(PlatformEffect::ReadChanges).await;
+    assert_eq!(answer, PlatformEvent::Changes(Some(ChangeCount(0))));
+}
+
+#[tokio::test]
+async fn documents_since() {
+    let fixture = Fixture::start().await;
+    fixture.accept("stock", 0).await;
+    fixture.accept("sales", 0).await;
+    fixture.accept("stock", 1).await;
+    let all = [(2, "sales 1".to_owned()), (3, "stock 2".to_owned())];
+    assert_eq!(fixture.documents(0).await, all);
+    assert_eq!(fixture.documents(2).await, all[1..]);
+    assert_eq!(fixture.documents(3).await, []);
+}
+
+#[tokio::test]
+async fn documents_many_batches() {
+    let fixture = Fixture::start().await;
+    for number in 0..150 {
+        fixture.accept(&format!("service-{number}"), 0).await;
+    }
+    let changes: Vec<_> = fixture
+        .documents(0)
+        .await
+        .iter()
+        .map(|found| found.0)
+        .collect();
+    assert_eq!(changes, (1..=150).collect::<Vec<_>>());
+}
+
+/// Between the edge's reads, the document it is about to read is changed again, after another one:
+/// an answer that bears the last count has to bear the one before it too.
+#[tokio::test]
+async fn documents_changed_meanwhile() {
+    let fixture = Fixture::start().await;
+    fixture.accept("stock", 0).await;
+    fixture.platform.slow(Duration::from_millis(100));
+    let since = ChangeCount(0);
+    fixture
+        .effects
+        .send(PlatformEffect::ReadDocuments { since })
+        .expect("queued");
+    let reads = fixture.platform.counts().reads;
+    while fixture.platform.counts().reads < reads + 2 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    fixture.platform.slow(Duration::ZERO);
+    fixture.accept("sales", 0).await;
+    fixture.accept("stock", 1).await;
+    let PlatformEvent::Documents(Some(documents)) = fixture.event().await else {
+        panic!("no documents");
+    };
+    let changes: Vec<_> = documents.iter().map(|document| document.change.0).collect();
+    assert!(changes == [1] || changes == [2, 3], "{changes:?}");
+}
+
+#[tokio::test]
+async fn vms_and_leaving_servers() {
+    let fixture = Fixture::start().await;
+    fixture.platform.set_vm(Vm {
+        vm: "vm-2".to_owned(),
+        zone: "b".to_owned(),
+        address: "127.0.0.1:7000".to_owned(),
+        incarnation: 3,
+        state: VmState::Leaving.into(),
+    });
+    let server = "127.0.0.9".parse().expect("ip");
+    fixture.platform.set_leaving_servers([server]);
+    let PlatformEvent::Vms(Some(vms)) = fixture.ask(PlatformEffect::ReadVms).await else {
+        panic!("no list");
+    };
+    assert_eq!(vms[0].vm.as_str(), "vm-2");
+    assert_eq!(vms[0].state, sapphireslip_core::VmState::Leaving);
+    assert_eq!(
+        fixture.event().await,
+        PlatformEvent::LeavingServers(vec![server])
+    );
+}
+
+#[tokio::test]
+async fn down_no_answer_then_up() {
+    let fixture = Fixture::start().await;
+    fixture.platform.down(true);
+    let answer = fixture.ask(PlatformEffect::ReadChanges).await;
+    assert_eq!(answer, PlatformEvent::Changes(None));
+    assert_eq!(
+        fixture.ask(PlatformEffect::ReadVms).await,
+        PlatformEvent::Vms(None)
+    );
+    fixture.platform.down(false);
+    let answer = fixture.ask(PlatformEffect::ReadChanges).await;
+    assert_eq!(answer, PlatformEvent::Changes(Some(ChangeCount(0))));
+}
+
+#[tokio::test]
+async fn cut_no_answer() {
+    let fixture = Fixture::start().await;
+    fixture.platform.cut_zone("a", true);
+    let answer = fixture.ask(PlatformEffect::ReadChanges).await;
+    assert_eq!(answer, PlatformEvent::Changes(None));
+}
+
+#[tokio::test]
+async fn one_call_of_a_kind() {
+    let fixture = Fixture::start().await;
+    fixture.platform.slow(Duration::from_millis(200));
+    for _ in 0..10 {
+        fixture
+            .effects
+            .send(PlatformEffect::ReadChanges)
+            .expect("queued");
+    }
+    fixture.event().await;
+    assert_eq!(fixture.platform.counts().reads, 1);
+}
--- a/sapphireslipd/tests/settings.rs
+++ b/sapphireslipd/tests/settings.rs
@@ -33,6 +33,7 @@
 fn settings_good() {
     let settings = Settings::try_from(GOOD.as_bytes()).expect("good");
     assert_eq!(settings.vm.as_str(), "vm-1");
+    assert_eq!(settings.peers_advertised, settings.peers);
     assert_eq!(settings.platform.to_string(), "10.0.9.1:443");
     assert_eq!(settings.log_level, LevelFilter::Debug);
     assert_eq!(settings.drain_bound, Duration::from_secs(20));
@@ -73,6 +74,12 @@
     "0.0.0.0:7000",
     "line 4: peers: `0.0.0.0:7000` stands for every address: give the one that peers call"
 )]
+#[case::advertised(
+    "admin =",
+    "peers_advertised = \"0.0.0.0:7001\"\nadmin =",
+    "line 5: peers_advertised: `0.0.0.0:7001` stands for every address: give the one that peers \
+     call"
+)]
 #[case::listeners(
     "10.0.0.1:9000",
     "10.0.0.1:5432",
@@ -113,8 +120,8 @@
 #[case::unknown_root(
     "log_level",
     "loglevel",
-    "line 7: loglevel: is no known key: use `vm`, `zone`, `callers`, `peers`, `admin`, \
-     `platform`, `log_level`, `drain_bound`, `backend`, `peer`"
+    "line 7: loglevel: is no known key: use `vm`, `zone`, `callers`, `peers`, `peers_advertised`, \
+     `admin`, `platform`, `log_level`, `drain_bound`, `backend`, `peer`"
 )]
 #[case::own_vm(
     "vm = \"vm-2\"",
@@ -135,6 +142,14 @@
     assert!(errors.to_string().starts_with(expected), "{errors}");
 }
 
+#[test]
+fn settings_advertised() {
+    let text = GOOD.replace("admin =", "peers_advertised = \"10.9.0.1:7001\"\nadmin =");
+    let settings = Settings::try_from(text.as_bytes()).expect("good");
+    assert_eq!(settings.peers_advertised.to_string(), "10.9.0.1:7001");
+    assert_eq!(settings.peers.to_string(), "10.0.0.1:7000");
+}
+
 #[test]
 fn settings_every_fault() {
     let text = GOOD
