--- a/sapphireslip-core/src/entry.rs
+++ b/sapphireslip-core/src/entry.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 
-use crate::admission::admit;
+use crate::caller_admission::admit;
 use crate::derives::data;
 use crate::due_sessions::DueSessions;
 use crate::entry_refusal::{draining, lost, out_of_sends, out_of_turn, past_deadline};
--- a/sapphireslipd/src/run.rs
+++ b/sapphireslipd/src/run.rs
@@ -13,11 +13,10 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinSet;
 
-use crate::backend_edge::BackendSettings;
 use crate::{
-    Admin, Clock, EFFECTS_MAX, EVENTS_MAX, EffectSenders, Error, HybridClock, Metrics, PeerEdge,
-    ReadinessCell, Runner, RunnerParts, Settings, TimelineRing, backend_edge, caller_edge,
-    new_incarnation, platform_edge, start_logging,
+    Admin, BackendSettings, Clock, EFFECTS_MAX, EVENTS_MAX, EffectSenders, Error, HybridClock,
+    Metrics, PeerEdge, ReadinessCell, Runner, RunnerParts, Settings, TimelineRing, backend_edge,
+    caller_edge, new_incarnation, platform_edge, start_logging,
 };
 
 /// The most status queries that wait for the runner.
@@ -143,6 +142,7 @@
     let hybrid_clock = Arc::new(HybridClock::new(local.incarnation));
     let peer_edge = PeerEdge::new(
         local.clone(),
+        settings.peers.ip(),
         Arc::clone(&hybrid_clock),
         events_tx.clone(),
         Arc::clone(&metrics),
--- a/sapphireslipd/tests/daemon.rs
+++ b/sapphireslipd/tests/daemon.rs
@@ -1,16 +1,67 @@
-//! Daemon processes: start with the platform down, admin interface, check, and stop.
+//! Daemon processes: start with the platform down, readiness, admin interface, check, and stop.
 
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
+use rustix::process::{Pid, Signal, kill_process};
+use standins::{Platform, PlatformSettings, accept_document};
 use tempfile::NamedTempFile;
+use tokio::runtime::Runtime;
 
 /// How long a condition is waited for.
 const PATIENCE: Duration = Duration::from_secs(10);
 
+/// Ports below those that the system gives to outgoing connections.
+const CALLER_PORT: u16 = 5433;
+const PEER_PORT: u16 = 7100;
+const ADMIN_PORT: u16 = 9100;
+const SILENT_PORT: u16 = 9;
+
+/// A document of a service whose only server does not answer.
+const DOCUMENT: &str = r#"service = "shop"
+member = "acme"
+generation = 1
+
+[limits]
+sessions = 10
+queued = 10
+
+[stop]
+bound = "1s"
+
+[[caller]]
+name = "till"
+verifier = "SCRAM-SHA-256$4096:c2FsdA==$a2V5:a2V5"
+
+[[database]]
+name = "stock"
+connections = 4
+max_staleness = "1s"
+deadline = "1s"
+
+[[database.server]]
+id = "stock-1"
+zone = "a"
+address = "127.0.0.1:1"
+"#;
+
+/// A platform that has accepted [`DOCUMENT`], with the runtime it runs in.
+fn platform_with_document(runtime: &Runtime) -> Platform {
+    runtime.block_on(async {
+        let platform = Platform::start(PlatformSettings::default())
+            .await
+            .expect("starts");
+        accept_document(platform.address(), DOCUMENT)
+            .await
+            .expect("accepted");
+        platform
+    })
+}
+
 /// A daemon's process, killed when dropped.
 struct Daemon {
     child: Child,
@@ -19,9 +70,20 @@
     settings: NamedTempFile,
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
-    listener.local_addr().expect("address")
+/// Returns a loopback IP number that no other daemon of these tests has.
+///
+/// A free port of a shared IP number won't do: before the daemon has taken it, another test may,
+/// and a test that tries to connect to it may be given the same port and reach itself.
+fn own_ip() -> Ipv4Addr {
+    static DAEMONS: AtomicU8 = AtomicU8::new(1);
+    let number = DAEMONS.fetch_add(1, Ordering::Relaxed);
+    let [.., third, fourth] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, third, fourth, number)
+}
+
+/// Returns an address where nothing listens.
+fn silent_address() -> SocketAddr {
+    SocketAddr::from((own_ip(), SILENT_PORT))
 }
 
 fn settings_file(text: &str) -> NamedTempFile {
@@ -41,7 +103,10 @@
 
 impl Daemon {
     fn start(vm: &str, platform: SocketAddr, peer: Option<&Self>) -> Self {
-        let (callers, peers, admin) = (free_address(), free_address(), free_address());
+        let ip = own_ip();
+        let address = |port| SocketAddr::from((ip, port));
+        let (callers, peers) = (address(CALLER_PORT), address(PEER_PORT));
+        let admin = address(ADMIN_PORT);
         let mut text = format!(
             "vm = \"{vm}\"\nzone = \"a\"\ncallers = \"{callers}\"\npeers = \"{peers}\"\n\
              admin = \"{admin}\"\nplatform = \"{platform}\"\n[backend]\nuser = \"proxy\"\n"
@@ -95,6 +160,23 @@
     }
 }
 
+impl Daemon {
+    fn wait_exit(&mut self) -> ExitStatus {
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("status") {
+                return status;
+            }
+            assert!(start.elapsed() < PATIENCE, "the process goes on");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).expect("signalled");
+    }
+}
+
 impl Drop for Daemon {
     fn drop(&mut self) {
         let _gone = self.child.kill();
@@ -104,25 +186,90 @@
 
 #[test]
 fn start_platform_down() {
-    let daemon = Daemon::start("vm-1", free_address(), None);
+    let daemon = Daemon::start("vm-1", silent_address(), None);
     let took = daemon.wait_http("/ready", |code, body| {
         code == 503 && body == r#"{"ready":false,"reason":"configuration_unknown"}"#
     });
     assert!(took < Duration::from_secs(1), "took {took:?}");
 }
 
+#[test]
+fn ready_when_platform_comes_back() {
+    let runtime = Runtime::new().expect("a runtime");
+    let platform = platform_with_document(&runtime);
+    platform.down(true);
+    let daemon = Daemon::start("vm-1", platform.address(), None);
+    daemon.wait_http("/ready", |code, _| code == 503);
+    platform.down(false);
+    daemon.wait_http("/ready", |code, body| {
+        code == 200 && body == r#"{"ready":true,"reason":"ready"}"#
+    });
+    daemon.wait_http("/status", |_, body| {
+        body.contains(r#""member":"acme","service":"shop","generation":1,"databases":["stock"]"#)
+    });
+    daemon.wait_http("/timeline", |_, body| body.contains("DocumentInForce"));
+}
+
+#[test]
+fn ready_from_peer_while_platform_down() {
+    let runtime = Runtime::new().expect("a runtime");
+    let platform = platform_with_document(&runtime);
+    let first = Daemon::start("vm-1", platform.address(), None);
+    first.wait_http("/ready", |code, _| code == 200);
+    platform.down(true);
+    let second = Daemon::start("vm-2", platform.address(), Some(&first));
+    second.wait_http("/ready", |code, _| code == 200);
+    first.wait_http("/status", |_, body| body.contains(r#""vm":"vm-2""#));
+}
+
+#[rstest]
+#[case::terminate(Signal::TERM)]
+#[case::interrupt(Signal::INT)]
+fn drain_by_signal(#[case] signal: Signal) {
+    let mut daemon = Daemon::start("vm-1", silent_address(), None);
+    daemon.wait_http("/ready", |code, _| code == 503);
+    daemon.signal(signal);
+    assert_eq!(daemon.wait_exit().code(), Some(0));
+}
+
+#[test]
+fn drain_by_admin() {
+    let runtime = Runtime::new().expect("a runtime");
+    let platform = platform_with_document(&runtime);
+    let mut daemon = Daemon::start("vm-1", platform.address(), None);
+    daemon.wait_http("/ready", |code, _| code == 200);
+    assert_eq!(
+        daemon.http("POST", "/drain").map(|(code, _)| code),
+        Some(202)
+    );
+    daemon.wait_http("/ready", |code, body| {
+        code == 503 && body.contains("draining")
+    });
+    assert_eq!(daemon.wait_exit().code(), Some(0));
+}
+
+#[test]
+fn drain_of_frozen_and_thawed_process() {
+    let mut daemon = Daemon::start("vm-1", silent_address(), None);
+    daemon.wait_http("/ready", |code, _| code == 503);
+    daemon.signal(Signal::STOP);
+    daemon.signal(Signal::TERM);
+    daemon.signal(Signal::CONT);
+    assert_eq!(daemon.wait_exit().code(), Some(0));
+}
+
 #[rstest]
 #[case::metrics("/metrics", "sapphireslip_failovers_total 0")]
 #[case::status("/status", r#""vm":"vm-1""#)]
 #[case::timeline("/timeline?since=0", r#""entries":["#)]
 fn admin_shows(#[case] path: &str, #[case] expected: &str) {
-    let daemon = Daemon::start("vm-1", free_address(), None);
+    let daemon = Daemon::start("vm-1", silent_address(), None);
     daemon.wait_http(path, |code, body| code == 200 && body.contains(expected));
 }
 
 #[test]
 fn admin_other_method() {
-    let daemon = Daemon::start("vm-1", free_address(), None);
+    let daemon = Daemon::start("vm-1", silent_address(), None);
     daemon.wait_http("/ready", |code, _| code == 503);
     assert_eq!(
         daemon.http("GET", "/drain").map(|(code, _)| code),
@@ -132,8 +279,8 @@
 
 #[test]
 fn seed_in_status() {
-    let first = Daemon::start("vm-1", free_address(), None);
-    let second = Daemon::start("vm-2", free_address(), Some(&first));
+    let first = Daemon::start("vm-1", silent_address(), None);
+    let second = Daemon::start("vm-2", silent_address(), Some(&first));
     second.wait_http("/status", |_, body| body.contains(r#""vm":"vm-1""#));
 }
 
@@ -183,7 +330,7 @@
 
 #[test]
 fn run_address_in_use() {
-    let first = Daemon::start("vm-1", free_address(), None);
+    let first = Daemon::start("vm-1", silent_address(), None);
     first.wait_http("/ready", |code, _| code == 503);
     let text = std::fs::read_to_string(first.settings.path()).expect("text");
     let settings = settings_file(&text);
--- a/sapphireslipd/tests/peer_edge.rs
+++ b/sapphireslipd/tests/peer_edge.rs
@@ -37,10 +37,11 @@
             address: listener.local_addr().expect("address"),
             incarnation: Incarnation(incarnation),
         };
+        let source = local.address.ip();
         let clock = Arc::new(HybridClock::new(local.incarnation));
         let (tx, events) = flume::bounded(64);
         let metrics = Arc::new(Metrics::default());
-        let edge = PeerEdge::new(local.clone(), Arc::clone(&clock), tx, metrics);
+        let edge = PeerEdge::new(local.clone(), source, Arc::clone(&clock), tx, metrics);
         let served = edge.clone();
         tokio::spawn(async move {
             served.serve(listener).await.expect("serves");
