--- /dev/null
+++ b/sapphireslipd/examples/experiment.rs
@@ -0,0 +1,205 @@
+//! Measures a fleet of daemon processes under a workload, with or without a fault.
+//!
+//! Prints one JSON line a run: the settings, the fault, and what the load tool found.
+
+use std::error::Error;
+use std::ffi::OsString;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use rustix::process::Signal;
+use sapphireslip::{BenchResult, BenchSettings, RawBenchSettings, run_bench};
+use sapphireslip_core::ServerRole;
+use sapphireslipd::make_verifier;
+use serde::Serialize;
+use standins::{DaemonProgram, Fleet, FleetPlan, SERVERS_A_GROUP};
+
+/// The argument by which the experiment starts itself as a daemon.
+const DAEMON_ARGUMENT: &str = "daemon";
+
+const USER: &str = "till";
+const PASSWORD: &str = "a counter by the door";
+
+/// What goes wrong in the middle of a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+enum Fault {
+    None,
+    KillPrimary,
+    FreezePrimary,
+    CutPrimaryZone,
+    KillDaemon,
+    StopDaemon,
+}
+
+impl std::str::FromStr for Fault {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        Ok(match text {
+            "none" => Self::None,
+            "kill-primary" => Self::KillPrimary,
+            "freeze-primary" => Self::FreezePrimary,
+            "cut-primary-zone" => Self::CutPrimaryZone,
+            "kill-daemon" => Self::KillDaemon,
+            "stop-daemon" => Self::StopDaemon,
+            _ => return Err(format!("no fault `{text}`")),
+        })
+    }
+}
+
+/// Measures a fleet under a workload and a fault.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options)]
+struct Args {
+    /// Runs, each with a new fleet and the next seed
+    #[bpaf(argument("N"), fallback(1), display_fallback)]
+    runs: u64,
+    /// The first seed
+    #[bpaf(argument("N"), fallback(1), display_fallback)]
+    seed: u64,
+    /// `red-quetzal` or `adeyemi`
+    #[bpaf(argument("NAME"), fallback("red-quetzal".to_owned()), display_fallback)]
+    workload: String,
+    /// Daemons in each of the three zones
+    #[bpaf(argument("N"), fallback(2), display_fallback)]
+    daemons: usize,
+    /// Operations offered a second
+    #[bpaf(argument("N"), fallback(300), display_fallback)]
+    rate: u32,
+    /// Sessions
+    #[bpaf(argument("N"), fallback(24), display_fallback)]
+    sessions: u32,
+    /// The length of a run in seconds
+    #[bpaf(argument("N"), fallback(6), display_fallback)]
+    seconds: u64,
+    /// How far the replicas' reads lag, in milliseconds
+    #[bpaf(argument("N"), fallback(5), display_fallback)]
+    lag: u64,
+    /// The oldest data that a read may return, in milliseconds
+    #[bpaf(argument("N"), fallback(10_000), display_fallback)]
+    staleness: u64,
+    /// Percent of operations before which a session moves to another daemon
+    #[bpaf(argument("N"), fallback(5), display_fallback)]
+    roam_percent: u32,
+    /// Connections that one server takes
+    #[bpaf(argument("N"), fallback(16), display_fallback)]
+    connections: usize,
+    /// What goes wrong: none, kill-primary, freeze-primary, cut-primary-zone, kill-daemon, stop-daemon
+    #[bpaf(argument("NAME"), fallback(Fault::None))]
+    fault: Fault,
+    /// Have the platform down from before the fault on
+    platform_down: bool,
+}
+
+/// One run.
+#[derive(Debug, Serialize)]
+struct Run<'a> {
+    fault: Fault,
+    platform_down: bool,
+    lag_ms: u64,
+    staleness_ms: u64,
+    daemons: usize,
+    result: &'a BenchResult,
+}
+
+fn main() -> ExitCode {
+    let args: Vec<OsString> = std::env::args_os().skip(1).collect();
+    if args.first().is_some_and(|arg| arg == DAEMON_ARGUMENT) {
+        return sapphireslipd::run(args.into_iter().skip(1));
+    }
+    let args = self::args().run();
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime can be had");
+    match runtime.block_on(measure(&args)) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(err) => {
+            eprintln!("error: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Returns whether every run kept every promise.
+async fn measure(args: &Args) -> Result<bool, Box<dyn Error>> {
+    let mut is_clean = true;
+    for seed in args.seed..args.seed + args.runs {
+        let result = run_once(args, seed).await?;
+        is_clean &= result.verdict.is_clean();
+        let run = Run {
+            fault: args.fault,
+            platform_down: args.platform_down,
+            lag_ms: args.lag,
+            staleness_ms: args.staleness,
+            daemons: args.daemons * 3,
+            result: &result,
+        };
+        println!("{}", serde_json::to_string(&run)?);
+    }
+    Ok(is_clean)
+}
+
+async fn run_once(args: &Args, seed: u64) -> Result<BenchResult, Box<dyn Error>> {
+    let program = DaemonProgram {
+        path: std::env::current_exe()?,
+        arguments: vec![DAEMON_ARGUMENT.to_owned()],
+    };
+    let plan = FleetPlan::new(program, USER, &make_verifier(PASSWORD))
+        .daemons_per_zone(args.daemons)
+        .connections(args.connections)
+        .max_staleness(Duration::from_millis(args.staleness))
+        .lag(Duration::from_millis(args.lag));
+    let mut fleet = Fleet::start(plan).await?;
+    let settings = bench_settings(args, seed, &fleet)?;
+    let load = tokio::spawn(run_bench(settings, |_line| {}));
+    tokio::time::sleep(Duration::from_secs(args.seconds) / 2).await;
+    fleet.platform().down(args.platform_down);
+    make_fault(args.fault, &mut fleet)?;
+    Ok(load.await??)
+}
+
+fn bench_settings(args: &Args, seed: u64, fleet: &Fleet) -> Result<BenchSettings, Box<dyn Error>> {
+    // The primary's zone is `a` at the start; a caller in a zone that is cut off has no other way.
+    let numbers = 0..fleet.daemons();
+    let is_outside = |number: &usize| {
+        args.fault != Fault::CutPrimaryZone || fleet.zone(*number) != fleet.zone(0)
+    };
+    let numbers: Vec<usize> = numbers.filter(is_outside).collect();
+    let raw = RawBenchSettings {
+        daemons: numbers
+            .iter()
+            .map(|number| fleet.callers(*number))
+            .collect(),
+        admin: (0..fleet.daemons())
+            .map(|number| fleet.admin(number))
+            .collect(),
+        database: "stock".to_owned(),
+        user: USER.to_owned(),
+        password: PASSWORD.to_owned(),
+        workload: args.workload.clone(),
+        rate: args.rate,
+        sessions: args.sessions,
+        seconds: args.seconds,
+        seed,
+        roam_percent: args.roam_percent,
+    };
+    Ok(BenchSettings::try_from(raw)?)
+}
+
+fn make_fault(fault: Fault, fleet: &mut Fleet) -> Result<(), Box<dyn Error>> {
+    let group = fleet.group(0);
+    let is_primary = |server: &usize| group.status(*server).role == ServerRole::Primary;
+    let primary = (0..SERVERS_A_GROUP).find(is_primary).ok_or("no primary")?;
+    match fault {
+        Fault::None => {}
+        Fault::KillPrimary => group.kill(primary),
+        Fault::FreezePrimary => group.freeze(primary),
+        Fault::CutPrimaryZone => {
+            let zone = fleet.server_zone(primary).to_owned();
+            fleet.cut_zone(&zone);
+        }
+        Fault::KillDaemon => fleet.kill_daemon(0)?,
+        Fault::StopDaemon => fleet.signal_daemon(0, Signal::TERM)?,
+    }
+    Ok(())
+}
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -347,6 +347,18 @@
         self.addresses.callers(number)
     }
 
+    /// Returns the zone of a daemon.
+    #[must_use]
+    pub fn zone(&self, number: usize) -> &str {
+        &self.daemons[number].zone
+    }
+
+    /// Returns the zone of a server of each database.
+    #[must_use]
+    pub fn server_zone(&self, server: usize) -> &str {
+        &self.plan.zones[server % self.plan.zones.len()]
+    }
+
     /// Returns a daemon's admin interface.
     #[must_use]
     pub fn admin(&self, number: usize) -> SocketAddr {
