--- a/sapphireslipd/tests/support/faults.rs
+++ b/sapphireslipd/tests/support/faults.rs
@@ -3,11 +3,12 @@
 use std::error::Error;
 use std::time::Duration;
 
-use goldenscript::ArgumentConsumer;
 use rustix::process::Signal;
 use sapphireslip_core::ServerRole;
 use standins::{Fleet, SERVERS_A_GROUP, wait_for};
 
+use super::script_args::ScriptArgs;
+
 /// The time within which a group has a primary.
 const PRIMARY_LIMIT: Duration = Duration::from_secs(10);
 
@@ -40,15 +41,13 @@
 pub async fn fault(
     fleet: &mut Fleet,
     name: &str,
-    args: &mut ArgumentConsumer<'_>,
+    args: &mut ScriptArgs<'_>,
 ) -> Result<String, Box<dyn Error>> {
-    if let Some(which) = args.lookup("server") {
-        let server = server(fleet, which.value.as_str()).await?;
+    if let Some(which) = args.text("server") {
+        let server = server(fleet, which).await?;
         return server_fault(fleet, name, server, args).await;
     }
-    let number: usize = args
-        .lookup_parse("daemon")?
-        .ok_or("name a server or a daemon")?;
+    let number: usize = args.parse("daemon")?.ok_or("name a server or a daemon")?;
     match name {
         "kill" => fleet.kill_daemon(number)?,
         "freeze" => fleet.signal_daemon(number, Signal::STOP)?,
@@ -71,10 +70,10 @@
     fleet: &Fleet,
     name: &str,
     server: usize,
-    args: &mut ArgumentConsumer<'_>,
+    args: &mut ScriptArgs<'_>,
 ) -> Result<String, Box<dyn Error>> {
     let group = fleet.group(0);
-    let millis = args.lookup_parse("ms")?.unwrap_or(0);
+    let millis = args.parse("ms")?.unwrap_or(0);
     match name {
         "kill" => group.kill(server),
         "restart" => group.restart(server).await?,
