Reads by server role in the metrics, homes in the status

The time line says to which server a request went but not what it asked for, so the runner looks the request up at its home, which now has a read-only view for the operator.

--- a/sapphireslip-core/src/home.rs
+++ b/sapphireslip-core/src/home.rs
@@ -8,9 +8,10 @@
 use crate::link::{HomeIds, Link};
 use crate::placement::homes_of;
 use crate::{
-    AnswerEnd, Certainty, ConnectionId, Cx, DatabaseSpec, Fleet, Group, Instant, Outcome, Pool,
-    Queue, Refusal, RefusalReason, RequestId, RetryBudget, ServerId, ServerSpec, SessionKey,
-    TermPosition, TimelineEntry, TimelineKind, TransactionStatus, connection_share,
+    AnswerEnd, Certainty, ConnectionId, Cx, DatabaseName, DatabaseSpec, Fleet, Group, Instant,
+    Outcome, Pool, Queue, Refusal, RefusalReason, RequestId, RetryBudget, ServerId, ServerSpec,
+    SessionKey, StatementKind, TermPosition, TimelineEntry, TimelineKind, TransactionStatus,
+    connection_share,
 };
 
 /// How long after a home opened it waits for the group's first status before it refuses.
@@ -40,6 +41,39 @@
     }
 }
 
+/// What the operator's view shows of a home.
+impl Home {
+    /// Returns the name of the database.
+    #[must_use]
+    pub const fn database(&self) -> &DatabaseName {
+        &self.spec.name
+    }
+
+    /// Returns the group of servers as the home sees it.
+    #[must_use]
+    pub const fn group(&self) -> &Group {
+        &self.group
+    }
+
+    /// Returns how many requests wait for a connection.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns how many connections to backend servers are open.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.pools.values().map(Pool::open).sum()
+    }
+
+    /// Returns what a request at work here asks for.
+    #[must_use]
+    pub fn kind_of(&self, id: &RequestId) -> Option<StatementKind> {
+        self.jobs.get(id).map(|job| job.request.kind)
+    }
+}
+
 impl Home {
     /// Opens a home, which asks the group for its status at once.
     pub(crate) fn open(cx: &mut Cx<'_>, fleet: Fleet<'_>, spec: &DatabaseSpec) -> Self {
--- a/sapphireslipd/src/metrics.rs
+++ b/sapphireslipd/src/metrics.rs
@@ -14,7 +14,7 @@
 use prost::Message;
 use sapphireslip_core::{
     BackendEffect, BackendEvent, CallerEffect, CallerEvent, Certainty, ConnectionId, Effect, Event,
-    Refusal, SessionId, TimelineKind,
+    Refusal, ServerRole, SessionId, TimelineKind,
 };
 use sapphireslip_wire::peer::Envelope;
 
@@ -30,6 +30,11 @@
     ran: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Role {
+    role: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct Kind {
     kind: String,
@@ -50,6 +55,7 @@
 pub struct Metrics {
     registry: Registry,
     requests: Family<Outcome, Counter>,
+    reads: Family<Role, Counter>,
     failovers: Counter,
     timeline: Family<Kind, Counter>,
     control: Family<Direction, Counter>,
@@ -75,6 +81,7 @@
         let metrics = Self {
             registry: Registry::default(),
             requests: Family::default(),
+            reads: Family::default(),
             failovers: Counter::default(),
             timeline: Family::default(),
             control: Family::default(),
@@ -86,6 +93,11 @@
             open: Mutex::default(),
         };
         registry.register("requests", "Requests by outcome", metrics.requests.clone());
+        registry.register(
+            "reads",
+            "Reads sent to backend servers, by the part that the server plays",
+            metrics.reads.clone(),
+        );
         registry.register(
             "failovers",
             "Primaries that this daemon promoted",
@@ -194,6 +206,15 @@
         self.reduce.observe(duration.as_secs_f64());
     }
 
+    /// Counts a read sent to a backend server of that role.
+    pub(crate) fn read(&self, role: ServerRole) {
+        let role = match role {
+            ServerRole::Primary => "primary",
+            ServerRole::Replica => "replica",
+        };
+        self.reads.get_or_create(&Role { role }).inc();
+    }
+
     /// Notes the length of a queue.
     pub(crate) fn queue(&self, queue: &'static str, length: usize) {
         let gauge = self.queues.get_or_create(&Queue { queue });
--- a/sapphireslipd/src/runner.rs
+++ b/sapphireslipd/src/runner.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 
 use sapphireslip_core::{
-    BackendEffect, CallerEffect, Effect, Event, PlatformEffect, State, TimelineEntry, reduce,
+    BackendEffect, CallerEffect, Effect, Event, PlatformEffect, ServerRole, State, StatementKind,
+    TimelineEntry, TimelineKind, reduce,
 };
 
 use crate::{
@@ -213,6 +214,7 @@
     }
 
     fn record(&self, entry: &TimelineEntry) {
+        self.note_read(entry);
         let time = self.parts.hybrid_clock.tick();
         let record = self.parts.timeline.record(&self.state.local, time, entry);
         if log::log_enabled!(target: "timeline", log::Level::Debug) {
@@ -221,6 +223,24 @@
         }
     }
 
+    /// Counts a read by the part that the server to which it was sent plays.
+    fn note_read(&self, entry: &TimelineEntry) {
+        let (TimelineKind::RequestSent, Some(id)) = (entry.kind, &entry.request) else {
+            return;
+        };
+        let mut homes = self.state.homes.homes();
+        let home = homes.find(|home| Some(home.database()) == entry.database.as_ref());
+        let Some(home) = home.filter(|home| home.kind_of(id) == Some(StatementKind::Read)) else {
+            return;
+        };
+        let primary = home.group().primary().map(|primary| primary.server);
+        let role = match primary.is_some() && primary == entry.server {
+            true => ServerRole::Primary,
+            false => ServerRole::Replica,
+        };
+        self.parts.metrics.read(role);
+    }
+
     fn note_readiness(&self) {
         let readiness = if self.state.drain.is_draining() {
             Readiness::Draining
--- a/sapphireslipd/src/status.rs
+++ b/sapphireslipd/src/status.rs
@@ -1,6 +1,6 @@
 //! What `/status` shows.
 
-use sapphireslip_core::State;
+use sapphireslip_core::{Home, State};
 use serde::Serialize;
 
 /// A summary of a daemon's state.
@@ -20,6 +20,8 @@
     pub changes: u64,
     /// The documents in force.
     pub documents: Vec<DocumentStatus>,
+    /// The databases of which it is the home.
+    pub homes: Vec<HomeStatus>,
     /// The VMs that it knows.
     pub vms: Vec<VmStatus>,
 }
@@ -37,6 +39,34 @@
     pub databases: Vec<String>,
 }
 
+/// One database of which the daemon is the home.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct HomeStatus {
+    /// The database.
+    pub database: String,
+    /// The primary, if one is known.
+    pub primary: Option<String>,
+    /// The primary's term.
+    pub term: Option<u64>,
+    /// Requests that wait for a connection.
+    pub queued: usize,
+    /// Open connections to backend servers.
+    pub connections: usize,
+}
+
+impl From<&Home> for HomeStatus {
+    fn from(home: &Home) -> Self {
+        let primary = home.group().primary();
+        Self {
+            database: home.database().to_string(),
+            primary: primary.as_ref().map(|primary| primary.server.to_string()),
+            term: primary.map(|primary| primary.term.0),
+            queued: home.queued(),
+            connections: home.connections(),
+        }
+    }
+}
+
 /// One VM.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct VmStatus {
@@ -82,6 +112,7 @@
             draining: state.drain.is_draining(),
             changes: state.configuration.changes().0,
             documents: documents.collect(),
+            homes: state.homes.homes().map(HomeStatus::from).collect(),
             vms: vms.collect(),
         }
     }
--- a/sapphireslipd/tests/daemon.rs
+++ b/sapphireslipd/tests/daemon.rs
@@ -68,6 +68,7 @@
     admin: SocketAddr,
     peers: SocketAddr,
     settings: NamedTempFile,
+    log: NamedTempFile,
 }
 
 /// Returns a loopback IP number that no other daemon of these tests has.
@@ -109,7 +110,8 @@
         let admin = address(ADMIN_PORT);
         let mut text = format!(
             "vm = \"{vm}\"\nzone = \"a\"\ncallers = \"{callers}\"\npeers = \"{peers}\"\n\
-             admin = \"{admin}\"\nplatform = \"{platform}\"\n[backend]\nuser = \"proxy\"\n"
+             admin = \"{admin}\"\nplatform = \"{platform}\"\nlog_level = \"debug\"\n\
+             [backend]\nuser = \"proxy\"\n"
         );
         if let Some(peer) = peer {
             text += &format!(
@@ -118,9 +120,10 @@
             );
         }
         let settings = settings_file(&text);
+        let log = NamedTempFile::new().expect("a log");
         let child = command()
             .arg(settings.path())
-            .stderr(Stdio::null())
+            .stderr(log.reopen().expect("a log"))
             .spawn()
             .expect("starts");
         Self {
@@ -128,6 +131,7 @@
             admin,
             peers,
             settings,
+            log,
         }
     }
 
@@ -222,6 +226,36 @@
     first.wait_http("/status", |_, body| body.contains(r#""vm":"vm-2""#));
 }
 
+#[test]
+fn log_json_lines() {
+    let runtime = Runtime::new().expect("a runtime");
+    let platform = platform_with_document(&runtime);
+    let mut daemon = Daemon::start("vm-1", platform.address(), None);
+    daemon.wait_http("/ready", |code, _| code == 200);
+    daemon.signal(Signal::TERM);
+    assert_eq!(daemon.wait_exit().code(), Some(0));
+    let log = std::fs::read_to_string(daemon.log.path()).expect("a log");
+    let lines = log.lines().map(serde_json::from_str::<serde_json::Value>);
+    let lines: Vec<_> = lines.collect::<Result<_, _>>().expect("JSON lines");
+    let first = &lines[0];
+    assert!(first["time"].is_f64());
+    assert_eq!(first["level"], "INFO");
+    assert_eq!(first["vm"], "vm-1");
+    assert_eq!(first["message"], "started");
+    assert_eq!(first["admin"], daemon.admin.to_string());
+    let is_entry = |line: &&serde_json::Value| line["target"] == "timeline";
+    let entries: Vec<_> = lines.iter().filter(is_entry).collect();
+    let kinds: Vec<_> = entries
+        .iter()
+        .map(|line| line["message"].as_str())
+        .collect();
+    assert!(kinds.contains(&Some("DocumentInForce")), "{kinds:?}");
+    assert!(kinds.contains(&Some("DrainFinished")), "{kinds:?}");
+    let entry = entries[0]["entry"].as_str().expect("an entry");
+    let entry: serde_json::Value = serde_json::from_str(entry).expect("JSON");
+    assert_eq!(entry["vm"], "vm-1");
+}
+
 #[rstest]
 #[case::terminate(Signal::TERM)]
 #[case::interrupt(Signal::INT)]
--- a/sapphireslipd/tests/peer_edge.rs
+++ b/sapphireslipd/tests/peer_edge.rs
@@ -2,12 +2,13 @@
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sapphireslip_core::{Event, Incarnation, Local, PeerMessage, ProbeNumber, VmId, ZoneName};
 use sapphireslip_wire::peer::peer_client::PeerClient;
 use sapphireslip_wire::peer::{Envelope, WantVms, envelope::Body};
 use sapphireslipd::{HybridClock, Metrics, PeerEdge};
+use standins::Link;
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
 use tonic::Code;
@@ -15,6 +16,9 @@
 /// How long a condition is waited for.
 const PATIENCE: Duration = Duration::from_secs(10);
 
+/// Within how long a silent path has to be found: two seconds, and room for a busy machine.
+const SILENCE_LIMIT: Duration = Duration::from_secs(4);
+
 struct Peer {
     local: Local,
     clock: Arc<HybridClock>,
@@ -181,6 +185,34 @@
     a.expect_lost(&silent).await;
 }
 
+/// The path goes silent on an open stream: both sides find it within about two seconds.
+#[tokio::test]
+async fn open_stream_goes_silent() {
+    let (a, b) = (Peer::start("vm-a", 1).await, Peer::start("vm-b", 1).await);
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+        .await
+        .expect("listens");
+    let relayed = Local {
+        address: listener.local_addr().expect("address"),
+        ..b.local.clone()
+    };
+    drop(listener);
+    let link = Link::start(relayed.address, b.local.address)
+        .await
+        .expect("starts");
+    a.send(&relayed, 1);
+    b.expect(&a.local, 1).await;
+    let start = Instant::now();
+    link.cut(a.local.address.ip());
+    a.expect_lost(&b.local).await;
+    b.expect_lost(&a.local).await;
+    let took = start.elapsed();
+    assert!(took < SILENCE_LIMIT, "took {took:?}");
+    link.heal();
+    a.send(&relayed, 2);
+    b.expect(&a.local, 2).await;
+}
+
 #[tokio::test]
 async fn break_then_reconnect() {
     let a = Peer::start("vm-a", 1).await;
