Caller edge: answers to flushes, malformed messages refused

A flush after parse and describe is answered at once, as some drivers wait for it; one after a bind waits for the sync, since a batch is one unit on a pooled connection.

Seen failing first: four cases of `message_malformed`. The library's decoders panic on a message shorter than its fields, which ended the session's task without a `Closed` event, so that the reducer kept the session for good. Decoding is now guarded in one place, and the caller is told.

--- a/sapphireslipd/src/backend_connection.rs
+++ b/sapphireslipd/src/backend_connection.rs
@@ -8,16 +8,14 @@
 use pgwire::messages::startup::{
     Authentication, Password, PasswordMessageFamily, SASLInitialResponse, SASLResponse, Startup,
 };
-use pgwire::messages::{
-    DecodeContext, PgWireBackendMessage as In, PgWireFrontendMessage as Out, ProtocolVersion,
-};
+use pgwire::messages::{PgWireBackendMessage as In, PgWireFrontendMessage as Out};
 use sapphireslip_core::{Text, VmId, ZoneName};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::backend_error::BackendError;
-use crate::frames::FrameReader;
+use crate::frames::{FrameReader, decode_checked, session_context};
 
 /// The time within which a connection must be open.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -70,13 +68,13 @@
     step: &'static str,
     peer: SocketAddr,
 ) -> Result<In, BackendError> {
-    let mut cx = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
-    cx.awaiting_frontend_ssl = false;
-    cx.awaiting_frontend_startup = false;
-    let protocol = |detail| BackendError::Protocol(step, peer, detail);
-    let message = In::decode(&mut BytesMut::from(frame.as_ref()), &cx);
-    let message = message.map_err(|error| protocol(error.to_string()))?;
-    message.ok_or_else(|| protocol("a message is shorter than its length".to_owned()))
+    let cx = session_context();
+    let message = decode_checked(frame, |buf| In::decode(buf, &cx));
+    let malformed = || {
+        let detail = format!("a message of {} bytes is malformed", frame.len());
+        BackendError::Protocol(step, peer, detail)
+    };
+    message.ok_or_else(malformed)
 }
 
 /// Returns the field of an error message that has this code.
--- a/sapphireslipd/src/caller_edge.rs
+++ b/sapphireslipd/src/caller_edge.rs
@@ -54,8 +54,8 @@
 
 /// Takes connections of callers and serves their sessions until the sender of effects is gone.
 ///
-/// A batch of the extended protocol is sent on when its sync has come: a flush without a sync
-/// gives no early answer.
+/// A batch of the extended protocol is sent on when its sync has come; a flush gives an early answer
+/// only to what prepares and describes.
 ///
 /// ```
 /// use sapphireslipd::serve_callers;
--- /dev/null
+++ b/sapphireslipd/src/caller_login.rs
@@ -0,0 +1,92 @@
+//! The beginning of a session: its password exchange and the greeting.
+
+use bytes::BytesMut;
+use pgwire::messages::PgWireBackendMessage as Out;
+use pgwire::messages::startup::Authentication;
+use sapphireslip_core::{
+    CallerEffect, CallerEvent, CallerName, DatabaseName, Refusal, TransactionStatus,
+};
+
+use crate::caller_error::CallerError;
+use crate::caller_messages::{
+    Severity, put, put_cancel_key, put_parameter, put_ready, put_refusal,
+};
+use crate::caller_session::{STEP_STATEMENT, Session};
+use crate::caller_startup::{CancelKey, STEP_STARTUP, Startup, authenticate};
+
+impl Session {
+    /// Lets the caller prove its password, and greets it.
+    pub(crate) async fn log_in(&mut self, startup: &Startup) -> Result<(), CallerError> {
+        let effect = tokio::select! {
+            effect = self.links.effects.recv_async() => effect,
+            error = self.wire.gone(STEP_STARTUP) => return Err(error),
+        };
+        let verifier = match effect {
+            Ok(CallerEffect::Authenticate { verifier, .. }) => verifier,
+            Ok(CallerEffect::Close { refusal, .. }) => return Err(self.end(&refusal).await),
+            Ok(_) | Err(_) => return Err(CallerError::Dropped(STEP_STARTUP, self.wire.peer())),
+        };
+        authenticate(&mut self.wire, &startup.user, &verifier).await?;
+        let token = match startup.token() {
+            Ok(token) => token,
+            Err(error) => {
+                let message = error.to_string();
+                return Err(self.wire.refuse(STEP_STARTUP, "22023", message).await);
+            }
+        };
+        let caller = CallerName::try_from(startup.user.as_ref());
+        let database = DatabaseName::try_from(startup.database.as_ref());
+        let (Ok(caller), Ok(database)) = (caller, database) else {
+            let message = "the user name or the database name is malformed";
+            return Err(self.wire.refuse(STEP_STARTUP, "28000", message).await);
+        };
+        self.token = token;
+        self.links
+            .send(CallerEvent::Opened {
+                session: self.links.id,
+                caller,
+                database,
+                token,
+            })
+            .await;
+        self.greet().await
+    }
+
+    async fn greet(&mut self) -> Result<(), CallerError> {
+        let mut buf = BytesMut::new();
+        put(&mut buf, &Out::Authentication(Authentication::Ok));
+        let parameters = [
+            ("server_version", "15.0"),
+            ("server_encoding", "UTF8"),
+            ("client_encoding", "UTF8"),
+            ("standard_conforming_strings", "on"),
+            ("integer_datetimes", "on"),
+            ("DateStyle", "ISO, MDY"),
+            ("IntervalStyle", "postgres"),
+            ("TimeZone", "UTC"),
+        ];
+        for (name, value) in parameters {
+            put_parameter(&mut buf, name, value);
+        }
+        let CancelKey { process, secret } = self.links.cancel_key;
+        put_cancel_key(&mut buf, process, secret);
+        put_ready(&mut buf, TransactionStatus::Idle);
+        self.wire.write(STEP_STARTUP, &buf).await
+    }
+
+    /// Tells the caller why its session ends.
+    pub(crate) async fn end(&mut self, refusal: &Refusal) -> CallerError {
+        let mut buf = BytesMut::new();
+        put_refusal(&mut buf, Severity::Fatal, refusal);
+        let peer = self.wire.peer();
+        match self.wire.write(STEP_STATEMENT, &buf).await {
+            Ok(()) => CallerError::Refused(
+                STEP_STATEMENT,
+                peer,
+                refusal.sqlstate(),
+                refusal.detail.to_string(),
+            ),
+            Err(error) => error,
+        }
+    }
+}
--- a/sapphireslipd/src/caller_startup.rs
+++ b/sapphireslipd/src/caller_startup.rs
@@ -1,6 +1,7 @@
 //! The first messages of a caller: its startup and its password exchange.
 
 use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -68,8 +69,7 @@
     cx.protocol_version = ProtocolVersion::PROTOCOL3_0;
     let mut buf = BytesMut::new();
     loop {
-        let message = In::decode(&mut buf, &cx);
-        match message.map_err(|error| io(std::io::Error::other(error)))? {
+        match decode_startup(&mut buf, &cx).map_err(io)? {
             Some(In::SslNegotiation(SslNegotiationMetaMessage::None)) => {
                 cx.awaiting_frontend_ssl = false;
                 continue;
@@ -99,6 +99,12 @@
     }
 }
 
+fn decode_startup(buf: &mut BytesMut, cx: &DecodeContext) -> std::io::Result<Option<In>> {
+    let decoded = catch_unwind(AssertUnwindSafe(|| In::decode(buf, cx)));
+    let malformed = |_panic| std::io::Error::other("the message is malformed");
+    decoded.map_err(malformed)?.map_err(std::io::Error::other)
+}
+
 fn named(parameters: &std::collections::BTreeMap<String, String>) -> Startup {
     let get = |name| parameters.get(name).map(String::as_str);
     let user = get("user").unwrap_or("");
--- a/sapphireslipd/src/caller_wire.rs
+++ b/sapphireslipd/src/caller_wire.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use pgwire::messages::{DecodeContext, PgWireFrontendMessage as In, ProtocolVersion};
+use pgwire::messages::PgWireFrontendMessage as In;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::caller_error::CallerError;
 use crate::caller_messages::{Severity, put_error};
-use crate::frames::FrameReader;
+use crate::frames::{FrameReader, decode_checked, session_context};
 
 /// The time within which a caller must take what is written to it.
 pub const WRITE_TIMEOUT: Duration = Duration::from_secs(60);
@@ -95,8 +95,6 @@
 
 /// Decodes a whole message; none if it is malformed.
 pub(crate) fn decode(frame: &Bytes) -> Option<In> {
-    let mut cx = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
-    cx.awaiting_frontend_ssl = false;
-    cx.awaiting_frontend_startup = false;
-    In::decode(&mut BytesMut::from(frame.as_ref()), &cx).ok()?
+    let cx = session_context();
+    decode_checked(frame, |buf| In::decode(buf, &cx))
 }
--- a/sapphireslipd/src/frames.rs
+++ b/sapphireslipd/src/frames.rs
@@ -1,8 +1,11 @@
 //! Whole PostgreSQL messages on a socket, without a look inside.
 
 use std::io;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 
 use bytes::{Bytes, BytesMut};
+use pgwire::error::PgWireResult;
+use pgwire::messages::{DecodeContext, ProtocolVersion};
 use tokio::io::{AsyncRead, AsyncReadExt};
 use tokio_util::codec::{Decoder, LengthDelimitedCodec};
 
@@ -59,6 +62,27 @@
     }
 }
 
+/// Decodes a message; none if it is malformed.
+///
+/// The library's decoders panic on a message that is shorter than its fields, so that a peer could
+/// end a task with five bytes.
+pub(crate) fn decode_checked<T>(
+    bytes: &[u8],
+    decode: impl FnOnce(&mut BytesMut) -> PgWireResult<Option<T>>,
+) -> Option<T> {
+    let mut buf = BytesMut::from(bytes);
+    let decoded = catch_unwind(AssertUnwindSafe(|| decode(&mut buf)));
+    decoded.ok()?.ok()?
+}
+
+/// Returns the context of messages after the startup.
+pub(crate) fn session_context() -> DecodeContext {
+    let mut cx = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
+    cx.awaiting_frontend_ssl = false;
+    cx.awaiting_frontend_startup = false;
+    cx
+}
+
 /// Returns the kind of the first message and its length with the header, if it is whole.
 pub(crate) fn split_first(messages: &[u8]) -> Option<FrameHead> {
     let (kind, rest) = messages.split_first()?;
--- a/sapphireslipd/src/prepared.rs
+++ b/sapphireslipd/src/prepared.rs
@@ -8,12 +8,12 @@
 
 use bytes::{Bytes, BytesMut};
 use pgwire::error::PgWireError;
+use pgwire::messages::Message;
 use pgwire::messages::extendedquery::{Bind, Close, Describe, Parse, TARGET_TYPE_BYTE_STATEMENT};
-use pgwire::messages::{DecodeContext, Message, ProtocolVersion};
 use quick_error::quick_error;
 use sapphireslip_core::Text;
 
-use crate::frames::split_first;
+use crate::frames::{decode_checked, session_context, split_first};
 
 /// Prepared statements of one session at the most.
 pub const PREPARED_MAX: usize = 512;
@@ -29,9 +29,13 @@
         Full {
             display("the session has over {PREPARED_MAX} prepared statements or over {PREPARED_MAX_BYTES} bytes of them: close some")
         }
-        /// A message can't be read or written.
-        Malformed(error: PgWireError) {
-            display("a message of the batch is malformed: {error}")
+        /// A message can't be read.
+        Malformed {
+            display("a message of the batch is malformed")
+        }
+        /// A message can't be written.
+        Encode(error: PgWireError) {
+            display("a message of the batch can't be written: {error}")
             source(error)
             from()
         }
@@ -95,11 +99,18 @@
 }
 
 fn read<M: Message>(frame: &Bytes) -> Result<M, PreparedError> {
-    let mut cx = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
-    cx.awaiting_frontend_ssl = false;
-    cx.awaiting_frontend_startup = false;
-    let message = M::decode(&mut BytesMut::from(frame.as_ref()), &cx)?;
-    message.ok_or(PreparedError::Malformed(PgWireError::InvalidMessageType(0)))
+    let cx = session_context();
+    decode_checked(frame, |buf| M::decode(buf, &cx)).ok_or(PreparedError::Malformed)
+}
+
+impl PreparedError {
+    /// Returns the SQLSTATE under which callers see it.
+    pub(crate) const fn sqlstate(&self) -> &'static str {
+        match self {
+            Self::Full => "54000",
+            Self::Malformed | Self::Encode(_) => "08P01",
+        }
+    }
 }
 
 impl PreparedStatements {
--- /dev/null
+++ b/sapphireslipd/tests/caller_raw.rs
@@ -0,0 +1,242 @@
+//! The caller edge and callers that speak the protocol message by message.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use flume::{Receiver, Sender};
+use pgwire::api::auth::sasl::scram::ScramClientAuth;
+use pgwire::messages::extendedquery::{Describe, Flush, Parse, Sync};
+use pgwire::messages::startup::{
+    Authentication, PasswordMessageFamily, SASLInitialResponse, SASLResponse, Startup,
+};
+use pgwire::messages::{
+    DecodeContext, PgWireBackendMessage as In, PgWireFrontendMessage as Out, ProtocolVersion,
+};
+use rstest::rstest;
+use sapphireslip_core::{
+    CallerEffect, CallerEvent, Event, Refusal, RefusalReason, SessionId, TransactionStatus,
+};
+use sapphireslipd::{make_verifier, serve_callers};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const WAIT: Duration = Duration::from_secs(20);
+
+struct Caller {
+    socket: TcpStream,
+    input: BytesMut,
+}
+
+impl Caller {
+    async fn send(&mut self, messages: &[Out]) {
+        let mut buf = BytesMut::new();
+        for message in messages {
+            message.encode(&mut buf).expect("a short message");
+        }
+        self.socket.write_all(&buf).await.expect("the edge reads");
+    }
+
+    /// Returns the next message, or none when the edge has closed.
+    async fn next(&mut self) -> Option<In> {
+        let mut cx = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
+        cx.awaiting_frontend_ssl = false;
+        loop {
+            if let Some(message) = In::decode(&mut self.input, &cx).expect("well formed") {
+                return Some(message);
+            }
+            let read = tokio::time::timeout(WAIT, self.socket.read_buf(&mut self.input)).await;
+            if read.expect("an answer in time").unwrap_or(0) == 0 {
+                return None;
+            }
+        }
+    }
+
+    async fn authentication(&mut self) -> Authentication {
+        match self.next().await {
+            Some(In::Authentication(message)) => message,
+            other => panic!("not of the password exchange: {other:?}"),
+        }
+    }
+
+    async fn log_in(&mut self) {
+        let mut startup = Startup::new();
+        for (name, value) in [("user", "till"), ("database", "stock")] {
+            startup.parameters.insert(name.to_owned(), value.to_owned());
+        }
+        self.send(&[Out::Startup(startup)]).await;
+        self.authentication().await;
+        let scram = ScramClientAuth::new("till".to_owned(), "secret".to_owned());
+        let (first, scram) = scram.build_client_first().expect("a plain name");
+        let first = SASLInitialResponse::new("SCRAM-SHA-256".to_owned(), Some(first.into()));
+        let first = PasswordMessageFamily::SASLInitialResponse(first);
+        self.send(&[Out::PasswordMessageFamily(first)]).await;
+        let Authentication::SASLContinue(data) = self.authentication().await else {
+            panic!("the password exchange ended early");
+        };
+        let (last, _) = scram.build_client_final(&data).expect("well formed");
+        let last = PasswordMessageFamily::SASLResponse(SASLResponse::new(last.into()));
+        self.send(&[Out::PasswordMessageFamily(last)]).await;
+        while !matches!(self.next().await, Some(In::ReadyForQuery(_))) {}
+    }
+}
+
+/// A caller that has logged in, with the reducer's side of the edge.
+struct Bench {
+    caller: Caller,
+    session: SessionId,
+    events: Receiver<Event>,
+    effects: Sender<CallerEffect>,
+}
+
+impl Bench {
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("it is bound");
+        let (event_tx, events) = flume::bounded(16);
+        let (effects, effect_rx) = flume::bounded(16);
+        tokio::spawn(serve_callers(listener, event_tx, effect_rx));
+        let socket = TcpStream::connect(address).await.expect("it listens");
+        let mut caller = Caller {
+            socket,
+            input: BytesMut::new(),
+        };
+        let reducer = async {
+            let Ok(Event::Caller(CallerEvent::Connecting { session, .. })) =
+                events.recv_async().await
+            else {
+                panic!("no caller connects");
+            };
+            let verifier = make_verifier("secret").as_str().into();
+            let effect = CallerEffect::Authenticate { session, verifier };
+            effects.send(effect).expect("the edge runs");
+            session
+        };
+        let (session, ()) = tokio::join!(reducer, caller.log_in());
+        let bench = Self {
+            caller,
+            session,
+            events,
+            effects,
+        };
+        let opened = bench.event().await;
+        assert!(matches!(opened, CallerEvent::Opened { .. }), "{opened:?}");
+        bench
+    }
+
+    async fn event(&self) -> CallerEvent {
+        let event = tokio::time::timeout(WAIT, self.events.recv_async()).await;
+        match event.expect("an event in time").expect("the edge runs") {
+            Event::Caller(event) => event,
+            other => panic!("not of the caller edge: {other:?}"),
+        }
+    }
+
+    fn give(&self, effect: CallerEffect) {
+        self.effects.send(effect).expect("the edge runs");
+    }
+
+    fn answer(&self, payload: &'static [u8], refusal: Option<Refusal>) {
+        let session = self.session;
+        let payload = Bytes::from_static(payload);
+        self.give(CallerEffect::Answer { session, payload });
+        self.give(CallerEffect::Finish {
+            session,
+            refusal,
+            transaction: TransactionStatus::Idle,
+            token: None,
+        });
+    }
+
+    async fn statement(&self) -> Bytes {
+        match self.event().await {
+            CallerEvent::Statement { payload, .. } => payload,
+            other => panic!("no statement: {other:?}"),
+        }
+    }
+}
+
+fn parse_and_flush() -> [Out; 3] {
+    let parse = Parse::new(Some("a".to_owned()), "SELECT 1".to_owned(), vec![]);
+    let describe = Describe::new(b'S', Some("a".to_owned()));
+    [
+        Out::Parse(parse),
+        Out::Describe(describe),
+        Out::Flush(Flush::new()),
+    ]
+}
+
+#[tokio::test]
+async fn flush_answered() {
+    let mut bench = Bench::start().await;
+    bench.caller.send(&parse_and_flush()).await;
+    let payload = bench.statement().await;
+    assert!(payload.ends_with(b"S\0\0\0\x04"), "{payload:?}");
+    bench.answer(b"1\0\0\0\x04t\0\0\0\x06\0\0n\0\0\0\x04", None);
+    let answer = bench.caller.next().await;
+    assert!(matches!(answer, Some(In::ParseComplete(_))), "{answer:?}");
+    let answer = bench.caller.next().await;
+    assert!(
+        matches!(answer, Some(In::ParameterDescription(_))),
+        "{answer:?}"
+    );
+    let answer = bench.caller.next().await;
+    assert!(matches!(answer, Some(In::NoData(_))), "{answer:?}");
+    bench.caller.send(&[Out::Sync(Sync::new())]).await;
+    let answer = bench.caller.next().await;
+    assert!(matches!(answer, Some(In::ReadyForQuery(_))), "{answer:?}");
+}
+
+#[tokio::test]
+async fn flush_refused() {
+    let mut bench = Bench::start().await;
+    bench.caller.send(&parse_and_flush()).await;
+    bench.statement().await;
+    let refusal = Refusal::not_run(RefusalReason::QueueFull, None, "the queue is full");
+    bench.answer(b"", Some(refusal));
+    let answer = bench.caller.next().await;
+    assert!(matches!(answer, Some(In::ErrorResponse(_))), "{answer:?}");
+    bench.caller.send(&parse_and_flush()).await;
+    bench.caller.send(&[Out::Sync(Sync::new())]).await;
+    let answer = bench.caller.next().await;
+    assert!(matches!(answer, Some(In::ReadyForQuery(_))), "{answer:?}");
+    assert!(bench.events.is_empty(), "a skipped message was handed on");
+}
+
+#[rstest]
+#[case::describe(b"D\0\0\0\x04H\0\0\0\x04S\0\0\0\x04")]
+#[case::bind(b"B\0\0\0\x06\0\0S\0\0\0\x04")]
+#[case::parse(b"P\0\0\0\x04S\0\0\0\x04")]
+#[case::close(b"C\0\0\0\x04S\0\0\0\x04")]
+#[case::length(b"Q\0\0\0\x01")]
+#[case::too_long(b"Q\x7f\xff\xff\xff")]
+#[case::unknown(b"!\0\0\0\x04")]
+#[tokio::test]
+async fn message_malformed(#[case] messages: &[u8]) {
+    let mut bench = Bench::start().await;
+    bench
+        .caller
+        .socket
+        .write_all(messages)
+        .await
+        .expect("the edge reads");
+    bench.caller.socket.shutdown().await.expect("it is open");
+    while bench.caller.next().await.is_some() {}
+    let session = bench.session;
+    assert_eq!(bench.event().await, CallerEvent::Closed { session });
+}
+
+#[tokio::test]
+async fn message_malformed_is_told() {
+    let mut bench = Bench::start().await;
+    let messages = b"D\0\0\0\x04S\0\0\0\x04";
+    bench
+        .caller
+        .socket
+        .write_all(messages)
+        .await
+        .expect("the edge reads");
+    let answer = bench.caller.next().await;
+    assert!(matches!(answer, Some(In::ErrorResponse(_))), "{answer:?}");
+    let answer = bench.caller.next().await;
+    assert!(matches!(answer, Some(In::ReadyForQuery(_))), "{answer:?}");
+}
