Caller edge: malformed messages of the password exchange refused

Seen failing first: two cases of `password_malformed`, by the same panic of the library's decoders, before any password was proved. (A third case of the new test had a wrong length, now mended.) The count of connections is now kept by a guard, so that no path can leak it.

--- a/sapphireslipd/src/caller_edge.rs
+++ b/sapphireslipd/src/caller_edge.rs
@@ -94,6 +94,18 @@
     edge.lock().handles.clear();
 }
 
+/// A connection that counts as long as it lives.
+#[derive(Debug)]
+struct Connection {
+    edge: Edge,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.edge.lock().connections -= 1;
+    }
+}
+
 async fn accept(listener: Option<&TcpListener>) -> std::io::Result<(TcpStream, SocketAddr)> {
     match listener {
         Some(listener) => listener.accept().await,
@@ -149,12 +161,11 @@
         let full = sessions.connections >= SESSIONS_MAX;
         sessions.connections += 1;
         drop(sessions);
-        let edge = self.clone();
+        let connection = Connection { edge: self.clone() };
         tokio::spawn(async move {
-            if let Err(error) = edge.serve(socket, peer, full).await {
+            if let Err(error) = connection.edge.serve(socket, peer, full).await {
                 log::info!("{error}");
             }
-            edge.lock().connections -= 1;
         });
     }
 
--- a/sapphireslipd/src/caller_startup.rs
+++ b/sapphireslipd/src/caller_startup.rs
@@ -7,10 +7,10 @@
 use bytes::BytesMut;
 use pgwire::api::auth::sasl::scram::ScramServerAuth;
 use pgwire::messages::response::SslResponse;
-use pgwire::messages::startup::{Authentication, PasswordMessageFamily};
+use pgwire::messages::startup::{Authentication, SASLInitialResponse, SASLResponse};
 use pgwire::messages::{
-    DecodeContext, PgWireBackendMessage as Out, PgWireFrontendMessage as In, ProtocolVersion,
-    SslNegotiationMetaMessage,
+    DecodeContext, Message, PgWireBackendMessage as Out, PgWireFrontendMessage as In,
+    ProtocolVersion, SslNegotiationMetaMessage,
 };
 use sapphireslip_core::{TermPosition, Text};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -18,7 +18,8 @@
 
 use crate::caller_error::CallerError;
 use crate::caller_messages::put;
-use crate::caller_wire::{CallerWire, decode};
+use crate::caller_wire::CallerWire;
+use crate::frames::{decode_checked, session_context};
 use crate::scram::Verifier;
 use crate::session_command::TOKEN_PARAMETER;
 
@@ -153,19 +154,17 @@
     };
     let offer = Authentication::SASL(vec![MECHANISM.to_owned()]);
     send(wire, offer).await?;
-    let first = password_message(wire).await?.into_sasl_initial_response();
-    let first = match first {
-        Ok(first) if first.auth_method == MECHANISM => first.data.unwrap_or_default(),
-        _ => return Err(malformed(wire).await),
-    };
+    let first = password_message::<SASLInitialResponse>(wire).await?;
+    if first.auth_method != MECHANISM {
+        return Err(malformed(wire).await);
+    }
+    let first = first.data.unwrap_or_default();
     let exchange = ScramServerAuth::new().on_client_first_message_with_secret(&first, secret);
     let Ok((answer, exchange)) = exchange else {
         return Err(malformed(wire).await);
     };
     send(wire, Authentication::SASLContinue(answer.into())).await?;
-    let Ok(last) = password_message(wire).await?.into_sasl_response() else {
-        return Err(malformed(wire).await);
-    };
+    let last = password_message::<SASLResponse>(wire).await?;
     match exchange.on_client_final_message(&last.data) {
         Ok(answer) => send(wire, Authentication::SASLFinal(answer.into())).await,
         Err(_wrong) => {
@@ -181,11 +180,16 @@
     wire.write(STEP_PASSWORD, &buf).await
 }
 
-async fn password_message(wire: &mut CallerWire) -> Result<PasswordMessageFamily, CallerError> {
+async fn password_message<M: Message>(wire: &mut CallerWire) -> Result<M, CallerError> {
     let frame = wire.next(STEP_PASSWORD).await?;
-    match decode(&frame) {
-        Some(In::PasswordMessageFamily(message)) => Ok(message),
-        _ => Err(malformed(wire).await),
+    let cx = session_context();
+    let message = match frame.first() {
+        Some(b'p') => decode_checked(&frame, |buf| M::decode(buf, &cx)),
+        _ => None,
+    };
+    match message {
+        Some(message) => Ok(message),
+        None => Err(malformed(wire).await),
     }
 }
 
--- a/sapphireslipd/tests/caller_raw.rs
+++ b/sapphireslipd/tests/caller_raw.rs
@@ -58,13 +58,17 @@
         }
     }
 
-    async fn log_in(&mut self) {
+    async fn start_up(&mut self) {
         let mut startup = Startup::new();
         for (name, value) in [("user", "till"), ("database", "stock")] {
             startup.parameters.insert(name.to_owned(), value.to_owned());
         }
         self.send(&[Out::Startup(startup)]).await;
         self.authentication().await;
+    }
+
+    async fn log_in(&mut self) {
+        self.start_up().await;
         let scram = ScramClientAuth::new("till".to_owned(), "secret".to_owned());
         let (first, scram) = scram.build_client_first().expect("a plain name");
         let first = SASLInitialResponse::new("SCRAM-SHA-256".to_owned(), Some(first.into()));
@@ -89,35 +93,43 @@
 }
 
 impl Bench {
-    async fn start() -> Self {
+    /// Starts the edge, with a caller that is asked for its password.
+    async fn start_listening() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("it is bound");
         let (event_tx, events) = flume::bounded(16);
         let (effects, effect_rx) = flume::bounded(16);
         tokio::spawn(serve_callers(listener, event_tx, effect_rx));
         let socket = TcpStream::connect(address).await.expect("it listens");
-        let mut caller = Caller {
+        let caller = Caller {
             socket,
             input: BytesMut::new(),
         };
-        let reducer = async {
-            let Ok(Event::Caller(CallerEvent::Connecting { session, .. })) =
-                events.recv_async().await
-            else {
-                panic!("no caller connects");
-            };
-            let verifier = make_verifier("secret").as_str().into();
-            let effect = CallerEffect::Authenticate { session, verifier };
-            effects.send(effect).expect("the edge runs");
-            session
-        };
-        let (session, ()) = tokio::join!(reducer, caller.log_in());
-        let bench = Self {
+        Self {
             caller,
-            session,
+            session: SessionId(0),
             events,
             effects,
+        }
+    }
+
+    /// Asks the caller for its password.
+    async fn ask_password(events: &Receiver<Event>, effects: &Sender<CallerEffect>) -> SessionId {
+        let event = events.recv_async().await;
+        let Ok(Event::Caller(CallerEvent::Connecting { session, .. })) = event else {
+            panic!("no caller connects: {event:?}");
         };
+        let verifier = make_verifier("secret").as_str().into();
+        let effect = CallerEffect::Authenticate { session, verifier };
+        effects.send(effect).expect("the edge runs");
+        session
+    }
+
+    async fn start() -> Self {
+        let mut bench = Self::start_listening().await;
+        let reducer = Self::ask_password(&bench.events, &bench.effects);
+        let (session, ()) = tokio::join!(reducer, bench.caller.log_in());
+        bench.session = session;
         let opened = bench.event().await;
         assert!(matches!(opened, CallerEvent::Opened { .. }), "{opened:?}");
         bench
@@ -240,3 +252,45 @@
     let answer = bench.caller.next().await;
     assert!(matches!(answer, Some(In::ReadyForQuery(_))), "{answer:?}");
 }
+
+#[rstest]
+#[case::empty(b"p\0\0\0\x04")]
+#[case::cut_off(b"p\0\0\0\x13SCRAM-SHA-256\0\0")]
+#[case::no_password(b"Q\0\0\0\x05\0")]
+#[case::another_mechanism(b"p\0\0\0\x0ePLAIN\0\0\0\0\0")]
+#[tokio::test]
+async fn password_malformed(#[case] message: &[u8]) {
+    let mut bench = Bench::start_listening().await;
+    let reducer = Bench::ask_password(&bench.events, &bench.effects);
+    let (session, ()) = tokio::join!(reducer, bench.caller.start_up());
+    bench
+        .caller
+        .socket
+        .write_all(message)
+        .await
+        .expect("the edge reads");
+    let answer = bench.caller.next().await;
+    assert!(matches!(answer, Some(In::ErrorResponse(_))), "{answer:?}");
+    assert!(bench.caller.next().await.is_none(), "the session goes on");
+    assert_eq!(bench.event().await, CallerEvent::Closed { session });
+}
+
+#[rstest]
+#[case::length(b"\0\0\0\x01\0\x03\0\0")]
+#[case::too_long(b"\x7f\xff\xff\xff\0\x03\0\0")]
+#[case::cancel_short(b"\0\0\0\x08\x04\xd2\x16\x2e")]
+#[case::cancel_unknown(b"\0\0\0\x10\x04\xd2\x16\x2e\0\0\0\x01\0\0\0\x01")]
+#[case::version(b"\0\0\0\x09\0\x02\0\0\0")]
+#[tokio::test]
+async fn startup_malformed(#[case] message: &[u8]) {
+    let mut bench = Bench::start_listening().await;
+    bench
+        .caller
+        .socket
+        .write_all(message)
+        .await
+        .expect("the edge reads");
+    bench.caller.socket.shutdown().await.expect("it is open");
+    while bench.caller.next().await.is_some() {}
+    assert!(bench.events.is_empty(), "it was taken for a session");
+}
