--- /dev/null
+++ b/standins/src/backend_wire.rs
@@ -0,0 +1,162 @@
+//! The bytes of a session: messages in, messages out, held up by faults.
+
+use std::io;
+use std::sync::Arc;
+
+use bytes::BytesMut;
+use pgwire::error::PgWireError;
+use pgwire::messages::data::{DataRow, FieldDescription, RowDescription};
+use pgwire::messages::response::{CommandComplete, ErrorResponse, SslResponse};
+use pgwire::messages::startup::Startup;
+use pgwire::messages::{
+    DecodeContext, PgWireBackendMessage as Out, PgWireFrontendMessage as In,
+    SslNegotiationMetaMessage,
+};
+use rusqlite::types::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::backend_query::{Column, ResultSet};
+use crate::backend_server::{Faults, Server};
+use crate::backend_sql::{SqlError, tag};
+use crate::backend_values::encode;
+
+/// The bytes of a session on their way in and out.
+pub(crate) struct Wire {
+    pub(crate) server: Arc<Server>,
+    pub(crate) number: u64,
+    pub(crate) zone: String,
+    pub(crate) socket: TcpStream,
+    pub(crate) input: BytesMut,
+    pub(crate) output: BytesMut,
+    pub(crate) cx: DecodeContext,
+}
+
+pub(crate) fn other(error: PgWireError) -> io::Error {
+    io::Error::other(error)
+}
+
+impl Wire {
+    pub(crate) fn put(&mut self, message: Out) -> io::Result<()> {
+        message.encode(&mut self.output).map_err(other)
+    }
+
+    pub(crate) fn put_error(&mut self, severity: &str, error: &SqlError) -> io::Result<()> {
+        let fields = vec![
+            (b'S', severity.to_owned()),
+            (b'V', severity.to_owned()),
+            (b'C', error.code.to_owned()),
+            (b'M', error.message.clone()),
+        ];
+        self.put(Out::ErrorResponse(ErrorResponse::new(fields)))
+    }
+
+    pub(crate) async fn pass(&self) {
+        let zone = &self.zone;
+        let open = |faults: &Faults| {
+            !faults.frozen && !faults.cut_callers && !faults.cut_zones.contains(zone)
+        };
+        self.server.until(open).await;
+    }
+
+    pub(crate) async fn flush(&mut self) -> io::Result<()> {
+        self.pass().await;
+        let output = self.output.split();
+        self.socket.write_all(&output).await
+    }
+
+    pub(crate) async fn read(&mut self) -> io::Result<Option<In>> {
+        loop {
+            self.pass().await;
+            if let Some(message) = In::decode(&mut self.input, &self.cx).map_err(other)? {
+                return Ok(Some(message));
+            }
+            if self.socket.read_buf(&mut self.input).await? == 0 {
+                return Ok(None);
+            }
+        }
+    }
+
+    pub(crate) async fn startup(&mut self) -> io::Result<Option<Startup>> {
+        loop {
+            match self.read().await? {
+                Some(In::SslNegotiation(SslNegotiationMetaMessage::None)) => {
+                    self.cx.awaiting_frontend_ssl = false;
+                }
+                Some(In::SslNegotiation(_)) => {
+                    self.put(Out::SslResponse(SslResponse::Refuse))?;
+                    self.flush().await?;
+                }
+                Some(In::Startup(startup)) => {
+                    self.cx.awaiting_frontend_startup = false;
+                    return Ok(Some(startup));
+                }
+                _ => return Ok(None),
+            }
+        }
+    }
+
+    /// Takes bytes and gives none back until the peer closes.
+    pub(crate) async fn swallow(&mut self) {
+        loop {
+            self.input.clear();
+            match self.socket.read_buf(&mut self.input).await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+    }
+}
+
+pub(crate) fn format_of(formats: &[i16], i: usize) -> i16 {
+    match formats {
+        [] => 0,
+        [all] => *all,
+        each => each.get(i).copied().unwrap_or(0),
+    }
+}
+
+pub(crate) fn put_description(
+    wire: &mut Wire,
+    columns: &[Column],
+    formats: &[i16],
+) -> io::Result<()> {
+    let field = |(i, column): (usize, &Column)| {
+        let format = format_of(formats, i);
+        FieldDescription::new(column.name.clone(), 0, 0, column.oid, -1, -1, format)
+    };
+    let fields = columns.iter().enumerate().map(field).collect();
+    wire.put(Out::RowDescription(RowDescription::new(fields)))
+}
+
+pub(crate) fn put_row(
+    wire: &mut Wire,
+    row: &[Value],
+    columns: &[Column],
+    formats: &[i16],
+) -> io::Result<()> {
+    let mut data = BytesMut::new();
+    for (i, (value, column)) in row.iter().zip(columns).enumerate() {
+        encode(value, column.oid, format_of(formats, i), &mut data);
+    }
+    let count = i16::try_from(row.len()).unwrap_or(i16::MAX);
+    wire.put(Out::DataRow(DataRow::new(data, count)))
+}
+
+pub(crate) fn put_result(
+    wire: &mut Wire,
+    sql: &str,
+    result: &ResultSet,
+    columns: &[Column],
+    formats: &[i16],
+    described: bool,
+) -> io::Result<()> {
+    if described && !columns.is_empty() {
+        put_description(wire, columns, formats)?;
+    }
+    for row in &result.rows {
+        put_row(wire, row, columns, formats)?;
+    }
+    let tag = tag(sql, result.rows.len(), result.changes);
+    wire.put(Out::CommandComplete(CommandComplete::new(tag)))
+}
