--- a/sapphireslip-core/tests/home_fake/mod.rs
+++ b/sapphireslip-core/tests/home_fake/mod.rs
@@ -377,6 +377,19 @@
         status.applied = Position(position);
     }
 
+    /// Makes a server the primary of a term that starts at position 11, followed by `s-c`; `s-a`
+    /// has not heard of it.
+    pub fn promote(&mut self, server: &str, term: u64) {
+        for id in [server, "s-c"] {
+            let status = self.statuses.get_mut(id).unwrap();
+            status.fenced = Term(term);
+            status.held = record(term, 11);
+            status.applied = Position(11);
+            status.term_starts.push(record(term, 11));
+        }
+        self.statuses.get_mut(server).unwrap().role = ServerRole::Primary;
+    }
+
     pub fn end(&self, number: u64) -> Option<&AnswerEnd> {
         let ends = &self.answers.get(&number)?.ends;
         assert!(ends.len() <= 1, "{ends:?}");
--- a/sapphireslip-core/tests/home_order.rs
+++ b/sapphireslip-core/tests/home_order.rs
@@ -161,7 +161,10 @@
             asked.sends += 1;
             asked.running = Some(sent.connection);
             let owner = self.owners.get(&sent.connection);
-            let is_own = owner.is_none_or(|owner| *owner == asked.session || asked.keyed);
+            let is_own = match owner {
+                Some(owner) => *owner == asked.session || asked.keyed,
+                None => !asked.in_transaction,
+            };
             assert!(
                 is_own,
                 "session {} on the connection of {owner:?}",
--- a/sapphireslip-core/tests/home_write.rs
+++ b/sapphireslip-core/tests/home_write.rs
@@ -48,14 +48,7 @@
     let mut fake = Fake::new();
     let write = fake.ask_kind(StatementKind::Write);
     fake.reply_only(b"", committed(1, 11));
-    for server in ["s-b", "s-c"] {
-        let status = fake.statuses.get_mut(server).unwrap();
-        status.fenced = Term(2);
-        status.held = record(2, 11);
-        status.applied = Position(11);
-        status.term_starts.push(record(2, 11));
-    }
-    fake.statuses.get_mut("s-b").unwrap().role = ServerRole::Primary;
+    fake.promote("s-b", 2);
     fake.run_ms(2500);
     let expected = (RefusalReason::AnswerLost, UNKNOWN);
     assert_eq!(fake.refusal(write), Some(expected));
@@ -164,6 +157,32 @@
     assert_eq!(fake.answers[&next].payload, b"rows");
 }
 
+#[test]
+fn answer_to_earlier_work_is_dropped() {
+    let mut fake = Fake::new();
+    fake.ask_kind(StatementKind::Write);
+    let earlier = fake.only();
+    fake.reply_only(b"", failed(b"23503"));
+    let next = fake.ask_kind(StatementKind::Write);
+    assert_eq!(fake.only().connection, earlier.connection);
+    fake.reply(&earlier, b"late", Some(ok()));
+    assert_eq!(fake.end(next), None);
+    fake.reply_only(b"own", failed(b"23503"));
+    assert_eq!(fake.answers[&next].payload, b"own");
+}
+
+#[test]
+fn lost_read_at_primary_never_runs_at_its_successor() {
+    let mut fake = Fake::with(100, "0s");
+    let read = fake.ask_kind(StatementKind::Read);
+    let sent = fake.only();
+    fake.promote("s-b", 2);
+    fake.lose(&sent);
+    fake.run_ms(3000);
+    assert!(fake.sent.is_empty());
+    assert_eq!(fake.refusal(read).unwrap().1, UNKNOWN);
+}
+
 #[test]
 fn queue_full_is_refused_at_once() {
     let mut fake = Fake::with(2, "0s");
