Fleet: bounded pushes, repeated leaving servers, suspects asked by all

A relay that starts with no documents reads all of them; it would have pushed each to its whole zone. Pushes end at 16 KiB now, and the rest is asked for. The list of leaving servers is repeated every 5 s, as a lost push was for good.

A test whose timings had moved showed a live VM held dead by its zone: a thawed peer had spread its old suspicion, and the suspect was asked by nobody within its 1.2 s. Whoever hears of a suspect now probes it, which also tells it.

--- a/sapphireslip-core/src/document_exchange.rs
+++ b/sapphireslip-core/src/document_exchange.rs
@@ -40,6 +40,12 @@
 /// The size in bytes after which a message takes no further document.
 pub const DOCUMENTS_MESSAGE_BYTES: usize = 256 * 1024;
 
+/// The most bytes of documents that a relay pushes to each VM of its zone unasked.
+pub const PUSH_MAX_BYTES: usize = 16 * 1024;
+
+/// The time after which a relay repeats the list of leaving servers, in case a push was lost.
+pub const LEAVING_REPEAT_INTERVAL: Duration = Duration::from_secs(5);
+
 data! {
     /// What is asked of whom, and what is still to be pushed.
     #[derive(Default)]
@@ -86,6 +92,10 @@
                 if self.set_leaving(servers) {
                     self.exchange.leaving_push_at = Some(now);
                     cx.wake_at(now);
+                } else if self.exchange.leaving_push_at.is_none() {
+                    let at = now + LEAVING_REPEAT_INTERVAL;
+                    self.exchange.leaving_push_at = Some(at);
+                    cx.wake_at(at);
                 }
             }
             PlatformEvent::Documents(None) | PlatformEvent::Vms(_) => {}
@@ -243,17 +253,8 @@
 
     /// Pushes what the platform, or another zone, has newly told this daemon.
     fn tick_push(&mut self, cx: &mut Cx<'_>, membership: &Membership) {
-        if let Some(mut since) = self.exchange.push_since.take() {
-            while since < self.changes() {
-                let Batch { documents, changes } = self.batch(since);
-                let message = PeerMessage::Documents {
-                    since,
-                    documents,
-                    changes,
-                };
-                send_to_zone(cx, membership, &message);
-                since = changes;
-            }
+        if let Some(since) = self.exchange.push_since.take() {
+            self.push(cx, membership, since);
         }
         let now = cx.now.instant;
         if self
@@ -267,6 +268,22 @@
         }
     }
 
+    /// Pushes a small change; a large one, as after the start of a relay, is left to be asked for.
+    fn push(&self, cx: &mut Cx<'_>, membership: &Membership, since: ChangeCount) {
+        let newer = self.documents_since(since);
+        let bytes: usize = newer.iter().map(|document| document.text.len()).sum();
+        if bytes > PUSH_MAX_BYTES {
+            return;
+        }
+        let Batch { documents, changes } = self.batch(since);
+        let message = PeerMessage::Documents {
+            since,
+            documents,
+            changes,
+        };
+        send_to_zone(cx, membership, &message);
+    }
+
     /// Asks peers for all documents until some are known.
     fn tick_start(&mut self, cx: &mut Cx<'_>, membership: &Membership) {
         let now = cx.now.instant;
--- a/sapphireslip-core/src/membership.rs
+++ b/sapphireslip-core/src/membership.rs
@@ -179,7 +179,13 @@
             None => self.make_room(),
         };
         if superseded {
+            let suspect = (given.state == VmState::Suspect).then(|| given.vm.clone());
             self.set(cx, given);
+            // The suspect may have answered by now whoever named it: it is asked, and told, here
+            // too.
+            if let Some(vm) = suspect {
+                self.probe(cx, vm, None);
+            }
         }
         superseded
     }
--- a/sapphireslip-core/tests/configuration_distribution.rs
+++ b/sapphireslip-core/tests/configuration_distribution.rs
@@ -5,9 +5,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use sapphireslip_core::{
-    ChangeCount, DatabaseName, Effect, Event, PlatformEvent, TimelineKind, VmId, ZoneName,
-};
+use sapphireslip_core::{ChangeCount, DatabaseName, Effect, TimelineKind, VmId, ZoneName};
 use support::{Fleet, document, vm};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -163,21 +161,61 @@
     assert_eq!(generation(&fleet, &vm("a-1")), Some(3));
 }
 
+fn holds_leaving(fleet: &Fleet, at: &VmId) -> bool {
+    let configuration = &fleet.state(at).configuration;
+    let database = DatabaseName::try_from("stock").unwrap();
+    let spec = configuration.database(&database).unwrap();
+    configuration.is_leaving(&spec.servers[0])
+}
+
 #[test]
 fn configuration_leaving_servers_are_known_everywhere() {
     let mut fleet = started();
-    let relay = fleet.state(&vm("a-1")).membership.relays(&zone("a"))[0].clone();
-    let servers = vec!["10.9.0.1".parse().unwrap()];
-    fleet.hand_in(
-        &relay,
-        Event::Platform(PlatformEvent::LeavingServers(servers)),
-    );
-    fleet.run_until(Duration::from_millis(50), |fleet| {
-        ["a-1", "a-2", "a-3"].map(vm).iter().all(|at| {
-            let configuration = &fleet.state(at).configuration;
-            let database = DatabaseName::try_from("stock").unwrap();
-            let spec = configuration.database(&database).unwrap();
-            configuration.is_leaving(&spec.servers[0])
-        })
-    });
+    for is_leaving in [true, false] {
+        fleet.platform.leaving = Vec::new();
+        if is_leaving {
+            fleet.platform.leaving.push("10.9.0.1".parse().unwrap());
+        }
+        let took = fleet.run_until(SECOND * 3, |fleet| {
+            seven()
+                .iter()
+                .all(|at| holds_leaving(fleet, at) == is_leaving)
+        });
+        println!("leaving {is_leaving} known everywhere after {took:?}");
+    }
+}
+
+#[test]
+fn configuration_leaving_servers_are_repeated() {
+    let mut fleet = started();
+    let relays = fleet.state(&vm("a-1")).membership.relays(&zone("a"));
+    let zone_vms = ["a-1", "a-2", "a-3"].map(vm);
+    let other = zone_vms.iter().find(|vm| !relays.contains(vm)).unwrap();
+    fleet.frozen.insert(other.clone());
+    fleet.platform.leaving.push("10.9.0.1".parse().unwrap());
+    fleet.run_for(SECOND * 30);
+    fleet.frozen.clear();
+    fleet.run_until(SECOND * 10, |fleet| holds_leaving(fleet, other));
+}
+
+#[test]
+fn configuration_restarted_relay_does_not_push_everything() {
+    let mut fleet = Fleet::start(&[vm("a-1"), vm("a-2")]);
+    for number in 1..=500 {
+        let service = format!("service-{number}");
+        let database = format!("database-{number}");
+        fleet
+            .platform
+            .accept(document(&service, 1, number, &[&database]));
+    }
+    fleet.run_until(SECOND * 3, |fleet| in_force(fleet, 500));
+    fleet.kill(&vm("a-2"));
+    fleet.run_for(SECOND * 10);
+    fleet.bytes.clear();
+    fleet.add(&vm("a-2"), 2, &[vm("a-1")]);
+    fleet.run_until(SECOND * 3, |fleet| in_force(fleet, 500));
+    fleet.run_for(SECOND * 5);
+    let sent = fleet.bytes[&vm("a-2")];
+    println!("a restarted relay sent {sent} B");
+    assert!(sent < 20_000, "{sent}");
 }
--- a/sapphireslip-core/tests/fleet_size.rs
+++ b/sapphireslip-core/tests/fleet_size.rs
@@ -105,7 +105,7 @@
     fleet.platform.cut_zones = vec![zone_of(&vm("a-1"))];
     fleet.run_for(SECOND * 5);
     fleet.platform.accept(document("stock", 1, 1, &["stock"]));
-    let took = fleet.run_until(SECOND * 3, |fleet| {
+    let took = fleet.run_until(SECOND * 3 / 2, |fleet| {
         let mut states = fleet.daemons.values();
         states.all(|state| state.configuration.changes() == ChangeCount(1))
     });
--- a/sapphireslip-core/tests/support/mod.rs
+++ b/sapphireslip-core/tests/support/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -76,6 +76,7 @@
     pub cut_zones: Vec<ZoneName>,
     pub documents: BTreeMap<ServiceName, AcceptedDocument>,
     pub vms: Vec<VmRecord>,
+    pub leaving: Vec<IpAddr>,
     pub reads: u64,
 }
 
@@ -243,6 +244,10 @@
             Effect::Send { to, message, .. } => self.send(vm, to, message),
             Effect::Platform(effect) => {
                 let event = self.platform.answer(vm, &effect);
+                if matches!(event, PlatformEvent::Vms(Some(_))) {
+                    let event = PlatformEvent::LeavingServers(self.platform.leaving.clone());
+                    self.push(vm.clone(), Event::Platform(event));
+                }
                 self.push(vm.clone(), Event::Platform(event));
             }
             Effect::WakeAt(at) => {
