--- /dev/null
+++ b/sapphireslipd/tests/runner.rs
@@ -0,0 +1,145 @@
+//! The runner between edges whose queues are full, and the queries that it answers meanwhile.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use sapphireslip_core::{
+    CallerEffect, CallerEvent, Event, Incarnation, Local, SessionId, State, VmId, ZoneName,
+};
+use sapphireslipd::{
+    Clock, EffectSenders, HybridClock, Metrics, PeerEdge, ReadinessCell, Runner, RunnerParts,
+    StatusQuery, TimelineRing,
+};
+
+/// How long a condition is waited for.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// The bound of the queues in these tests.
+const QUEUE: usize = 4;
+
+/// Callers that connect: far more than all queues take.
+const CALLERS: u64 = 1_000;
+
+/// Senders at a time that keep the queue of events from ever being empty.
+const SENDERS: u64 = 500;
+
+struct Fixture {
+    events: flume::Sender<Event>,
+    callers: flume::Receiver<CallerEffect>,
+    queries: flume::Sender<StatusQuery>,
+}
+
+impl Fixture {
+    fn start() -> Self {
+        let local = Local {
+            vm: VmId::try_from("vm-1").expect("name"),
+            zone: ZoneName::try_from("a").expect("name"),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 7000)),
+            incarnation: Incarnation(1),
+        };
+        let (events_tx, events) = flume::bounded(QUEUE);
+        let (queries_tx, queries) = flume::bounded(QUEUE);
+        let (callers, callers_rx) = flume::bounded(QUEUE);
+        // Nothing listens at the other ends: what is sent there is dropped.
+        let (backends, _) = flume::bounded(QUEUE);
+        let (platform, _) = flume::bounded(QUEUE);
+        let metrics = Arc::new(Metrics::default());
+        let hybrid_clock = Arc::new(HybridClock::new(local.incarnation));
+        let peers = PeerEdge::new(
+            local.clone(),
+            local.address.ip(),
+            Arc::clone(&hybrid_clock),
+            events_tx.clone(),
+            Arc::clone(&metrics),
+        );
+        let parts = RunnerParts {
+            clock: Clock::start(),
+            hybrid_clock,
+            timeline: Arc::new(TimelineRing::default()),
+            metrics,
+            readiness: Arc::new(ReadinessCell::default()),
+            events,
+            queries,
+            effects: EffectSenders {
+                callers,
+                backends,
+                platform,
+                peers,
+            },
+        };
+        tokio::spawn(Runner::new(State::new(local, Vec::new(), 1), parts).run());
+        Self {
+            events: events_tx,
+            callers: callers_rx,
+            queries: queries_tx,
+        }
+    }
+
+    /// Lets a caller connect to a database that does not exist, which ends its session.
+    async fn connect(&self, session: u64) {
+        let event = Event::Caller(CallerEvent::Connecting {
+            session: SessionId(session),
+            user: "till".into(),
+            database: "nowhere".into(),
+        });
+        self.events
+            .send_async(event)
+            .await
+            .expect("the runner goes on");
+    }
+}
+
+/// An edge that hands in all its events before it takes any effect does not stop the runner.
+#[tokio::test]
+async fn full_queues_no_deadlock() {
+    let fixture = Fixture::start();
+    let exchange = async {
+        for session in 0..CALLERS {
+            fixture.connect(session).await;
+        }
+        for session in 0..CALLERS {
+            let effect = fixture.callers.recv_async().await.expect("an effect");
+            let CallerEffect::Close {
+                session: closed, ..
+            } = effect
+            else {
+                panic!("{effect:?}");
+            };
+            assert_eq!(closed, SessionId(session), "effects stay in order");
+        }
+    };
+    tokio::time::timeout(PATIENCE, exchange)
+        .await
+        .expect("no deadlock");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn status_under_load() {
+    let fixture = Fixture::start();
+    let connect = async |session| loop {
+        fixture.connect(session).await;
+    };
+    let load = futures::future::join_all((0..SENDERS).map(connect));
+    let edge = async { while fixture.callers.recv_async().await.is_ok() {} };
+    let query = async {
+        let (tx, rx) = flume::bounded(1);
+        fixture
+            .queries
+            .send_async(StatusQuery(tx))
+            .await
+            .expect("the runner goes on");
+        rx.recv_async().await.expect("a status")
+    };
+    let answered = async {
+        tokio::select! {
+            status = query => status,
+            _ = load => unreachable!("the load has no end"),
+            () = edge => unreachable!("the runner goes on"),
+        }
+    };
+    let status = tokio::time::timeout(PATIENCE, answered)
+        .await
+        .expect("an answer in time");
+    assert_eq!(status.vm, "vm-1");
+}
