Caller edge: pause after a failure to accept

Without descriptors, accepting fails at once and again, which kept a core busy. Not seen failing: no test exhausts the process's descriptors.

--- a/sapphireslipd/src/caller_edge.rs
+++ b/sapphireslipd/src/caller_edge.rs
@@ -4,11 +4,12 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use flume::{Receiver, Sender};
 use sapphireslip_core::{CallerEffect, CallerEvent, Event, SessionId};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::caller_error::CallerError;
 use crate::caller_session::{self, SessionLinks};
@@ -29,6 +30,9 @@
 /// A session whose caller reads too slowly to stay below is ended.
 pub const SESSION_QUEUE_MAX_BYTES: usize = 64 * 1024 * 1024;
 
+/// The pause after a failure to accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// A session as the edge's loop knows it; dropping it ends the session.
 #[derive(Debug)]
 struct Handle {
@@ -84,10 +88,7 @@
             },
             accepted = accept(listener.as_ref()) => match accepted {
                 Ok((socket, peer)) => edge.accept(socket, peer),
-                Err(error) => {
-                    log::error!("accepting callers failed: {error}");
-                    tokio::task::yield_now().await;
-                }
+                Err(error) => log::error!("accepting callers failed: {error}"),
             },
         }
     }
@@ -107,10 +108,15 @@
 }
 
 async fn accept(listener: Option<&TcpListener>) -> std::io::Result<(TcpStream, SocketAddr)> {
-    match listener {
-        Some(listener) => listener.accept().await,
-        None => std::future::pending().await,
+    let Some(listener) = listener else {
+        return std::future::pending().await;
+    };
+    let accepted = listener.accept().await;
+    if accepted.is_err() {
+        // Out of file descriptors, mostly: they come back with time, not with trying.
+        sleep(ACCEPT_PAUSE).await;
     }
+    accepted
 }
 
 fn session_of(effect: &CallerEffect) -> Option<SessionId> {
