--- a/sapphireslip-core/tests/home_write.rs
+++ b/sapphireslip-core/tests/home_write.rs
@@ -178,6 +178,11 @@
     let sent = fake.only();
     fake.promote("s-b", 2);
     fake.lose(&sent);
+    fake.peer(PeerMessage::Promoted {
+        database: DatabaseName::try_from("stock").unwrap(),
+        term: Term(2),
+    });
+    assert_eq!(fake.end(read), None, "still looks for a replica");
     fake.run_ms(3000);
     assert!(fake.sent.is_empty());
     assert_eq!(fake.refusal(read).unwrap().1, UNKNOWN);
