Core: the successor test checks for a second send at once

With the rule taken out (a read that may have run at a primary goes to no primary), the test passed: the second send was there, but had been given up as silent by the time of the check. It now looks right after the promotion is known and prints, with the rule out, 'not to the new primary'.

--- a/sapphireslip-core/tests/home_write.rs
+++ b/sapphireslip-core/tests/home_write.rs
@@ -183,6 +183,7 @@
         term: Term(2),
     });
     assert_eq!(fake.end(read), None, "still looks for a replica");
+    assert!(fake.sent.is_empty(), "not to the new primary");
     fake.run_ms(3000);
     assert!(fake.sent.is_empty());
     assert_eq!(fake.refusal(read).unwrap().1, UNKNOWN);
