--- a/sapphireslip-core/tests/group_view.rs
+++ b/sapphireslip-core/tests/group_view.rs
@@ -7,6 +7,7 @@
 use rstest::rstest;
 use sapphireslip_core::{
     GroupFailure, Holding, RETRY_NO_MAJORITY, RETRY_QUIET, ServerRole, TermPosition, Visibility,
+    choose_primary,
 };
 use support::lone_home::{LoneHome, at, id, status};
 
@@ -169,3 +170,62 @@
     home.reply("sc", Err(GroupFailure::NoAnswer));
     assert!(home.group.primary().is_some());
 }
+
+/// A primary that only this home still hears makes nobody's data younger.
+#[test]
+fn staleness_unconfirmed() {
+    let starts = [at(1, 1), at(2, 5), at(3, 8)];
+    let mut home = opened();
+    home.now += Duration::from_secs(2);
+    home.tick();
+    home.answer("sa", status(PRIMARY, 3, at(3, 9), &starts));
+    assert_eq!(home.group.staleness(&id("sb"), home.instant()), None);
+    home.answer("sb", status(REPLICA, 3, at(3, 9), &starts));
+    let age = home.group.staleness(&id("sb"), home.instant());
+    assert_eq!(age, Some(Duration::ZERO));
+    home.now += Duration::from_secs(2);
+    home.tick();
+    home.answer("sa", status(PRIMARY, 3, at(3, 9), &starts));
+    let age = home.group.staleness(&id("sb"), home.instant());
+    assert_eq!(age, Some(Duration::from_secs(2)));
+}
+
+/// A home that knows nothing yet does not take the one server that is slow to answer for gone.
+#[test]
+fn promotion_before_survey() {
+    let mut home = LoneHome::new();
+    home.answer("sb", status(REPLICA, 3, at(3, 8), &[at(3, 8)]));
+    home.answer("sc", status(REPLICA, 3, at(3, 8), &[at(3, 8)]));
+    for _ in 0..20 {
+        home.now += Duration::from_millis(100);
+        home.tick();
+        for server in ["sb", "sc"] {
+            if home.polls.contains_key(&id(server)) {
+                home.answer(server, status(REPLICA, 3, at(3, 8), &[at(3, 8)]));
+            }
+        }
+    }
+    assert!(!home.has_fenced());
+    home.reply("sa", Err(GroupFailure::NoAnswer));
+    assert!(home.has_fenced());
+}
+
+#[rstest]
+#[case::furthest([at(3, 4), at(2, 9), at(3, 5)], &[], "sc")]
+#[case::equal([at(3, 5), at(3, 5), at(3, 5)], &[], "sa")]
+#[case::leaving_equal([at(3, 5), at(3, 5), at(3, 4)], &["sa"], "sb")]
+#[case::leaving_furthest([at(3, 5), at(3, 4), at(3, 3)], &["sa"], "sb")]
+#[case::avoided_if_no_other_covers([at(3, 5), at(3, 3), at(3, 4)], &["sa", "sc"], "sa")]
+fn choose_primary_among(
+    #[case] held: [TermPosition; 3],
+    #[case] avoided: &[&str],
+    #[case] expected: &str,
+) {
+    let fenced = ["sa", "sb", "sc"]
+        .iter()
+        .zip(held)
+        .map(|(name, held)| (id(name), status(REPLICA, 4, held, &[])))
+        .collect();
+    let avoided: Vec<_> = avoided.iter().map(|name| id(name)).collect();
+    assert_eq!(choose_primary(&fenced, 2, &avoided), Some(id(expected)));
+}
--- a/sapphireslip-core/tests/support/lone_home.rs
+++ b/sapphireslip-core/tests/support/lone_home.rs
@@ -118,6 +118,11 @@
         self.with(|group, cx| group.advance(cx, &around));
     }
 
+    pub fn has_fenced(&self) -> bool {
+        let fences = |request: &GroupRequest| matches!(request, GroupRequest::Fence { .. });
+        self.sent.iter().any(fences)
+    }
+
     pub fn probe(&mut self) {
         self.with(|group, cx| group.probe(cx));
     }
