--- a/sapphireslip-core/src/placement.rs
+++ b/sapphireslip-core/src/placement.rs
@@ -64,11 +64,27 @@
 /// Returns the homes of a database, one for each of its zones that has a live VM.
 ///
 /// ```
-/// # use sapphireslip_core::{Document, Membership, placement};
-/// fn count_homes(membership: &Membership, document: &Document) -> usize {
-///     let homes = |database| placement::homes_of(membership, database).len();
-///     document.databases.iter().map(homes).sum()
-/// }
+/// use sapphireslip_core::{
+///     DatabaseSpec, Incarnation, Local, Membership, VmId, ZoneName, placement,
+/// };
+/// use std::time::Duration;
+/// let local = Local {
+///     vm: VmId::try_from("vm-1")?,
+///     zone: ZoneName::try_from("a")?,
+///     address: "10.0.0.1:7000".parse()?,
+///     incarnation: Incarnation(1),
+/// };
+/// let database = DatabaseSpec {
+///     name: "stock".try_into()?,
+///     servers: Vec::new(),
+///     zones: vec![ZoneName::try_from("a")?, ZoneName::try_from("b")?],
+///     connections: 16,
+///     max_staleness: Duration::ZERO,
+///     deadline: Duration::from_secs(2),
+/// };
+/// let membership = Membership::new(&local, Vec::new());
+/// assert_eq!(placement::homes_of(&membership, &database), [local.vm]);
+/// # Ok::<(), Box<dyn std::error::Error>>(())
 /// ```
 #[must_use]
 pub fn homes_of(membership: &Membership, database: &DatabaseSpec) -> Vec<VmId> {
