--- a/sapphireslip-core/src/drain.rs
+++ b/sapphireslip-core/src/drain.rs
@@ -44,6 +44,7 @@
     ///         now: Now::default(),
     ///         local: &local,
     ///         random: &mut Random::new(1),
+    ///         next_call: &mut sapphireslip_core::CallId(0),
     ///         effects: &mut Vec::new(),
     ///         outgoing: &mut Vec::new(),
     ///     },
