Session tokens name their database

Cause: a token is a term and a position of one database's log; given to a session of another database it said nothing, yet was compared with that one's records, so a session could wait for a record that never comes or be told of a lost branch. Now the token reads `stock:3/1042`, and one of another database is refused with 22023. Seen failing first: `connect_with_token_of_another_database` got SET in place of 22023. A token without a database is still taken, as from a person.

--- a/sapphireslip-core/src/lib.rs
+++ b/sapphireslip-core/src/lib.rs
@@ -62,6 +62,7 @@
 mod route;
 mod server_status;
 mod session;
+mod session_token;
 #[allow(dead_code, reason = "the homes call it once both are written")]
 mod silence;
 mod sql_words;
@@ -122,6 +123,7 @@
 pub use self::retry_budget::*;
 pub use self::route::*;
 pub use self::server_status::*;
+pub use self::session_token::*;
 pub use self::silence::*;
 pub use self::sql_words::*;
 pub use self::staleness::*;
--- a/sapphireslipd/src/caller_batch.rs
+++ b/sapphireslipd/src/caller_batch.rs
@@ -4,7 +4,7 @@
 use pgwire::messages::PgWireBackendMessage as Out;
 use pgwire::messages::data::ParameterDescription;
 use pgwire::messages::extendedquery::{BindComplete, CloseComplete, ParseComplete};
-use sapphireslip_core::{RequestKey, TermPosition, Text};
+use sapphireslip_core::{DatabaseName, RequestKey, SessionToken, TermPosition, Text};
 
 use crate::caller_messages::{
     Severity, put, put_complete, put_error, put_no_data, put_text_column, put_text_row,
@@ -27,17 +27,19 @@
     /// Whether prepared statements are forgotten.
     pub(crate) forget: bool,
     token: Option<TermPosition>,
+    database: Text,
 }
 
 impl LocalAnswer {
     /// Returns an empty answer for a session that has this token.
-    pub(crate) fn new(token: Option<TermPosition>) -> Self {
+    pub(crate) fn new(token: Option<TermPosition>, database: &Text) -> Self {
         Self {
             buf: BytesMut::new(),
             given: None,
             key: None,
             forget: false,
             token,
+            database: Text::clone(database),
         }
     }
 
@@ -53,17 +55,24 @@
     /// Answers a command; returns false after a refusal.
     pub(crate) fn execute(&mut self, command: &SessionCommand) -> bool {
         let tag = match command {
-            SessionCommand::GiveToken(token) => {
-                self.given = Some(*token);
-                self.token = Some(*token);
-                "SET"
-            }
+            SessionCommand::GiveToken(token) => match token.seen_in(&self.database) {
+                Ok(seen) => {
+                    self.given = Some(seen);
+                    self.token = Some(seen);
+                    "SET"
+                }
+                Err(error) => {
+                    let message = error.to_string();
+                    put_error(&mut self.buf, Severity::Error, "22023", &message);
+                    return false;
+                }
+            },
             SessionCommand::GiveKey(key) => {
                 self.key = Some(key.clone());
                 "SET"
             }
             SessionCommand::ShowToken => {
-                let token = self.token.map(|token| token.to_string());
+                let token = self.token.map(|seen| token_text(&self.database, seen));
                 put_text_row(&mut self.buf, &token.unwrap_or_default());
                 "SHOW"
             }
@@ -82,6 +91,12 @@
     }
 }
 
+/// Returns the token that tells what a session of a database has seen.
+pub(crate) fn token_text(database: &Text, seen: TermPosition) -> String {
+    let database = DatabaseName::try_from(database.as_ref()).ok();
+    SessionToken { database, seen }.to_string()
+}
+
 /// The commands of a batch, one for each message that names a text.
 pub(crate) type BatchCommands = Vec<SessionCommand>;
 
--- a/sapphireslipd/src/caller_login.rs
+++ b/sapphireslipd/src/caller_login.rs
@@ -41,6 +41,7 @@
             return Err(self.wire.refuse(STEP_STARTUP, "28000", message).await);
         };
         self.token = token;
+        self.database = sapphireslip_core::Text::clone(&startup.database);
         self.links
             .send(CallerEvent::Opened {
                 session: self.links.id,
--- a/sapphireslipd/src/caller_session.rs
+++ b/sapphireslipd/src/caller_session.rs
@@ -55,6 +55,8 @@
     pub(crate) transaction: TransactionStatus,
     /// The token that the caller was told last or gave.
     pub(crate) token: Option<TermPosition>,
+    /// The database.
+    pub(crate) database: Text,
     /// The key of the next statement.
     pub(crate) key: Option<RequestKey>,
 }
@@ -96,6 +98,7 @@
         is_skipping: false,
         transaction: TransactionStatus::Idle,
         token: None,
+        database: Text::from(""),
         key: None,
     };
     match timeout(STARTUP_TIMEOUT, session.log_in(startup)).await {
--- a/sapphireslipd/src/caller_startup.rs
+++ b/sapphireslipd/src/caller_startup.rs
@@ -12,7 +12,7 @@
     DecodeContext, Message, PgWireBackendMessage as Out, PgWireFrontendMessage as In,
     ProtocolVersion, SslNegotiationMetaMessage,
 };
-use sapphireslip_core::{TermPosition, Text};
+use sapphireslip_core::{SessionToken, SessionTokenError, TermPosition, Text};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -129,11 +129,13 @@
 
 impl Startup {
     /// Returns the checked session token.
-    pub(crate) fn token(
-        &self,
-    ) -> Result<Option<TermPosition>, sapphireslip_core::TermPositionError> {
-        let token = self.token.as_deref();
-        token.map(TermPosition::try_from).transpose()
+    pub(crate) fn token(&self) -> Result<Option<TermPosition>, SessionTokenError> {
+        let token = self
+            .token
+            .as_deref()
+            .map(SessionToken::try_from)
+            .transpose()?;
+        token.map(|token| token.seen_in(&self.database)).transpose()
     }
 }
 
--- a/sapphireslipd/src/caller_statement.rs
+++ b/sapphireslipd/src/caller_statement.rs
@@ -6,7 +6,7 @@
     CallerEffect, CallerEvent, Refusal, RequestKey, TermPosition, Text, TransactionStatus,
 };
 
-use crate::caller_batch::{LocalAnswer, answer_batch, batch_commands, batch_text};
+use crate::caller_batch::{LocalAnswer, answer_batch, batch_commands, batch_text, token_text};
 use crate::caller_error::CallerError;
 use crate::caller_messages::{
     Severity, put_error, put_parameter, put_ready, put_refusal, without_inserted,
@@ -53,7 +53,7 @@
             return Err(self.wire.refuse(STEP_IDLE, "08P01", message).await);
         };
         if let Some(commands) = session_commands(&query.query) {
-            let mut answer = LocalAnswer::new(self.token);
+            let mut answer = LocalAnswer::new(self.token, &self.database);
             for command in &commands {
                 answer.describe(command);
                 if !answer.execute(command) {
@@ -91,7 +91,7 @@
             Err(error) => return self.refuse(error.sqlstate(), &error.to_string()).await,
         };
         if let Some(commands) = batch_commands(&rewritten.steps) {
-            let mut answer = LocalAnswer::new(self.token);
+            let mut answer = LocalAnswer::new(self.token, &self.database);
             answer_batch(&mut answer, &rewritten.steps, &commands);
             return self.finish_local(answer).await;
         }
@@ -140,7 +140,7 @@
             }
         };
         if let Some(commands) = batch_commands(&rewritten.steps) {
-            let mut answer = LocalAnswer::new(self.token);
+            let mut answer = LocalAnswer::new(self.token, &self.database);
             answer_batch(&mut answer, &rewritten.steps, &commands);
             return self.wire.write(STEP_STATEMENT, &answer.buf).await;
         }
@@ -236,7 +236,8 @@
         }
         if let Some(token) = token.filter(|token| self.token != Some(*token)) {
             self.token = Some(token);
-            put_parameter(&mut buf, TOKEN_PARAMETER, &token.to_string());
+            let text = token_text(&self.database, token);
+            put_parameter(&mut buf, TOKEN_PARAMETER, &text);
         }
         self.transaction = transaction;
         if running.is_flush {
--- a/sapphireslipd/src/session_command.rs
+++ b/sapphireslipd/src/session_command.rs
@@ -4,7 +4,7 @@
 //! than a transaction. Settings that drivers make as a matter of course are acknowledged and have
 //! no effect; all others are refused.
 
-use sapphireslip_core::{RequestKey, RequestKeyError, TermPosition};
+use sapphireslip_core::{RequestKey, RequestKeyError, SessionToken};
 
 use crate::sql_scan::{comments, statements};
 
@@ -31,7 +31,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum SessionCommand {
     /// The session has seen this record.
-    GiveToken(TermPosition),
+    GiveToken(SessionToken),
     /// The next statement has this key.
     GiveKey(RequestKey),
     /// Show the token.
@@ -152,7 +152,7 @@
         // These end with the transaction.
         "local" | "transaction" | "constraints" => None,
         "time" => Some(SessionCommand::Acknowledge { tag: "SET" }),
-        TOKEN_PARAMETER => Some(match TermPosition::try_from(value) {
+        TOKEN_PARAMETER => Some(match SessionToken::try_from(value) {
             Ok(token) => SessionCommand::GiveToken(token),
             Err(error) => malformed(error.to_string()),
         }),
--- a/sapphireslipd/tests/caller_edge.rs
+++ b/sapphireslipd/tests/caller_edge.rs
@@ -232,7 +232,24 @@
         .simple_query("SHOW sapphireslip.token")
         .await
         .expect("it is local");
-    assert_eq!(shown(&rows), Some("3/1042"));
+    assert_eq!(shown(&rows), Some("stock:3/1042"));
+}
+
+#[tokio::test]
+async fn connect_with_token_of_another_database() {
+    let bench = Bench::start().await;
+    let Opened { client, .. } = bench
+        .open("options='-c sapphireslip.token=stock:3/1042'")
+        .await;
+    let other = client
+        .simple_query("SET sapphireslip.token = 'other:9/1'")
+        .await;
+    assert_eq!(other.map(drop).map_err(code), Err("22023".to_owned()));
+    let rows = client
+        .simple_query("SHOW sapphireslip.token")
+        .await
+        .expect("it is local");
+    assert_eq!(shown(&rows), Some("stock:3/1042"));
 }
 
 #[tokio::test]
@@ -287,7 +304,7 @@
         .simple_query("SHOW sapphireslip.token")
         .await
         .expect("it is local");
-    assert_eq!(shown(&rows), Some("2/7"));
+    assert_eq!(shown(&rows), Some("stock:2/7"));
 }
 
 #[tokio::test]
@@ -524,7 +541,7 @@
             .simple_query("SHOW sapphireslip.token")
             .await
             .expect("it is local");
-        assert_eq!(shown(&rows), Some("1/5"));
+        assert_eq!(shown(&rows), Some("stock:1/5"));
     };
     let worked = tokio::time::timeout(WAIT, async {
         tokio::select! {
