--- /dev/null
+++ b/sapphireslipd/examples/chaos.rs
@@ -0,0 +1,172 @@
+//! Faults in random order against a fleet under load, repeatable by its seed.
+//!
+//! Every fault is ended before the next but one begins, so that a majority of servers and some
+//! daemons are always left. Ends with 0 only if no promise was broken.
+
+use std::error::Error;
+use std::ffi::OsString;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use bpaf::Bpaf;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rustix::process::Signal;
+use sapphireslip::{BenchSettings, RawBenchSettings, bench_text, run_bench};
+use sapphireslipd::make_verifier;
+use standins::{DaemonProgram, Fleet, FleetPlan, SERVERS_A_GROUP};
+
+/// The argument by which the program starts itself as a daemon.
+const DAEMON_ARGUMENT: &str = "daemon";
+
+const USER: &str = "till";
+const PASSWORD: &str = "a counter by the door";
+
+/// The time at the end in which nothing is broken, so that what waits can end.
+const QUIET_END: Duration = Duration::from_secs(6);
+
+/// Runs faults in random order.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options)]
+struct Args {
+    /// The seed of faults and load
+    #[bpaf(argument("N"), fallback(1), display_fallback)]
+    seed: u64,
+    /// The length of the run in seconds
+    #[bpaf(argument("N"), fallback(40), display_fallback)]
+    seconds: u64,
+    /// Operations offered a second
+    #[bpaf(argument("N"), fallback(150), display_fallback)]
+    rate: u32,
+    /// How long each fault lasts at the most, in milliseconds
+    #[bpaf(argument("N"), fallback(2_500), display_fallback)]
+    fault_ms: u64,
+}
+
+/// One thing that goes wrong, and is mended later.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    KillServer(usize),
+    FreezeServer(usize),
+    SilenceServer(usize),
+    LoseAnswer(usize),
+    LagServer(usize),
+    CutZone(usize),
+    KillDaemon(usize),
+    FreezeDaemon(usize),
+    PlatformDown,
+}
+
+fn main() -> ExitCode {
+    let args: Vec<OsString> = std::env::args_os().skip(1).collect();
+    if args.first().is_some_and(|arg| arg == DAEMON_ARGUMENT) {
+        return sapphireslipd::run(args.into_iter().skip(1));
+    }
+    let args = self::args().run();
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime can be had");
+    match runtime.block_on(chaos(&args)) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(err) => {
+            eprintln!("error: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Returns whether every promise was kept.
+async fn chaos(args: &Args) -> Result<bool, Box<dyn Error>> {
+    let program = DaemonProgram {
+        path: std::env::current_exe()?,
+        arguments: vec![DAEMON_ARGUMENT.to_owned()],
+    };
+    let plan = FleetPlan::new(program, USER, &make_verifier(PASSWORD)).daemons_per_zone(2);
+    let mut fleet = Fleet::start(plan).await?;
+    let load = tokio::spawn(run_bench(bench_settings(args, &fleet)?, |_line| {}));
+    let started = Instant::now();
+    let faults_end = Duration::from_secs(args.seconds).saturating_sub(QUIET_END);
+    let mut rng = SmallRng::seed_from_u64(args.seed);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    while started.elapsed() < faults_end {
+        let fault = draw(&mut rng);
+        let lasts = Duration::from_millis(rng.random_range(100..=args.fault_ms));
+        eprintln!(
+            "{:>8.3} s  {fault:?} for {lasts:?}",
+            started.elapsed().as_secs_f64()
+        );
+        begin(fault, &mut fleet)?;
+        tokio::time::sleep(lasts).await;
+        end(fault, &mut fleet).await?;
+        tokio::time::sleep(Duration::from_millis(rng.random_range(0..800))).await;
+    }
+    let result = load.await??;
+    println!("seed {}\n{}", args.seed, bench_text(&result));
+    Ok(result.verdict.is_clean())
+}
+
+fn bench_settings(args: &Args, fleet: &Fleet) -> Result<BenchSettings, Box<dyn Error>> {
+    let raw = RawBenchSettings {
+        daemons: (0..fleet.daemons())
+            .map(|number| fleet.callers(number))
+            .collect(),
+        admin: Vec::new(),
+        database: "stock".to_owned(),
+        user: USER.to_owned(),
+        password: PASSWORD.to_owned(),
+        workload: "adeyemi".to_owned(),
+        rate: args.rate,
+        sessions: 36,
+        seconds: args.seconds,
+        seed: args.seed,
+        roam_percent: 10,
+    };
+    Ok(BenchSettings::try_from(raw)?)
+}
+
+fn draw(rng: &mut SmallRng) -> Fault {
+    let server = rng.random_range(0..SERVERS_A_GROUP);
+    let daemon = rng.random_range(0..6);
+    match rng.random_range(0..9) {
+        0 => Fault::KillServer(server),
+        1 => Fault::FreezeServer(server),
+        2 => Fault::SilenceServer(server),
+        3 => Fault::LoseAnswer(server),
+        4 => Fault::LagServer(server),
+        5 => Fault::CutZone(server),
+        6 => Fault::KillDaemon(daemon),
+        7 => Fault::FreezeDaemon(daemon),
+        _ => Fault::PlatformDown,
+    }
+}
+
+fn begin(fault: Fault, fleet: &mut Fleet) -> Result<(), Box<dyn Error>> {
+    match fault {
+        Fault::KillServer(server) => fleet.group(0).kill(server),
+        Fault::FreezeServer(server) => fleet.group(0).freeze(server),
+        Fault::SilenceServer(server) => fleet.group(0).silence_open_connections(server),
+        Fault::LoseAnswer(server) => fleet.group(0).lose_next_answer(server),
+        Fault::LagServer(server) => fleet.group(0).set_lag(server, Duration::from_millis(700)),
+        Fault::CutZone(server) => {
+            let zone = fleet.server_zone(server).to_owned();
+            fleet.cut_zone(&zone);
+        }
+        Fault::KillDaemon(daemon) => fleet.kill_daemon(daemon)?,
+        Fault::FreezeDaemon(daemon) => fleet.signal_daemon(daemon, Signal::STOP)?,
+        Fault::PlatformDown => fleet.platform().down(true),
+    }
+    Ok(())
+}
+
+async fn end(fault: Fault, fleet: &mut Fleet) -> Result<(), Box<dyn Error>> {
+    match fault {
+        Fault::KillServer(server) => fleet.group(0).restart(server).await?,
+        Fault::FreezeServer(server) => fleet.group(0).thaw(server),
+        Fault::SilenceServer(_) | Fault::LoseAnswer(_) => {}
+        Fault::LagServer(server) => fleet.group(0).set_lag(server, Duration::from_millis(5)),
+        Fault::CutZone(_) => fleet.heal(),
+        Fault::KillDaemon(daemon) => fleet.start_daemon(daemon)?,
+        Fault::FreezeDaemon(daemon) => fleet.signal_daemon(daemon, Signal::CONT)?,
+        Fault::PlatformDown => fleet.platform().down(false),
+    }
+    Ok(())
+}
