--- a/sapphireslip-core/src/configuration.rs
+++ b/sapphireslip-core/src/configuration.rs
@@ -5,11 +5,10 @@
 
 use crate::derives::data;
 use crate::document_exchange::DocumentExchange;
-use crate::fleet_record::record;
 use crate::held_documents::{Acceptance, HeldDocuments};
 use crate::{
     AcceptedDocument, CallerAccount, CallerName, ChangeCount, Cx, DatabaseName, DatabaseSpec,
-    Document, ServerSpec, TimelineKind,
+    Document, ServerSpec, TimelineEntry, TimelineKind,
 };
 
 /// The most leaving backend servers that are kept.
@@ -121,11 +120,11 @@
                     is_news = true;
                     let detail =
                         format!("service {service} generation {generation} change {change}");
-                    record(cx, TimelineKind::DocumentInForce, None, Arc::from(detail));
+                    cx.record(TimelineEntry::of(TimelineKind::DocumentInForce).detail(&detail));
                 }
                 Acceptance::Refused(errors) => {
                     let detail = format!("service {service} generation {generation}: {errors}");
-                    record(cx, TimelineKind::DocumentRefused, None, Arc::from(detail));
+                    cx.record(TimelineEntry::of(TimelineKind::DocumentRefused).detail(&detail));
                 }
             }
         }
--- a/sapphireslip-core/src/drain.rs
+++ b/sapphireslip-core/src/drain.rs
@@ -1,11 +1,9 @@
 //! The graceful stop of this daemon.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use crate::derives::data;
-use crate::fleet_record::record;
-use crate::{Cx, Effect, Instant, TimelineKind};
+use crate::{Cx, Effect, Instant, TimelineEntry, TimelineKind};
 
 /// The least time between the notice to peers and the exit: until then peers may still send work.
 pub const DRAIN_NOTICE: Duration = Duration::from_millis(500);
@@ -62,12 +60,8 @@
         self.until = Some(until);
         self.not_before = Some(not_before);
         cx.effects.push(Effect::Ready(false));
-        record(
-            cx,
-            TimelineKind::DrainStarted,
-            None,
-            Arc::from(format!("bound {bound:?}")),
-        );
+        let detail = format!("bound {bound:?}");
+        cx.record(TimelineEntry::of(TimelineKind::DrainStarted).detail(&detail));
         cx.wake_at(not_before);
         cx.wake_at(until);
     }
@@ -96,7 +90,7 @@
         } else {
             "bound passed"
         };
-        record(cx, TimelineKind::DrainFinished, None, Arc::from(detail));
+        cx.record(TimelineEntry::of(TimelineKind::DrainFinished).detail(detail));
         cx.effects.push(Effect::Exit);
     }
 }
--- a/sapphireslip-core/src/entry.rs
+++ b/sapphireslip-core/src/entry.rs
@@ -10,11 +10,11 @@
 use crate::due_sessions::DueSessions;
 use crate::entry_refusal::{draining, lost, out_of_sends, out_of_turn, past_deadline};
 use crate::session::{Running, Session, statement_kind};
-use crate::timeline_entry::entry as timeline;
 use crate::{
     Answer, AnswerEnd, CallerEffect, CallerEvent, CallerName, Cx, Fleet, Outcome, PeerMessage,
     Refusal, RefusalReason, Request, RequestId, RequestKey, RequestNumber, SessionId,
-    StatementKind, TermPosition, Text, TimelineKind, TransactionStatus, VmId, placement,
+    StatementKind, TermPosition, Text, TimelineEntry, TimelineKind, TransactionStatus, VmId,
+    placement,
 };
 
 /// The most sessions at one daemon.
@@ -136,7 +136,7 @@
         }
         let database = session.database.clone();
         cx.record(
-            timeline(TimelineKind::SessionOpened)
+            TimelineEntry::of(TimelineKind::SessionOpened)
                 .session(id)
                 .database(&database),
         );
@@ -186,7 +186,7 @@
         };
         let request = request_id(cx, running.number);
         cx.record(
-            timeline(TimelineKind::RequestReceived)
+            TimelineEntry::of(TimelineKind::RequestReceived)
                 .request(&request)
                 .session(id),
         );
@@ -235,7 +235,7 @@
         running.send_again_at = None;
         running.may_have_run = true;
         cx.record(
-            timeline(TimelineKind::RequestForwarded)
+            TimelineEntry::of(TimelineKind::RequestForwarded)
                 .request(&request.id)
                 .session(id)
                 .database(&request.database)
@@ -315,14 +315,19 @@
             None => TimelineKind::RequestFinished,
         };
         let detail = refusal.as_ref().map_or("", |refusal| &refusal.detail);
-        cx.record(timeline(kind).request(&request).session(id).detail(detail));
+        cx.record(
+            TimelineEntry::of(kind)
+                .request(&request)
+                .session(id)
+                .detail(detail),
+        );
         self.tell(cx, id, refusal);
     }
 
     /// Refuses a statement that was never sent.
     fn refuse(&mut self, cx: &mut Cx<'_>, id: SessionId, refusal: Refusal) {
         cx.record(
-            timeline(TimelineKind::RequestRefused)
+            TimelineEntry::of(TimelineKind::RequestRefused)
                 .session(id)
                 .detail(&refusal.detail),
         );
@@ -377,7 +382,7 @@
             );
         }
         cx.record(
-            timeline(TimelineKind::SessionClosed)
+            TimelineEntry::of(TimelineKind::SessionClosed)
                 .session(id)
                 .database(&session.database),
         );
--- a/sapphireslip-core/src/group.rs
+++ b/sapphireslip-core/src/group.rs
@@ -475,15 +475,7 @@
         server: &ServerId,
         term: Term,
     ) {
-        cx.record(TimelineEntry {
-            kind,
-            request: None,
-            session: None,
-            database: Some(self.spec.name.clone()),
-            server: Some(server.clone()),
-            peer: None,
-            term: Some(term),
-            detail: "".into(),
-        });
+        let entry = TimelineEntry::of(kind).database(&self.spec.name);
+        cx.record(entry.server(server).term(term));
     }
 }
--- a/sapphireslip-core/src/lib.rs
+++ b/sapphireslip-core/src/lib.rs
@@ -24,7 +24,6 @@
 mod entry;
 mod entry_refusal;
 mod event;
-mod fleet_record;
 mod group;
 mod group_call;
 mod group_log;
@@ -63,7 +62,6 @@
 mod server_status;
 mod session;
 mod session_token;
-#[allow(dead_code, reason = "the homes call it once both are written")]
 mod silence;
 mod sql_words;
 mod staleness;
--- a/sapphireslip-core/src/membership.rs
+++ b/sapphireslip-core/src/membership.rs
@@ -9,14 +9,13 @@
 use std::time::Duration;
 
 use crate::derives::data;
-use crate::fleet_record::record;
 use crate::placement::Candidate;
 use crate::probe::Prober;
 use crate::vm_exchange::VmExchange;
 use crate::vm_news::VmNews;
 use crate::{
-    ChangeCount, Cx, Incarnation, Instant, Local, SUSPECT_TIMEOUT, TimelineKind, VmId, VmRecord,
-    VmState, ZoneName,
+    ChangeCount, Cx, Incarnation, Instant, Local, SUSPECT_TIMEOUT, TimelineEntry, TimelineKind,
+    VmId, VmRecord, VmState, ZoneName,
 };
 
 /// The most VMs that are kept, those gone included.
@@ -227,7 +226,11 @@
         self.news.add(vm.clone());
         if before != Some(state) {
             let detail = Arc::from(format!("{state:?}").to_lowercase());
-            record(cx, TimelineKind::VmChanged, Some(vm), detail);
+            cx.record(
+                TimelineEntry::of(TimelineKind::VmChanged)
+                    .peer(&vm)
+                    .detail(&detail),
+            );
         }
     }
 
--- a/sapphireslip-core/src/silence.rs
+++ b/sapphireslip-core/src/silence.rs
@@ -102,15 +102,8 @@
     }
 
     fn record_silence(&self, cx: &mut Cx<'_>, server: &ServerId) {
-        cx.record(TimelineEntry {
-            kind: TimelineKind::PathSilent,
-            request: None,
-            session: None,
-            database: Some(self.spec.name.clone()),
-            server: Some(server.clone()),
-            peer: None,
-            term: None,
-            detail: "no answer on open connections while the server answers on others".into(),
-        });
+        let entry = TimelineEntry::of(TimelineKind::PathSilent).database(&self.spec.name);
+        let detail = "no answer on open connections while the server answers on others";
+        cx.record(entry.server(server).detail(detail));
     }
 }
--- a/sapphireslip-core/src/timeline_entry.rs
+++ b/sapphireslip-core/src/timeline_entry.rs
@@ -69,22 +69,21 @@
     }
 }
 
-/// Returns an entry that says no more than what happened.
-pub(crate) fn entry(kind: TimelineKind) -> TimelineEntry {
-    TimelineEntry {
-        kind,
-        request: None,
-        session: None,
-        database: None,
-        server: None,
-        peer: None,
-        term: None,
-        detail: "".into(),
+impl TimelineEntry {
+    /// Returns an entry that says no more than what happened.
+    pub(crate) fn of(kind: TimelineKind) -> Self {
+        Self {
+            kind,
+            request: None,
+            session: None,
+            database: None,
+            server: None,
+            peer: None,
+            term: None,
+            detail: "".into(),
+        }
     }
-}
 
-#[allow(dead_code, reason = "each part of the reducer names what it knows")]
-impl TimelineEntry {
     /// Adds the request.
     pub(crate) fn request(mut self, request: &RequestId) -> Self {
         self.request = Some(request.clone());
