--- a/sapphireslip/src/bench_run.rs
+++ b/sapphireslip/src/bench_run.rs
@@ -7,7 +7,6 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use serde::Serialize;
-use tokio::sync::mpsc;
 
 use crate::bench_session::{prepare, stored};
 use crate::read_share::{ReadCounts, read_counts};
@@ -113,7 +112,7 @@
     let mut sessions = Vec::new();
     let mut tasks = Vec::new();
     for number in 0..settings.sessions {
-        let (tx, rx) = mpsc::channel(SESSION_BACKLOG);
+        let (tx, rx) = flume::bounded(SESSION_BACKLOG);
         let session = BenchSession::new(Arc::clone(settings), number);
         let task = serve(session, rx, Arc::clone(ledger), Arc::clone(measured));
         tasks.push(tokio::spawn(task));
@@ -164,11 +163,11 @@
 
 async fn serve(
     mut session: BenchSession,
-    mut arrivals: mpsc::Receiver<Arrival>,
+    arrivals: flume::Receiver<Arrival>,
     ledger: Arc<Mutex<Ledger>>,
     measured: Arc<Mutex<Measured>>,
 ) {
-    while let Some(arrival) = arrivals.recv().await {
+    while let Ok(arrival) = arrivals.recv_async().await {
         session.run(arrival.operation, &ledger).await;
         if let Ok(mut measured) = measured.lock() {
             measured
