Core: a text that begins and ends a transaction is a write

Cause: several statements in one text count as the most demanding one, but 'BEGIN; INSERT ...; COMMIT' counted as a BEGIN, which may be sent again when its answer is lost and is refused as 'not run' at its deadline: it could run twice, or be called not run after it committed. Likewise 'INSERT ...; COMMIT' outside a transaction counted as a read.

A text that begins and ends a transaction now counts as a write, and one that ends a transaction among other things as a commit, whose loss is unknown.

--- a/sapphireslip-core/src/session.rs
+++ b/sapphireslip-core/src/session.rs
@@ -8,7 +8,7 @@
 use crate::{
     CallerName, DatabaseName, Freshness, Instant, Refusal, RefusalReason, RequestKey,
     RequestNumber, ServiceName, SessionId, StatementKind, TermPosition, TransactionStatus, VmId,
-    classify,
+    classify, sql_statements,
 };
 
 /// The part of a request's time that the entry daemon keeps back for the way of the answer.
@@ -174,10 +174,18 @@
     }
     let ends = matches!(kind, StatementKind::Commit | StatementKind::Rollback);
     if ends && session.transaction_home.is_none() {
-        return Ok(StatementKind::Read);
+        return Ok(outside_transaction(text));
     }
     if key.is_some() && kind == StatementKind::Read {
         return Ok(StatementKind::Write);
     }
     Ok(kind)
 }
+
+/// Returns the kind of a text that ends a transaction while none is open.
+fn outside_transaction(text: &str) -> StatementKind {
+    match sql_statements(text).len() {
+        1 => StatementKind::Read,
+        _ => StatementKind::Write,
+    }
+}
--- a/sapphireslip-core/src/statement.rs
+++ b/sapphireslip-core/src/statement.rs
@@ -60,13 +60,17 @@
 }
 
 /// Several statements in one text run on one connection, so the most demanding one decides.
+///
+/// A text that begins a transaction and ends it counts as a write; one that ends a transaction
+/// among other things counts as a commit: neither may be run again when its answer is lost.
 fn combine(so_far: StatementKind, next: StatementKind) -> StatementKind {
     use StatementKind::{Begin, BeginReadOnly, Commit, Read, Rollback, Write};
     match (so_far, next) {
         (Read, Read) => Read,
-        (BeginReadOnly, Read | Rollback) => BeginReadOnly,
+        (BeginReadOnly, Read) => BeginReadOnly,
+        (Begin | BeginReadOnly, Commit | Rollback) => Write,
         (Begin | BeginReadOnly, _) => Begin,
-        (_, Commit) | (Commit, _) => Commit,
+        (Commit | Rollback, _) | (_, Commit | Rollback) => Commit,
         _ => Write,
     }
 }
--- a/sapphireslip-core/tests/entry_request.rs
+++ b/sapphireslip-core/tests/entry_request.rs
@@ -169,6 +169,20 @@
     );
 }
 
+/// A text that commits may have run, whatever it begins with.
+#[rstest]
+#[case::transaction("BEGIN; INSERT INTO payment VALUES (1); COMMIT")]
+#[case::commit("INSERT INTO payment VALUES (1); COMMIT")]
+#[case::after_rollback("ROLLBACK; INSERT INTO payment VALUES (1)")]
+fn home_lost_before_the_answer_a_text_that_commits_is_unknown(#[case] text: &str) {
+    let mut fake = opened();
+    let (home, _) = fake.send(1, text, None);
+    fake.lose(&home);
+    assert_eq!(fake.refusal(1).ran, Certainty::Unknown);
+    fake.run_ms(500);
+    assert!(fake.sent().is_empty());
+}
+
 #[test]
 fn keyed_write_out_of_sends_is_unknown() {
     let mut fake = opened();
