Core: a refusal of a second copy proves nothing about the first; a stop tells whom it cuts

Cause, found while listing the refusals: - A home that was sent a request again (its first home was lost) said "not run" when its queue was full or it had no majority, although the first copy may have run. It now says "unknown" unless the key's claim, held by a majority, proves otherwise. - An entry said "not run" of a lost statement that only looks like a read; such a statement may call a function that writes. Only BEGIN and ROLLBACK are rolled back with their connection. - At the bound of a stop the daemon left without a word; now running statements are refused (in a transaction: TransactionLost), and every session is closed with 57P01. - Refusals that no retry can mend (KeyRefused, LostBranch, Unsupported) carried a time to come back.

--- a/sapphireslip-core/src/acknowledgement.rs
+++ b/sapphireslip-core/src/acknowledgement.rs
@@ -65,6 +65,7 @@
             }
             Verdict::Recorded(answer) => job.replace_buffer(answer.to_vec()),
             Verdict::NeverRuns(reason) => {
+                job.note_never_runs();
                 let detail = "the request key was claimed before the request could run";
                 self.refuse(cx, id, reason, detail);
                 return;
--- a/sapphireslip-core/src/drain.rs
+++ b/sapphireslip-core/src/drain.rs
@@ -27,6 +27,11 @@
         self.until.is_some()
     }
 
+    /// Returns whether the bound has passed and what is left is to be cut.
+    pub(crate) fn is_past_bound(&self, now: Instant) -> bool {
+        self.until.is_some_and(|until| until <= now)
+    }
+
     /// Begins the stop; open transactions may go on for `bound`. A second call changes nothing.
     ///
     /// ```
--- a/sapphireslip-core/src/entry.rs
+++ b/sapphireslip-core/src/entry.rs
@@ -8,7 +8,9 @@
 use crate::caller_admission::admit;
 use crate::derives::data;
 use crate::due_sessions::DueSessions;
-use crate::entry_refusal::{draining, lost, out_of_sends, out_of_turn, past_deadline};
+use crate::entry_refusal::{
+    draining, lost, out_of_sends, out_of_turn, past_deadline, past_stop_bound, transaction_cut,
+};
 use crate::session::{Running, Session, statement_kind};
 use crate::timeline_entry::entry as timeline;
 use crate::{
@@ -494,6 +496,20 @@
             self.close(cx, id, draining());
         }
     }
+
+    /// Ends every session that is left once the bound of a stop has passed; each caller is told.
+    pub(crate) fn cut(&mut self, cx: &mut Cx<'_>) {
+        let left: Vec<SessionId> = self.sessions.keys().copied().collect();
+        for id in left {
+            let running = self.sessions.get(&id).and_then(|s| s.running.as_ref());
+            if let Some(refusal) = running.map(past_stop_bound) {
+                self.finish(cx, id, Some(refusal));
+            }
+            if self.sessions.contains_key(&id) {
+                self.close(cx, id, transaction_cut());
+            }
+        }
+    }
 }
 
 fn request_id(cx: &Cx<'_>, number: RequestNumber) -> RequestId {
--- a/sapphireslip-core/src/entry_refusal.rs
+++ b/sapphireslip-core/src/entry_refusal.rs
@@ -22,7 +22,7 @@
     }
     if running.has_answered {
         let detail = "the home was lost in the middle of the answer";
-        return Some(if running.is_harmless() {
+        return Some(if running.kind.is_rolled_back_if_lost() {
             Refusal::not_run(RefusalReason::AnswerLost, Some(NO_HOME_RETRY_AFTER), detail)
         } else {
             Refusal::unknown(RefusalReason::AnswerLost, detail)
@@ -40,7 +40,7 @@
 /// Returns the answer to a request that no home took in as many sends as are allowed.
 pub(crate) fn out_of_sends(running: &Running) -> Refusal {
     let detail = format!("no home answered in {} sends", running.sends);
-    if running.is_harmless() || !running.may_have_run {
+    if running.kind.is_rolled_back_if_lost() || !running.may_have_run {
         return Refusal::not_run(RefusalReason::NoHome, Some(NO_HOME_RETRY_AFTER), &detail);
     }
     Refusal::unknown(RefusalReason::NoHome, &detail)
@@ -49,7 +49,7 @@
 /// Returns the answer to a request whose deadline has passed.
 pub(crate) fn past_deadline(running: &Running) -> Refusal {
     let detail = "no answer came within the deadline";
-    if running.is_harmless() || !running.may_have_run {
+    if running.kind.is_rolled_back_if_lost() || !running.may_have_run {
         return Refusal::not_run(RefusalReason::Deadline, Some(NO_HOME_RETRY_AFTER), detail);
     }
     Refusal::unknown(RefusalReason::Deadline, detail)
@@ -64,6 +64,29 @@
     )
 }
 
+/// Returns the answer to a request that is cut at the bound of a stop.
+pub(crate) fn past_stop_bound(running: &Running) -> Refusal {
+    let detail = "the stop's bound passed before the answer came";
+    let is_statement = running.in_transaction && running.kind != StatementKind::Commit;
+    if is_statement {
+        let reason = RefusalReason::TransactionLost;
+        return Refusal::not_run(reason, Some(Duration::ZERO), detail);
+    }
+    if running.kind.is_rolled_back_if_lost() || !running.may_have_run {
+        return Refusal::not_run(RefusalReason::Draining, Some(Duration::ZERO), detail);
+    }
+    Refusal::unknown(RefusalReason::AnswerLost, detail)
+}
+
+/// Returns the last word to a session whose transaction is cut at the bound of a stop.
+pub(crate) fn transaction_cut() -> Refusal {
+    Refusal::not_run(
+        RefusalReason::Draining,
+        Some(Duration::ZERO),
+        "this daemon has stopped at its bound: an open transaction is rolled back; connect again",
+    )
+}
+
 /// Returns the answer to a caller that breaks the order of the protocol.
 pub(crate) fn out_of_turn() -> Refusal {
     Refusal::not_run(
--- a/sapphireslip-core/src/home.rs
+++ b/sapphireslip-core/src/home.rs
@@ -183,7 +183,7 @@
         reason: RefusalReason,
         detail: &str,
     ) {
-        let retry_after = Some(self.group.retry_after());
+        let retry_after = reason.may_pass().then(|| self.group.retry_after());
         let refusal = Refusal::not_run(reason, retry_after, detail);
         self.refuse_with(cx, id, refusal);
     }
@@ -200,7 +200,7 @@
     }
 
     fn refuse_with(&mut self, cx: &mut Cx<'_>, id: &RequestId, mut refusal: Refusal) {
-        if self.jobs.get(id).is_some_and(|job| job.may_have_run) {
+        if self.jobs.get(id).is_some_and(Job::is_doubtful) {
             refusal.ran = Certainty::Unknown;
             refusal.retry_after = None;
         }
--- a/sapphireslip-core/src/job.rs
+++ b/sapphireslip-core/src/job.rs
@@ -129,6 +129,18 @@
             )
     }
 
+    /// Returns whether this copy of the request, or one sent earlier, may have had an effect.
+    pub(crate) fn is_doubtful(&self) -> bool {
+        let may_write = !self.request.kind.is_rolled_back_if_lost();
+        self.may_have_run || (self.request.resent && may_write)
+    }
+
+    /// Notes the proof that no copy of the request ran or ever will.
+    pub(crate) fn note_never_runs(&mut self) {
+        self.may_have_run = false;
+        self.request.resent = false;
+    }
+
     /// Returns whether a part of the answer has left.
     pub(crate) const fn has_answered(&self) -> bool {
         self.parts > 0
--- a/sapphireslip-core/src/reducer.rs
+++ b/sapphireslip-core/src/reducer.rs
@@ -160,7 +160,11 @@
             },
         );
     }
-    drain.on_tick(cx, entry.is_idle() && homes.is_idle());
+    let is_idle = entry.is_idle() && homes.is_idle();
+    if drain.is_past_bound(cx.now.instant) {
+        entry.cut(cx);
+    }
+    drain.on_tick(cx, is_idle);
 }
 
 fn on_peer(
--- a/sapphireslip-core/src/refusal.rs
+++ b/sapphireslip-core/src/refusal.rs
@@ -50,6 +50,37 @@
     }
 }
 
+impl RefusalReason {
+    /// Returns whether the same request may succeed later, so that a time to come back helps.
+    ///
+    /// ```
+    /// use sapphireslip_core::RefusalReason;
+    /// assert!(RefusalReason::NoMajority.may_pass());
+    /// assert!(!RefusalReason::LostBranch.may_pass());
+    /// ```
+    #[must_use]
+    pub const fn may_pass(self) -> bool {
+        match self {
+            Self::QueueFull
+            | Self::Deadline
+            | Self::NoMajority
+            | Self::NoPrimary
+            | Self::NoFreshServer
+            | Self::NoConnection
+            | Self::NoHome
+            | Self::Draining
+            | Self::Quota
+            | Self::TransactionLost
+            | Self::AnswerLost => true,
+            Self::UnknownDatabase
+            | Self::BadCredentials
+            | Self::KeyRefused
+            | Self::LostBranch
+            | Self::Unsupported => false,
+        }
+    }
+}
+
 data! {
     /// A refusal: typed, final, and with a time to come back where that helps.
     pub struct Refusal {
--- a/sapphireslip-core/src/request.rs
+++ b/sapphireslip-core/src/request.rs
@@ -44,6 +44,18 @@
     }
 }
 
+impl StatementKind {
+    /// Returns whether a server rolls the statement back when its connection closes, so that a
+    /// lost one has had no effect. A statement that looks like a read is none of these: it may
+    /// call a function that writes.
+    pub(crate) const fn is_rolled_back_if_lost(self) -> bool {
+        match self {
+            Self::Begin | Self::BeginReadOnly | Self::Rollback => true,
+            Self::Read | Self::Write | Self::Commit => false,
+        }
+    }
+}
+
 data! {
     /// A request's identity over all daemons.
     #[derive(Hash, Ord, PartialOrd)]
--- a/sapphireslip-core/tests/home_fake/mod.rs
+++ b/sapphireslip-core/tests/home_fake/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses its own part of the helper")]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -40,6 +40,9 @@
     pub open: BTreeMap<ConnectionId, String>,
     pub answers: BTreeMap<u64, Answered>,
     pub records: Vec<TimelineEntry>,
+    /// What callers of this daemon's own were given.
+    pub callers: Vec<CallerEffect>,
+    pub is_gone: bool,
     wakes: Vec<Duration>,
     next_request: u64,
 }
@@ -146,6 +149,8 @@
             open: BTreeMap::new(),
             answers: BTreeMap::new(),
             records: Vec::new(),
+            callers: Vec::new(),
+            is_gone: false,
             wakes: Vec::new(),
             next_request: 0,
         };
@@ -165,8 +170,8 @@
 
     /// Hands in an event and lets group requests and connection attempts be answered at once.
     pub fn event(&mut self, event: Event) {
-        let mut events = vec![event];
-        while let Some(event) = events.pop() {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
             let now = Now {
                 instant: Instant {
                     since_start: self.now,
@@ -179,8 +184,13 @@
         }
     }
 
-    fn effect(&mut self, effect: Effect, events: &mut Vec<Event>) {
+    fn effect(&mut self, effect: Effect, events: &mut VecDeque<Event>) {
         match effect {
+            Effect::Send { to, message, .. } if to == self.state.local.vm => {
+                events.push_back(Event::Peer { from: to, message });
+            }
+            Effect::Caller(effect) => self.callers.push(effect),
+            Effect::Exit => self.is_gone = true,
             Effect::Backend(effect) => events.extend(self.backend(effect).map(Event::Backend)),
             Effect::Send {
                 message: PeerMessage::Answer(answer),
