--- a/sapphireslip-core/src/key_purge.rs
+++ b/sapphireslip-core/src/key_purge.rs
@@ -102,7 +102,7 @@
 
     /// Takes a connection of the primary, if no request waits for one.
     fn take_idle_primary(&mut self, fleet: Fleet<'_>) -> Option<ConnectionId> {
-        if self.queue.len() > 0 || self.is_closing {
+        if !self.queue.is_empty() || self.is_closing {
             return None;
         }
         let primary = self.group.primary()?.server;
--- a/sapphireslipd/tests/support/load.rs
+++ b/sapphireslipd/tests/support/load.rs
@@ -1,5 +1,6 @@
 //! Writers and readers that go on in the background of a scenario.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -22,11 +23,18 @@
 
 impl Load {
     /// Starts a session for each target: it writes under a key, then reads its writes.
-    pub fn start(name: &str, targets: Vec<Target>, ledger: &Arc<Mutex<Ledger>>) -> Self {
+    /// One that roams goes on at another daemon when it does not know what became of a write.
+    pub fn start(
+        name: &str,
+        targets: Vec<Target>,
+        roams: &[SocketAddr],
+        ledger: &Arc<Mutex<Ledger>>,
+    ) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let writes = Arc::new(AtomicU64::new(0));
         let tasks = targets.into_iter().enumerate().map(|(number, target)| {
-            let session = ScriptSession::new(&format!("{name}-{number}"), target);
+            let mut session = ScriptSession::new(&format!("{name}-{number}"), target);
+            session.roams = roams.to_vec();
             let run = run(
                 session,
                 Arc::clone(ledger),
--- a/sapphireslipd/tests/support/script_session.rs
+++ b/sapphireslipd/tests/support/script_session.rs
@@ -1,6 +1,7 @@
 //! A caller's session in a scenario.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use sapphireslip::{Attempt, attempt_of};
@@ -37,6 +38,10 @@
     pub target: Target,
     pub client: Option<Client>,
     pub acknowledged: u64,
+    /// Where it goes on after a write of unknown outcome, in turn.
+    pub roams: Vec<SocketAddr>,
+    /// The SQLSTATE with which its daemon closed the session.
+    pub closed_with: Arc<Mutex<Option<String>>>,
 }
 
 impl ScriptSession {
@@ -46,6 +51,8 @@
             target,
             client: None,
             acknowledged: 0,
+            roams: Vec::new(),
+            closed_with: Arc::default(),
         }
     }
 
@@ -69,8 +76,13 @@
             config.options(format!("-c sapphireslip.token={token}"));
         }
         let (client, connection) = config.connect(NoTls).await?;
+        let closed_with = Arc::clone(&self.closed_with);
+        *closed_with.lock().unwrap() = None;
         tokio::spawn(async move {
-            let _closed = connection.await;
+            if let Err(err) = connection.await {
+                let code = err.code().map(|code| code.code().to_owned());
+                *closed_with.lock().unwrap() = code;
+            }
         });
         self.client = Some(client);
         Ok(())
@@ -150,6 +162,7 @@
                 Err(Attempt::Unknown { message }) => {
                     may_have_run = true;
                     last = message;
+                    self.roam();
                     tokio::time::sleep(DEFAULT_RETRY_AFTER).await;
                 }
                 Err(Attempt::Done) => return Attempt::Done,
@@ -164,6 +177,16 @@
         }
     }
 
+    /// Goes to the next daemon, if it roams.
+    fn roam(&mut self) {
+        if self.roams.is_empty() {
+            return;
+        }
+        self.target.daemon = self.roams.remove(0);
+        self.roams.push(self.target.daemon);
+        self.client = None;
+    }
+
     /// Returns whether a read shows every write that this session was told is done.
     pub async fn sees_its_writes(&mut self) -> Result<bool, Attempt> {
         let sql = format!("SELECT count(*) FROM entry WHERE session = '{}'", self.name);
