--- a/sapphireslip-core/src/home.rs
+++ b/sapphireslip-core/src/home.rs
@@ -5,6 +5,7 @@
 
 use crate::derives::data;
 use crate::job::{Job, Timer, Transaction};
+use crate::key_purge::KeyPurge;
 use crate::link::{HomeIds, Link};
 use crate::placement::homes_of;
 use crate::{
@@ -37,6 +38,7 @@
         pub(crate) replies: BTreeMap<ServerId, Instant>,
         /// When the replicas' ages were last asked for.
         pub(crate) ages_asked: Option<Instant>,
+        pub(crate) purge: KeyPurge,
         wake: Option<Instant>,
     }
 }
@@ -93,6 +95,7 @@
             budget: RetryBudget::default(),
             replies: BTreeMap::new(),
             ages_asked: None,
+            purge: KeyPurge::default(),
             wake: None,
         };
         home.sync_pools(cx);
@@ -129,6 +132,7 @@
         self.close_silent_paths(cx);
         self.settle(cx);
         self.run_queue(cx, fleet, ids);
+        self.purge_keys(cx, fleet, ids);
         self.maintain_connections(cx, fleet, ids);
         self.schedule_wake(cx);
     }
@@ -183,7 +187,7 @@
         reason: RefusalReason,
         detail: &str,
     ) {
-        let retry_after = Some(self.group.retry_after());
+        let retry_after = reason.may_pass().then(|| self.group.retry_after());
         let refusal = Refusal::not_run(reason, retry_after, detail);
         self.refuse_with(cx, id, refusal);
     }
@@ -200,7 +204,7 @@
     }
 
     fn refuse_with(&mut self, cx: &mut Cx<'_>, id: &RequestId, mut refusal: Refusal) {
-        if self.jobs.get(id).is_some_and(|job| job.may_have_run) {
+        if self.jobs.get(id).is_some_and(Job::is_doubtful) {
             refusal.ran = Certainty::Unknown;
             refusal.retry_after = None;
         }
@@ -295,7 +299,7 @@
         let pool = pools.flat_map(|pool| [pool.next_expiry(), pool.retry_at()]);
         let silence = self.next_silence_check(now);
         let transaction = self.next_transaction_check();
-        pool.chain([timer, silence, transaction])
+        pool.chain([timer, silence, transaction, self.purge.due()])
             .flatten()
             .filter(|due| now < *due)
             .min()
