Control cost: a meter for one daemon at a given size

Cause: what control costs a daemon at the size to design for was a sum on paper.

Ruled out: a simulator of the whole fleet, which the core's own tests have at the size of a zone, and resident memory, which is too coarse: the heap is counted by the allocator.

--- /dev/null
+++ b/sapphireslip-wire/examples/control_cost/meter.rs
@@ -0,0 +1,409 @@
+//! Drives one daemon's state for a while and counts what that cost.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::error::Error;
+use std::time::Duration;
+
+use prost::Message;
+use sapphireslip_core::{
+    AcceptedDocument, BackendEffect, BackendEvent, CallerEvent, CallerName, ChangeCount,
+    DatabaseName, Effect, Event, Incarnation, Instant, Now, PeerMessage, PlatformEffect,
+    PlatformEvent, Position, ProbeNumber, ServerRole, ServerStatus, SessionId, State, Term,
+    TermPosition, TransactionStatus, VmRecord, VmState, WorkEnd, reduce,
+};
+use sapphireslip_wire::peer::Envelope;
+use serde::Serialize;
+
+use crate::heap;
+use crate::size::{CALLER, Size, document};
+
+/// Simulated time before counting begins.
+const WARM_UP: Duration = Duration::from_secs(5);
+
+/// Simulated time that is counted.
+const COUNTED: Duration = Duration::from_secs(60);
+
+/// How long any answer takes.
+const ANSWER: Duration = Duration::from_millis(1);
+
+/// Changes of which the mean time is taken.
+const CHANGES: u32 = 20;
+
+/// The bytes that HTTP/2 and gRPC put before a message.
+const FRAME_BYTES: usize = 14;
+
+/// Messages and bytes a second.
+#[derive(Debug, Default, Serialize)]
+pub struct Traffic {
+    /// Messages.
+    pub messages: f64,
+    /// Bytes, framing included, TCP and IP headers not.
+    pub bytes: f64,
+}
+
+/// What one size costs.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    #[serde(flatten)]
+    size: Size,
+    /// The part of a core that the reducer spends, in percent.
+    pub processor_percent: f64,
+    /// To peers.
+    pub sent: Traffic,
+    /// From peers.
+    pub received: Traffic,
+    /// Calls to backend servers about their group, a second.
+    pub group_calls: f64,
+    /// Reads of the platform a second.
+    pub platform_reads: f64,
+    /// Bytes that the state takes.
+    pub state_bytes: f64,
+    /// Mean time in the reducer for one changed document, in microseconds.
+    pub document_change_us: f64,
+    /// Mean time in the reducer for one VM that comes or goes, in microseconds.
+    pub membership_change_us: f64,
+    /// Mean time in the reducer for one more session, in microseconds.
+    pub session_open_us: f64,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    spent: Duration,
+    sent: [usize; 2],
+    received: [usize; 2],
+    group_calls: usize,
+    platform_reads: usize,
+}
+
+struct Meter {
+    state: State,
+    vms: Vec<VmRecord>,
+    documents: Vec<AcceptedDocument>,
+    now: Duration,
+    wakes: BTreeSet<Duration>,
+    queue: BTreeMap<(Duration, u64), Event>,
+    queued: u64,
+    counts: Counts,
+}
+
+/// Measures one size.
+pub fn measure(size: Size) -> Result<Report, Box<dyn Error>> {
+    let vms = size.vms()?;
+    let local = size.local(&vms)?;
+    let documents = size.accepted(&local, &vms)?;
+    let state = State::new(local, vms.clone(), 1);
+    let mut meter = Meter {
+        state,
+        vms,
+        documents,
+        now: Duration::ZERO,
+        wakes: BTreeSet::from([Duration::ZERO]),
+        queue: BTreeMap::new(),
+        queued: 0,
+        counts: Counts::default(),
+    };
+    let documents = meter.documents.clone();
+    meter.hand_in(Event::Platform(PlatformEvent::Documents(Some(documents))));
+    meter.run_for(WARM_UP);
+    let opening = meter.open_sessions(size.sessions)?;
+    meter.run_for(WARM_UP);
+    meter.counts = Counts::default();
+    meter.run_for(COUNTED);
+    let counts = std::mem::take(&mut meter.counts);
+    let document_change = meter.change_documents()?;
+    let membership_change = meter.change_vms();
+    let state_bytes = meter.into_state_bytes();
+    let second = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX)) / 60.0;
+    let traffic = |[messages, bytes]: [usize; 2]| Traffic {
+        messages: second(messages),
+        bytes: second(bytes),
+    };
+    Ok(Report {
+        size,
+        processor_percent: counts.spent.as_secs_f64() / COUNTED.as_secs_f64() * 100.0,
+        sent: traffic(counts.sent),
+        received: traffic(counts.received),
+        group_calls: second(counts.group_calls),
+        platform_reads: second(counts.platform_reads),
+        state_bytes: second(state_bytes) * 60.0,
+        document_change_us: document_change.as_secs_f64() * 1e6,
+        membership_change_us: membership_change.as_secs_f64() * 1e6,
+        session_open_us: opening.as_secs_f64() * 1e6,
+    })
+}
+
+impl Meter {
+    /// Hands in what is due for a while, with the probes of peers among it.
+    fn run_for(&mut self, time: Duration) {
+        let end = self.now + time;
+        let seconds = u32::try_from(time.as_secs()).unwrap_or(u32::MAX);
+        for second in 0..seconds {
+            self.probes_of_peers(second);
+        }
+        loop {
+            let event = self.queue.first_key_value().map(|((at, _), _)| *at);
+            let wake = self.wakes.first().copied();
+            let Some(next) = [event, wake]
+                .into_iter()
+                .flatten()
+                .min()
+                .filter(|at| *at <= end)
+            else {
+                break;
+            };
+            self.now = self.now.max(next);
+            if wake == Some(next) {
+                self.wakes.pop_first();
+                self.hand_in(Event::Tick);
+            } else if let Some((_, event)) = self.queue.pop_first() {
+                self.hand_in(event);
+            }
+        }
+        self.now = end;
+    }
+
+    /// Every daemon is probed about once a second from its zone and every two from others.
+    fn probes_of_peers(&mut self, second: u32) {
+        let number = ProbeNumber(u64::from(second) + 1_000_000);
+        let at = self.now + Duration::from_secs(u64::from(second));
+        let is_far_turn = second.is_multiple_of(2);
+        let local = self.state.local.clone();
+        let start = second as usize * 31;
+        let pick = |near: bool| {
+            let vms = self.vms.iter().filter(|vm| (vm.zone == local.zone) == near);
+            let others: Vec<_> = vms.filter(|vm| vm.vm != local.vm).collect();
+            (!others.is_empty()).then(|| others[start % others.len()].clone())
+        };
+        let far = pick(false).filter(|_| is_far_turn);
+        for from in [pick(true), far].into_iter().flatten() {
+            let message = PeerMessage::Probe {
+                number,
+                news: vec![from.clone()],
+                changes: self.changes(),
+            };
+            self.push(
+                at,
+                Event::Peer {
+                    from: from.vm,
+                    message,
+                },
+            );
+        }
+    }
+
+    fn changes(&self) -> ChangeCount {
+        let changes = self.documents.iter().map(|document| document.change);
+        changes.max().unwrap_or_default()
+    }
+
+    fn push(&mut self, at: Duration, event: Event) {
+        self.queued += 1;
+        self.queue.insert((at, self.queued), event);
+    }
+
+    fn hand_in(&mut self, event: Event) -> Duration {
+        if let Event::Peer { message, .. } = &event {
+            count(&mut self.counts.received, message);
+        }
+        let now = Now {
+            instant: Instant {
+                since_start: self.now,
+            },
+            unix: self.now,
+        };
+        let start = std::time::Instant::now();
+        let effects = reduce(&mut self.state, now, event);
+        let spent = start.elapsed();
+        self.counts.spent += spent;
+        for effect in effects {
+            self.carry_out(effect);
+        }
+        spent
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        let at = self.now + ANSWER;
+        match effect {
+            Effect::WakeAt(wake) => {
+                self.wakes.insert(wake.since_start.max(self.now));
+            }
+            Effect::Send { to, message, .. } => {
+                count(&mut self.counts.sent, &message);
+                if let PeerMessage::Probe { number, .. } = message {
+                    let news = self.vms.iter().filter(|vm| vm.vm == to).cloned().collect();
+                    let changes = self.changes();
+                    let message = PeerMessage::ProbeAck {
+                        number,
+                        news,
+                        changes,
+                    };
+                    self.push(at, Event::Peer { from: to, message });
+                }
+            }
+            Effect::Backend(effect) => self.answer_backend(at, effect),
+            Effect::Platform(effect) => {
+                self.counts.platform_reads += 1;
+                let event = match effect {
+                    PlatformEffect::ReadChanges => PlatformEvent::Changes(Some(self.changes())),
+                    PlatformEffect::ReadVms => PlatformEvent::Vms(Some(self.vms.clone())),
+                    PlatformEffect::ReadDocuments { since } => {
+                        let newer = self.documents.iter().filter(|d| d.change > since);
+                        PlatformEvent::Documents(Some(newer.cloned().collect()))
+                    }
+                };
+                self.push(at, Event::Platform(event));
+            }
+            _ => {}
+        }
+    }
+
+    fn answer_backend(&mut self, at: Duration, effect: BackendEffect) {
+        let event = match effect {
+            BackendEffect::Connect { connection, .. } => BackendEvent::Connected { connection },
+            BackendEffect::Send {
+                connection, work, ..
+            } => BackendEvent::Answered {
+                connection,
+                work,
+                payload: bytes::Bytes::new(),
+                end: Some(WorkEnd {
+                    transaction: TransactionStatus::Idle,
+                    committed: None,
+                    sqlstate: None,
+                    value: None,
+                }),
+            },
+            BackendEffect::Close { .. } => return,
+            BackendEffect::Group { call, server, .. } => {
+                self.counts.group_calls += 1;
+                let is_primary = server.id.as_str().ends_with("-0");
+                BackendEvent::GroupReply {
+                    server: server.id,
+                    call,
+                    result: Ok(status(is_primary)),
+                }
+            }
+        };
+        self.push(at, Event::Backend(event));
+    }
+
+    /// Opens sessions, spread over the databases; returns the mean time of the last ones.
+    fn open_sessions(&mut self, count: usize) -> Result<Duration, Box<dyn Error>> {
+        let mut last = Duration::ZERO;
+        for number in 0..count {
+            let session = SessionId(number as u64 + 1);
+            let of = &self.documents[number % self.documents.len()];
+            let database = of.service.as_str().replace("service", "database");
+            let mut spent = self.hand_in(Event::Caller(CallerEvent::Connecting {
+                session,
+                user: CALLER.into(),
+                database: database.as_str().into(),
+            }));
+            spent += self.hand_in(Event::Caller(CallerEvent::Opened {
+                session,
+                caller: CallerName::try_from(CALLER)?,
+                database: DatabaseName::try_from(database.as_str())?,
+                token: Some(record(10)),
+            }));
+            if number + (CHANGES as usize) >= count {
+                last += spent;
+            }
+        }
+        if self.state.entry.sessions() != count {
+            return Err("a session was refused".into());
+        }
+        Ok(last / CHANGES)
+    }
+
+    /// Changes documents one after another, as a push from a relay; returns the mean time.
+    fn change_documents(&mut self) -> Result<Duration, Box<dyn Error>> {
+        let mut spent = Duration::ZERO;
+        let from = self.vms[self.vms.len() - 1].vm.clone();
+        for number in 0..CHANGES {
+            let since = self.changes();
+            let index = number as usize % self.documents.len();
+            let service = self.documents[index].service.as_str();
+            let service = service.trim_start_matches("service-").parse()?;
+            let generation = self.documents[index].generation.0 + 1;
+            let changed = document(service, generation, since.0 + 1)?;
+            self.documents[index] = changed.clone();
+            let message = PeerMessage::Documents {
+                since,
+                documents: vec![changed],
+                changes: self.changes(),
+            };
+            spent += self.hand_in(Event::Peer {
+                from: from.clone(),
+                message,
+            });
+            self.run_for(Duration::from_secs(1));
+        }
+        if self.state.configuration.changes() != self.changes() {
+            return Err("a change isn't in force".into());
+        }
+        Ok(spent / CHANGES)
+    }
+
+    /// Lets VMs leave and come back one after another; returns the mean time.
+    fn change_vms(&mut self) -> Duration {
+        let mut spent = Duration::ZERO;
+        let Some(index) = self.vms.iter().rposition(|vm| vm.vm != self.state.local.vm) else {
+            return spent;
+        };
+        for number in 0..CHANGES {
+            let vm = &mut self.vms[index];
+            vm.incarnation = Incarnation(vm.incarnation.0 + 1);
+            vm.state = if number % 2 == 0 {
+                VmState::Leaving
+            } else {
+                VmState::Alive
+            };
+            let message = PeerMessage::Vms(vec![vm.clone()]);
+            let from = vm.vm.clone();
+            spent += self.hand_in(Event::Peer { from, message });
+            self.run_for(Duration::from_secs(1));
+        }
+        spent / CHANGES
+    }
+}
+
+impl Meter {
+    /// Ends the state and returns how many bytes were its own, the documents' texts included.
+    fn into_state_bytes(self) -> usize {
+        let texts = self.documents.iter().map(|document| document.text.len());
+        let before = heap::in_use();
+        drop(self.state);
+        before - heap::in_use() + texts.sum::<usize>()
+    }
+}
+
+/// Adds a message to a count of messages and bytes.
+fn count([messages, bytes]: &mut [usize; 2], message: &PeerMessage) {
+    let envelope = Envelope {
+        time: u64::MAX / 2,
+        body: Some(message.clone().into()),
+    };
+    *messages += 1;
+    *bytes += envelope.encoded_len() + FRAME_BYTES;
+}
+
+const fn record(position: u64) -> TermPosition {
+    TermPosition {
+        term: Term(1),
+        position: Position(position),
+    }
+}
+
+fn status(is_primary: bool) -> ServerStatus {
+    ServerStatus {
+        role: if is_primary {
+            ServerRole::Primary
+        } else {
+            ServerRole::Replica
+        },
+        fenced: Term(1),
+        held: record(10),
+        applied: Position(10),
+        term_starts: vec![record(1)],
+    }
+}
--- /dev/null
+++ b/sapphireslip-wire/examples/control_cost/size.rs
@@ -0,0 +1,145 @@
+//! The size at which the cost is measured, and the records and documents that make it up.
+
+use std::error::Error;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use sapphireslip_core::{
+    AcceptedDocument, ChangeCount, Document, Generation, Incarnation, Local, MemberName,
+    Membership, ServiceName, VmId, VmRecord, VmState, ZoneName, placement,
+};
+use serde::Serialize;
+
+/// The zones; the measured daemon is in the first one.
+const ZONES: [&str; 7] = ["a", "b", "c", "d", "e", "f", "g"];
+
+/// The database in whose name sessions are opened, and its caller.
+pub const CALLER: &str = "till";
+
+/// How large the fleet is, as one daemon sees it.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Size {
+    /// Daemons of the measured daemon's zone, itself included.
+    pub zone_daemons: usize,
+    /// Daemons of the six other zones.
+    pub other_daemons: usize,
+    /// Databases of which it is the home.
+    pub homes: usize,
+    /// Documents in force, each with one database; at least `homes`.
+    pub documents: usize,
+    /// Sessions open.
+    pub sessions: usize,
+    /// Whether the measured daemon is a relay of its zone.
+    pub relay: bool,
+}
+
+impl Size {
+    /// The size to design for; every database has a home in each of the seven zones.
+    pub const DESIGN: Self = Self {
+        zone_daemons: 127,
+        other_daemons: 763,
+        homes: 13,
+        documents: 1_600,
+        sessions: 5_600,
+        relay: false,
+    };
+
+    /// Returns the VMs, the measured daemon's among them.
+    pub fn vms(&self) -> Result<Vec<VmRecord>, Box<dyn Error>> {
+        let near = (0..self.zone_daemons).map(|number| (0, number));
+        let zones = ZONES.len() - 1;
+        let far = (0..self.other_daemons).map(|number| (1 + number % zones, number / zones));
+        near.chain(far)
+            .map(|(zone, number)| vm(zone, number))
+            .collect()
+    }
+
+    /// Returns the measured daemon: a relay of its zone or the first that is none.
+    pub fn local(&self, vms: &[VmRecord]) -> Result<Local, Box<dyn Error>> {
+        let any = local(&vms[0]);
+        let membership = Membership::new(&any, vms.to_vec());
+        let relays = membership.relays(&any.zone);
+        let wanted = |vm: &&VmRecord| relays.contains(&vm.vm) == self.relay;
+        let found = vms.iter().filter(|vm| vm.zone == any.zone).find(wanted);
+        Ok(local(found.ok_or("no daemon of the zone has that role")?))
+    }
+
+    /// Returns documents so that the measured daemon is the home of as many as wanted.
+    pub fn accepted(
+        &self,
+        local: &Local,
+        vms: &[VmRecord],
+    ) -> Result<Vec<AcceptedDocument>, Box<dyn Error>> {
+        let membership = Membership::new(local, vms.to_vec());
+        let mut left = [self.homes, self.documents.saturating_sub(self.homes)];
+        let mut accepted = Vec::new();
+        let mut number = 0;
+        while left != [0, 0] {
+            number += 1;
+            let change = accepted.len() + 1;
+            let document = document(number, 1, change as u64)?;
+            let checked = Document::try_from(document.text.as_bytes())?;
+            let homes = placement::homes_of(&membership, &checked.databases[0]);
+            let kind = usize::from(!homes.contains(&local.vm));
+            if left[kind] > 0 {
+                left[kind] -= 1;
+                accepted.push(document);
+            }
+        }
+        Ok(accepted)
+    }
+}
+
+fn local(vm: &VmRecord) -> Local {
+    Local {
+        vm: vm.vm.clone(),
+        zone: vm.zone.clone(),
+        address: vm.address,
+        incarnation: vm.incarnation,
+    }
+}
+
+fn vm(zone: usize, number: usize) -> Result<VmRecord, Box<dyn Error>> {
+    let byte = |value: usize| u8::try_from(value).unwrap_or(u8::MAX);
+    Ok(VmRecord {
+        vm: VmId::try_from(format!("entry-{}-{number:03}", ZONES[zone]).as_str())?,
+        zone: ZoneName::try_from(ZONES[zone])?,
+        address: SocketAddr::from(([10, byte(zone), 0, byte(number)], 7000)),
+        incarnation: Incarnation(1_796_000_000_000_000),
+        state: VmState::Alive,
+    })
+}
+
+/// Returns the document of a service with one database, three servers and a home in each zone.
+pub fn document(
+    number: u64,
+    generation: u64,
+    change: u64,
+) -> Result<AcceptedDocument, Box<dyn Error>> {
+    let service = format!("service-{number}");
+    let mut text = format!(
+        "service = \"{service}\"\nmember = \"member\"\ngeneration = {generation}\n\
+         [limits]\nsessions = 10000\nqueued = 500\n[stop]\nbound = \"5s\"\n\
+         [[caller]]\nname = \"{CALLER}\"\n\
+         verifier = \"SCRAM-SHA-256$4096:c2FsdA==$c3RvcmVk:c2VydmVy\"\n\
+         [[database]]\nname = \"database-{number}\"\nconnections = 16\nmax_staleness = \"5s\"\n\
+         deadline = \"2s\"\nzones = {ZONES:?}\n"
+    );
+    for (server, zone) in ["a", "b", "c"].iter().enumerate() {
+        write!(
+            text,
+            "[[database.server]]\nid = \"database-{number}-{server}\"\nzone = \"{zone}\"\n\
+             address = \"10.9.{}.{}:5432\"\n",
+            number % 250,
+            server + 1
+        )?;
+    }
+    Ok(AcceptedDocument {
+        member: MemberName::try_from("member")?,
+        service: ServiceName::try_from(service.as_str())?,
+        generation: Generation(generation),
+        change: ChangeCount(change),
+        text: Arc::from(text),
+    })
+}
