--- a/standins/src/daemon_process.rs
+++ b/standins/src/daemon_process.rs
@@ -40,6 +40,12 @@
         Ok(Self { child })
     }
 
+    /// Returns the process identifier.
+    #[must_use]
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal.
     ///
     /// # Errors
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -188,6 +188,15 @@
         lines[lines.len().saturating_sub(10)..].join("\n")
     }
 
+    /// Returns the process identifier of a running daemon.
+    #[must_use]
+    pub fn daemon_pid(&self, number: usize) -> Option<u32> {
+        self.daemons[number]
+            .process
+            .as_ref()
+            .map(DaemonProcess::pid)
+    }
+
     /// Kills a daemon.
     ///
     /// # Errors
--- a/standins/src/fleet_addresses.rs
+++ b/standins/src/fleet_addresses.rs
@@ -15,6 +15,10 @@
 /// The port on which daemons take peers behind the relay.
 const PEER_PORT: u16 = 7001;
 
+/// The port of backend servers: one that no daemon has, since a large fleet's daemons come to have
+/// the same addresses.
+const SERVER_PORT: u16 = 5433;
+
 /// The port of the daemons' admin interface.
 const ADMIN_PORT: u16 = 9000;
 
@@ -79,6 +83,6 @@
 
     /// Returns where a backend server of a database listens.
     pub(crate) fn server(self, database: usize, server: usize) -> SocketAddr {
-        SocketAddr::new(self.ip(100 + database * 10 + server), CALLER_PORT)
+        SocketAddr::new(self.ip(100 + database * 10 + server), SERVER_PORT)
     }
 }
--- a/standins/src/fleet_plan.rs
+++ b/standins/src/fleet_plan.rs
@@ -49,6 +49,13 @@
         }
     }
 
+    /// Sets the zones; the servers of each group are spread over them.
+    #[must_use]
+    pub fn zones(mut self, names: &[&str]) -> Self {
+        self.zones = names.iter().map(|name| (*name).to_owned()).collect();
+        self
+    }
+
     /// Sets how many daemons each zone has.
     #[must_use]
     pub const fn daemons_per_zone(mut self, count: usize) -> Self {
