Command: verifier, completion, logs as a time line, and refusals with key and line

A refused change still exits with 1 and a fault of the file with 2, so that scripts can tell an overtaken change from a broken file.

--- a/sapphireslip/src/apply.rs
+++ b/sapphireslip/src/apply.rs
@@ -5,11 +5,12 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use sapphireslip_core::{DatabaseName, Document, Generation};
-use sapphireslip_wire::platform::{ReadRequest, TransactRequest};
-use sapphireslip_wire::{Apply, ApplyError, Settled, document, document_key};
+use sapphireslip_core::{DatabaseName, Document, DocumentErrors, Generation};
+use sapphireslip_wire::platform::TransactRequest;
+use sapphireslip_wire::{Apply, ApplyError, Settled};
 use serde::Serialize;
 
+use crate::accepted_state::read_accepted;
 use crate::platform_client::PlatformClient;
 use crate::read_document::read_document;
 use crate::{Error, Output};
@@ -58,7 +59,7 @@
     let text = String::from_utf8_lossy(&bytes).into_owned();
     let mut platform = PlatformClient::new(arguments.platform)?;
     for attempt in 0..ATTEMPTS_MAX {
-        let change = change(&mut platform, &checked, &text, attempt).await?;
+        let change = change(&mut platform, arguments, &checked, &text, attempt).await?;
         if let Commit::Accepted = commit(&mut platform, &change).await? {
             let accepted = Accepted {
                 member: checked.member.to_string(),
@@ -76,22 +77,20 @@
     Err(Error::NotAccepted(message))
 }
 
-/// Reads what is accepted now and builds the change against it.
+/// Reads what is accepted now, checks the document against it and builds the change.
 async fn change(
     platform: &mut PlatformClient,
+    arguments: &ApplyArguments,
     new: &Document,
     text: &str,
     attempt: u32,
 ) -> Result<Apply, Error> {
-    let key = document_key(&new.member, &new.service);
-    let reply = platform.read(ReadRequest { keys: vec![key] }).await?;
-    let old = reply.rows.first().map(document).transpose();
-    let old = old
-        .map_err(|err| Error::Form("the platform's table", err.to_string()))?
-        .flatten();
-    let old = old.and_then(|old| Document::try_from(old.text.as_bytes()).ok());
+    let accepted = read_accepted(platform, new).await?;
+    let refused =
+        |faults: DocumentErrors| Error::Refused(arguments.file.clone(), faults.to_string());
+    accepted.state.check(text.as_bytes()).map_err(refused)?;
     let databases: Vec<DatabaseName> = names(new);
-    let released = old.as_ref().map(names).unwrap_or_default();
+    let released = accepted.document.as_ref().map(names).unwrap_or_default();
     let released = released
         .into_iter()
         .filter(|name| !databases.contains(name))
--- a/sapphireslip/src/arguments.rs
+++ b/sapphireslip/src/arguments.rs
@@ -56,6 +56,9 @@
         #[bpaf(positional("SERVICE"))]
         service: String,
     },
+    /// Make a caller's password verifier from the first line of standard input
+    #[bpaf(command)]
+    Verifier,
     /// Print what daemons know: databases, primaries, VMs and documents
     #[bpaf(command)]
     Status {
--- a/sapphireslip/src/error.rs
+++ b/sapphireslip/src/error.rs
@@ -23,6 +23,15 @@
         Faults(path: PathBuf, faults: String) {
             display("check `{}`:\n{faults}", path.display())
         }
+        /// The password could not be read.
+        Password(err: std::io::Error) {
+            display("read the password from standard input: {err}")
+            source(err)
+        }
+        /// There is no password.
+        NoPassword {
+            display("standard input has no password: write it as the first line")
+        }
         /// A number is out of its range.
         OutOfRange(name: &'static str, value: u64, max: u64) {
             display("`--{name} {value}` is out of range: give 1 to {max}")
@@ -59,6 +68,10 @@
         Unsettled(peer: SocketAddr) {
             display("apply at platform `{peer}`: the answer was lost: run `show` to see whether the change is accepted, then run `apply` again")
         }
+        /// The document can't follow what is accepted.
+        Refused(path: PathBuf, faults: String) {
+            display("apply `{}`, nothing was changed:\n{faults}", path.display())
+        }
         /// The platform does not accept the change.
         NotAccepted(message: String) {
             display("apply: {message}")
--- a/sapphireslip/src/lib.rs
+++ b/sapphireslip/src/lib.rs
@@ -1,5 +1,6 @@
 //! The operator's command.
 
+mod accepted_state;
 mod apply;
 mod arguments;
 mod attempt;
@@ -23,11 +24,12 @@
 mod timeline;
 mod timeline_line;
 mod timeline_view;
+mod verifier;
 mod workload;
 
 pub use self::{
     apply::*, arguments::*, attempt::*, bench_report::*, bench_run::*, bench_session::*,
     bench_settings::*, check::*, error::*, html_page::*, latency::*, ledger::*, output::*,
     read_share::*, run::*, show::*, status::*, timeline::*, timeline_line::*, timeline_view::*,
-    workload::*,
+    verifier::*, workload::*,
 };
--- a/sapphireslip/src/run.rs
+++ b/sapphireslip/src/run.rs
@@ -2,15 +2,21 @@
 
 use std::ffi::OsString;
 use std::fs;
+use std::io;
 use std::path::Path;
 use std::process::ExitCode;
 
+use bpaf::Args;
+
 use crate::{
     ApplyArguments, Arguments, BenchSettings, CheckArguments, Command, DrainArguments, Error,
     Output, RawBenchSettings, ShowArguments, StatusArguments, TimelineArguments, apply, bench_html,
-    bench_text, check, drain, parser, run_bench, show, status, timeline,
+    bench_text, check, drain, parser, run_bench, show, status, timeline, verifier,
 };
 
+/// The program's name.
+const PROGRAM: &str = "sapphireslip";
+
 /// The exit code of a failure while running, and of a broken promise.
 const EXIT_FAILED: u8 = 1;
 
@@ -20,7 +26,9 @@
 /// Runs a command line (without the program's name) and returns the process's exit code.
 pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
     let args: Vec<OsString> = args.into_iter().collect();
-    let arguments = match parser().run_inner(args.as_slice()) {
+    // Shell completion works only for a program that has a name.
+    let named = Args::from(args.as_slice()).set_name(PROGRAM);
+    let arguments = match parser().run_inner(named) {
         Ok(arguments) => arguments,
         Err(failure) => {
             failure.print_message(100);
@@ -66,6 +74,7 @@
             })
             .await
         }
+        Command::Verifier => verifier(io::stdin().lock()),
         Command::Status { admin } => status(&StatusArguments { admin }).await,
         Command::Drain { admin } => drain(&DrainArguments { admin }).await,
         Command::Timeline {
@@ -139,6 +148,7 @@
     match err {
         Error::Faults(..)
         | Error::Read(..)
+        | Error::NoPassword
         | Error::Name(..)
         | Error::OutOfRange(..)
         | Error::NoDaemon
--- a/sapphireslip/src/timeline.rs
+++ b/sapphireslip/src/timeline.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+use serde::Deserialize;
+
 use crate::http::get;
 use crate::{Error, Output, TimelineLine, TimelinePage, timeline_html, timeline_text};
 
@@ -58,17 +60,21 @@
     }
 }
 
+/// A line of a daemon's log that has an entry of the time line, as JSON in a text.
+#[derive(Deserialize)]
+struct LogLine {
+    entry: String,
+}
+
 /// Takes the entries of the time line out of a log; other lines of the log are passed over.
 fn read_log(path: &Path, lines: &mut Vec<TimelineLine>) -> Result<(), Error> {
-    let text = fs::read_to_string(path).map_err(|err| Error::Read(path.to_path_buf(), err))?;
-    for line in text.lines() {
-        let Ok(value) = serde_json::from_str::<serde_json::Value>(line) else {
-            continue;
-        };
-        let entry = value.get("timeline").unwrap_or(&value).clone();
-        if let Ok(entry) = serde_json::from_value(entry) {
-            lines.push(entry);
-        }
-    }
+    let bytes = fs::read(path).map_err(|err| Error::Read(path.to_path_buf(), err))?;
+    let entries = bytes.split(|byte| *byte == b'\n').filter_map(log_entry);
+    lines.extend(entries);
     Ok(())
 }
+
+fn log_entry(line: &[u8]) -> Option<TimelineLine> {
+    let line: LogLine = serde_json::from_slice(line).ok()?;
+    serde_json::from_str(&line.entry).ok()
+}
--- a/sapphireslipd/src/run.rs
+++ b/sapphireslipd/src/run.rs
@@ -19,6 +19,9 @@
     caller_edge, new_incarnation, platform_edge, start_logging,
 };
 
+/// The program's name.
+const PROGRAM: &str = "sapphireslipd";
+
 /// The most status queries that wait for the runner.
 const QUERIES_MAX: usize = 16;
 
@@ -42,7 +45,9 @@
 /// Runs a daemon with the arguments of a command line and returns the process's exit code.
 pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
     let args: Vec<_> = args.into_iter().collect();
-    let args = match self::args().run_inner(args.as_slice()) {
+    // Shell completion works only for a program that has a name.
+    let named = bpaf::Args::from(args.as_slice()).set_name(PROGRAM);
+    let args = match self::args().run_inner(named) {
         Ok(args) => args,
         Err(failure) => {
             failure.print_message(100);
