Admission: count the sessions of a service as they come and go

Cause: each new session counted those of its service by going through all sessions of the daemon, so a storm of reconnections cost the square of its size.

Ruled out: an estimate or a scan by service, since the limit is exact and the count costs one entry of a map for each service present.

The test was seen failing with the decrement taken out: a session was still refused with `Quota` after another had closed.

--- a/sapphireslip-core/src/caller_admission.rs
+++ b/sapphireslip-core/src/caller_admission.rs
@@ -1,8 +1,7 @@
 //! Whether a caller may open a session, before its password is asked for.
 
-use std::collections::BTreeMap;
-
 use crate::session::Session;
+use crate::sessions::Sessions;
 use crate::{
     CallerName, DAEMON_SESSIONS_MAX, DatabaseName, Fleet, Freshness, NO_HOME_RETRY_AFTER,
     QUOTA_RETRY_AFTER, Refusal, RefusalReason, SessionId, Text, TransactionStatus,
@@ -18,7 +17,7 @@
 
 /// Checks a caller that names a user and a database, before its password exchange.
 pub(crate) fn admit(
-    sessions: &BTreeMap<SessionId, Session>,
+    sessions: &Sessions,
     fleet: Fleet<'_>,
     id: SessionId,
     user: &Text,
@@ -44,10 +43,7 @@
     };
     let caller = CallerName::try_from(&**user).map_err(|_error| bad())?;
     let account = fleet.configuration.caller(&name, &caller).ok_or_else(bad)?;
-    let of_service = sessions
-        .values()
-        .filter(|s| s.service == document.service)
-        .count();
+    let of_service = sessions.of_service(&document.service);
     let limit = usize::try_from(document.limits.sessions).unwrap_or(usize::MAX);
     if of_service >= limit || sessions.len() >= DAEMON_SESSIONS_MAX {
         let detail = format!(
--- a/sapphireslip-core/src/entry.rs
+++ b/sapphireslip-core/src/entry.rs
@@ -10,6 +10,7 @@
 use crate::due_sessions::DueSessions;
 use crate::entry_refusal::{draining, lost, out_of_sends, out_of_turn, past_deadline};
 use crate::session::{Running, Session, statement_kind};
+use crate::sessions::Sessions;
 use crate::timeline_entry::entry as timeline;
 use crate::{
     Answer, AnswerEnd, CallerEffect, CallerEvent, CallerName, Cx, Fleet, Outcome, PeerMessage,
@@ -36,7 +37,7 @@
     /// All sessions at this daemon.
     #[derive(Default)]
     pub struct Entry {
-        sessions: BTreeMap<SessionId, Session>,
+        sessions: Sessions,
         running: BTreeMap<RequestNumber, SessionId>,
         due: DueSessions,
         requests: u64,
@@ -107,7 +108,7 @@
         };
         match admitted {
             Ok(admitted) => {
-                self.sessions.insert(id, admitted.session);
+                self.sessions.insert(admitted.session);
                 cx.caller(CallerEffect::Authenticate {
                     session: id,
                     verifier: admitted.verifier,
--- a/sapphireslip-core/src/lib.rs
+++ b/sapphireslip-core/src/lib.rs
@@ -62,6 +62,7 @@
 mod route;
 mod server_status;
 mod session;
+mod sessions;
 #[allow(dead_code, reason = "the homes call it once both are written")]
 mod silence;
 mod sql_words;
--- /dev/null
+++ b/sapphireslip-core/tests/session_quota.rs
@@ -0,0 +1,76 @@
+//! How many sessions of a service a daemon takes.
+
+mod fleet_support;
+
+use fleet_support::document;
+use rstest::rstest;
+use sapphireslip_core::{
+    CallerEffect, CallerEvent, Effect, Event, Incarnation, Local, Now, PlatformEvent,
+    RefusalReason, SessionId, State, VmId, ZoneName, reduce,
+};
+
+/// The limit that the documents set.
+const LIMIT: u64 = 10;
+
+fn daemon() -> State {
+    let local = Local {
+        vm: VmId::try_from("a-1").unwrap(),
+        zone: ZoneName::try_from("a").unwrap(),
+        address: "10.0.0.1:7000".parse().unwrap(),
+        incarnation: Incarnation(1),
+    };
+    let mut state = State::new(local, Vec::new(), 1);
+    let documents = [("shop", 1), ("store", 2)].map(|(service, change)| {
+        let mut accepted = document(service, 1, change, &[service]);
+        let caller = "[[caller]]\nname = \"till\"\n\
+            verifier = \"SCRAM-SHA-256$4096:c2FsdA==$c3RvcmVk:c2VydmVy\"\n[[database]]";
+        accepted.text = accepted.text.replacen("[[database]]", caller, 1).into();
+        accepted
+    });
+    hand_in(
+        &mut state,
+        Event::Platform(PlatformEvent::Documents(Some(documents.to_vec()))),
+    );
+    state
+}
+
+fn hand_in(state: &mut State, event: Event) -> Vec<Effect> {
+    reduce(state, Now::default(), event)
+}
+
+/// Returns why a session was refused, if it was.
+fn connect(state: &mut State, session: u64, database: &str) -> Option<RefusalReason> {
+    let event = CallerEvent::Connecting {
+        session: SessionId(session),
+        user: "till".into(),
+        database: database.into(),
+    };
+    let effects = hand_in(state, Event::Caller(event));
+    effects.into_iter().find_map(|effect| match effect {
+        Effect::Caller(CallerEffect::Close { refusal, .. }) => Some(refusal.reason),
+        _ => None,
+    })
+}
+
+fn close(state: &mut State, session: u64) {
+    let session = SessionId(session);
+    hand_in(state, Event::Caller(CallerEvent::Closed { session }));
+}
+
+#[rstest]
+#[case::first_closed(1)]
+#[case::last_closed(LIMIT)]
+fn connecting_quota(#[case] closed: u64) {
+    let mut state = daemon();
+    for session in 1..=LIMIT {
+        assert_eq!(connect(&mut state, session, "shop"), None);
+    }
+    let refused = Some(RefusalReason::Quota);
+    assert_eq!(connect(&mut state, 100, "shop"), refused);
+    assert_eq!(connect(&mut state, 200, "store"), None, "a service apart");
+    close(&mut state, closed);
+    close(&mut state, closed);
+    close(&mut state, 100);
+    assert_eq!(connect(&mut state, 101, "shop"), None);
+    assert_eq!(connect(&mut state, 102, "shop"), refused);
+}
