Placement: a daemon asks only whether it is the home in its own zone

Cause: with each change of a VM or a document every daemon worked out the homes of all databases in all zones, only to look for itself among them; it can be home in its own zone alone. Measured on a busy machine with 890 daemons in 7 zones and 1,600 documents: a VM that comes or goes 5.6 ms before, 0.8 ms after; a changed document 6.3 ms before, 1.9 ms after. A zone of 127 that restarts took 0.7 s of every reducer, now 0.1 s (127 times the measured time of one).

Ruled out: working it out later and once for several changes, which delays the move of a home, and a table of homes kept up to date by differences, which is more state for a part of what is left.

--- a/sapphireslip-core/src/home.rs
+++ b/sapphireslip-core/src/home.rs
@@ -6,7 +6,7 @@
 use crate::derives::data;
 use crate::job::{Job, Timer, Transaction};
 use crate::link::{HomeIds, Link};
-use crate::placement::homes_of;
+use crate::placement::is_home;
 use crate::{
     AnswerEnd, Certainty, ConnectionId, Cx, DatabaseName, DatabaseSpec, Fleet, Group, Instant,
     Outcome, Pool, Queue, Refusal, RefusalReason, RequestId, RetryBudget, ServerId, ServerSpec,
@@ -77,7 +77,7 @@
 impl Home {
     /// Opens a home, which asks the group for its status at once.
     pub(crate) fn open(cx: &mut Cx<'_>, fleet: Fleet<'_>, spec: &DatabaseSpec) -> Self {
-        let is_home = homes_of(fleet.membership, spec).contains(&cx.local.vm);
+        let is_home = is_home(fleet.membership, spec);
         let mut home = Self {
             group: Group::new(spec.clone()),
             spec: spec.clone(),
--- a/sapphireslip-core/src/homes.rs
+++ b/sapphireslip-core/src/homes.rs
@@ -5,7 +5,7 @@
 use crate::admission::refuse_unknown_database;
 use crate::derives::data;
 use crate::link::HomeIds;
-use crate::placement::homes_of;
+use crate::placement::is_home;
 use crate::{
     BackendEvent, ConnectionId, Cx, DatabaseName, Fleet, Home, Incarnation, PeerMessage, Request,
     RequestId, SessionId, VmId,
@@ -25,7 +25,7 @@
     pub(crate) fn sync(&mut self, cx: &mut Cx<'_>, fleet: Fleet<'_>) {
         for document in fleet.configuration.documents() {
             for spec in &document.databases {
-                let is_home = homes_of(fleet.membership, spec).contains(&cx.local.vm);
+                let is_home = is_home(fleet.membership, spec);
                 match self.homes.get_mut(&spec.name) {
                     Some(home) => home.update(cx, spec, is_home),
                     None if is_home => {
--- a/sapphireslip-core/src/placement.rs
+++ b/sapphireslip-core/src/placement.rs
@@ -97,6 +97,14 @@
         .collect()
 }
 
+/// Returns whether this daemon is the home of a database in its own zone.
+pub(crate) fn is_home(membership: &Membership, database: &DatabaseSpec) -> bool {
+    let zone = membership.zone();
+    database.zones.contains(zone)
+        && choose(membership.usable(zone), hash_name(database.name.as_str()))
+            == Some(membership.local())
+}
+
 /// A VM that may be chosen, with the hash of its name.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct Candidate {
