Peer streams: end those that are not used

Cause: each side of an open stream tests it once a second, and no stream was ever ended: each daemon came to hold streams to all of its zone and in time to all others. Idle daemons of one zone sent, headers included, on a busy machine: 0.9 KB/s alone, 2.3 KB/s of 10, 9.4 KB/s (at most 14.2) of 50: about 180 B/s for each peer, so past 18 KB/s before 127.

A farewell goes first: the other side sends what it has queued and ends its direction too, and neither reports a loss.

Ruled out: rarer tests, which find a silent path later; tests only while an answer is outstanding on streams that stay, which leaves memory for every peer; ending streams without a farewell, which loses messages unseen.

Left: a request handed over in the instant of the farewell, on a path that breaks in that instant, is answered at its deadline.

--- a/sapphireslip-wire/src/envelope.rs
+++ b/sapphireslip-wire/src/envelope.rs
@@ -15,6 +15,8 @@
     Hello(Local),
     /// A message.
     Message(PeerMessage),
+    /// The last envelope of a stream that its opener no longer uses.
+    Farewell,
 }
 
 impl From<PeerMessage> for Body {
@@ -108,6 +110,7 @@
     fn try_from(body: Body) -> Result<Self, WireError> {
         let message = match body {
             Body::Hello(hello) => return greeting(hello),
+            Body::Farewell(peer::Farewell {}) => return Ok(Self::Farewell),
             Body::Request(request) => {
                 PeerMessage::Request(request.try_into().map_err(within("request"))?)
             }
@@ -183,6 +186,7 @@
         match body {
             EnvelopeBody::Hello(local) => Self::Hello(local.into()),
             EnvelopeBody::Message(message) => message.into(),
+            EnvelopeBody::Farewell => Self::Farewell(peer::Farewell {}),
         }
     }
 }
--- a/sapphireslipd/src/peer_edge.rs
+++ b/sapphireslipd/src/peer_edge.rs
@@ -4,24 +4,28 @@
 //! opens at the first message. Every stream begins with a greeting in both directions, and nothing
 //! else is taken from it before. A stream that breaks, stays silent or can't keep up is closed, and
 //! the reducer is told that what was not answered may or may not have arrived.
+//!
+//! An open stream is tested once a second, so one that is not used is ended by who opened it: it
+//! says farewell, the other side sends what it has queued and ends its direction too. Nothing is
+//! lost by that, and nobody is told.
 
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::{Stream, StreamExt};
 use sapphireslip_core::{Event, Local, PeerMessage, VmId};
 use sapphireslip_wire::peer::peer_client::PeerClient;
 use sapphireslip_wire::peer::peer_server::{Peer, PeerServer};
-use sapphireslip_wire::peer::{Envelope, envelope::Body};
+use sapphireslip_wire::peer::{Envelope, Farewell, envelope::Body};
 use sapphireslip_wire::{EnvelopeBody, MESSAGE_MAX_BYTES};
 use tokio::net::TcpListener;
 use tonic::transport::server::TcpIncoming;
 use tonic::transport::{Endpoint, Server};
 use tonic::{Request, Response, Status, Streaming};
 
-use crate::peer_links::{Link, LinkOrigin, PeerLinks};
+use crate::peer_links::{Carried, Link, LinkOrigin, PeerLinks};
 use crate::{HybridClock, Metrics};
 
 /// The most messages that wait for one stream.
@@ -58,6 +62,35 @@
     links: Mutex<PeerLinks>,
 }
 
+/// Who opened a stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum StreamOrigin {
+    /// This daemon.
+    Ours,
+    /// The peer.
+    Theirs,
+}
+
+/// How a stream ended, unless it failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum StreamEnd {
+    /// After a farewell: everything sent has arrived.
+    Farewell,
+    /// Without one.
+    Broken,
+}
+
+/// What an envelope was.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Taken {
+    /// A message, handed to the reducer.
+    Message,
+    /// The farewell.
+    Farewell,
+    /// A message that the reducer no longer takes.
+    Stopping,
+}
+
 /// The stream to a peer was given up because its queue was full.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct QueueFull;
@@ -116,6 +149,11 @@
         message: PeerMessage,
     ) -> Result<(), QueueFull> {
         let is_control = !matches!(message, PeerMessage::Request(_) | PeerMessage::Answer(_));
+        let carried = match message {
+            PeerMessage::Request(_) => Carried::OwnRequest,
+            PeerMessage::Answer(_) => Carried::Request,
+            _ => Carried::Control,
+        };
         let envelope = self.envelope(message.into());
         if is_control {
             self.shared.metrics.sent_control(&envelope);
@@ -126,6 +164,7 @@
             None => self.open(&mut links, to, address),
         };
         if link.queue.try_send(envelope).is_ok() {
+            links.note_use(to, link.number, carried);
             return Ok(());
         }
         links.give_up(to, link.number);
@@ -146,10 +185,8 @@
         tokio::spawn(async move {
             tokio::time::sleep(delay).await;
             let outgoing = edge.greet_then(rx);
-            if let Err(status) = edge.call(&vm, address, number, outgoing).await {
-                log::info!(peer = vm.as_str(), step = "exchange"; "{status}");
-            }
-            edge.close(&vm, number).await;
+            let end = edge.call(&vm, address, number, outgoing).await;
+            edge.close(&vm, number, end).await;
         });
         link
     }
@@ -161,7 +198,7 @@
         address: SocketAddr,
         number: u64,
         outgoing: impl Stream<Item = Envelope> + Send + 'static,
-    ) -> Result<(), Status> {
+    ) -> Result<StreamEnd, Status> {
         let endpoint = Endpoint::from_shared(format!("http://{address}"))
             .map_err(|err| Status::internal(err.to_string()))?
             .local_address(Some(self.shared.source))
@@ -186,7 +223,7 @@
             return Err(Status::failed_precondition(detail));
         }
         self.greeted(&hello, number).await;
-        self.receive(vm, number, incoming).await
+        self.receive(vm, number, StreamOrigin::Ours, incoming).await
     }
 
     /// Returns the greeting of a stream, its first envelope.
@@ -198,41 +235,119 @@
         self.shared.clock.merge(first.time);
         match EnvelopeBody::try_from(first) {
             Ok(EnvelopeBody::Hello(hello)) => Ok(hello),
-            Ok(EnvelopeBody::Message(_)) => Err(Status::failed_precondition(
-                "a message came before the greeting",
-            )),
+            Ok(EnvelopeBody::Message(_) | EnvelopeBody::Farewell) => Err(
+                Status::failed_precondition("a message came before the greeting"),
+            ),
             Err(err) => Err(Status::invalid_argument(err.to_string())),
         }
     }
 
-    /// Hands a stream's messages to the reducer until it ends or its link is removed.
+    /// Hands a stream's messages to the reducer until it ends or its link is removed; one that this
+    /// daemon opened is ended once it is unused.
     async fn receive(
         &self,
         vm: &VmId,
         number: u64,
+        origin: StreamOrigin,
         mut incoming: Streaming<Envelope>,
-    ) -> Result<(), Status> {
-        while let Some(envelope) = incoming.message().await? {
-            if !self.links().contains(vm, number) {
-                return Err(Status::aborted("another stream took its place"));
-            }
-            self.shared.clock.merge(envelope.time);
-            let is_control = !matches!(envelope.body, Some(Body::Request(_) | Body::Answer(_)));
-            if is_control {
-                self.shared.metrics.received_control(&envelope);
+    ) -> Result<StreamEnd, Status> {
+        let mut is_ended = false;
+        loop {
+            let unused_at = self.unused_at(vm, number, origin, is_ended);
+            let unused = async {
+                match unused_at {
+                    Some(at) => tokio::time::sleep_until(at.into()).await,
+                    None => std::future::pending().await,
+                }
+            };
+            let envelope = tokio::select! {
+                envelope = incoming.message() => envelope?,
+                () = unused => {
+                    is_ended = self.end_unused(vm, number);
+                    continue;
+                }
+            };
+            let Some(envelope) = envelope else {
+                return Ok(if is_ended {
+                    StreamEnd::Farewell
+                } else {
+                    StreamEnd::Broken
+                });
+            };
+            match self.take(vm, number, is_ended, envelope).await? {
+                Taken::Message => {}
+                Taken::Farewell => is_ended = true,
+                Taken::Stopping => return Ok(StreamEnd::Broken),
             }
-            let body = EnvelopeBody::try_from(envelope);
-            let body = body.map_err(|err| Status::invalid_argument(err.to_string()))?;
-            let EnvelopeBody::Message(message) = body else {
+        }
+    }
+
+    /// Returns when a stream that this daemon opened is to be ended unless it is used by then.
+    fn unused_at(
+        &self,
+        vm: &VmId,
+        number: u64,
+        origin: StreamOrigin,
+        is_ended: bool,
+    ) -> Option<Instant> {
+        if is_ended || origin == StreamOrigin::Theirs {
+            return None;
+        }
+        self.links().unused_at(vm, number)
+    }
+
+    /// Says farewell on a stream, unless it was used in the meantime; returns whether it did.
+    fn end_unused(&self, vm: &VmId, number: u64) -> bool {
+        let mut links = self.links();
+        let is_due = links
+            .unused_at(vm, number)
+            .is_some_and(|at| at <= Instant::now());
+        is_due && {
+            let farewell = self.envelope(Body::Farewell(Farewell {}));
+            links.end(vm, number, Some(farewell))
+        }
+    }
+
+    /// Takes one envelope of a stream.
+    async fn take(
+        &self,
+        vm: &VmId,
+        number: u64,
+        is_ended: bool,
+        envelope: Envelope,
+    ) -> Result<Taken, Status> {
+        self.shared.clock.merge(envelope.time);
+        let is_control = !matches!(envelope.body, Some(Body::Request(_) | Body::Answer(_)));
+        if is_control {
+            self.shared.metrics.received_control(&envelope);
+        }
+        let body = EnvelopeBody::try_from(envelope);
+        let body = body.map_err(|err| Status::invalid_argument(err.to_string()))?;
+        let message = match body {
+            EnvelopeBody::Message(message) => message,
+            EnvelopeBody::Hello(_) => {
                 return Err(Status::failed_precondition("a second greeting"));
-            };
-            let from = vm.clone();
-            let event = Event::Peer { from, message };
-            if self.shared.events.send_async(event).await.is_err() {
-                return Ok(());
             }
+            EnvelopeBody::Farewell => {
+                self.links().end(vm, number, None);
+                return Ok(Taken::Farewell);
+            }
+        };
+        let carried = match &message {
+            PeerMessage::Answer(answer) if answer.end.is_some() => Carried::LastAnswer,
+            PeerMessage::Request(_) | PeerMessage::Answer(_) => Carried::Request,
+            _ => Carried::Control,
+        };
+        let is_known = self.links().note_use(vm, number, carried);
+        if !is_known && !is_ended {
+            return Err(Status::aborted("another stream took its place"));
+        }
+        let from = vm.clone();
+        let event = Event::Peer { from, message };
+        match self.shared.events.send_async(event).await {
+            Ok(()) => Ok(Taken::Message),
+            Err(_) => Ok(Taken::Stopping),
         }
-        Ok(())
     }
 
     /// Notes the greeting of a stream; streams of an earlier run of the peer are lost.
@@ -243,8 +358,14 @@
         }
     }
 
-    /// Removes a link after its stream has ended and tells the reducer, unless it knows already.
-    async fn close(&self, vm: &VmId, number: u64) {
+    /// Removes a link after its stream has ended and tells the reducer, unless it knows already or
+    /// the stream was ended in good order.
+    async fn close(&self, vm: &VmId, number: u64, end: Result<StreamEnd, Status>) {
+        match end {
+            Ok(StreamEnd::Farewell) => return,
+            Ok(StreamEnd::Broken) => {}
+            Err(status) => log::info!(peer = vm.as_str(), step = "exchange"; "{status}"),
+        }
         let is_news = self.links().remove(vm, number);
         if is_news {
             self.report_lost(vm).await;
@@ -296,10 +417,8 @@
         self.greeted(&hello, number).await;
         let edge = self.clone();
         tokio::spawn(async move {
-            if let Err(status) = edge.receive(&hello.vm, number, incoming).await {
-                log::info!(peer = hello.vm.as_str(), step = "exchange"; "{status}");
-            }
-            edge.close(&hello.vm, number).await;
+            let end = edge.receive(&hello.vm, number, StreamOrigin::Theirs, incoming);
+            edge.close(&hello.vm, number, end.await).await;
         });
         Ok(Response::new(Box::pin(outgoing)))
     }
--- a/sapphireslipd/src/peer_links.rs
+++ b/sapphireslipd/src/peer_links.rs
@@ -2,9 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use sapphireslip_core::{Incarnation, VmId};
+use sapphireslip_core::{Incarnation, TRANSACTION_IDLE_MAX, VmId};
 use sapphireslip_wire::peer::Envelope;
 
 /// The most streams kept for one peer: one of each side, and as many that take their place.
@@ -16,6 +16,13 @@
 /// The longest delay before an attempt.
 const RETRY_DELAY_MAX: Duration = Duration::from_secs(1);
 
+/// How long a stream that carries requests may be unused: as long as a home keeps an idle
+/// transaction open.
+pub const PEER_REQUESTS_IDLE: Duration = TRANSACTION_IDLE_MAX;
+
+/// How long any other stream may be unused.
+pub const PEER_CONTROL_IDLE: Duration = Duration::from_secs(2);
+
 /// How often the delay is doubled at the most.
 const RETRY_DOUBLINGS_MAX: u32 = 16;
 
@@ -28,6 +35,19 @@
     Theirs,
 }
 
+/// What went over a stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Carried {
+    /// A request of this daemon.
+    OwnRequest,
+    /// The last part of the answer to one.
+    LastAnswer,
+    /// A part of an answer, or a request of the peer.
+    Request,
+    /// Anything else.
+    Control,
+}
+
 /// The sending side of one stream; the stream ends once no link to it is left.
 #[derive(Clone, Debug)]
 pub(crate) struct Link {
@@ -37,9 +57,18 @@
     pub(crate) queue: flume::Sender<Envelope>,
     origin: LinkOrigin,
     incarnation: Option<Incarnation>,
+    unused_since: Instant,
+    idle: Duration,
 }
 
 impl Link {
+    fn note_use(&mut self, carried: Carried) {
+        self.unused_since = Instant::now();
+        if carried != Carried::Control {
+            self.idle = PEER_REQUESTS_IDLE;
+        }
+    }
+
     /// Greeted streams come first, and among them those that this daemon opened.
     fn preference(&self) -> (bool, bool) {
         (
@@ -69,6 +98,18 @@
 struct Links {
     links: Vec<Link>,
     failures: u32,
+    /// Requests of this daemon that the peer has not answered.
+    outstanding: u32,
+}
+
+impl Links {
+    const fn count(&mut self, carried: Carried) {
+        match carried {
+            Carried::OwnRequest => self.outstanding = self.outstanding.saturating_add(1),
+            Carried::LastAnswer => self.outstanding = self.outstanding.saturating_sub(1),
+            Carried::Request | Carried::Control => {}
+        }
+    }
 }
 
 impl PeerLinks {
@@ -80,6 +121,49 @@
         best.max_by_key(|link| link.preference()).cloned()
     }
 
+    /// Notes that a stream was used; returns whether it has not been given up.
+    pub(crate) fn note_use(&mut self, vm: &VmId, number: u64, carried: Carried) -> bool {
+        let Some(link) = self.link_mut(vm, number) else {
+            return false;
+        };
+        link.note_use(carried);
+        if let Some(peer) = self.peers.get_mut(vm) {
+            peer.count(carried);
+        }
+        true
+    }
+
+    /// Returns when a stream is to be ended unless it is used by then; none if it was given up.
+    pub(crate) fn unused_at(&self, vm: &VmId, number: u64) -> Option<Instant> {
+        let peer = self.peers.get(vm)?;
+        let link = peer.links.iter().find(|link| link.number == number)?;
+        // While an answer is outstanding the stream shows whether the peer is there.
+        let since = match peer.outstanding {
+            0 => link.unused_since,
+            _ => Instant::now(),
+        };
+        Some(since + link.idle)
+    }
+
+    /// Takes out a stream that is ended in good order; its loss is none.
+    ///
+    /// `farewell` is queued last; if there is no room for it the stream is in use and stays.
+    pub(crate) fn end(&mut self, vm: &VmId, number: u64, farewell: Option<Envelope>) -> bool {
+        let Some(link) = self.link_mut(vm, number) else {
+            return false;
+        };
+        if farewell.is_some_and(|farewell| link.queue.try_send(farewell).is_err()) {
+            return false;
+        }
+        self.take(vm, number);
+        true
+    }
+
+    fn link_mut(&mut self, vm: &VmId, number: u64) -> Option<&mut Link> {
+        let links = &mut self.peers.get_mut(vm)?.links;
+        links.iter_mut().find(|link| link.number == number)
+    }
+
     /// Adds a stream.
     pub(crate) fn add(
         &mut self,
@@ -93,6 +177,8 @@
             queue,
             origin,
             incarnation: None,
+            unused_since: Instant::now(),
+            idle: PEER_CONTROL_IDLE,
         };
         let peer = self.peers.entry(vm.clone()).or_default();
         if peer.links.len() == LINKS_PER_PEER {
@@ -119,12 +205,6 @@
         replaced
     }
 
-    /// Returns whether a stream has not been given up.
-    pub(crate) fn contains(&self, vm: &VmId, number: u64) -> bool {
-        let peer = self.peers.get(vm);
-        peer.is_some_and(|peer| peer.links.iter().any(|link| link.number == number))
-    }
-
     /// Gives up a stream before its end; the caller reports the peer as lost.
     pub(crate) fn give_up(&mut self, vm: &VmId, number: u64) {
         self.take(vm, number);
@@ -140,6 +220,9 @@
     fn take(&mut self, vm: &VmId, number: u64) {
         if let Some(peer) = self.peers.get_mut(vm) {
             peer.links.retain(|link| link.number != number);
+            if peer.links.is_empty() {
+                peer.outstanding = 0;
+            }
         }
     }
 
--- a/sapphireslipd/tests/peer_edge.rs
+++ b/sapphireslipd/tests/peer_edge.rs
@@ -4,7 +4,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use sapphireslip_core::{Event, Incarnation, Local, PeerMessage, ProbeNumber, VmId, ZoneName};
+use bytes::Bytes;
+use sapphireslip_core::{
+    DatabaseName, Event, Freshness, Incarnation, Local, PeerMessage, ProbeNumber, Request,
+    RequestId, RequestNumber, ServiceName, SessionId, StatementKind, VmId, ZoneName,
+};
 use sapphireslip_wire::peer::peer_client::PeerClient;
 use sapphireslip_wire::peer::{Envelope, WantVms, envelope::Body};
 use sapphireslipd::{HybridClock, Metrics, PeerEdge};
@@ -185,6 +189,73 @@
     a.expect_lost(&silent).await;
 }
 
+async fn wait_streams(edge: &PeerEdge, count: usize) {
+    let deadline = Instant::now() + PATIENCE;
+    while edge.stream_count() != count {
+        assert!(Instant::now() < deadline, "{} streams", edge.stream_count());
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// An unused stream is ended by who opened it; neither side loses a message or counts the other as
+/// lost.
+#[tokio::test]
+async fn unused_stream_is_ended() {
+    let (a, b) = (Peer::start("vm-a", 1).await, Peer::start("vm-b", 1).await);
+    for round in 0..2 {
+        a.send(&b.local, round);
+        b.expect(&a.local, round).await;
+        b.send(&a.local, round);
+        a.expect(&b.local, round).await;
+        wait_streams(&a.edge, 0).await;
+        wait_streams(&b.edge, 0).await;
+    }
+    b.send(&a.local, 9);
+    a.expect(&b.local, 9).await;
+    assert!(a.events.is_empty() && b.events.is_empty());
+}
+
+/// While an answer is outstanding, the stream stays and shows that the peer is gone.
+#[tokio::test]
+async fn unused_stream_with_request_stays() {
+    let (a, b) = (Peer::start("vm-a", 1).await, Peer::start("vm-b", 1).await);
+    let runtime = Runtime::new().expect("a runtime");
+    let c = runtime.spawn(Peer::start("vm-c", 1)).await.expect("starts");
+    a.edge
+        .send(&c.local.vm, c.local.address, request(&a.local))
+        .expect("queued");
+    let Event::Peer { .. } = c.event().await else {
+        panic!("the request comes first");
+    };
+    a.send(&b.local, 1);
+    b.expect(&a.local, 1).await;
+    wait_streams(&a.edge, 1).await;
+    wait_streams(&b.edge, 0).await;
+    assert!(a.events.is_empty());
+    runtime.shutdown_background();
+    a.expect_lost(&c.local).await;
+}
+
+fn request(entry: &Local) -> PeerMessage {
+    PeerMessage::Request(Request {
+        id: RequestId {
+            entry: entry.vm.clone(),
+            incarnation: entry.incarnation,
+            number: RequestNumber(1),
+        },
+        session: SessionId(1),
+        service: ServiceName::try_from("shop").expect("name"),
+        database: DatabaseName::try_from("stock").expect("name"),
+        kind: StatementKind::Read,
+        in_transaction: false,
+        freshness: Freshness::Probe,
+        key: None,
+        resent: false,
+        time_left: PATIENCE,
+        payload: Bytes::new(),
+    })
+}
+
 /// The path goes silent on an open stream: both sides find it within about two seconds.
 #[tokio::test]
 async fn open_stream_goes_silent() {
