--- /dev/null
+++ b/sapphireslip-core/tests/configuration_cost.rs
@@ -0,0 +1,81 @@
+//! How long a change takes to be in force everywhere, and what the platform is asked meanwhile:
+//! relays in each zone against every daemon that reads for itself.
+
+mod fleet_support;
+
+use std::time::Duration;
+
+use fleet_support::{Fleet, document, vm};
+use rstest::rstest;
+use sapphireslip_core::{ChangeCount, VmId};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Within what time a change has to be in force.
+const IN_FORCE: Duration = Duration::from_secs(3);
+
+/// The most reads a second that the platform takes from everyone.
+const PLATFORM_READS: f64 = 2_000.0;
+
+/// The relays of the seven zones to design for.
+const RELAYS: usize = 14;
+
+const CHANGES: u32 = 10;
+
+#[derive(Clone, Copy, Debug)]
+enum Way {
+    /// Daemons in seven zones, as they are shipped.
+    Relays,
+    /// Every daemon in a zone of its own, so that each one is a relay.
+    Direct,
+}
+
+fn vms(count: usize, way: Way) -> Vec<VmId> {
+    let name = |number: usize| match way {
+        Way::Relays => format!(
+            "{}-{}",
+            ["a", "b", "c", "d", "e", "f", "g"][number % 7],
+            number
+        ),
+        Way::Direct => format!("z{number}-1"),
+    };
+    (0..count).map(|number| vm(&name(number))).collect()
+}
+
+#[rstest]
+fn change_in_force(
+    #[values(7, 50, 200)] daemons: usize,
+    #[values(Way::Relays, Way::Direct)] way: Way,
+) {
+    let mut fleet = Fleet::start(&vms(daemons, way));
+    fleet.run_for(SECOND * 3);
+    fleet.platform.reads = 0;
+    fleet.bytes.clear();
+    let start = fleet.now;
+    let mut times = Vec::new();
+    for change in 1..=CHANGES {
+        let next = start + Duration::from_millis(1_170) * change;
+        fleet.run_for(next.saturating_sub(fleet.now));
+        let change = u64::from(change);
+        fleet
+            .platform
+            .accept(document("stock", change, change, &["stock"]));
+        times.push(fleet.run_until(IN_FORCE, |fleet| {
+            let mut states = fleet.daemons.values();
+            states.all(|state| state.configuration.changes() == ChangeCount(change))
+        }));
+    }
+    let took = (fleet.now - start).as_secs_f64();
+    let reads = fleet.platform.reads as f64 / took;
+    let most = fleet.bytes.values().max().copied().unwrap_or_default() as f64 / took;
+    let mean = times.iter().sum::<Duration>() / CHANGES;
+    let max = times.iter().max();
+    println!(
+        "{daemons} daemons, {way:?}: in force after {mean:?} in the mean, {max:?} at most; \
+         {reads:.1} platform reads a second; {most:.0} B/s sent at most"
+    );
+    if matches!(way, Way::Relays) {
+        let of_all_relays = reads * (RELAYS as f64 / daemons.min(RELAYS) as f64);
+        assert!(of_all_relays <= PLATFORM_READS, "{of_all_relays}");
+    }
+}
