Leaving servers: repeat an empty list once a minute

Cause: a relay repeats the list of leaving servers to its whole zone every 5 s, in case a push was lost, also while the list is empty, which it almost always is.

A list that names servers, or has changed within a minute, is still repeated every 5 s.

Ruled out: no repeat of an empty list, since a process that was paused for minutes would take a server for leaving for good. Left: while servers leave, a relay of a large zone pays for the repeats; the list should go with a number in the probes, as the count of changes does.

--- a/sapphireslip-core/src/document_exchange.rs
+++ b/sapphireslip-core/src/document_exchange.rs
@@ -46,6 +46,9 @@
 /// The time after which a relay repeats the list of leaving servers, in case a push was lost.
 pub const LEAVING_REPEAT_INTERVAL: Duration = Duration::from_secs(5);
 
+/// The time after which a relay repeats a list that has long been without any server.
+pub const LEAVING_NONE_INTERVAL: Duration = Duration::from_secs(60);
+
 data! {
     /// What is asked of whom, and what is still to be pushed.
     #[derive(Default)]
@@ -62,6 +65,7 @@
         /// The count that peers of the zone had when they were last pushed to.
         push_since: Option<ChangeCount>,
         leaving_push_at: Option<Instant>,
+        leaving_changed: Option<Instant>,
         is_ready: bool,
     }
 }
@@ -91,9 +95,10 @@
                 self.exchange.platform_answered = Some(now);
                 if self.set_leaving(servers) {
                     self.exchange.leaving_push_at = Some(now);
+                    self.exchange.leaving_changed = Some(now);
                     cx.wake_at(now);
                 } else if self.exchange.leaving_push_at.is_none() {
-                    let at = now + LEAVING_REPEAT_INTERVAL;
+                    let at = now + self.leaving_interval(now);
                     self.exchange.leaving_push_at = Some(at);
                     cx.wake_at(at);
                 }
@@ -102,6 +107,18 @@
         }
     }
 
+    /// Returns the time between two repeats: to each peer of the zone a message and, as a rule, a
+    /// stream for it.
+    fn leaving_interval(&self, now: Instant) -> Duration {
+        let changed = self.exchange.leaving_changed;
+        let is_new = changed.is_some_and(|at| now.since(at) < LEAVING_NONE_INTERVAL);
+        if is_new || !self.leaving().is_empty() {
+            LEAVING_REPEAT_INTERVAL
+        } else {
+            LEAVING_NONE_INTERVAL
+        }
+    }
+
     fn read_newer(&self, cx: &mut Cx<'_>, changes: ChangeCount) {
         if changes > self.changes() {
             let since = self.changes();
