Platform table: a list of documents, and a bounded number of changes

A row lists all documents; a reader that is more than 2,048 changes behind reads that and the documents, 26 reads at 1,600 documents, whatever the age. The row is written only with a new document. Of the change rows the last 4,096 are kept, so that a slow reader has half of them to finish. A table without a list, from before, is read and kept as it was.

Ruled out: an index in several rows, needed above some 6,000 documents of 40-byte keys at 256 KB a row; compaction by a daemon, which needs someone in charge of it.

The test was seen failing with the list unused: the answer was `Documents(None)`, since the first change is gone. Passed: 9 tests of the platform edge, those of the wire package, 13 of the platform stand-in.

--- a/sapphireslip-wire/src/apply.rs
+++ b/sapphireslip-wire/src/apply.rs
@@ -1,5 +1,7 @@
 //! The change of one document, as a transaction on the platform's table.
 
+use std::collections::BTreeSet;
+
 use bytes::Bytes;
 use prost::Message;
 use quick_error::quick_error;
@@ -10,7 +12,8 @@
     Condition, DocumentRow, ReadReply, ReadRequest, Row, TransactRequest, Write,
 };
 use crate::table_layout::{
-    CHANGE_PREFIX, CHANGES_KEY, change_key, changes, database_key, decode_row, document_key, row,
+    CHANGE_PREFIX, CHANGES_KEPT, CHANGES_KEY, DOCUMENTS_KEY, all_documents, change_key, changes,
+    database_key, decode_row, document_key, row,
 };
 
 quick_error! {
@@ -75,13 +78,14 @@
     /// #     against: Generation(0), databases: vec![DatabaseName::try_from("stock")?],
     /// #     released: vec![], text: "".into(), writer: "w1".into(),
     /// # };
-    /// assert_eq!(apply.reads().keys, ["changes", "document/acme/shop", "database/stock"]);
+    /// assert_eq!(apply.reads().keys, ["changes", "documents", "document/acme/shop", "database/stock"]);
     /// # Ok::<(), NameError>(())
     /// ```
     #[must_use]
     pub fn reads(&self) -> ReadRequest {
         let mut keys = vec![
             CHANGES_KEY.to_owned(),
+            DOCUMENTS_KEY.to_owned(),
             document_key(&self.member, &self.service),
         ];
         keys.extend(self.databases.iter().map(database_key));
@@ -107,7 +111,7 @@
     /// let absent = |key: String| Row { key, ..Row::default() };
     /// let rows = apply.reads().keys.into_iter().map(absent).collect();
     /// let transaction = apply.transaction(&ReadReply { rows })?;
-    /// assert_eq!(transaction.conditions.len(), 3);
+    /// assert_eq!(transaction.conditions.len(), 4);
     /// # Ok::<(), Box<dyn std::error::Error>>(())
     /// ```
     pub fn transaction(&self, reply: &ReadReply) -> Result<TransactRequest, ApplyError> {
@@ -119,6 +123,7 @@
             put(&change_key(change), self.change_value().into_bytes()),
             put(&document_key, self.document_value(change)),
         ];
+        writes.extend(list_writes(reply, change, document_key)?);
         for database in &self.databases {
             let key = database_key(database);
             self.check_owner(database, row(reply, &key)?)?;
@@ -230,6 +235,30 @@
     }
 }
 
+/// Returns the writes that keep the list of documents and the count of `change/` rows.
+fn list_writes(
+    reply: &ReadReply,
+    change: ChangeCount,
+    document_key: String,
+) -> Result<Vec<Write>, WireError> {
+    let mut keys = match all_documents(reply)? {
+        Some(keys) => keys,
+        None if change.0 == 1 => BTreeSet::new(),
+        // A table from before there was a list: nothing tells which documents it has.
+        None => return Ok(Vec::new()),
+    };
+    let mut writes = Vec::new();
+    if keys.insert(document_key) {
+        let lines = keys.iter().map(|key| format!("{key}\n"));
+        writes.push(put(DOCUMENTS_KEY, lines.collect::<String>().into_bytes()));
+    }
+    if let Some(old) = change.0.checked_sub(CHANGES_KEPT).filter(|old| *old > 0) {
+        let key = change_key(ChangeCount(old));
+        writes.push(Write { key, value: None });
+    }
+    Ok(writes)
+}
+
 fn put(key: &str, value: Vec<u8>) -> Write {
     Write {
         key: key.to_owned(),
--- a/sapphireslip-wire/src/table_layout.rs
+++ b/sapphireslip-wire/src/table_layout.rs
@@ -4,8 +4,12 @@
 //! |---|---|
 //! | `changes` | the count of accepted changes, as 8 bytes, big-endian |
 //! | `change/COUNT` | the key of the changed document, a line break, and the writer's identifier |
+//! | `documents` | the keys of all documents, a line each, in order |
 //! | `document/MEMBER/SERVICE` | a [`DocumentRow`](crate::platform::DocumentRow) |
 //! | `database/NAME` | `MEMBER/SERVICE` of the owner |
+//!
+//! Of the `change/` rows the last [`CHANGES_KEPT`] are kept; who is further behind reads all
+//! documents. A table from before there was a `documents` row keeps them all.
 
 use std::collections::BTreeSet;
 
@@ -21,6 +25,16 @@
 /// The most rows that are read by one call.
 pub const READ_BATCH_ROWS: usize = 64;
 
+/// How many `change/` rows are kept.
+pub const CHANGES_KEPT: u64 = 4_096;
+
+/// How many changes a reader may be behind to learn of them one by one: what is left of
+/// [`CHANGES_KEPT`] is its time to do so.
+pub const CHANGES_READ_MAX: u64 = CHANGES_KEPT / 2;
+
+/// The key of the list of documents.
+pub const DOCUMENTS_KEY: &str = "documents";
+
 /// The key of the count of accepted changes.
 pub const CHANGES_KEY: &str = "changes";
 
@@ -148,6 +162,44 @@
     reply.rows.iter().map(key).collect()
 }
 
+/// Returns the read of the list of documents.
+///
+/// ```
+/// assert_eq!(sapphireslip_wire::documents_read().keys, ["documents"]);
+/// ```
+#[must_use]
+pub fn documents_read() -> ReadRequest {
+    ReadRequest {
+        keys: vec![DOCUMENTS_KEY.to_owned()],
+    }
+}
+
+/// Returns the keys of all documents; none if the table has no list of them.
+///
+/// # Errors
+///
+/// The row is not in the reply or has another form.
+///
+/// ```
+/// use sapphireslip_wire::platform::{ReadReply, Row};
+/// let value = "document/acme/shop\n".into();
+/// let rows = vec![Row { key: "documents".into(), version: 1, value }];
+/// let keys = sapphireslip_wire::all_documents(&ReadReply { rows })?;
+/// assert!(keys.unwrap().contains("document/acme/shop"));
+/// # Ok::<(), sapphireslip_wire::WireError>(())
+/// ```
+pub fn all_documents(reply: &ReadReply) -> Result<Option<BTreeSet<String>>, WireError> {
+    let row = row(reply, DOCUMENTS_KEY)?;
+    if row.version == 0 {
+        return Ok(None);
+    }
+    let refuse = || WireError::Row(DOCUMENTS_KEY.to_owned());
+    let text = std::str::from_utf8(&row.value).ok().ok_or_else(refuse)?;
+    let keys: BTreeSet<_> = text.lines().map(ToOwned::to_owned).collect();
+    let is_formed = keys.iter().all(|key| key.starts_with(DOCUMENT_PREFIX));
+    is_formed.then_some(Some(keys)).ok_or_else(refuse)
+}
+
 /// Returns the reads of documents, in batches.
 ///
 /// ```
--- a/sapphireslipd/src/platform_edge.rs
+++ b/sapphireslipd/src/platform_edge.rs
@@ -11,8 +11,8 @@
 use sapphireslip_wire::platform::vms_client::VmsClient;
 use sapphireslip_wire::platform::{ListRequest, ReadReply, ReadRequest};
 use sapphireslip_wire::{
-    MESSAGE_MAX_BYTES, VmList, change_reads, changed_documents, changes, changes_read, document,
-    document_reads,
+    CHANGES_READ_MAX, MESSAGE_MAX_BYTES, VmList, all_documents, change_reads, changed_documents,
+    changes, changes_read, document, document_reads, documents_read,
 };
 use tokio::task::JoinSet;
 use tonic::metadata::{Ascii, MetadataValue};
@@ -171,7 +171,7 @@
         let mut documents = BTreeMap::new();
         let (mut covered, mut until) = (since, self.changes().await?);
         while covered < until {
-            for read in document_reads(self.changed(covered, until).await?) {
+            for read in document_reads(self.newer(covered, until).await?) {
                 for row in self.read(read).await?.rows {
                     let read = document(&row).map_err(bad_answer)?;
                     documents.extend(read.map(|document| (row.key, document)));
@@ -186,6 +186,21 @@
         Ok(documents)
     }
 
+    /// Returns the keys of the documents to read: those changed, or all if there were many changes.
+    async fn newer(
+        &self,
+        since: ChangeCount,
+        until: ChangeCount,
+    ) -> Result<BTreeSet<String>, Status> {
+        if until.0.saturating_sub(since.0) > CHANGES_READ_MAX {
+            let reply = self.read(documents_read()).await?;
+            if let Some(keys) = all_documents(&reply).map_err(bad_answer)? {
+                return Ok(keys);
+            }
+        }
+        self.changed(since, until).await
+    }
+
     async fn changed(
         &self,
         since: ChangeCount,
--- a/sapphireslipd/tests/platform_edge.rs
+++ b/sapphireslipd/tests/platform_edge.rs
@@ -7,9 +7,9 @@
     ChangeCount, DatabaseName, Event, Generation, Incarnation, Local, MemberName, PlatformEffect,
     PlatformEvent, ServiceName, VmId, ZoneName,
 };
-use sapphireslip_wire::Apply;
 use sapphireslip_wire::platform::table_client::TableClient;
-use sapphireslip_wire::platform::{Vm, VmState};
+use sapphireslip_wire::platform::{ReadRequest, Row, Vm, VmState};
+use sapphireslip_wire::{Apply, CHANGES_KEPT, change_key};
 use sapphireslipd::platform_edge;
 use standins::{Platform, PlatformSettings};
 
@@ -80,6 +80,14 @@
         assert_eq!(reply.failed, None);
     }
 
+    async fn read(&self, keys: &[String]) -> Vec<Row> {
+        let url = format!("http://{}", self.platform.address());
+        let mut table = TableClient::connect(url).await.expect("connects");
+        let keys = keys.to_vec();
+        let reply = table.read(ReadRequest { keys }).await.expect("rows");
+        reply.into_inner().rows
+    }
+
     /// Returns the changes and the texts of the documents accepted after a count.
     async fn documents(&self, since: u64) -> Vec<(u64, String)> {
         let since = ChangeCount(since);
@@ -129,6 +137,33 @@
     assert_eq!(changes, (1..=150).collect::<Vec<_>>());
 }
 
+/// Far behind, the reads depend on the documents and not on how often they were changed, and old
+/// changes leave the table.
+#[tokio::test]
+async fn documents_many_changes() {
+    let fixture = Fixture::start().await;
+    fixture.accept("sales", 0).await;
+    for against in 0..CHANGES_KEPT {
+        fixture.accept("stock", against).await;
+    }
+    let last = CHANGES_KEPT + 1;
+    let rows = fixture
+        .read(&[change_key(ChangeCount(1)), change_key(ChangeCount(2))])
+        .await;
+    assert_eq!(rows[0].version, 0, "the oldest change is gone");
+    assert!(rows[1].version > 0);
+    let before = fixture.platform.counts().reads;
+    let found = fixture.documents(0).await;
+    let stock = format!("stock {CHANGES_KEPT}");
+    assert_eq!(found, [(1, "sales 1".to_owned()), (last, stock.clone())]);
+    let reads = fixture.platform.counts().reads - before;
+    assert!(
+        reads <= 3,
+        "{reads} reads: the count, the list and two documents"
+    );
+    assert_eq!(fixture.documents(last - 1).await, [(last, stock)]);
+}
+
 /// Between the edge's reads, the document it is about to read is changed again, after another one:
 /// an answer that bears the last count has to bear the one before it too.
 #[tokio::test]
