--- a/sapphireslip/src/bench_report.rs
+++ b/sapphireslip/src/bench_report.rs
@@ -3,9 +3,10 @@
 use std::fmt::Write;
 
 use plotters::prelude::{
-    ChartBuilder, IntoDrawingArea, IntoLogRange, LineSeries, Palette, Palette99, PathElement,
-    SVGBackend, WHITE,
+    BLACK, ChartBuilder, IntoDrawingArea, IntoLogRange, LineSeries, PathElement, RGBColor,
+    SVGBackend, SeriesLabelPosition, TRANSPARENT, WHITE,
 };
+
 use plotters::style::Color;
 
 use crate::{BenchResult, Error, html_page};
@@ -61,6 +62,14 @@
     text
 }
 
+/// The colours of the plot's lines, dark enough for a white page.
+const LINE_COLORS: [RGBColor; 4] = [
+    RGBColor(43, 108, 176),
+    RGBColor(197, 48, 48),
+    RGBColor(47, 133, 90),
+    RGBColor(107, 70, 193),
+];
+
 /// Returns the result as one HTML page that needs no other file.
 ///
 /// # Errors
@@ -94,10 +103,13 @@
             .configure_mesh()
             .x_desc("percent of operations")
             .y_desc("ms")
+            .label_style(("sans-serif", 13))
+            .light_line_style(TRANSPARENT)
+            .bold_line_style(BLACK.mix(0.12))
             .draw()
             .map_err(|err| err.to_string())?;
         for (at, latency) in result.latencies.iter().enumerate() {
-            let color = Palette99::pick(at).mix(1.0);
+            let color = LINE_COLORS[at % LINE_COLORS.len()];
             let points = latency.percentiles_ms.iter().enumerate();
             let points = points.map(|(percent, ms)| (percent as f64, ms.max(PLOT_MIN_MS)));
             chart
@@ -108,6 +120,8 @@
         }
         chart
             .configure_series_labels()
+            .position(SeriesLabelPosition::UpperLeft)
+            .label_font(("sans-serif", 13))
             .background_style(WHITE)
             .draw()
             .map_err(|err| err.to_string())?;
--- a/sapphireslip/src/lib.rs
+++ b/sapphireslip/src/lib.rs
@@ -22,7 +22,9 @@
 mod show;
 mod status;
 mod timeline;
+mod timeline_group;
 mod timeline_line;
+mod timeline_page;
 mod timeline_view;
 mod verifier;
 mod workload;
@@ -30,6 +32,6 @@
 pub use self::{
     apply::*, arguments::*, attempt::*, bench_report::*, bench_run::*, bench_session::*,
     bench_settings::*, check::*, error::*, html_page::*, latency::*, ledger::*, output::*,
-    read_share::*, run::*, show::*, status::*, timeline::*, timeline_line::*, timeline_view::*,
-    verifier::*, workload::*,
+    read_share::*, run::*, show::*, status::*, timeline::*, timeline_line::*, timeline_page::*,
+    timeline_view::*, verifier::*, workload::*,
 };
--- /dev/null
+++ b/sapphireslip/src/timeline_group.rs
@@ -0,0 +1,111 @@
+//! Entries of a time line put together by request.
+
+use std::collections::BTreeMap;
+
+use crate::TimelineLine;
+
+/// What an entry is about, by which the page colours and filters it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum TimelineTopic {
+    Request,
+    Refusal,
+    Primary,
+    Document,
+    Vm,
+    Session,
+}
+
+impl TimelineTopic {
+    /// All topics.
+    pub(crate) const ALL: [Self; 6] = [
+        Self::Request,
+        Self::Refusal,
+        Self::Primary,
+        Self::Document,
+        Self::Vm,
+        Self::Session,
+    ];
+
+    /// Returns the topic of an entry.
+    pub(crate) fn of(line: &TimelineLine) -> Self {
+        match line.kind.as_str() {
+            "RequestRefused" => Self::Refusal,
+            kind if kind.starts_with("Request") => Self::Request,
+            kind if kind.starts_with("Session") => Self::Session,
+            kind if kind.starts_with("Document") => Self::Document,
+            kind if kind.starts_with("Vm") || kind.starts_with("Drain") => Self::Vm,
+            _ => Self::Primary,
+        }
+    }
+
+    /// Returns the name of the topic's class on the page.
+    pub(crate) const fn class(self) -> &'static str {
+        match self {
+            Self::Request => "request",
+            Self::Refusal => "refusal",
+            Self::Primary => "primary",
+            Self::Document => "document",
+            Self::Vm => "vm",
+            Self::Session => "session",
+        }
+    }
+
+    /// Returns the name of the topic for people.
+    pub(crate) const fn title(self) -> &'static str {
+        match self {
+            Self::Request => "requests",
+            Self::Refusal => "refusals",
+            Self::Primary => "primaries and paths",
+            Self::Document => "documents",
+            Self::Vm => "VMs and drains",
+            Self::Session => "sessions",
+        }
+    }
+}
+
+/// All entries of one request, or one entry that is about no request.
+#[derive(Debug)]
+pub(crate) struct TimelineGroup<'a> {
+    /// The entries in causal order; never empty.
+    pub(crate) lines: Vec<&'a TimelineLine>,
+}
+
+impl TimelineGroup<'_> {
+    /// Returns the time of the first entry in microseconds since the Unix epoch.
+    pub(crate) fn start(&self) -> u64 {
+        self.lines.first().map_or(0, |line| line.unix_micros)
+    }
+
+    /// Returns the time of the last entry in microseconds since the Unix epoch.
+    pub(crate) fn end(&self) -> u64 {
+        let times = self.lines.iter().map(|line| line.unix_micros);
+        times.max().unwrap_or(0)
+    }
+
+    /// Returns the topic: a refusal if any entry is one.
+    pub(crate) fn topic(&self) -> TimelineTopic {
+        let mut topics = self.lines.iter().map(|line| TimelineTopic::of(line));
+        let first = topics.next().unwrap_or(TimelineTopic::Primary);
+        match topics.any(|topic| topic == TimelineTopic::Refusal) {
+            true => TimelineTopic::Refusal,
+            false => first,
+        }
+    }
+}
+
+/// Puts entries together by request; a group stands where its first entry stood.
+pub(crate) fn groups(lines: &[TimelineLine]) -> Vec<TimelineGroup<'_>> {
+    let mut places = BTreeMap::new();
+    let mut groups: Vec<TimelineGroup<'_>> = Vec::new();
+    for line in lines {
+        let place = match &line.request {
+            Some(request) => *places.entry(request.as_str()).or_insert(groups.len()),
+            None => groups.len(),
+        };
+        match groups.get_mut(place) {
+            Some(group) => group.lines.push(line),
+            None => groups.push(TimelineGroup { lines: vec![line] }),
+        }
+    }
+    groups
+}
--- a/sapphireslip/src/timeline_line.rs
+++ b/sapphireslip/src/timeline_line.rs
@@ -74,8 +74,17 @@
     /// Returns what the entry is about, in one line.
     #[must_use]
     pub fn subject(&self) -> String {
+        let rest = self.subject_without_request();
+        match &self.request {
+            Some(request) if rest.is_empty() => format!("request {request}"),
+            Some(request) => format!("request {request}  {rest}"),
+            None => rest,
+        }
+    }
+
+    /// Returns what the entry is about besides its request, in one line.
+    pub(crate) fn subject_without_request(&self) -> String {
         let named = [
-            ("request", self.request.clone()),
             ("session", self.session.map(|session| session.to_string())),
             ("database", self.database.clone()),
             ("server", self.server.clone()),
--- /dev/null
+++ b/sapphireslip/src/timeline_page.rs
@@ -0,0 +1,217 @@
+//! A merged time line as an HTML page: a lane for each process, a row for each request.
+
+use std::collections::BTreeSet;
+use std::fmt::Write;
+
+use crate::timeline_group::{TimelineGroup, TimelineTopic, groups};
+use crate::{TimelineLine, escape_html, html_page};
+
+/// The shortest time without an entry that the page shows as a gap, in microseconds.
+const GAP_MIN_MICROS: u64 = 100_000;
+
+/// Requests that stand open on the page if there are no more than this.
+const OPEN_REQUESTS_MAX: usize = 12;
+
+const STYLE: &str = include_str!("timeline_page.css");
+const SCRIPT: &str = include_str!("timeline_page.js");
+
+/// Returns a time line as one page that needs no other file: a lane for each process, time from top
+/// to bottom, the entries of a request folded into one row, and a filter.
+///
+/// ```
+/// assert!(sapphireslip::timeline_html(&[]).contains("no entries"));
+/// ```
+#[must_use]
+pub fn timeline_html(lines: &[TimelineLine]) -> String {
+    let title = "sapphireslip time line";
+    let Some(first) = lines.first() else {
+        return html_page(title, "<p>no entries</p>");
+    };
+    let groups = groups(lines);
+    let requests = groups.iter().filter(|group| group.lines.len() > 1).count();
+    let mut page = Page {
+        start: first.unix_micros,
+        lanes: lanes(lines),
+        opens: requests <= OPEN_REQUESTS_MAX,
+        html: format!("<style>{STYLE}</style>"),
+    };
+    page.controls(lines.len(), requests);
+    page.head();
+    let mut previous = first.unix_micros;
+    for group in &groups {
+        page.gap(previous, group.start());
+        page.group(group);
+        previous = previous.max(group.end());
+    }
+    page.html.push_str("</main>");
+    let _fits = write!(page.html, "<script>{SCRIPT}</script>");
+    html_page(title, &page.html)
+}
+
+/// A process: its availability zone and VM.
+type Lane<'a> = (&'a str, &'a str);
+
+fn lanes(lines: &[TimelineLine]) -> Vec<Lane<'_>> {
+    let lanes: BTreeSet<Lane<'_>> = lines
+        .iter()
+        .map(|line| (line.zone.as_str(), line.vm.as_str()))
+        .collect();
+    lanes.into_iter().collect()
+}
+
+/// A page that is being written.
+struct Page<'a> {
+    /// The time of the first entry in microseconds since the Unix epoch.
+    start: u64,
+    lanes: Vec<Lane<'a>>,
+    /// Whether requests are unfolded from the start.
+    opens: bool,
+    html: String,
+}
+
+impl Page<'_> {
+    fn write(&mut self, html: std::fmt::Arguments<'_>) {
+        let _fits = self.html.write_fmt(html);
+    }
+
+    /// The filter, the topics with their colours, and what the page holds.
+    fn controls(&mut self, entries: usize, requests: usize) {
+        self.write(format_args!(
+            "<header><input id=\"filter\" type=\"search\" placeholder=\"filter: request, server, \
+             VM, kind, text\"><button id=\"fold\">fold or unfold all</button>"
+        ));
+        for topic in TimelineTopic::ALL {
+            self.write(format_args!(
+                "<label class=\"{0}\"><input type=\"checkbox\" value=\"{0}\" checked><i></i>{1}\
+                 </label>",
+                topic.class(),
+                topic.title()
+            ));
+        }
+        self.write(format_args!(
+            "<p>{entries} entries, {requests} requests, {} processes. Time is since the first \
+             entry.</p></header>",
+            self.lanes.len()
+        ));
+    }
+
+    fn head(&mut self) {
+        let lanes = self.lanes.len();
+        self.write(format_args!(
+            "<main style=\"--lanes:{lanes}\"><div class=\"row head\"><span>time</span>"
+        ));
+        for at in 0..lanes {
+            let (zone, vm) = self.lanes[at];
+            self.write(format_args!(
+                "<span class=\"lane\"><b>{}</b><br>zone {}</span>",
+                escape_html(vm),
+                escape_html(zone)
+            ));
+        }
+        self.html.push_str("<span>what happened</span></div>");
+    }
+
+    fn gap(&mut self, previous: u64, next: u64) {
+        let micros = next.saturating_sub(previous);
+        if micros >= GAP_MIN_MICROS {
+            let text = millis(micros);
+            self.write(format_args!(
+                "<div class=\"gap\">{text} without an entry</div>"
+            ));
+        }
+    }
+
+    fn group(&mut self, group: &TimelineGroup<'_>) {
+        let class = group.topic().class();
+        let texts: Vec<String> = group.lines.iter().map(|line| searched(line)).collect();
+        let text = escape_html(&texts.join(" ").to_lowercase());
+        self.write(format_args!(
+            "<section class=\"item {class}\" data-text=\"{text}\">"
+        ));
+        if let [line] = group.lines[..] {
+            self.entry(line, &line.subject());
+        } else {
+            let open = if self.opens { " open" } else { "" };
+            self.write(format_args!("<details{open}><summary>"));
+            self.summary(group);
+            self.html.push_str("</summary>");
+            for line in &group.lines {
+                self.entry(line, &line.subject_without_request());
+            }
+            self.html.push_str("</details>");
+        }
+        self.html.push_str("</section>");
+    }
+
+    /// The folded row of a request: where it came from, where it ran, how it ended and how long it
+    /// took.
+    fn summary(&mut self, group: &TimelineGroup<'_>) {
+        let vms: BTreeSet<&str> = group.lines.iter().map(|line| line.vm.as_str()).collect();
+        self.begin_row(group.start(), |vm| vms.contains(vm));
+        let find = |field: fn(&TimelineLine) -> Option<&String>| {
+            group.lines.iter().find_map(|line| field(line))
+        };
+        let request = find(|line| line.request.as_ref()).map_or("", String::as_str);
+        let server = find(|line| line.server.as_ref());
+        let database = find(|line| line.database.as_ref());
+        let last = group.lines.last().map_or("", |line| line.kind.as_str());
+        let database = database.map_or("", String::as_str);
+        let server = server.map_or(String::new(), |server| format!(" on {server}"));
+        let detail = find(|line| Some(&line.detail).filter(|detail| !detail.is_empty()));
+        let detail = detail.map_or("", String::as_str);
+        let took = millis(group.end().saturating_sub(group.start()));
+        self.write(format_args!(
+            "<span class=\"what\" title=\"{}\"><b>{}</b> {}{}: <em>{}</em> {took} {}</span></div>",
+            escape_html(request),
+            escape_html(&short_request(request)),
+            escape_html(database),
+            escape_html(&server),
+            escape_html(&last.trim_start_matches("Request").to_lowercase()),
+            escape_html(detail),
+        ));
+    }
+
+    fn entry(&mut self, line: &TimelineLine, subject: &str) {
+        let class = TimelineTopic::of(line).class();
+        self.write(format_args!("<div class=\"{class}\">"));
+        self.begin_row(line.unix_micros, |vm| vm == line.vm);
+        self.write(format_args!(
+            "<span class=\"what\"><b>{}</b> {}</span></div></div>",
+            escape_html(&line.kind),
+            escape_html(subject)
+        ));
+    }
+
+    fn begin_row(&mut self, time: u64, is_marked: impl Fn(&str) -> bool) {
+        let time = millis(time.saturating_sub(self.start));
+        self.write(format_args!(
+            "<div class=\"row\"><span class=\"time\">{time}</span>"
+        ));
+        for at in 0..self.lanes.len() {
+            let mark = if is_marked(self.lanes[at].1) {
+                "<i></i>"
+            } else {
+                ""
+            };
+            self.write(format_args!("<span class=\"lane\">{mark}</span>"));
+        }
+    }
+}
+
+/// Returns what the filter looks at.
+fn searched(line: &TimelineLine) -> String {
+    format!("{} {} {} {}", line.zone, line.vm, line.kind, line.subject())
+}
+
+/// Returns a request's entry daemon and number, without the run of the daemon between them.
+fn short_request(request: &str) -> String {
+    let mut parts = request.split('/');
+    match (parts.next(), parts.next_back()) {
+        (Some(entry), Some(number)) => format!("{entry} request {number}"),
+        _ => request.to_owned(),
+    }
+}
+
+fn millis(micros: u64) -> String {
+    format!("{}.{:03} ms", micros / 1_000, micros % 1_000)
+}
