Core: no time to come back where coming back can't help

A key past its lifetime was refused with the hint "retry after 200 ms", which sends a caller into a loop. Seen failing first: key_refused::past_lifetime printed left: Some("retry after 200 ms"), right: None. Homes now name a time only for reasons that may pass (RefusalReason::may_pass).

--- a/sapphireslip-core/src/refusal.rs
+++ b/sapphireslip-core/src/refusal.rs
@@ -64,6 +64,27 @@
     }
 }
 
+impl RefusalReason {
+    /// Returns whether the same request may succeed later, so that it helps to say when.
+    ///
+    /// ```
+    /// use sapphireslip_core::RefusalReason;
+    /// assert!(RefusalReason::NoPrimary.may_pass());
+    /// assert!(!RefusalReason::KeyRefused.may_pass());
+    /// ```
+    #[must_use]
+    pub const fn may_pass(self) -> bool {
+        !matches!(
+            self,
+            Self::UnknownDatabase
+                | Self::BadCredentials
+                | Self::KeyRefused
+                | Self::LostBranch
+                | Self::Unsupported
+        )
+    }
+}
+
 impl Refusal {
     /// Returns a refusal of a request that was not run.
     ///
--- a/sapphireslipd/tests/callers.rs
+++ b/sapphireslipd/tests/callers.rs
@@ -190,6 +190,21 @@
     });
 }
 
+#[rstest]
+#[case::past_lifetime("1.repair-42", "23505")]
+#[case::malformed("repair-42", "22023")]
+fn key_refused(#[case] key: &str, #[case] sqlstate: &str) {
+    with_fleet(async |fleet| {
+        let client = connect_with_table(fleet).await;
+        let sql = format!("/* sapphireslip key={key} */ INSERT INTO payment VALUES (1, 'x', true)");
+        let error = client.batch_execute(&sql).await.expect_err("refused");
+        let refusal = error.as_db_error().expect("an answer");
+        assert_eq!(refusal.code().code(), sqlstate);
+        assert_eq!(refusal.hint(), None, "to wait does not help");
+        assert_eq!(count(&client, "id = 1").await, 0);
+    });
+}
+
 #[test]
 fn transaction_committed_failed_and_rolled_back() {
     with_fleet(async |fleet| {
