--- a/sapphireslip/src/arguments.rs
+++ b/sapphireslip/src/arguments.rs
@@ -12,7 +12,7 @@
     version,
     descr("Operates sapphireslip, a database proxy with session consistency."),
     footer(
-        "Exit codes: 0 done; 1 it failed or a promise was broken; 2 the command line or a file has a fault."
+        "Exit codes: 0 done; 1 it failed, was refused or broke a promise; 2 the command line or a file has a fault. Shell completion: source <(sapphireslip --bpaf-complete-style-bash)"
     )
 )]
 pub struct Arguments {
@@ -23,7 +23,7 @@
     pub command: Command,
 }
 
-/// The subcommands.
+/// Subcommands:
 #[derive(Bpaf, Clone, Debug)]
 pub enum Command {
     /// Check a settings file or a service document, without a network
@@ -82,7 +82,7 @@
         /// A daemon's log file of JSON lines
         #[bpaf(argument("FILE"))]
         log: Vec<PathBuf>,
-        /// Only entries whose request, database, server, VM or kind has this text
+        /// Only entries whose request, database, server, peer, VM or kind has this text
         #[bpaf(argument("TEXT"))]
         only: Option<String>,
         /// Write one self-contained HTML page in place of text
--- a/sapphireslip/src/timeline.rs
+++ b/sapphireslip/src/timeline.rs
@@ -42,6 +42,8 @@
     lines.dedup();
     if let Some(path) = &arguments.html {
         fs::write(path, timeline_html(&lines)).map_err(|err| Error::Write(path.clone(), err))?;
+        let text = format!("wrote {} entries to `{}`", lines.len(), path.display());
+        return Ok(Output::new(text, &lines));
     }
     Ok(Output::new(timeline_text(&lines), &lines))
 }
