Experiment: service time, failover steps, statement latencies, honest gap and read counts

Cause: the write gap of a run included the pauses between stragglers that were answered after the load had ended (frozen primary: 1.2 to 1.5 s shown where writes landed after 0.9 s by the time line), and the fault always came at the same phase of the polls of once a second, so that the worst case was never met. A read that a replica refused and that was sent again counted twice in sapphireslip_reads_total.

Latencies of single statements are told apart by answered and refused, and servers can be given a service time, for overload.

--- a/sapphireslip/src/bench_run.rs
+++ b/sapphireslip/src/bench_run.rs
@@ -12,7 +12,8 @@
 use crate::bench_session::{prepare, stored};
 use crate::read_share::{ReadCounts, read_counts};
 use crate::{
-    BenchSession, BenchSettings, Error, Latencies, LatencySummary, Ledger, Operation, Verdict,
+    BenchSession, BenchSettings, Error, Latencies, LatencySummary, Ledger, Operation,
+    StatementLatencies, StatementSummary, Verdict,
 };
 
 /// Operations that may wait for one busy session; further ones count as not offered.
@@ -34,6 +35,14 @@
     latencies: BTreeMap<Operation, Latencies>,
 }
 
+/// What the sessions of a run note together.
+#[derive(Clone, Debug, Default)]
+struct Notes {
+    ledger: Arc<Mutex<Ledger>>,
+    measured: Arc<Mutex<Measured>>,
+    statements: Arc<Mutex<StatementLatencies>>,
+}
+
 /// What a run found.
 #[derive(Clone, Debug, Serialize)]
 pub struct BenchResult {
@@ -53,6 +62,8 @@
     pub longest_write_gap_ms: f64,
     /// The share of reads that replicas served, if admin addresses were given.
     pub replica_read_share: Option<f64>,
+    /// Latencies of single statements, from their send on.
+    pub statements: StatementSummary,
     /// Latencies by kind of operation.
     pub latencies: Vec<OperationLatency>,
 }
@@ -80,15 +91,18 @@
     let settings = Arc::new(settings);
     prepare(&settings).await?;
     let before = read_counts(&settings.admin).await;
-    let ledger = Arc::new(Mutex::new(Ledger::default()));
-    let measured = Arc::new(Mutex::new(Measured::default()));
+    let notes = Notes::default();
     let started = Instant::now();
-    let not_offered = offer(&settings, &ledger, &measured, started, progress).await;
+    let not_offered = offer(&settings, &notes, started, progress).await;
     let seconds = started.elapsed().as_secs_f64();
     let after = read_counts(&settings.admin).await;
     let stored = stored(&settings).await?;
-    let ledger = ledger.lock().map_err(|_poisoned| Error::Interrupted)?;
-    let measured = measured.lock().map_err(|_poisoned| Error::Interrupted)?;
+    let ledger = notes.ledger.lock();
+    let ledger = ledger.map_err(|_poisoned| Error::Interrupted)?;
+    let measured = notes.measured.lock();
+    let measured = measured.map_err(|_poisoned| Error::Interrupted)?;
+    let statements = notes.statements.lock();
+    let statements = statements.map_err(|_poisoned| Error::Interrupted)?;
     Ok(BenchResult {
         workload: settings.workload.to_string(),
         seed: settings.seed,
@@ -98,6 +112,7 @@
         verdict: ledger.verdict(stored.iter().map(String::as_str)),
         longest_write_gap_ms: ledger.longest_write_gap().as_secs_f64() * 1_000.0,
         replica_read_share: replica_share(before, after),
+        statements: statements.summary(),
         latencies: measured.latencies.iter().map(operation_latency).collect(),
     })
 }
@@ -105,8 +120,7 @@
 /// Offers operations on schedule, waits for the last ones and returns how many found no room.
 async fn offer(
     settings: &Arc<BenchSettings>,
-    ledger: &Arc<Mutex<Ledger>>,
-    measured: &Arc<Mutex<Measured>>,
+    notes: &Notes,
     started: Instant,
     progress: impl Fn(&str),
 ) -> u64 {
@@ -115,7 +129,7 @@
     for number in 0..settings.sessions {
         let (tx, rx) = mpsc::channel(SESSION_BACKLOG);
         let session = BenchSession::new(Arc::clone(settings), number);
-        let task = serve(session, rx, Arc::clone(ledger), Arc::clone(measured));
+        let task = serve(session.measured_in(&notes.statements), rx, notes.clone());
         tasks.push(tokio::spawn(task));
         sessions.push(tx);
     }
@@ -136,9 +150,12 @@
         at += interval;
         if at >= next_progress {
             next_progress += PROGRESS_EVERY;
-            progress(&progress_line(ledger, started));
+            progress(&progress_line(&notes.ledger, started));
         }
     }
+    if let Ok(mut ledger) = notes.ledger.lock() {
+        ledger.end_offering(Instant::now());
+    }
     drop(sessions);
     for task in tasks {
         let _ended = task.await;
@@ -162,15 +179,10 @@
     )
 }
 
-async fn serve(
-    mut session: BenchSession,
-    mut arrivals: mpsc::Receiver<Arrival>,
-    ledger: Arc<Mutex<Ledger>>,
-    measured: Arc<Mutex<Measured>>,
-) {
+async fn serve(mut session: BenchSession, mut arrivals: mpsc::Receiver<Arrival>, notes: Notes) {
     while let Some(arrival) = arrivals.recv().await {
-        session.run(arrival.operation, &ledger).await;
-        if let Ok(mut measured) = measured.lock() {
+        session.run(arrival.operation, &notes.ledger).await;
+        if let Ok(mut measured) = notes.measured.lock() {
             measured
                 .latencies
                 .entry(arrival.operation)
--- a/sapphireslip/src/bench_session.rs
+++ b/sapphireslip/src/bench_session.rs
@@ -7,7 +7,9 @@
 use rand::{Rng, SeedableRng};
 use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
 
-use crate::{Attempt, BenchSettings, Error, Ledger, Operation, Told, attempt_of};
+use crate::{
+    Attempt, BenchSettings, Error, Ledger, Operation, StatementLatencies, Told, attempt_of,
+};
 
 /// The most attempts at one write.
 const ATTEMPTS_MAX: u32 = 60;
@@ -35,6 +37,7 @@
     token: Option<String>,
     writes: u64,
     acknowledged: u64,
+    statements: Arc<Mutex<StatementLatencies>>,
 }
 
 impl BenchSession {
@@ -54,9 +57,17 @@
             token: None,
             writes: 0,
             acknowledged: 0,
+            statements: Arc::default(),
         }
     }
 
+    /// Has the latencies of the session's statements added to those of others.
+    #[must_use]
+    pub fn measured_in(mut self, statements: &Arc<Mutex<StatementLatencies>>) -> Self {
+        self.statements = Arc::clone(statements);
+        self
+    }
+
     /// Makes one operation to its end, and notes what came of it.
     pub async fn run(&mut self, operation: Operation, ledger: &Mutex<Ledger>) {
         if self.rng.random_range(0..100) < self.settings.roam_percent {
@@ -116,10 +127,12 @@
         let Some(client) = &self.client else {
             return Err(QueryError::Closed);
         };
-        client
-            .simple_query(sql)
-            .await
-            .map_err(QueryError::Statement)
+        let sent = Instant::now();
+        let result = client.simple_query(sql).await;
+        if let Ok(mut statements) = self.statements.lock() {
+            statements.add(&result, sent.elapsed());
+        }
+        result.map_err(QueryError::Statement)
     }
 
     async fn keyed_write(&mut self, ledger: &Mutex<Ledger>) {
--- a/sapphireslip/src/ledger.rs
+++ b/sapphireslip/src/ledger.rs
@@ -66,6 +66,7 @@
     entries: Vec<Entry>,
     verdict: Verdict,
     acknowledged_at: Vec<Instant>,
+    offering_ended: Option<Instant>,
 }
 
 impl Ledger {
@@ -129,8 +130,19 @@
         self.verdict.reads_refused += 1;
     }
 
-    /// Returns the longest time between two acknowledged writes: the failover gap, if a primary was
-    /// lost during the run.
+    /// Notes that no more operations are offered: the pauses between the last answers after that
+    /// say nothing of whether writes can land.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// sapphireslip::Ledger::default().end_offering(Instant::now());
+    /// ```
+    pub const fn end_offering(&mut self, at: Instant) {
+        self.offering_ended = Some(at);
+    }
+
+    /// Returns the longest time without an acknowledged write while operations were offered: the
+    /// failover gap, if a primary was lost during the run.
     ///
     /// ```
     /// use sapphireslip::Ledger;
@@ -140,6 +152,10 @@
     #[must_use]
     pub fn longest_write_gap(&self) -> Duration {
         let mut times = self.acknowledged_at.clone();
+        if let Some(end) = self.offering_ended.filter(|_| !times.is_empty()) {
+            times.retain(|at| *at < end);
+            times.push(end);
+        }
         times.sort_unstable();
         let gaps = times.windows(2).map(|pair| pair[1] - pair[0]);
         gaps.max().unwrap_or_default()
--- a/sapphireslip/src/lib.rs
+++ b/sapphireslip/src/lib.rs
@@ -19,6 +19,7 @@
 mod read_share;
 mod run;
 mod show;
+mod statement_latencies;
 mod status;
 mod timeline;
 mod timeline_line;
@@ -28,6 +29,6 @@
 pub use self::{
     apply::*, arguments::*, attempt::*, bench_report::*, bench_run::*, bench_session::*,
     bench_settings::*, check::*, error::*, html_page::*, latency::*, ledger::*, output::*,
-    read_share::*, run::*, show::*, status::*, timeline::*, timeline_line::*, timeline_view::*,
-    workload::*,
+    read_share::*, run::*, show::*, statement_latencies::*, status::*, timeline::*,
+    timeline_line::*, timeline_view::*, workload::*,
 };
--- a/sapphireslipd/examples/experiment.rs
+++ b/sapphireslipd/examples/experiment.rs
@@ -2,10 +2,12 @@
 //!
 //! Prints one JSON line a run: the settings, the fault, and what the load tool found.
 
+use std::collections::BTreeMap;
 use std::error::Error;
 use std::ffi::OsString;
+use std::path::PathBuf;
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bpaf::Bpaf;
 use rustix::process::Signal;
@@ -18,6 +20,9 @@
 /// The argument by which the experiment starts itself as a daemon.
 const DAEMON_ARGUMENT: &str = "daemon";
 
+/// The step of the fault's phase from one seed to the next, in milliseconds.
+const FAULT_PHASE_STEP_MS: u64 = 137;
+
 const USER: &str = "till";
 const PASSWORD: &str = "a counter by the door";
 
@@ -90,6 +95,15 @@
     fault: Fault,
     /// Have the platform down from before the fault on
     platform_down: bool,
+    /// The time that a statement takes at a server at least, in microseconds
+    #[bpaf(argument("N"), fallback(0), display_fallback)]
+    service_micros: u64,
+    /// The time within which a statement gets its final answer, in milliseconds
+    #[bpaf(argument("N"), fallback(5_000), display_fallback)]
+    deadline: u64,
+    /// An existing folder to which the daemons' logs are copied at the end of each run
+    #[bpaf(argument("FOLDER"))]
+    logs: Option<PathBuf>,
 }
 
 /// One run.
@@ -100,9 +114,20 @@
     lag_ms: u64,
     staleness_ms: u64,
     daemons: usize,
+    service_micros: u64,
+    deadline_ms: u64,
+    /// The steps of a failover in milliseconds after the fault.
+    steps: BTreeMap<String, i64>,
     result: &'a BenchResult,
 }
 
+/// What one run found.
+#[derive(Debug)]
+struct Found {
+    result: BenchResult,
+    steps: BTreeMap<String, i64>,
+}
+
 fn main() -> ExitCode {
     let args: Vec<OsString> = std::env::args_os().skip(1).collect();
     if args.first().is_some_and(|arg| arg == DAEMON_ARGUMENT) {
@@ -124,7 +149,7 @@
 async fn measure(args: &Args) -> Result<bool, Box<dyn Error>> {
     let mut is_clean = true;
     for seed in args.seed..args.seed + args.runs {
-        let result = run_once(args, seed).await?;
+        let Found { result, steps } = run_once(args, seed).await?;
         is_clean &= result.verdict.is_clean();
         let run = Run {
             fault: args.fault,
@@ -132,6 +157,9 @@
             lag_ms: args.lag,
             staleness_ms: args.staleness,
             daemons: args.daemons * 3,
+            service_micros: args.service_micros,
+            deadline_ms: args.deadline,
+            steps,
             result: &result,
         };
         println!("{}", serde_json::to_string(&run)?);
@@ -139,7 +167,7 @@
     Ok(is_clean)
 }
 
-async fn run_once(args: &Args, seed: u64) -> Result<BenchResult, Box<dyn Error>> {
+async fn run_once(args: &Args, seed: u64) -> Result<Found, Box<dyn Error>> {
     let program = DaemonProgram {
         path: std::env::current_exe()?,
         arguments: vec![DAEMON_ARGUMENT.to_owned()],
@@ -148,14 +176,60 @@
         .daemons_per_zone(args.daemons)
         .connections(args.connections)
         .max_staleness(Duration::from_millis(args.staleness))
-        .lag(Duration::from_millis(args.lag));
+        .lag(Duration::from_millis(args.lag))
+        .service_time(Duration::from_micros(args.service_micros))
+        .deadline(Duration::from_millis(args.deadline));
     let mut fleet = Fleet::start(plan).await?;
     let settings = bench_settings(args, seed, &fleet)?;
     let load = tokio::spawn(run_bench(settings, |_line| {}));
-    tokio::time::sleep(Duration::from_secs(args.seconds) / 2).await;
+    tokio::time::sleep(Duration::from_secs(args.seconds) / 2 + fault_phase(seed)).await;
     fleet.platform().down(args.platform_down);
+    let fault_at = SystemTime::now().duration_since(UNIX_EPOCH)?;
     make_fault(args.fault, &mut fleet)?;
-    Ok(load.await??)
+    let result = load.await??;
+    if let Some(folder) = &args.logs {
+        for number in 0..fleet.daemons() {
+            let copy = folder.join(format!("{seed}-{number}.log"));
+            std::fs::copy(fleet.log(number), copy)?;
+        }
+    }
+    let steps = match args.fault {
+        Fault::None => BTreeMap::new(),
+        _ => failover_steps(&fleet, fault_at),
+    };
+    Ok(Found { result, steps })
+}
+
+/// Returns when each step of a failover was first seen by any daemon, after the fault.
+fn failover_steps(fleet: &Fleet, fault_at: Duration) -> BTreeMap<String, i64> {
+    let micros = |at: Duration| i64::try_from(at.as_micros()).unwrap_or(i64::MAX);
+    let mut steps = BTreeMap::new();
+    for number in 0..fleet.daemons() {
+        let text = std::fs::read_to_string(fleet.log(number)).unwrap_or_default();
+        for (kind, at) in text.lines().filter_map(failover_step) {
+            let after = at - micros(fault_at);
+            if after >= 0 {
+                let first = steps.entry(kind).or_insert(after / 1_000);
+                *first = after.min(*first * 1_000) / 1_000;
+            }
+        }
+    }
+    steps
+}
+
+/// Returns the kind and the time in microseconds of an entry of the time line that is a step.
+fn failover_step(line: &str) -> Option<(String, i64)> {
+    const STEPS: [&str; 4] = [
+        "PrimarySuspected",
+        "TermFenced",
+        "PrimaryPromoted",
+        "WritesOpened",
+    ];
+    let line: serde_json::Value = serde_json::from_str(line).ok()?;
+    let entry: serde_json::Value = serde_json::from_str(line.get("entry")?.as_str()?).ok()?;
+    let kind = entry.get("kind")?.as_str()?;
+    let at = entry.get("unix_micros")?.as_i64()?;
+    STEPS.contains(&kind).then(|| (kind.to_owned(), at))
 }
 
 fn bench_settings(args: &Args, seed: u64, fleet: &Fleet) -> Result<BenchSettings, Box<dyn Error>> {
@@ -186,6 +260,12 @@
     Ok(BenchSettings::try_from(raw)?)
 }
 
+/// Returns a part of a second that differs from seed to seed, so that faults come at all phases of
+/// what the daemons do once a second.
+fn fault_phase(seed: u64) -> Duration {
+    Duration::from_millis(seed * FAULT_PHASE_STEP_MS % 1_000)
+}
+
 fn make_fault(fault: Fault, fleet: &mut Fleet) -> Result<(), Box<dyn Error>> {
     let group = fleet.group(0);
     let is_primary = |server: &usize| group.status(*server).role == ServerRole::Primary;
--- a/sapphireslipd/src/lib.rs
+++ b/sapphireslipd/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod platform_edge;
 mod prepared;
 mod raw_settings;
+mod read_counter;
 mod run;
 mod runner;
 mod scram;
@@ -61,6 +62,7 @@
     PREPARED_MAX, PREPARED_MAX_BYTES, PreparedError, PreparedStatements, Rewritten, Step,
 };
 pub use self::raw_settings::*;
+use self::read_counter::ReadCounter;
 pub use self::run::*;
 pub use self::runner::*;
 pub use self::scram::{VerifierError, make_verifier};
--- a/sapphireslipd/src/metrics.rs
+++ b/sapphireslipd/src/metrics.rs
@@ -95,7 +95,7 @@
         registry.register("requests", "Requests by outcome", metrics.requests.clone());
         registry.register(
             "reads",
-            "Reads sent to backend servers, by the part that the server plays",
+            "Reads that backend servers answered, by the part that the server plays",
             metrics.reads.clone(),
         );
         registry.register(
@@ -206,7 +206,7 @@
         self.reduce.observe(duration.as_secs_f64());
     }
 
-    /// Counts a read sent to a backend server of that role.
+    /// Counts a read that a backend server of that role answered.
     pub(crate) fn read(&self, role: ServerRole) {
         let role = match role {
             ServerRole::Primary => "primary",
--- a/sapphireslipd/src/runner.rs
+++ b/sapphireslipd/src/runner.rs
@@ -4,13 +4,12 @@
 use std::sync::Arc;
 
 use sapphireslip_core::{
-    BackendEffect, CallerEffect, Effect, Event, PlatformEffect, ServerRole, State, StatementKind,
-    TimelineEntry, TimelineKind, reduce,
+    BackendEffect, CallerEffect, Effect, Event, PlatformEffect, State, TimelineEntry, reduce,
 };
 
 use crate::{
-    Clock, HybridClock, Metrics, PeerEdge, Readiness, ReadinessCell, Status, StatusQuery,
-    TimelineRing, Timers,
+    Clock, HybridClock, Metrics, PeerEdge, ReadCounter, Readiness, ReadinessCell, Status,
+    StatusQuery, TimelineRing, Timers,
 };
 
 /// The most events that wait for the reducer before their senders do.
@@ -66,6 +65,7 @@
     parts: RunnerParts,
     timers: Timers,
     backlog: VecDeque<Event>,
+    reads: ReadCounter,
     configured: bool,
     exiting: bool,
 }
@@ -86,6 +86,7 @@
             parts,
             timers: Timers::default(),
             backlog: VecDeque::from([Event::Tick]),
+            reads: ReadCounter::default(),
             configured: false,
             exiting: false,
         }
@@ -213,8 +214,10 @@
         }
     }
 
-    fn record(&self, entry: &TimelineEntry) {
-        self.note_read(entry);
+    fn record(&mut self, entry: &TimelineEntry) {
+        if let Some(role) = self.reads.answered(&self.state.homes, entry) {
+            self.parts.metrics.read(role);
+        }
         let time = self.parts.hybrid_clock.tick();
         let record = self.parts.timeline.record(&self.state.local, time, entry);
         if log::log_enabled!(target: "timeline", log::Level::Debug) {
@@ -223,24 +226,6 @@
         }
     }
 
-    /// Counts a read by the part that the server to which it was sent plays.
-    fn note_read(&self, entry: &TimelineEntry) {
-        let (TimelineKind::RequestSent, Some(id)) = (entry.kind, &entry.request) else {
-            return;
-        };
-        let mut homes = self.state.homes.homes();
-        let home = homes.find(|home| Some(home.database()) == entry.database.as_ref());
-        let Some(home) = home.filter(|home| home.kind_of(id) == Some(StatementKind::Read)) else {
-            return;
-        };
-        let primary = home.group().primary().map(|primary| primary.server);
-        let role = match primary.is_some() && primary == entry.server {
-            true => ServerRole::Primary,
-            false => ServerRole::Replica,
-        };
-        self.parts.metrics.read(role);
-    }
-
     fn note_readiness(&self) {
         let readiness = if self.state.drain.is_draining() {
             Readiness::Draining
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -96,6 +96,7 @@
                     .collect(),
                 connections: self.plan.connections,
                 lag: self.plan.lag,
+                service_time: self.plan.service_time,
                 ..BackendGroupSettings::default()
             };
             let group = BackendGroup::start(settings).await?;
--- a/standins/src/fleet_plan.rs
+++ b/standins/src/fleet_plan.rs
@@ -18,6 +18,7 @@
     pub(crate) deadline: Duration,
     pub(crate) drain_bound: Duration,
     pub(crate) lag: Duration,
+    pub(crate) service_time: Duration,
     pub(crate) is_platform_up: bool,
 }
 
@@ -45,6 +46,7 @@
             deadline: Duration::from_secs(5),
             drain_bound: Duration::from_secs(5),
             lag: Duration::from_millis(5),
+            service_time: Duration::ZERO,
             is_platform_up: true,
         }
     }
@@ -98,6 +100,13 @@
         self
     }
 
+    /// Sets the time that each statement takes at a server at least.
+    #[must_use]
+    pub const fn service_time(mut self, time: Duration) -> Self {
+        self.service_time = time;
+        self
+    }
+
     /// Starts with the platform down.
     #[must_use]
     pub const fn platform_down(mut self) -> Self {
