--- a/sapphireslip-core/src/home.rs
+++ b/sapphireslip-core/src/home.rs
@@ -11,7 +11,7 @@
 use crate::{
     AnswerEnd, Certainty, ConnectionId, Cx, DatabaseName, DatabaseSpec, Fleet, Group, Instant,
     Outcome, Pool, Queue, Refusal, RefusalReason, RequestId, RetryBudget, ServerId, ServerSpec,
-    SessionKey, StatementKind, TermPosition, TimelineEntry, TimelineKind, TransactionStatus,
+    SessionKey, StatementKind, Term, TermPosition, TimelineEntry, TimelineKind, TransactionStatus,
     connection_share,
 };
 
@@ -39,6 +39,8 @@
         /// When the replicas' ages were last asked for.
         pub(crate) ages_asked: Option<Instant>,
         pub(crate) purge: KeyPurge,
+        /// The term whose primary was last seen open.
+        pub(crate) served_term: Term,
         wake: Option<Instant>,
     }
 }
@@ -96,6 +98,7 @@
             replies: BTreeMap::new(),
             ages_asked: None,
             purge: KeyPurge::default(),
+            served_term: Term(0),
             wake: None,
         };
         home.sync_pools(cx);
@@ -129,6 +132,8 @@
     pub(crate) fn advance(&mut self, cx: &mut Cx<'_>, fleet: Fleet<'_>, ids: &mut HomeIds) {
         self.fire_timers(cx);
         self.close_idle_transactions(cx);
+        self.doubt_silent_servers(cx);
+        self.leave_superseded(cx);
         self.close_silent_paths(cx);
         self.settle(cx);
         self.run_queue(cx, fleet, ids);
@@ -299,7 +304,8 @@
         let pool = pools.flat_map(|pool| [pool.next_expiry(), pool.retry_at()]);
         let silence = self.next_silence_check(now);
         let transaction = self.next_transaction_check();
-        pool.chain([timer, silence, transaction, self.purge.due()])
+        let doubt = self.next_doubt(now);
+        pool.chain([timer, silence, transaction, self.purge.due(), doubt])
             .flatten()
             .filter(|due| now < *due)
             .min()
