Scenarios: eleven scripts of failures for reads, promotion, transactions and answers

Cause: gaps in what was shown with real processes: a token lost or far ahead of the replicas, also in read-only transactions and over a change of primary; tokens of other branches; a primary isolated twice with the platform down; several proposers at once; each daemon paused in turn during a change of primary; one connection a home for many sessions; transactions cut short by a lost caller, connection, server or daemon; late answers; a server lost in the middle of a large answer; a home killed under keyed writes.

New loads: sessions that each read values unique to them and compare every row, and sessions that send a whole transaction ahead, checked by the ledger and for one row without the other. New fault of the stand-in: an answer over 128 KiB that breaks off in its middle. The check's own connection no longer counts against a server's limit (a reserved user), else it is refused with one connection a home.

--- a/sapphireslipd/tests/support/faults.rs
+++ b/sapphireslipd/tests/support/faults.rs
@@ -83,6 +83,7 @@
         "lag" => group.set_lag(server, Duration::from_millis(millis)),
         "silence" => group.silence_open_connections(server),
         "lose-answer" => group.lose_next_answer(server),
+        "break-answer" => group.break_next_large_answer(server),
         _ => return Err(format!("no fault `{name}` of a server").into()),
     }
     Ok(String::new())
--- a/sapphireslipd/tests/support/mod.rs
+++ b/sapphireslipd/tests/support/mod.rs
@@ -3,7 +3,10 @@
 mod faults;
 mod load;
 mod scenario;
+mod scenario_checks;
 mod script_args;
 mod script_session;
+mod transfers;
+mod values;
 
 pub use self::scenario::Scenario;
--- a/sapphireslipd/tests/support/script_session.rs
+++ b/sapphireslipd/tests/support/script_session.rs
@@ -101,6 +101,29 @@
         }
     }
 
+    /// Sends statements one after another without waiting for their answers.
+    pub async fn pipeline(
+        &mut self,
+        texts: &[String],
+    ) -> Vec<Result<Vec<SimpleQueryMessage>, Attempt>> {
+        if let Err(err) = self.connect().await {
+            let failed = Attempt::NotRun {
+                retry_after: None,
+                message: format!("connect: {err:?}"),
+            };
+            return texts.iter().map(|_| Err(failed.clone())).collect();
+        }
+        let Some(client) = &self.client else {
+            unreachable!("it has just been connected")
+        };
+        let sent = texts.iter().map(|text| client.simple_query(text));
+        let answers = futures::future::join_all(sent).await;
+        answers
+            .into_iter()
+            .map(|answer| answer.map_err(|err| attempt_of(&err)))
+            .collect()
+    }
+
     /// Reads the token that the session's daemon has reported.
     pub async fn token(&mut self) -> Option<String> {
         let rows = self.query("SHOW sapphireslip.token").await.ok()?;
--- a/standins/src/backend_group.rs
+++ b/standins/src/backend_group.rs
@@ -208,6 +208,11 @@
         self.servers[server].set_fault(|faults| faults.lose_answer = true);
     }
 
+    /// Makes a server close the connection in the middle of the next answer of over 128 KiB.
+    pub fn break_next_large_answer(&self, server: usize) {
+        self.servers[server].set_fault(|faults| faults.break_answer = true);
+    }
+
     /// Sets the time until reads of a replica see a record that it holds.
     pub fn set_lag(&self, server: usize, lag: Duration) {
         self.servers[server].set_fault(|faults| faults.lag = lag);
--- a/standins/src/backend_server.rs
+++ b/standins/src/backend_server.rs
@@ -32,6 +32,8 @@
     pub(crate) silent_until: u64,
     /// The next commit's answer is lost.
     pub(crate) lose_answer: bool,
+    /// The next large answer breaks off in its middle.
+    pub(crate) break_answer: bool,
     /// The time until a record of the primary is held here.
     pub(crate) transfer_delay: Duration,
     /// The time until reads see a record that is held.
--- a/standins/src/backend_wire.rs
+++ b/standins/src/backend_wire.rs
@@ -17,10 +17,13 @@
 use tokio::net::TcpStream;
 
 use crate::backend_query::{Column, ResultSet};
-use crate::backend_server::{Faults, Server};
+use crate::backend_server::{Faults, Server, lock};
 use crate::backend_sql::{SqlError, tag};
 use crate::backend_values::encode;
 
+/// An answer over this size may be made to break off in its middle.
+const LARGE_ANSWER_BYTES: usize = 128 * 1024;
+
 /// The bytes of a session on their way in and out.
 pub(crate) struct Wire {
     pub(crate) server: Arc<Server>,
@@ -62,9 +65,18 @@
     pub(crate) async fn flush(&mut self) -> io::Result<()> {
         self.pass().await;
         let output = self.output.split();
+        if output.len() > LARGE_ANSWER_BYTES && self.take_break() {
+            self.socket.write_all(&output[..output.len() / 2]).await?;
+            self.socket.shutdown().await?;
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
         self.socket.write_all(&output).await
     }
 
+    fn take_break(&self) -> bool {
+        std::mem::take(&mut lock(&self.server.faults).break_answer)
+    }
+
     pub(crate) async fn read(&mut self) -> io::Result<Option<In>> {
         loop {
             self.pass().await;
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -9,6 +9,7 @@
 use sapphireslip_core::ServerId;
 use tempfile::TempDir;
 
+use crate::backend_session::RESERVED_USER;
 use crate::fleet_addresses::FleetAddresses;
 use crate::fleet_files::{daemon_settings, document};
 use crate::{
@@ -19,6 +20,9 @@
 /// Servers of each group.
 pub const SERVERS_A_GROUP: usize = 3;
 
+/// Blocks of addresses that a fleet tries before it gives up.
+const BLOCKS_TRIED: usize = 8;
+
 /// The time that a daemon has to become ready.
 pub const READY_LIMIT: Duration = Duration::from_secs(20);
 
@@ -64,12 +68,7 @@
     ///
     /// An address can't be listened on, or a program can't be started.
     pub async fn start_unready(plan: FleetPlan) -> io::Result<Self> {
-        let addresses = FleetAddresses::take();
-        let settings = PlatformSettings {
-            listen: addresses.platform(),
-            ..PlatformSettings::default()
-        };
-        let platform = Platform::start(settings).await?;
+        let (addresses, platform) = start_platform().await?;
         let mut fleet = Self {
             addresses,
             platform,
@@ -317,7 +316,7 @@
         let mut config = tokio_postgres::Config::new();
         config.host(address.ip().to_string()).port(address.port());
         config
-            .user("standins")
+            .user(RESERVED_USER)
             .dbname(&self.plan.databases[database]);
         let connected = config
             .connect(tokio_postgres::NoTls)
@@ -383,3 +382,20 @@
         &self.daemons[number].log
     }
 }
+
+/// Starts the platform at the first block of addresses that no other fleet uses.
+async fn start_platform() -> io::Result<(FleetAddresses, Platform)> {
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        let addresses = FleetAddresses::take();
+        let settings = PlatformSettings {
+            listen: addresses.platform(),
+            ..PlatformSettings::default()
+        };
+        match Platform::start(settings).await {
+            Err(err) if err.kind() == io::ErrorKind::AddrInUse && tries < BLOCKS_TRIED => {}
+            started => return Ok((addresses, started?)),
+        }
+    }
+}
