Entry: an answer counts only from the home that the request was sent to last

Cause: answers were matched by request and part number only. A home that was cut off and given up may answer after the heal, while another one runs the request: its refusal as 'not run' would be passed on though the other ran it, and parts of two answers could mix. Parts are now dropped unless they come from the home of the last send.

A stale read in a scenario now prints what was read.

--- a/sapphireslip-core/src/entry.rs
+++ b/sapphireslip-core/src/entry.rs
@@ -248,7 +248,7 @@
         cx.send(home, PeerMessage::Request(request));
     }
 
-    pub(crate) fn on_answer(&mut self, cx: &mut Cx<'_>, answer: Answer) {
+    pub(crate) fn on_answer(&mut self, cx: &mut Cx<'_>, from: &VmId, answer: Answer) {
         if answer.id.incarnation != cx.local.incarnation || answer.id.entry != cx.local.vm {
             return;
         }
@@ -258,7 +258,8 @@
         let Some(running) = self.sessions.get_mut(&id).and_then(|s| s.running.as_mut()) else {
             return;
         };
-        if running.send_again_at.is_some() || answer.part < running.next_part {
+        let is_given_up = running.home.as_ref() != Some(from) || running.send_again_at.is_some();
+        if is_given_up || answer.part < running.next_part {
             return;
         }
         if answer.part > running.next_part {
--- a/sapphireslip-core/src/reducer.rs
+++ b/sapphireslip-core/src/reducer.rs
@@ -179,7 +179,7 @@
             );
         }
         PeerMessage::Answer(answer) => {
-            entry.on_answer(cx, answer);
+            entry.on_answer(cx, from, answer);
         }
         PeerMessage::Cancel(request) => homes.on_cancel(cx, &request),
         PeerMessage::SessionClosed {
--- a/sapphireslip-core/tests/entry_request.rs
+++ b/sapphireslip-core/tests/entry_request.rs
@@ -93,10 +93,11 @@
     let (home, late) = fake.send(1, "SELECT 'late'", None);
     fake.run_ms(u64::try_from(DEADLINE.as_millis()).unwrap());
     assert_eq!(fake.refusal(1).reason, RefusalReason::Deadline);
-    let (_, request) = fake.send(1, "SELECT 'own'", None);
+    let (next_home, request) = fake.send(1, "SELECT 'own'", None);
     fake.answer(&home, &late, 0, "late", Some(done(IDLE)));
+    fake.answer(&next_home, &late, 0, "late", Some(done(IDLE)));
     assert_eq!(fake.given(1), "");
-    fake.answer(&home, &request, 0, "own", Some(done(IDLE)));
+    fake.answer(&next_home, &request, 0, "own", Some(done(IDLE)));
     assert_eq!(fake.given(1), "own");
 }
 
@@ -112,6 +113,24 @@
     assert_eq!(fake.given(1), "one");
 }
 
+/// A home that was cut off, not killed, may still answer once the cut heals.
+#[test]
+fn answer_of_a_home_given_up_is_dropped() {
+    let mut fake = opened();
+    let (home, first) = fake.send(1, INSERT, Some(KEY));
+    fake.lose(&home);
+    fake.run_ms(50);
+    let (other, again) = fake.only_sent();
+    let refusal = Refusal::not_run(RefusalReason::Deadline, None, "the queue took too long");
+    fake.answer(&home, &first, 0, "", Some(refused(refusal)));
+    assert!(fake.finished(1).is_none(), "the other home may have run it");
+    fake.answer(&other, &again, 0, "one ", None);
+    fake.answer(&home, &first, 1, "two", Some(done(IDLE)));
+    assert!(fake.finished(1).is_none(), "parts of two answers don't mix");
+    fake.answer(&other, &again, 1, "three", Some(done(IDLE)));
+    assert_eq!(fake.given(1), "one three");
+}
+
 #[test]
 fn home_lost_in_the_middle_of_an_answer_is_an_error() {
     let mut fake = opened();
--- a/sapphireslipd/tests/support/script_session.rs
+++ b/sapphireslipd/tests/support/script_session.rs
@@ -194,7 +194,14 @@
         let count = first_value(&rows)
             .and_then(|text| text.parse::<u64>().ok())
             .unwrap_or(0);
-        Ok(count >= self.acknowledged)
+        let sees = count >= self.acknowledged;
+        if !sees {
+            let Self {
+                name, acknowledged, ..
+            } = self;
+            eprintln!("stale: {name} saw {count} of {acknowledged} writes in {rows:?}");
+        }
+        Ok(sees)
     }
 }
 
