--- a/sapphireslipd/tests/support/mod.rs
+++ b/sapphireslipd/tests/support/mod.rs
@@ -5,7 +5,10 @@
 mod operators;
 mod planned;
 mod scenario;
+mod scenario_checks;
 mod script_args;
 mod script_session;
+mod transfers;
+mod values;
 
 pub use self::scenario::Scenario;
