--- a/sapphireslip-wire/src/apply.rs
+++ b/sapphireslip-wire/src/apply.rs
@@ -118,7 +118,7 @@
     /// let absent = |key: String| Row { key, ..Row::default() };
     /// let rows = apply.reads().keys.into_iter().map(absent).collect();
     /// let transaction = apply.transaction(&ReadReply { rows })?;
-    /// assert_eq!(transaction.conditions.len(), 4);
+    /// assert_eq!(transaction.conditions.len(), 5);
     /// # Ok::<(), Box<dyn std::error::Error>>(())
     /// ```
     pub fn transaction(&self, reply: &ReadReply) -> Result<TransactRequest, ApplyError> {
