Home: look at a queued request only when what it waits for has come

Cause: each event looked at every queued request, and each end of a request searched the queue; each event also cloned all writes that wait for their majority. Writes that wait for their majority are ordered by record, and the look ends at the first pending one of a term that is still the highest. Ruled out: a list for each server and each reason: order between requests would need a merge, and a request may wait for several things.

--- a/sapphireslip-core/src/acknowledgement.rs
+++ b/sapphireslip-core/src/acknowledgement.rs
@@ -1,37 +1,91 @@
 //! Writes that wait until a majority of the group holds them.
 
+use std::ops::Bound;
+
+use crate::derives::data;
 use crate::job::Stage;
 use crate::{
-    Cx, Holding, Home, Outcome, RefusalReason, RequestId, TermPosition, TimelineKind, Verdict,
-    Visibility,
+    Cx, Holding, Home, Outcome, RefusalReason, RequestId, Term, TermPosition, TimelineKind,
+    Verdict, Visibility,
 };
 
+data! {
+    /// A write whose record is not known to be held by a majority yet; ordered by the record.
+    #[derive(Ord, PartialOrd)]
+    pub(crate) struct Awaiting {
+        pub(crate) record: TermPosition,
+        pub(crate) id: RequestId,
+    }
+}
+
 impl Home {
     /// Holds a request's final answer back until a majority holds `record`.
     pub(crate) fn acknowledge(&mut self, id: &RequestId, record: TermPosition, verdict: Verdict) {
         if let Some(job) = self.jobs.get_mut(id) {
             job.stage = Stage::Acknowledging { record, verdict };
-            self.acknowledging.insert(id.clone());
+            self.acknowledging.insert(Awaiting {
+                record,
+                id: id.clone(),
+            });
         }
     }
 
+    /// Takes a request out of those that wait for their record to be held.
+    pub(crate) fn stop_awaiting(&mut self, record: TermPosition, id: &RequestId) {
+        self.acknowledging.remove(&Awaiting {
+            record,
+            id: id.clone(),
+        });
+    }
+
     /// Gives the final answers of all writes that a majority holds by now.
+    ///
+    /// A log is held from its start on: if a record of a term is pending, so are the later ones.
     pub(crate) fn settle(&mut self, cx: &mut Cx<'_>) {
-        let waiting: Vec<_> = self.acknowledging.iter().cloned().collect();
-        for id in waiting {
-            let Some(Stage::Acknowledging { record, verdict }) =
-                self.jobs.get(&id).map(|job| job.stage.clone())
-            else {
-                continue;
-            };
-            match self.outcome_of(record) {
-                Holding::Majority => self.finish(cx, &id, record, verdict),
+        let mut next = self.acknowledging.first().cloned();
+        while let Some(awaiting) = next {
+            let Awaiting { record, id } = &awaiting;
+            let outcome = self.outcome_of(*record);
+            match outcome {
+                Holding::Majority => {
+                    if let Some(verdict) = self.verdict_of(id) {
+                        self.finish(cx, id, *record, verdict);
+                    }
+                }
                 Holding::Pending => {}
-                Holding::Superseded => self.on_lost_record(cx, &id),
+                Holding::Superseded => self.on_lost_record(cx, *record, id),
             }
+            next = match outcome {
+                Holding::Pending if self.group.highest_term() <= record.term => {
+                    self.first_of_later_term(record.term)
+                }
+                _ => self.first_after(awaiting),
+            };
+        }
+    }
+
+    fn verdict_of(&self, id: &RequestId) -> Option<Verdict> {
+        match &self.jobs.get(id)?.stage {
+            Stage::Acknowledging { verdict, .. } => Some(verdict.clone()),
+            Stage::Queued | Stage::Running(_) => None,
         }
     }
 
+    fn first_after(&self, awaiting: Awaiting) -> Option<Awaiting> {
+        let after = (Bound::Excluded(awaiting), Bound::Unbounded);
+        self.acknowledging.range(after).next().cloned()
+    }
+
+    fn first_of_later_term(&self, term: Term) -> Option<Awaiting> {
+        let later = |awaiting: &&Awaiting| awaiting.record.term > term;
+        self.acknowledging
+            .iter()
+            .rev()
+            .take_while(later)
+            .last()
+            .cloned()
+    }
+
     /// Returns what became of a record; `Superseded` only once it is known not to be part of the
     /// log of a later term that is open.
     ///
@@ -75,8 +129,8 @@
     }
 
     /// The record was on a branch that was lost with its primary.
-    fn on_lost_record(&mut self, cx: &mut Cx<'_>, id: &RequestId) {
-        self.acknowledging.remove(id);
+    fn on_lost_record(&mut self, cx: &mut Cx<'_>, record: TermPosition, id: &RequestId) {
+        self.stop_awaiting(record, id);
         if self.jobs.get(id).is_some_and(|job| job.keyed.is_some()) {
             self.resolve(cx, id);
             return;
--- a/sapphireslip-core/src/dispatch.rs
+++ b/sapphireslip-core/src/dispatch.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
+use crate::derives::data;
 use crate::job::{Job, Stage};
 use crate::link::{HomeIds, LinkState, Work};
+use crate::queue_need::{Need, ServerSet};
 use crate::{
     BackendEffect, Candidate, ConnectionId, Cx, Fleet, HOME_START_GRACE, Home, Instant, KeyedNext,
-    Primary, ReadRoute, RefusalReason, RequestId, ServerId, TermPosition, Text, TimelineKind,
-    Visibility, WorkPayload, route_read,
+    Primary, ReadRoute, RefusalReason, RequestId, ServerId, ServerSpec, TermPosition, Text,
+    TimelineKind, Visibility, WorkPayload, route_read,
 };
 
 /// How long a read waits for a fit replica before it falls back to the primary.
@@ -22,26 +24,91 @@
 /// What becomes of a queued request now.
 enum Target {
     Server(ServerId),
-    Wait,
-    /// Look again at this time, unless something happens before.
-    WaitUntil(Instant),
+    Wait(Need),
     Refuse(RefusalReason, &'static str),
 }
 
+data! {
+    /// What decides over the refusal of queued requests, besides what each one asks for.
+    pub(crate) struct QueueFacts {
+        primary: Option<Primary>,
+        has_majority: bool,
+        is_starting: bool,
+        leaving: Vec<ServerId>,
+        servers: usize,
+    }
+}
+
+const fn wait_until(at: Instant) -> Target {
+    let mut need = Need::news_until(at);
+    need.news = false;
+    Target::Wait(need)
+}
+
 impl Home {
     /// Sends what can be sent and refuses what can't be served.
     pub(crate) fn run_queue(&mut self, cx: &mut Cx<'_>, fleet: Fleet<'_>, ids: &mut HomeIds) {
-        let queued: Vec<_> = self.queue.ids().cloned().collect();
-        for id in queued {
+        self.note_facts(cx, fleet);
+        let now = cx.now.instant;
+        let mut place = 0;
+        let mut free = self.free_servers();
+        while let Some((at, id)) = self.queue.next_due(place, now, free) {
+            place = at;
             self.learn_floor(cx, &id);
             self.refresh_replicas(cx, fleet, &id);
             match self.target(cx, fleet, &id) {
-                Target::Server(server) => self.send_to(cx, ids, &id, &server),
-                Target::Wait => {}
-                Target::WaitUntil(at) => self.add_timer(at, &id),
+                Target::Server(server) => {
+                    self.send_to(cx, ids, &id, &server);
+                    free = self.free_servers();
+                }
+                Target::Wait(need) => {
+                    self.queue.set_need(place, &id, need);
+                    if let Some(at) = need.again_at {
+                        self.add_timer(at, &id);
+                    }
+                    place += 1;
+                }
                 Target::Refuse(reason, detail) => self.refuse(cx, &id, reason, detail),
             }
         }
+        self.queue.end_look(now, free);
+    }
+
+    /// Has all queued requests looked at if what decides over refusals has changed.
+    fn note_facts(&mut self, cx: &Cx<'_>, fleet: Fleet<'_>) {
+        let now = cx.now.instant;
+        let leaving = |spec: &&ServerSpec| fleet.configuration.is_leaving(spec);
+        let facts = QueueFacts {
+            primary: self.group.primary(),
+            has_majority: self.group.has_majority(now),
+            is_starting: self.is_starting(now),
+            leaving: self
+                .spec
+                .servers
+                .iter()
+                .filter(leaving)
+                .map(|spec| spec.id.clone())
+                .collect(),
+            servers: self.spec.servers.len(),
+        };
+        if self.queue_facts.as_ref() != Some(&facts) {
+            self.queue_facts = Some(facts);
+            self.queue.wake_all();
+        }
+    }
+
+    fn free_servers(&self) -> ServerSet {
+        self.servers_where(|server| self.pools.get(server).is_some_and(|p| p.is_free()))
+    }
+
+    fn servers_where(&self, is_in: impl Fn(&ServerId) -> bool) -> ServerSet {
+        let mut set = ServerSet::default();
+        for (place, spec) in self.spec.servers.iter().enumerate() {
+            if is_in(&spec.id) {
+                set.insert(place);
+            }
+        }
+        set
     }
 
     /// Asks once for the confirmed record, for a request whose session's token is not known.
@@ -63,10 +130,10 @@
 
     fn target(&self, cx: &Cx<'_>, fleet: Fleet<'_>, id: &RequestId) -> Target {
         let Some(job) = self.jobs.get(id) else {
-            return Target::Wait;
+            return Target::Wait(Need::default());
         };
         if cx.now.instant < job.not_before {
-            return Target::WaitUntil(job.not_before);
+            return wait_until(job.not_before);
         }
         if job.wants_probe() {
             return self.no_server(cx, job, "the confirmed record is not known");
@@ -82,10 +149,10 @@
         let is_resolving = job.keyed.as_ref().is_some_and(|keyed| keyed.is_resolving());
         let refuse = |reason, detail| {
             if is_resolving {
-                return Target::Wait;
+                return Target::Wait(Need::default());
             }
             if self.is_starting(now) {
-                return Target::WaitUntil(self.opened + HOME_START_GRACE);
+                return wait_until(self.opened + HOME_START_GRACE);
             }
             Target::Refuse(reason, detail)
         };
@@ -112,7 +179,9 @@
         }
         match self.pools.get(&primary.server).is_some_and(|p| p.is_free()) {
             true => Target::Server(primary.server),
-            false => Target::Wait,
+            false => Target::Wait(Need::connection(
+                self.servers_where(|server| *server == primary.server),
+            )),
         }
     }
 
@@ -127,11 +196,18 @@
             ReadRoute::Primary(_) | ReadRoute::Busy if job.may_have_run => {
                 self.no_server(cx, job, "no replica is fit and the primary may have run it")
             }
-            ReadRoute::Primary(_) if may_gain_replica && now < replica_wait_end => {
-                Target::WaitUntil(replica_wait_end)
+            ReadRoute::Primary(primary) if may_gain_replica && now < replica_wait_end => {
+                Target::Wait(Need {
+                    servers: self.servers_where(|server| *server != primary),
+                    ..Need::news_until(replica_wait_end)
+                })
             }
             ReadRoute::Primary(server) => Target::Server(server),
-            ReadRoute::Busy => Target::Wait,
+            ReadRoute::Busy => Target::Wait(Need {
+                servers: self.fit_servers(&candidates),
+                news: true,
+                again_at: None,
+            }),
             ReadRoute::None => self.no_server(cx, job, "no server is fresh enough"),
             ReadRoute::LostBranch => {
                 Target::Refuse(RefusalReason::LostBranch, "the token's branch was lost")
@@ -144,11 +220,23 @@
         let share = job.deadline.since(job.arrived) / 2;
         let end = job.arrived.max(self.opened) + FRESH_WAIT.min(share);
         if cx.now.instant < end {
-            return Target::WaitUntil(end);
+            let again = cx.now.instant + PROBE_RETRY;
+            return Target::Wait(Need::news_until(end.min(again)));
         }
         Target::Refuse(RefusalReason::NoFreshServer, detail)
     }
 
+    fn fit_servers(&self, candidates: &[Candidate]) -> ServerSet {
+        let max_staleness = self.spec.max_staleness;
+        let is_fit = |c: &&Candidate| c.is_fit_primary() || c.is_fit_replica(max_staleness);
+        let fit: Vec<_> = candidates
+            .iter()
+            .filter(is_fit)
+            .map(|c| &c.server)
+            .collect();
+        self.servers_where(|server| fit.contains(&server))
+    }
+
     /// Returns what a choice needs to know of the servers.
     pub(crate) fn candidates(&self, cx: &Cx<'_>, fleet: Fleet<'_>, job: &Job) -> Vec<Candidate> {
         let primary = self.group.primary();
--- a/sapphireslip-core/src/home.rs
+++ b/sapphireslip-core/src/home.rs
@@ -3,8 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use crate::acknowledgement::Awaiting;
 use crate::derives::data;
-use crate::job::{Job, Timer, Transaction};
+use crate::dispatch::QueueFacts;
+use crate::job::{Job, Stage, Timer, Transaction};
 use crate::link::{HomeIds, Link};
 use crate::placement::homes_of;
 use crate::{
@@ -27,7 +29,7 @@
         pub(crate) is_closing: bool,
         pub(crate) jobs: BTreeMap<RequestId, Job>,
         pub(crate) queue: Queue,
-        pub(crate) acknowledging: BTreeSet<RequestId>,
+        pub(crate) acknowledging: BTreeSet<Awaiting>,
         pub(crate) timers: BTreeSet<Timer>,
         pub(crate) pools: BTreeMap<ServerId, Pool>,
         pub(crate) links: BTreeMap<ConnectionId, Link>,
@@ -39,6 +41,8 @@
         pub(crate) ages_asked: Option<Instant>,
         /// The term whose primary was last seen open.
         pub(crate) served_term: Term,
+        /// What was known when all queued requests were last looked at.
+        pub(crate) queue_facts: Option<QueueFacts>,
         wake: Option<Instant>,
     }
 }
@@ -96,6 +100,7 @@
             replies: BTreeMap::new(),
             ages_asked: None,
             served_term: Term(0),
+            queue_facts: None,
             wake: None,
         };
         home.sync_pools(cx);
@@ -109,6 +114,7 @@
         if self.spec == *spec {
             return;
         }
+        self.queue.wake_all();
         self.spec = spec.clone();
         self.group.update(cx, spec.clone());
         self.sync_pools(cx);
@@ -149,8 +155,13 @@
         let Some(mut job) = self.jobs.remove(id) else {
             return;
         };
-        self.queue.remove(id);
-        self.acknowledging.remove(id);
+        match job.stage {
+            Stage::Queued => {
+                self.queue.remove(id);
+            }
+            Stage::Running(_) => {}
+            Stage::Acknowledging { record, .. } => self.stop_awaiting(record, id),
+        }
         self.remove_timer(Some(job.deadline), id);
         self.remove_timer(job.resolve_at, id);
         let transaction = self
--- a/sapphireslip-core/src/homes.rs
+++ b/sapphireslip-core/src/homes.rs
@@ -124,6 +124,7 @@
                     if result.is_ok() {
                         home.replies.insert(server, cx.now.instant);
                     }
+                    home.queue.arrivals.note_news();
                     home.advance(cx, fleet, ids);
                     break;
                 }
--- a/sapphireslip-core/src/lib.rs
+++ b/sapphireslip-core/src/lib.rs
@@ -49,6 +49,7 @@
 mod probe;
 mod promotion;
 mod queue;
+mod queue_need;
 mod random;
 mod raw_document;
 mod raw_table;
--- a/sapphireslip-core/src/route.rs
+++ b/sapphireslip-core/src/route.rs
@@ -65,7 +65,8 @@
         self.is_reachable && (is_news_due || self.is_fit_replica(max_staleness))
     }
 
-    fn is_fit_primary(&self) -> bool {
+    /// Returns whether this is the primary and may serve the read.
+    pub(crate) fn is_fit_primary(&self) -> bool {
         self.is_primary && !self.excluded && self.visibility == Visibility::Visible
     }
 }
