--- a/sapphireslip-core/src/home.rs
+++ b/sapphireslip-core/src/home.rs
@@ -3,8 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use crate::acknowledgement::Awaiting;
 use crate::derives::data;
-use crate::job::{Job, Timer, Transaction};
+use crate::dispatch::QueueFacts;
+use crate::job::{Job, Stage, Timer, Transaction};
 use crate::key_purge::KeyPurge;
 use crate::link::{HomeIds, Link};
 use crate::placement::is_home;
@@ -28,7 +30,7 @@
         pub(crate) is_closing: bool,
         pub(crate) jobs: BTreeMap<RequestId, Job>,
         pub(crate) queue: Queue,
-        pub(crate) acknowledging: BTreeSet<RequestId>,
+        pub(crate) acknowledging: BTreeSet<Awaiting>,
         pub(crate) timers: BTreeSet<Timer>,
         pub(crate) pools: BTreeMap<ServerId, Pool>,
         pub(crate) links: BTreeMap<ConnectionId, Link>,
@@ -41,6 +43,8 @@
         pub(crate) purge: KeyPurge,
         /// The term whose primary was last seen open.
         pub(crate) served_term: Term,
+        /// What was known when all queued requests were last looked at.
+        pub(crate) queue_facts: Option<QueueFacts>,
         wake: Option<Instant>,
     }
 }
@@ -99,6 +103,7 @@
             ages_asked: None,
             purge: KeyPurge::default(),
             served_term: Term(0),
+            queue_facts: None,
             wake: None,
         };
         home.sync_pools(cx);
@@ -112,6 +117,7 @@
         if self.spec == *spec {
             return;
         }
+        self.queue.wake_all();
         self.spec = spec.clone();
         self.group.update(cx, spec.clone());
         self.sync_pools(cx);
@@ -153,8 +159,13 @@
         let Some(mut job) = self.jobs.remove(id) else {
             return;
         };
-        self.queue.remove(id);
-        self.acknowledging.remove(id);
+        match job.stage {
+            Stage::Queued => {
+                self.queue.remove(id);
+            }
+            Stage::Running(_) => {}
+            Stage::Acknowledging { record, .. } => self.stop_awaiting(record, id),
+        }
         self.remove_timer(Some(job.deadline), id);
         self.remove_timer(job.resolve_at, id);
         let transaction = self
