Home: refuse by the pace of the queue that a request joins

Cause: the expected wait was the mean latency over the slots of all servers, though only the primary takes writes, and it left out that a keyed write takes several statements. Under overload writes sat in the queue until two thirds of their deadline had passed and were refused then (p50 608 ms). Now the wait is the mean interval between two requests that leave the queue for a connection, times those that wait, for the primary and for reads apart; a request is refused when it comes if that is half of its time. Ruled out: counting the slots of the primary alone, as the mean latency of a statement says nothing of how long a transaction keeps its connection.

--- a/sapphireslip-core/src/admission.rs
+++ b/sapphireslip-core/src/admission.rs
@@ -14,6 +14,9 @@
 /// The part of a keyed write's time that is kept for learning whether it ran, as one in so many.
 pub const RESOLVE_SHARE: u32 = 3;
 
+/// The part of a request's time that it may be expected to spend in the queue, as one in so many.
+const QUEUE_SHARE: u32 = 2;
+
 /// The least part of the time that is kept back, as one in so many, for short deadlines.
 const MARGIN_SHARE: u32 = 10;
 
@@ -126,9 +129,11 @@
             .document_of(&self.spec.name)
             .map_or(0, |document| document.limits.queued);
         let job = &self.jobs[id];
-        let left = job.deadline.since(cx.now.instant);
+        let end = job.resolve_at.unwrap_or(job.deadline);
+        let left = end.since(cx.now.instant);
         let service = job.request.service.clone();
-        if self.expected_wait() >= left {
+        let at_primary = job.at_primary;
+        if self.lane(at_primary).expected_wait() >= left / QUEUE_SHARE {
             let detail = format!(
                 "the queue of `{}` is longer than the deadline",
                 self.spec.name
@@ -139,25 +144,8 @@
         if !self.queue.push(id.clone(), &service, share) {
             let detail = format!("the queue of `{}` is full", self.spec.name);
             self.refuse(cx, id, RefusalReason::QueueFull, &detail);
+            return;
         }
-    }
-
-    /// Returns how long a request that is queued now is expected to wait, from the mean latency
-    /// and the statements that may be in flight.
-    fn expected_wait(&self) -> Duration {
-        let slots = self
-            .pools
-            .values()
-            .map(|pool| pool.limit.current())
-            .sum::<u32>()
-            .max(1);
-        let mean = self
-            .pools
-            .values()
-            .map(|pool| pool.limit.mean())
-            .max()
-            .unwrap_or_default();
-        let queued = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
-        mean.saturating_mul(queued) / slots
+        self.lane(at_primary).join();
     }
 }
--- a/sapphireslip-core/src/dispatch.rs
+++ b/sapphireslip-core/src/dispatch.rs
@@ -301,6 +301,10 @@
             return;
         };
         self.queue.remove(id);
+        let at_primary = self.jobs.get(id).is_some_and(|job| job.at_primary);
+        let lane = self.lane(at_primary);
+        lane.dispatch(cx.now.instant);
+        lane.leave();
         self.start_on(cx, ids, id, connection);
     }
 
--- a/sapphireslip-core/src/home.rs
+++ b/sapphireslip-core/src/home.rs
@@ -7,6 +7,7 @@
 use crate::derives::data;
 use crate::dispatch::QueueFacts;
 use crate::job::{Job, Stage, Timer, Transaction};
+use crate::lane::Lane;
 use crate::link::{HomeIds, Link};
 use crate::placement::homes_of;
 use crate::{
@@ -41,6 +42,10 @@
         pub(crate) ages_asked: Option<Instant>,
         /// The term whose primary was last seen open.
         pub(crate) served_term: Term,
+        /// The queued requests for the primary.
+        pub(crate) primary_lane: Lane,
+        /// The queued reads.
+        pub(crate) read_lane: Lane,
         /// What was known when all queued requests were last looked at.
         pub(crate) queue_facts: Option<QueueFacts>,
         wake: Option<Instant>,
@@ -100,6 +105,8 @@
             replies: BTreeMap::new(),
             ages_asked: None,
             served_term: Term(0),
+            primary_lane: Lane::default(),
+            read_lane: Lane::default(),
             queue_facts: None,
             wake: None,
         };
@@ -157,7 +164,9 @@
         };
         match job.stage {
             Stage::Queued => {
-                self.queue.remove(id);
+                if self.queue.remove(id) {
+                    self.lane(job.at_primary).leave();
+                }
             }
             Stage::Running(_) => {}
             Stage::Acknowledging { record, .. } => self.stop_awaiting(record, id),
@@ -191,6 +200,15 @@
         );
     }
 
+    /// Returns the queued requests that go to the primary, or the reads.
+    pub(crate) const fn lane(&mut self, at_primary: bool) -> &mut Lane {
+        if at_primary {
+            &mut self.primary_lane
+        } else {
+            &mut self.read_lane
+        }
+    }
+
     /// Refuses a request that has not been run, or says so if that can't be proved.
     pub(crate) fn refuse(
         &mut self,
--- a/sapphireslip-core/src/lib.rs
+++ b/sapphireslip-core/src/lib.rs
@@ -36,6 +36,7 @@
 mod job;
 mod keyed_write;
 mod known_server;
+mod lane;
 mod limit;
 mod link;
 mod loss;
--- a/sapphireslip-core/src/work.rs
+++ b/sapphireslip-core/src/work.rs
@@ -203,7 +203,9 @@
         };
         job.stage = Stage::Queued;
         let service = job.request.service.clone();
+        let at_primary = job.at_primary;
         self.queue.push_front(id.clone(), &service);
+        self.lane(at_primary).join();
     }
 
     /// Pools a connection that is outside a transaction, or pins it to the session of `id`.
