Home: leave a superseded primary only where work was long unanswered

Cause: after a heal, a keyed write that had just been sent to the primary of the past was given up as soon as the new term was learnt, and its key was claimed as refused: a true "not run", but the key is used up. The old primary would have answered that it is superseded, after which the caller may come back with the same key. Seen as scenario primary_isolated_with_a_caller: `not run: claimed` in place of `done`. Now only work that has been unanswered for 100 ms is given up.

--- a/sapphireslip-core/src/traffic_doubt.rs
+++ b/sapphireslip-core/src/traffic_doubt.rs
@@ -56,18 +56,25 @@
         if is_first {
             return;
         }
-        for (connection, server) in self.keyed_work_elsewhere(&primary.server) {
+        for (connection, server) in self.unanswered_elsewhere(cx.now.instant, &primary.server) {
             self.give_up(cx, connection, &server);
         }
     }
 
-    fn keyed_work_elsewhere(&self, primary: &ServerId) -> Vec<(ConnectionId, ServerId)> {
+    /// Work that was sent lately is left: a primary that answers says itself that it is superseded,
+    /// which leaves the key free.
+    fn unanswered_elsewhere(
+        &self,
+        now: Instant,
+        primary: &ServerId,
+    ) -> Vec<(ConnectionId, ServerId)> {
+        let is_silent = |work: &Work| now >= work.heard + TRAFFIC_DOUBT;
         let is_keyed = |work: &Work| {
             let job = self.jobs.get(&work.request);
             job.is_some_and(|job| job.keyed.is_some() && !job.request.in_transaction)
         };
         self.working()
-            .filter(|(_, server, work)| *server != primary && is_keyed(work))
+            .filter(|(_, server, work)| *server != primary && is_keyed(work) && is_silent(work))
             .map(|(connection, server, _)| (connection, server.clone()))
             .collect()
     }
--- a/sapphireslip-core/tests/home_doubt.rs
+++ b/sapphireslip-core/tests/home_doubt.rs
@@ -49,6 +49,7 @@
     let write = fake.ask(request);
     assert_eq!(fake.only().server, "s-a");
     fake.silent = vec!["s-a"];
+    fake.run_ms(100);
     for server in ["s-b", "s-c"] {
         let status = fake.statuses.get_mut(server).unwrap();
         status.fenced = Term(2);
