--- a/sapphireslip-core/src/home.rs
+++ b/sapphireslip-core/src/home.rs
@@ -8,6 +8,7 @@
 use crate::dispatch::QueueFacts;
 use crate::job::{Job, Stage, Timer, Transaction};
 use crate::key_purge::KeyPurge;
+use crate::lane::Lane;
 use crate::link::{HomeIds, Link};
 use crate::placement::is_home;
 use crate::{
@@ -43,6 +44,10 @@
         pub(crate) purge: KeyPurge,
         /// The term whose primary was last seen open.
         pub(crate) served_term: Term,
+        /// The queued requests for the primary.
+        pub(crate) primary_lane: Lane,
+        /// The queued reads.
+        pub(crate) read_lane: Lane,
         /// What was known when all queued requests were last looked at.
         pub(crate) queue_facts: Option<QueueFacts>,
         wake: Option<Instant>,
@@ -103,6 +108,8 @@
             ages_asked: None,
             purge: KeyPurge::default(),
             served_term: Term(0),
+            primary_lane: Lane::default(),
+            read_lane: Lane::default(),
             queue_facts: None,
             wake: None,
         };
@@ -161,7 +168,9 @@
         };
         match job.stage {
             Stage::Queued => {
-                self.queue.remove(id);
+                if self.queue.remove(id) {
+                    self.lane(job.at_primary).leave();
+                }
             }
             Stage::Running(_) => {}
             Stage::Acknowledging { record, .. } => self.stop_awaiting(record, id),
@@ -195,6 +204,15 @@
         );
     }
 
+    /// Returns the queued requests that go to the primary, or the reads.
+    pub(crate) const fn lane(&mut self, at_primary: bool) -> &mut Lane {
+        if at_primary {
+            &mut self.primary_lane
+        } else {
+            &mut self.read_lane
+        }
+    }
+
     /// Refuses a request that has not been run, or says so if that can't be proved.
     pub(crate) fn refuse(
         &mut self,
--- a/sapphireslip-core/src/lib.rs
+++ b/sapphireslip-core/src/lib.rs
@@ -37,6 +37,7 @@
 mod key_purge;
 mod keyed_write;
 mod known_server;
+mod lane;
 mod limit;
 mod link;
 mod loss;
