--- a/sapphireslip/src/apply.rs
+++ b/sapphireslip/src/apply.rs
@@ -44,7 +44,8 @@
 /// What one attempt came to.
 enum Commit {
     Accepted,
-    Overtaken,
+    /// Another change came first; the error says which condition it broke, if that was seen.
+    Overtaken(Option<ApplyError>),
 }
 
 /// Checks a document and has it accepted.
@@ -58,25 +59,35 @@
         .map_err(|faults| Error::Faults(arguments.file.clone(), faults.to_string()))?;
     let text = String::from_utf8_lossy(&bytes).into_owned();
     let mut platform = PlatformClient::new(arguments.platform)?;
+    let mut overtaken = None;
     for attempt in 0..ATTEMPTS_MAX {
         let change = change(&mut platform, arguments, &checked, &text, attempt).await?;
-        if let Commit::Accepted = commit(&mut platform, &change).await? {
-            let accepted = Accepted {
-                member: checked.member.to_string(),
-                service: checked.service.to_string(),
-                generation: checked.generation.0,
-            };
-            let line = format!(
-                "accepted: generation {} of service `{}`",
-                accepted.generation, accepted.service
-            );
-            return Ok(Output::new(line, &accepted));
+        match commit(&mut platform, &change).await? {
+            Commit::Accepted => return Ok(accepted(&checked)),
+            // The next attempt checks against what is accepted then.
+            Commit::Overtaken(err) => overtaken = err,
         }
     }
+    if let Some(err) = overtaken {
+        return Err(Error::NotAccepted(err.to_string()));
+    }
     let message = format!("other changes came in between {ATTEMPTS_MAX} times: apply it again");
     Err(Error::NotAccepted(message))
 }
 
+fn accepted(document: &Document) -> Output {
+    let accepted = Accepted {
+        member: document.member.to_string(),
+        service: document.service.to_string(),
+        generation: document.generation.0,
+    };
+    let line = format!(
+        "accepted: generation {} of service `{}`",
+        accepted.generation, accepted.service
+    );
+    Output::new(line, &accepted)
+}
+
 /// Reads what is accepted now, checks the document against it and builds the change.
 async fn change(
     platform: &mut PlatformClient,
@@ -124,18 +135,17 @@
 
 async fn commit(platform: &mut PlatformClient, change: &Apply) -> Result<Commit, Error> {
     let reply = platform.read(change.reads()).await?;
-    let transaction = change.transaction(&reply).map_err(not_accepted)?;
+    let transaction = match change.transaction(&reply) {
+        Ok(transaction) => transaction,
+        Err(err) => return Ok(Commit::Overtaken(Some(err))),
+    };
     match platform.transact(transaction.clone()).await {
         Ok(reply) if reply.failed.is_none() => Ok(Commit::Accepted),
-        Ok(_overtaken) => Ok(Commit::Overtaken),
+        Ok(_overtaken) => Ok(Commit::Overtaken(None)),
         Err(_lost) => settle(platform, change, transaction).await,
     }
 }
 
-fn not_accepted(err: ApplyError) -> Error {
-    Error::NotAccepted(err.to_string())
-}
-
 /// Learns whether a transaction whose answer was lost took effect, and sends it again if not: its
 /// conditions let it take effect once at the most.
 async fn settle(
@@ -150,7 +160,7 @@
         };
         match change.settle(&reply) {
             Settled::Committed => return Ok(Commit::Accepted),
-            Settled::Refused => return Ok(Commit::Overtaken),
+            Settled::Refused => return Ok(Commit::Overtaken(None)),
             Settled::Open => {}
         }
         match platform.transact(transaction.clone()).await {
--- a/sapphireslip/tests/bad_files.rs
+++ b/sapphireslip/tests/bad_files.rs
@@ -126,6 +126,20 @@
     assert_eq!(running.platform.counts().transactions, before);
 }
 
+/// Services of two members may have one name; the database still belongs to the first.
+#[test]
+fn document_database_owned_by_namesake() {
+    let running = RunningPlatform::start();
+    running.apply(DOCUMENT).run().succeeded();
+    let rival = changed(DOCUMENT, "\"acme\"", "\"rival\"");
+    let ran = running.apply(rival).run().failed(1);
+    assert_eq!(
+        ran.stderr,
+        "error: apply: database `stock` belongs to `acme/shop`: choose another name\n"
+    );
+    assert_eq!(running.platform.counts().transactions, 1);
+}
+
 #[rstest]
 #[case::unknown_key(
     "[backend]",
