--- a/sapphireslip-core/src/document_change.rs
+++ b/sapphireslip-core/src/document_change.rs
@@ -3,10 +3,9 @@
 use std::collections::BTreeMap;
 
 use crate::derives::data;
-use crate::raw_document::line_of;
 use crate::{
     DatabaseName, Document, DocumentError, DocumentErrors, DocumentFault, Generation, MemberName,
-    RawDocument, ServiceName,
+    RawDocument, ServiceName, line_of,
 };
 
 data! {
--- a/sapphireslip-core/src/document_check.rs
+++ b/sapphireslip-core/src/document_check.rs
@@ -39,11 +39,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::document_faults::Faults;
-use crate::raw_table::{Placed, RawTable};
+use crate::document_table::Faults;
 use crate::{
     CallerAccount, CallerName, DatabaseName, DatabaseSpec, Document, DocumentErrors, DocumentFault,
-    Generation, RawDocument, ServerId, ServerSpec, ServiceLimits, StopPolicy, ZoneName,
+    Generation, Placed, RawDocument, ServerId, ServerSpec, ServiceLimits, StopPolicy, TomlTable,
+    ZoneName,
 };
 
 /// The most connections that a document may give one server.
@@ -80,9 +80,9 @@
 
     fn try_from(raw: RawDocument<'_>) -> Result<Self, DocumentErrors> {
         let mut faults = Faults::new(raw.text);
-        let table = RawTable::new(raw.table.get_ref(), 0, String::new());
+        let table = TomlTable::new(raw.table.get_ref(), 0, String::new());
         let document = document(table, &mut faults);
-        let errors = faults.into_sorted();
+        let errors: Vec<_> = faults.into_sorted().into_iter().map(Into::into).collect();
         match document {
             Some(document) if errors.is_empty() => Ok(document),
             _ => Err(DocumentErrors(errors)),
@@ -90,9 +90,9 @@
     }
 }
 
-fn document(mut table: RawTable<'_>, faults: &mut Faults<'_>) -> Option<Document> {
-    let service = table.name(faults, "service");
-    let member = table.name(faults, "member");
+fn document(mut table: TomlTable<'_>, faults: &mut Faults<'_>) -> Option<Document> {
+    let service = table.document_name(faults, "service");
+    let member = table.document_name(faults, "member");
     let generation = table.number(faults, "generation", 1..=u64::MAX);
     let limits = limits(&mut table, faults);
     let stop = stop(&mut table, faults);
@@ -110,7 +110,7 @@
     })
 }
 
-fn limits(document: &mut RawTable<'_>, faults: &mut Faults<'_>) -> Option<ServiceLimits> {
+fn limits(document: &mut TomlTable<'_>, faults: &mut Faults<'_>) -> Option<ServiceLimits> {
     let mut table = document.table(faults, "limits")?;
     let sessions = number(&mut table, faults, "sessions", SESSIONS_MAX);
     let queued = number(&mut table, faults, "queued", QUEUED_MAX);
@@ -122,7 +122,7 @@
 }
 
 fn number(
-    table: &mut RawTable<'_>,
+    table: &mut TomlTable<'_>,
     faults: &mut Faults<'_>,
     key: &'static str,
     max: u32,
@@ -134,23 +134,23 @@
     })
 }
 
-fn stop(document: &mut RawTable<'_>, faults: &mut Faults<'_>) -> Option<StopPolicy> {
+fn stop(document: &mut TomlTable<'_>, faults: &mut Faults<'_>) -> Option<StopPolicy> {
     let mut table = document.table(faults, "stop")?;
     let bound = table.duration(faults, "bound", Duration::ZERO..=STOP_BOUND_MAX);
     table.finish(faults);
     Some(StopPolicy { bound: bound? })
 }
 
-fn callers(document: &mut RawTable<'_>, faults: &mut Faults<'_>) -> Vec<CallerAccount> {
+fn callers(document: &mut TomlTable<'_>, faults: &mut Faults<'_>) -> Vec<CallerAccount> {
     let mut names = Unique::new("caller");
     let mut callers = Vec::new();
     for mut table in document.tables(faults, "caller") {
-        let name = table.name::<CallerName>(faults, "name");
+        let name = table.document_name::<CallerName>(faults, "name");
         if let Some(name) = &name {
             table.rename("caller", name.value.as_str());
             names.check(faults, name, &table.path_of("name"));
         }
-        let verifier = table.text(faults, "verifier");
+        let verifier = table.document_text(faults, "verifier");
         table.finish(faults);
         if let (Some(name), Some(verifier)) = (name, verifier) {
             callers.push(CallerAccount {
@@ -162,13 +162,13 @@
     callers
 }
 
-fn databases(document: &mut RawTable<'_>, faults: &mut Faults<'_>) -> Vec<DatabaseSpec> {
+fn databases(document: &mut TomlTable<'_>, faults: &mut Faults<'_>) -> Vec<DatabaseSpec> {
     let mut names = Unique::new("database");
     let mut ids = Unique::new("server");
     let mut addresses = Unique::new("address");
     let mut databases = Vec::new();
     for mut table in document.tables(faults, "database") {
-        let name = table.name::<DatabaseName>(faults, "name");
+        let name = table.document_name::<DatabaseName>(faults, "name");
         if let Some(name) = &name {
             table.rename("database", name.value.as_str());
             names.check(faults, name, &table.path_of("name"));
@@ -181,7 +181,7 @@
 }
 
 fn database(
-    mut table: RawTable<'_>,
+    mut table: TomlTable<'_>,
     faults: &mut Faults<'_>,
     name: Option<Placed<DatabaseName>>,
     servers: Vec<ServerSpec>,
@@ -208,24 +208,24 @@
 }
 
 fn servers(
-    database: &mut RawTable<'_>,
+    database: &mut TomlTable<'_>,
     faults: &mut Faults<'_>,
     ids: &mut Unique,
     addresses: &mut Unique,
 ) -> Vec<ServerSpec> {
     let tables = database.tables(faults, "server");
     if tables.is_empty() {
-        faults.add(database.offset(), &database.path, DocumentFault::NoServers);
+        faults.add(database.offset(), database.path(), DocumentFault::NoServers);
     }
     let array = database.path_of("server");
     let mut servers = Vec::new();
     for mut table in tables {
-        let id = table.name::<ServerId>(faults, "id");
+        let id = table.document_name::<ServerId>(faults, "id");
         if let Some(id) = &id {
             table.rename(&array, id.value.as_str());
             ids.check(faults, id, &table.path_of("id"));
         }
-        let zone = table.name(faults, "zone");
+        let zone = table.document_name(faults, "zone");
         let address = table.address(faults, "address");
         if let Some(address) = &address {
             addresses.check(faults, address, &table.path_of("address"));
@@ -245,7 +245,7 @@
 }
 
 fn zones(
-    database: &mut RawTable<'_>,
+    database: &mut TomlTable<'_>,
     faults: &mut Faults<'_>,
     servers: &[ServerSpec],
 ) -> Vec<ZoneName> {
--- a/sapphireslip-core/src/document_error.rs
+++ b/sapphireslip-core/src/document_error.rs
@@ -8,7 +8,7 @@
 use crate::derives::data;
 use crate::{
     CONNECTIONS_MAX, DOCUMENT_MAX_BYTES, DOCUMENTS_MAX, DatabaseName, Generation, MemberName,
-    NameError, ServiceName,
+    ServiceName, TomlFault, ValueFault,
 };
 
 quick_error! {
@@ -31,30 +31,15 @@
         Syntax(message: String) {
             display("is not TOML: {message}")
         }
-        /// No such key exists here.
-        UnknownKey(known: String) {
-            display("is no known key: use {known}")
-        }
-        /// A required key is not there.
-        Missing(expected: &'static str) {
-            display("is missing: give {expected}")
-        }
-        /// The value has another type.
-        Type(expected: &'static str, found: &'static str) {
-            display("must be {expected}, is of type {found}")
+        /// A key or value is wrong in itself.
+        Value(err: ValueFault) {
+            display("{err}")
+            from()
         }
         /// The number is out of range.
         Range(min: u64, max: u64, text: String) {
             display("must be {min} to {max}, is {text}")
         }
-        /// The text is not a name.
-        Name(err: NameError) {
-            display("{err}")
-        }
-        /// The text is empty.
-        EmptyText {
-            display("is an empty text: give its value")
-        }
         /// The value is no duration.
         Duration(text: String) {
             display("`{text}` is no duration: write a whole number and `ms`, `s`, `m` or `h`, such as `250ms`")
@@ -155,6 +140,16 @@
     }
 }
 
+impl From<TomlFault<DocumentFault>> for DocumentError {
+    fn from(found: TomlFault<DocumentFault>) -> Self {
+        Self {
+            line: Some(found.line),
+            path: found.path,
+            fault: found.fault,
+        }
+    }
+}
+
 impl std::error::Error for DocumentError {}
 
 impl std::error::Error for DocumentErrors {}
--- a/sapphireslip-core/src/raw_document.rs
+++ b/sapphireslip-core/src/raw_document.rs
@@ -3,7 +3,7 @@
 use toml::Spanned;
 use toml::de::DeTable;
 
-use crate::{DocumentError, DocumentErrors, DocumentFault};
+use crate::{DocumentError, DocumentErrors, DocumentFault, line_of};
 
 /// The longest text of a document in bytes.
 pub const DOCUMENT_MAX_BYTES: usize = 1024 * 1024;
@@ -46,9 +46,3 @@
     };
     DocumentErrors(faults.iter().take(SYNTAX_FAULTS_MAX).map(error).collect())
 }
-
-/// Returns the line of a byte of the text, from 1 on.
-pub(crate) fn line_of(text: &str, offset: usize) -> usize {
-    let before = text.as_bytes().iter().take(offset);
-    1 + before.filter(|byte| **byte == b'\n').count()
-}
--- a/sapphireslip-core/src/toml_table.rs
+++ b/sapphireslip-core/src/toml_table.rs
@@ -1,32 +1,44 @@
-//! One table of a document: hands out its values by key and collects every fault on the way.
-
-use std::net::SocketAddr;
-use std::ops::RangeInclusive;
-use std::time::Duration;
+//! One table of a TOML text: hands out its values by key and collects every fault on the way.
 
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
 
-use crate::document_faults::Faults;
-use crate::raw_value::{parse_address, parse_duration};
-use crate::{DocumentFault, NameError};
+use crate::{NameError, TomlFaults, ValueFault};
 
 /// A value with its place in the text.
-pub(crate) struct Placed<T> {
-    pub(crate) value: T,
-    pub(crate) offset: usize,
+#[derive(Clone, Debug)]
+pub struct Placed<T> {
+    /// The value.
+    pub value: T,
+    /// The byte of the text at which it begins.
+    pub offset: usize,
 }
 
-/// A table with the path of its key.
-pub(crate) struct RawTable<'t> {
+/// A table with the path of its key; `finish` adds a fault for each key that was never asked for.
+///
+/// ```
+/// use sapphireslip_core::{TomlFaults, TomlTable, ValueFault, VmId};
+/// let text = "vm = \"vm-1\"\nzoen = \"a\"\n";
+/// let (parsed, _errors) = toml::de::DeTable::parse_recoverable(text);
+/// let mut faults = TomlFaults::<ValueFault>::new(text);
+/// let mut table = TomlTable::new(parsed.get_ref(), 0, String::new());
+/// let vm = table.name::<VmId, _>(&mut faults, "vm", "a name");
+/// assert_eq!(vm.map(|vm| vm.value.to_string()).as_deref(), Some("vm-1"));
+/// table.finish(&mut faults);
+/// assert_eq!(faults.into_sorted()[0].path, "zoen");
+/// ```
+#[derive(Debug)]
+pub struct TomlTable<'t> {
     table: &'t DeTable<'t>,
     offset: usize,
-    pub(crate) path: String,
+    path: String,
     known: Vec<&'static str>,
 }
 
-impl<'t> RawTable<'t> {
-    pub(crate) const fn new(table: &'t DeTable<'t>, offset: usize, path: String) -> Self {
+impl<'t> TomlTable<'t> {
+    /// Returns a table that begins at a byte of the text.
+    #[must_use]
+    pub const fn new(table: &'t DeTable<'t>, offset: usize, path: String) -> Self {
         Self {
             table,
             offset,
@@ -36,11 +48,20 @@
     }
 
     /// Returns where the table begins in the text.
-    pub(crate) const fn offset(&self) -> usize {
+    #[must_use]
+    pub const fn offset(&self) -> usize {
         self.offset
     }
 
-    pub(crate) fn path_of(&self, key: &str) -> String {
+    /// Returns the path of the table's key; empty for the whole text.
+    #[must_use]
+    pub fn path(&self) -> &str {
+        &self.path
+    }
+
+    /// Returns the path of a key of the table.
+    #[must_use]
+    pub fn path_of(&self, key: &str) -> String {
         if self.path.is_empty() {
             key.to_owned()
         } else {
@@ -49,54 +70,67 @@
     }
 
     /// Replaces the place in an array, such as `database[0]`, by the entry's own name.
-    pub(crate) fn rename(&mut self, array: &str, name: &str) {
+    pub fn rename(&mut self, array: &str, name: &str) {
         self.path = format!("{array}.{name}");
     }
 
     /// Returns the value of a key, if it is there, and notes the key as known.
-    pub(crate) fn optional(&mut self, key: &'static str) -> Option<&'t Spanned<DeValue<'t>>> {
+    pub fn optional(&mut self, key: &'static str) -> Option<&'t Spanned<DeValue<'t>>> {
         self.known.push(key);
         self.table.get(key)
     }
 
-    fn required(
+    /// Returns the value of a required key.
+    pub fn required<F: From<ValueFault>>(
         &mut self,
-        faults: &mut Faults<'_>,
+        faults: &mut TomlFaults<'_, F>,
         key: &'static str,
         expected: &'static str,
     ) -> Option<&'t Spanned<DeValue<'t>>> {
         let value = self.optional(key);
         if value.is_none() {
             let path = self.path_of(key);
-            faults.add(self.offset, &path, DocumentFault::Missing(expected));
+            faults.add(self.offset, &path, ValueFault::Missing(expected));
         }
         value
     }
 
     /// Returns a required text.
-    pub(crate) fn text(
+    pub fn text<F: From<ValueFault>>(
         &mut self,
-        faults: &mut Faults<'_>,
+        faults: &mut TomlFaults<'_, F>,
         key: &'static str,
+        expected: &'static str,
     ) -> Option<Placed<&'t str>> {
-        let value = self.required(faults, key, "a string")?;
+        let value = self.required(faults, key, expected)?;
         self.text_of(faults, key, value)
     }
 
-    fn text_of(
+    /// Returns a text that may be left out.
+    pub fn optional_text<F: From<ValueFault>>(
+        &mut self,
+        faults: &mut TomlFaults<'_, F>,
+        key: &'static str,
+    ) -> Option<Placed<&'t str>> {
+        let value = self.optional(key)?;
+        self.text_of(faults, key, value)
+    }
+
+    /// Returns the text of a key's value.
+    pub fn text_of<F: From<ValueFault>>(
         &self,
-        faults: &mut Faults<'_>,
+        faults: &mut TomlFaults<'_, F>,
         key: &str,
         value: &'t Spanned<DeValue<'t>>,
     ) -> Option<Placed<&'t str>> {
         let offset = value.span().start;
         let Some(text) = value.get_ref().as_str() else {
-            let fault = DocumentFault::Type("a string", value.get_ref().type_str());
+            let fault = ValueFault::Type("a string", value.get_ref().type_str());
             faults.add(offset, &self.path_of(key), fault);
             return None;
         };
         if text.is_empty() {
-            faults.add(offset, &self.path_of(key), DocumentFault::EmptyText);
+            faults.add(offset, &self.path_of(key), ValueFault::EmptyText);
             return None;
         }
         Some(Placed {
@@ -106,21 +140,23 @@
     }
 
     /// Returns a required name.
-    pub(crate) fn name<N>(
+    pub fn name<N, F: From<ValueFault>>(
         &mut self,
-        faults: &mut Faults<'_>,
+        faults: &mut TomlFaults<'_, F>,
         key: &'static str,
+        expected: &'static str,
     ) -> Option<Placed<N>>
     where
         N: for<'n> TryFrom<&'n str, Error = NameError>,
     {
-        let text = self.text(faults, key)?;
+        let text = self.text(faults, key, expected)?;
         self.name_of(faults, key, &text)
     }
 
-    fn name_of<N>(
+    /// Returns the name that a text is.
+    pub fn name_of<N, F: From<ValueFault>>(
         &self,
-        faults: &mut Faults<'_>,
+        faults: &mut TomlFaults<'_, F>,
         key: &str,
         text: &Placed<&str>,
     ) -> Option<Placed<N>>
@@ -133,137 +169,41 @@
                 offset: text.offset,
             }),
             Err(err) => {
-                faults.add(text.offset, &self.path_of(key), DocumentFault::Name(err));
+                faults.add(text.offset, &self.path_of(key), ValueFault::Name(err));
                 None
             }
         }
     }
 
-    /// Returns an optional list of names; none if it is not there or has a fault.
-    pub(crate) fn names<N>(
+    /// Returns a required table.
+    pub fn table<F: From<ValueFault>>(
         &mut self,
-        faults: &mut Faults<'_>,
+        faults: &mut TomlFaults<'_, F>,
         key: &'static str,
-    ) -> Option<Vec<Placed<N>>>
-    where
-        N: for<'n> TryFrom<&'n str, Error = NameError>,
-    {
-        let value = self.optional(key)?;
-        let Some(items) = value.get_ref().as_array() else {
-            let fault = DocumentFault::Type("a list of strings", value.get_ref().type_str());
-            faults.add(value.span().start, &self.path_of(key), fault);
-            return None;
-        };
-        if items.is_empty() {
-            faults.add(
-                value.span().start,
-                &self.path_of(key),
-                DocumentFault::NoZones,
-            );
-            return None;
-        }
-        let mut names = Vec::new();
-        for item in items.iter() {
-            let text = self.text_of(faults, key, item);
-            names.extend(text.and_then(|text| self.name_of(faults, key, &text)));
-        }
-        Some(names)
-    }
-
-    /// Returns a required whole number in a range.
-    pub(crate) fn number(
-        &mut self,
-        faults: &mut Faults<'_>,
-        key: &'static str,
-        range: RangeInclusive<u64>,
-    ) -> Option<Placed<u64>> {
-        let value = self.required(faults, key, "a whole number")?;
-        let offset = value.span().start;
-        let Some(number) = value.get_ref().as_integer() else {
-            let fault = DocumentFault::Type("a whole number", value.get_ref().type_str());
-            faults.add(offset, &self.path_of(key), fault);
-            return None;
-        };
-        match u64::from_str_radix(number.as_str(), number.radix()) {
-            Ok(value) if range.contains(&value) => Some(Placed { value, offset }),
-            _ => {
-                let (min, max) = range.into_inner();
-                let fault = DocumentFault::Range(min, max, number.to_string());
-                faults.add(offset, &self.path_of(key), fault);
-                None
-            }
-        }
-    }
-
-    /// Returns an optional yes or no; `false` if it is not there.
-    pub(crate) fn flag(&mut self, faults: &mut Faults<'_>, key: &'static str) -> bool {
-        let Some(value) = self.optional(key) else {
-            return false;
-        };
-        if let Some(flag) = value.get_ref().as_bool() {
-            return flag;
-        }
-        let fault = DocumentFault::Type("`true` or `false`", value.get_ref().type_str());
-        faults.add(value.span().start, &self.path_of(key), fault);
-        false
-    }
-
-    /// Returns a required duration in a range, written as a number with its unit.
-    pub(crate) fn duration(
-        &mut self,
-        faults: &mut Faults<'_>,
-        key: &'static str,
-        range: RangeInclusive<Duration>,
-    ) -> Option<Duration> {
-        let value = self.required(faults, key, "a duration such as `250ms`")?;
-        let offset = value.span().start;
-        let path = self.path_of(key);
-        let text = match value.get_ref() {
-            DeValue::String(text) => text.to_string(),
-            DeValue::Integer(number) => number.to_string(),
-            other => {
-                let fault = DocumentFault::Type("a duration such as `250ms`", other.type_str());
-                faults.add(offset, &path, fault);
-                return None;
-            }
-        };
-        let Some(duration) = parse_duration(&text) else {
-            faults.add(offset, &path, DocumentFault::Duration(text));
-            return None;
-        };
-        if !range.contains(&duration) {
-            let (min, max) = range.into_inner();
-            faults.add(offset, &path, DocumentFault::DurationRange(min, max, text));
-            return None;
-        }
-        Some(duration)
+    ) -> Option<Self> {
+        let value = self.required(faults, key, "a table")?;
+        self.table_of(faults, key, value)
     }
 
-    /// Returns a required IP number with a port.
-    pub(crate) fn address(
+    /// Returns a table that may be left out.
+    pub fn optional_table<F: From<ValueFault>>(
         &mut self,
-        faults: &mut Faults<'_>,
+        faults: &mut TomlFaults<'_, F>,
         key: &'static str,
-    ) -> Option<Placed<SocketAddr>> {
-        let text = self.text(faults, key)?;
-        match parse_address(text.value) {
-            Ok(value) => Some(Placed {
-                value,
-                offset: text.offset,
-            }),
-            Err(fault) => {
-                faults.add(text.offset, &self.path_of(key), fault);
-                None
-            }
-        }
+    ) -> Option<Self> {
+        let value = self.optional(key)?;
+        self.table_of(faults, key, value)
     }
 
-    /// Returns a required table; an empty one, with a fault noted, if it is not there.
-    pub(crate) fn table(&mut self, faults: &mut Faults<'_>, key: &'static str) -> Option<Self> {
-        let value = self.required(faults, key, "a table")?;
+    fn table_of<F: From<ValueFault>>(
+        &self,
+        faults: &mut TomlFaults<'_, F>,
+        key: &str,
+        value: &'t Spanned<DeValue<'t>>,
+    ) -> Option<Self> {
         let path = self.path_of(key);
         let Some(table) = value.get_ref().as_table() else {
-            let fault = DocumentFault::Type("a table", value.get_ref().type_str());
+            let fault = ValueFault::Type("a table", value.get_ref().type_str());
             faults.add(value.span().start, &path, fault);
             return None;
         };
@@ -271,13 +211,17 @@
     }
 
     /// Returns the tables of an array, none if it is not there.
-    pub(crate) fn tables(&mut self, faults: &mut Faults<'_>, key: &'static str) -> Vec<Self> {
+    pub fn tables<F: From<ValueFault>>(
+        &mut self,
+        faults: &mut TomlFaults<'_, F>,
+        key: &'static str,
+    ) -> Vec<Self> {
         let Some(value) = self.optional(key) else {
             return Vec::new();
         };
         let path = self.path_of(key);
         let Some(items) = value.get_ref().as_array() else {
-            let fault = DocumentFault::Type("an array of tables", value.get_ref().type_str());
+            let fault = ValueFault::Type("an array of tables", value.get_ref().type_str());
             faults.add(value.span().start, &path, fault);
             return Vec::new();
         };
@@ -288,7 +232,7 @@
             match item.get_ref().as_table() {
                 Some(table) => tables.push(Self::new(table, start, path)),
                 None => {
-                    let fault = DocumentFault::Type("a table", item.get_ref().type_str());
+                    let fault = ValueFault::Type("a table", item.get_ref().type_str());
                     faults.add(start, &path, fault);
                 }
             }
@@ -297,11 +241,11 @@
     }
 
     /// Notes every key that nothing asked for.
-    pub(crate) fn finish(self, faults: &mut Faults<'_>) {
+    pub fn finish<F: From<ValueFault>>(self, faults: &mut TomlFaults<'_, F>) {
         let quoted: Vec<String> = self.known.iter().map(|key| format!("`{key}`")).collect();
         for key in self.table.keys() {
             if !self.known.contains(&key.get_ref().as_ref()) {
-                let fault = DocumentFault::UnknownKey(quoted.join(", "));
+                let fault = ValueFault::UnknownKey(quoted.join(", "));
                 faults.add(key.span().start, &self.path_of(key.get_ref()), fault);
             }
         }
--- a/sapphireslipd/src/settings.rs
+++ b/sapphireslipd/src/settings.rs
@@ -27,9 +27,11 @@
 use std::time::Duration;
 
 use log::LevelFilter;
-use sapphireslip_core::{Incarnation, Text, VmId, VmRecord, VmState, ZoneName};
+use sapphireslip_core::{
+    Incarnation, Placed, Text, TomlTable, ValueFault, VmId, VmRecord, VmState, ZoneName,
+};
 
-use crate::raw_settings::{Faults, Placed, RawSection};
+use crate::raw_settings::{Faults, address, duration, name, optional_address};
 use crate::{RawSettings, SettingsErrors, SettingsFault};
 
 /// The drain bound if none is given.
@@ -111,24 +113,25 @@
     fn try_from(raw: RawSettings<'_>) -> Result<Self, SettingsErrors> {
         let (root, mut faults) = raw.open();
         let settings = check(root, &mut faults);
-        match (settings, faults.into_errors()) {
-            (Some(settings), None) => Ok(settings),
-            (_, errors) => Err(errors.unwrap_or(SettingsErrors(Vec::new()))),
+        let errors: Vec<_> = faults.into_sorted().into_iter().map(Into::into).collect();
+        match settings {
+            Some(settings) if errors.is_empty() => Ok(settings),
+            _ => Err(SettingsErrors(errors)),
         }
     }
 }
 
 /// Reads every value before any is missed, so that all faults are found at once.
-fn check(mut root: RawSection<'_>, faults: &mut Faults<'_>) -> Option<Settings> {
-    let vm = root.name::<VmId>(faults, "vm");
-    let zone = root.name(faults, "zone");
-    let callers = root.address(faults, "callers");
-    let peers = root.address(faults, "peers");
-    let advertised = root.optional_address(faults, "peers_advertised");
-    let admin = root.address(faults, "admin");
-    let platform = root.address(faults, "platform");
+fn check(mut root: TomlTable<'_>, faults: &mut Faults<'_>) -> Option<Settings> {
+    let vm = name::<VmId>(&mut root, faults, "vm");
+    let zone = name(&mut root, faults, "zone");
+    let callers = address(&mut root, faults, "callers");
+    let peers = address(&mut root, faults, "peers");
+    let advertised = optional_address(&mut root, faults, "peers_advertised");
+    let admin = address(&mut root, faults, "admin");
+    let platform = address(&mut root, faults, "platform");
     let log_level = log_level(&mut root, faults);
-    let drain_bound = root.duration(faults, "drain_bound", DRAIN_BOUND_MAX);
+    let drain_bound = duration(&mut root, faults, "drain_bound", DRAIN_BOUND_MAX);
     let backend = backend(&mut root, faults);
     let seeds = seeds(&mut root, faults, vm.as_ref());
     check_listeners(
@@ -146,7 +149,7 @@
     };
     if let Some(reached) = reached.filter(|address| address.value.ip().is_unspecified()) {
         let fault = SettingsFault::Unspecified(reached.value.to_string());
-        faults.add(reached.offset, root.path_of(key), fault);
+        faults.add(reached.offset, &root.path_of(key), fault);
     }
     root.finish(faults);
     Some(Settings {
@@ -164,7 +167,7 @@
     })
 }
 
-fn log_level(root: &mut RawSection<'_>, faults: &mut Faults<'_>) -> Option<LevelFilter> {
+fn log_level(root: &mut TomlTable<'_>, faults: &mut Faults<'_>) -> Option<LevelFilter> {
     let Placed { value, offset } = root.optional_text(faults, "log_level")?;
     match value {
         "error" => Some(LevelFilter::Error),
@@ -174,16 +177,16 @@
         "trace" => Some(LevelFilter::Trace),
         other => {
             let fault = SettingsFault::Level(other.to_owned());
-            faults.add(offset, root.path_of("log_level"), fault);
+            faults.add(offset, &root.path_of("log_level"), fault);
             None
         }
     }
 }
 
-fn backend(root: &mut RawSection<'_>, faults: &mut Faults<'_>) -> Option<BackendLogin> {
-    let Some(mut section) = root.section(faults, "backend") else {
-        let fault = SettingsFault::Missing("the user name for backend servers");
-        faults.add(0, "backend.user".to_owned(), fault);
+fn backend(root: &mut TomlTable<'_>, faults: &mut Faults<'_>) -> Option<BackendLogin> {
+    let Some(mut section) = root.optional_table(faults, "backend") else {
+        let fault = ValueFault::Missing("the user name for backend servers");
+        faults.add(0, "backend.user", fault);
         return None;
     };
     let user = section.text(faults, "user", "the user name for backend servers");
@@ -196,7 +199,7 @@
 }
 
 fn seeds(
-    root: &mut RawSection<'_>,
+    root: &mut TomlTable<'_>,
     faults: &mut Faults<'_>,
     own: Option<&Placed<VmId>>,
 ) -> Vec<Seed> {
@@ -205,10 +208,10 @@
         seen.note(faults, &own.value, own.offset, String::new());
     }
     let mut seeds = Vec::new();
-    for mut section in root.sections(faults, "peer") {
-        let vm = section.name::<VmId>(faults, "vm");
-        let zone = section.name(faults, "zone");
-        let address = section.address(faults, "address");
+    for mut section in root.tables(faults, "peer") {
+        let vm = name::<VmId>(&mut section, faults, "vm");
+        let zone = name(&mut section, faults, "zone");
+        let address = address(&mut section, faults, "address");
         if let Some(vm) = &vm {
             seen.note(faults, &vm.value, vm.offset, section.path_of("vm"));
         }
@@ -229,7 +232,7 @@
 }
 
 fn check_listeners(
-    root: &RawSection<'_>,
+    root: &TomlTable<'_>,
     faults: &mut Faults<'_>,
     listeners: [(&str, Option<&Placed<SocketAddr>>); 3],
 ) {
@@ -253,7 +256,7 @@
         let first = *self.lines.entry(value.to_string()).or_insert(line);
         if first != line {
             let fault = SettingsFault::Duplicate(value.to_string(), first);
-            faults.add(offset, path, fault);
+            faults.add(offset, &path, fault);
         }
     }
 }
--- a/sapphireslipd/src/settings_fault.rs
+++ b/sapphireslipd/src/settings_fault.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use quick_error::quick_error;
-use sapphireslip_core::NameError;
+use sapphireslip_core::{TomlFault, ValueFault};
 
 quick_error! {
     /// One kind of fault in a settings file; the message says what to do.
@@ -18,25 +18,10 @@
         Syntax(message: String) {
             display("is not TOML: {message}")
         }
-        /// No such key exists here.
-        UnknownKey(known: String) {
-            display("is no known key: use {known}")
-        }
-        /// A required key is not there.
-        Missing(expected: &'static str) {
-            display("is missing: give {expected}")
-        }
-        /// The value has another type.
-        Type(expected: &'static str, found: &'static str) {
-            display("must be {expected}, is of type {found}")
-        }
-        /// The text is not a name.
-        Name(err: NameError) {
+        /// A key or value is wrong in itself.
+        Value(err: ValueFault) {
             display("{err}")
-        }
-        /// The text is empty.
-        EmptyText {
-            display("is an empty text: give its value")
+            from()
         }
         /// The text is no address.
         Address(text: String) {
@@ -104,6 +89,16 @@
     }
 }
 
+impl From<TomlFault<SettingsFault>> for SettingsError {
+    fn from(found: TomlFault<SettingsFault>) -> Self {
+        Self {
+            line: Some(found.line),
+            path: found.path,
+            fault: found.fault,
+        }
+    }
+}
+
 impl std::error::Error for SettingsError {}
 
 impl std::error::Error for SettingsErrors {}
