Site example: SIGTERM ends its daemons too

Seen: a site ended by SIGTERM left its six daemons running, as the fleet's handle was never dropped. After: it prints "stopped" and no daemon is left.

--- a/sapphireslipd/examples/site.rs
+++ b/sapphireslipd/examples/site.rs
@@ -15,6 +15,7 @@
 use sapphireslip_core::ServerRole;
 use sapphireslipd::make_verifier;
 use standins::{DaemonProgram, Fleet, FleetPlan, SERVERS_A_GROUP};
+use tokio::signal::unix::{SignalKind, signal};
 
 /// The argument by which the site starts itself as a daemon.
 const DAEMON_ARGUMENT: &str = "daemon";
@@ -53,7 +54,10 @@
     let plan = plan.databases(&[DATABASE]).daemons_per_zone(2).lag(LAG);
     let fleet = Fleet::start(plan).await?;
     print_site(&fleet);
+    // The daemons end with the fleet's handle, so that no signal may end this process before.
+    let mut terminate = signal(SignalKind::terminate())?;
     tokio::select! {
+        _ = terminate.recv() => {}
         stopped = tokio::signal::ctrl_c() => stopped?,
         ended = take_commands(&fleet) => ended?,
     }
