--- a/sapphireslip-core/src/document_change.rs
+++ b/sapphireslip-core/src/document_change.rs
@@ -3,10 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::derives::data;
-use crate::raw_document::line_of;
 use crate::{
     DatabaseName, DatabaseSpec, Document, DocumentError, DocumentErrors, DocumentFault, Generation,
-    MemberName, RawDocument, ServerSpec, ServiceName,
+    MemberName, RawDocument, ServerSpec, ServiceName, line_of,
 };
 
 data! {
