Zone start: the platform's reads when 127 daemons start at once, measured

Cause: a daemon that knows only the peers of its settings takes itself for a relay and reads all documents.

Ruled out for now: that a daemon waits until it has learnt who else there is before it reads, which would put off the start of a lone daemon.

--- a/sapphireslip-core/tests/fleet_support/mod.rs
+++ b/sapphireslip-core/tests/fleet_support/mod.rs
@@ -78,6 +78,8 @@
     pub vms: Vec<VmRecord>,
     pub leaving: Vec<IpAddr>,
     pub reads: u64,
+    /// How many of these ask for documents: each is several reads of the table.
+    pub document_reads: u64,
 }
 
 impl Platform {
@@ -96,6 +98,7 @@
         match effect {
             PlatformEffect::ReadChanges => PlatformEvent::Changes(is_up.then(|| self.changes())),
             PlatformEffect::ReadDocuments { since } => {
+                self.document_reads += 1;
                 let newer = self.documents.values().filter(|d| d.change > *since);
                 PlatformEvent::Documents(is_up.then(|| newer.cloned().collect()))
             }
--- a/sapphireslip-wire/examples/control_cost/main.rs
+++ b/sapphireslip-wire/examples/control_cost/main.rs
@@ -81,6 +81,11 @@
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     let design = measure(Size::DESIGN)?;
     println!("{}", serde_json::to_string(&design)?);
+    let relay = Size {
+        relay: true,
+        ..Size::DESIGN
+    };
+    println!("{}", serde_json::to_string(&measure(relay)?)?);
     for sweep in &SWEEPS {
         let mut reports = Vec::new();
         for value in sweep.values {
--- a/sapphireslip-wire/examples/control_cost/meter.rs
+++ b/sapphireslip-wire/examples/control_cost/meter.rs
@@ -60,6 +60,8 @@
     pub state_bytes: f64,
     /// Mean time in the reducer for one changed document, in microseconds.
     pub document_change_us: f64,
+    /// Bytes sent to peers for one changed document, without what goes out anyway.
+    pub document_change_bytes: f64,
     /// Mean time in the reducer for one VM that comes or goes, in microseconds.
     pub membership_change_us: f64,
     /// Mean time in the reducer for one more session, in microseconds.
@@ -110,7 +112,8 @@
     meter.counts = Counts::default();
     meter.run_for(COUNTED);
     let counts = std::mem::take(&mut meter.counts);
-    let document_change = meter.change_documents()?;
+    let document_change = meter.change_documents(size.relay)?;
+    let change_sent = std::mem::take(&mut meter.counts).sent;
     let membership_change = meter.change_vms();
     let state_bytes = meter.into_state_bytes();
     let second = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX)) / 60.0;
@@ -126,6 +129,8 @@
         group_calls: second(counts.group_calls),
         platform_reads: second(counts.platform_reads),
         state_bytes: second(state_bytes) * 60.0,
+        document_change_bytes: traffic(change_sent).bytes * 60.0 / f64::from(CHANGES)
+            - traffic(counts.sent).bytes,
         document_change_us: document_change.as_secs_f64() * 1e6,
         membership_change_us: membership_change.as_secs_f64() * 1e6,
         session_open_us: opening.as_secs_f64() * 1e6,
@@ -315,8 +320,9 @@
         Ok(last / CHANGES)
     }
 
-    /// Changes documents one after another, as a push from a relay; returns the mean time.
-    fn change_documents(&mut self) -> Result<Duration, Box<dyn Error>> {
+    /// Changes a document a second, read by a relay or pushed by one; returns the mean time that
+    /// the push of a relay takes.
+    fn change_documents(&mut self, is_relay: bool) -> Result<Duration, Box<dyn Error>> {
         let mut spent = Duration::ZERO;
         let from = self.vms[self.vms.len() - 1].vm.clone();
         for number in 0..CHANGES {
@@ -327,6 +333,10 @@
             let generation = self.documents[index].generation.0 + 1;
             let changed = document(service, generation, since.0 + 1)?;
             self.documents[index] = changed.clone();
+            if is_relay {
+                self.run_for(Duration::from_secs(1));
+                continue;
+            }
             let message = PeerMessage::Documents {
                 since,
                 documents: vec![changed],
