--- a/sapphireslip-wire/examples/control_cost/meter.rs
+++ b/sapphireslip-wire/examples/control_cost/meter.rs
@@ -56,6 +56,8 @@
     pub group_calls: f64,
     /// Reads of the platform a second.
     pub platform_reads: f64,
+    /// Bytes of a message with the records of all VMs.
+    pub vm_list_bytes: usize,
     /// Bytes that the state takes.
     pub state_bytes: f64,
     /// Mean time in the reducer for one changed document, in microseconds.
@@ -104,6 +106,7 @@
         queued: 0,
         counts: Counts::default(),
     };
+    let vm_list_bytes = encoded_len(&PeerMessage::Vms(meter.vms.clone()));
     let documents = meter.documents.clone();
     meter.hand_in(Event::Platform(PlatformEvent::Documents(Some(documents))));
     meter.run_for(WARM_UP);
@@ -128,6 +131,7 @@
         received: traffic(counts.received),
         group_calls: second(counts.group_calls),
         platform_reads: second(counts.platform_reads),
+        vm_list_bytes,
         state_bytes: second(state_bytes) * 60.0,
         document_change_bytes: traffic(change_sent).bytes * 60.0 / f64::from(CHANGES)
             - traffic(counts.sent).bytes,
@@ -389,12 +393,16 @@
 
 /// Adds a message to a count of messages and bytes.
 fn count([messages, bytes]: &mut [usize; 2], message: &PeerMessage) {
+    *messages += 1;
+    *bytes += encoded_len(message);
+}
+
+fn encoded_len(message: &PeerMessage) -> usize {
     let envelope = Envelope {
         time: u64::MAX / 2,
         body: Some(message.clone().into()),
     };
-    *messages += 1;
-    *bytes += envelope.encoded_len() + FRAME_BYTES;
+    envelope.encoded_len() + FRAME_BYTES
 }
 
 const fn record(position: u64) -> TermPosition {
