--- a/sapphireslip-wire/examples/control_cost/meter.rs
+++ b/sapphireslip-wire/examples/control_cost/meter.rs
@@ -56,10 +56,14 @@
     pub group_calls: f64,
     /// Reads of the platform a second.
     pub platform_reads: f64,
+    /// Bytes of a message with the records of all VMs.
+    pub vm_list_bytes: usize,
     /// Bytes that the state takes.
     pub state_bytes: f64,
     /// Mean time in the reducer for one changed document, in microseconds.
     pub document_change_us: f64,
+    /// Bytes sent to peers for one changed document, without what goes out anyway.
+    pub document_change_bytes: f64,
     /// Mean time in the reducer for one VM that comes or goes, in microseconds.
     pub membership_change_us: f64,
     /// Mean time in the reducer for one more session, in microseconds.
@@ -102,6 +106,7 @@
         queued: 0,
         counts: Counts::default(),
     };
+    let vm_list_bytes = encoded_len(&PeerMessage::Vms(meter.vms.clone()));
     let documents = meter.documents.clone();
     meter.hand_in(Event::Platform(PlatformEvent::Documents(Some(documents))));
     meter.run_for(WARM_UP);
@@ -110,7 +115,8 @@
     meter.counts = Counts::default();
     meter.run_for(COUNTED);
     let counts = std::mem::take(&mut meter.counts);
-    let document_change = meter.change_documents()?;
+    let document_change = meter.change_documents(size.relay)?;
+    let change_sent = std::mem::take(&mut meter.counts).sent;
     let membership_change = meter.change_vms();
     let state_bytes = meter.into_state_bytes();
     let second = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX)) / 60.0;
@@ -125,7 +131,10 @@
         received: traffic(counts.received),
         group_calls: second(counts.group_calls),
         platform_reads: second(counts.platform_reads),
+        vm_list_bytes,
         state_bytes: second(state_bytes) * 60.0,
+        document_change_bytes: traffic(change_sent).bytes * 60.0 / f64::from(CHANGES)
+            - traffic(counts.sent).bytes,
         document_change_us: document_change.as_secs_f64() * 1e6,
         membership_change_us: membership_change.as_secs_f64() * 1e6,
         session_open_us: opening.as_secs_f64() * 1e6,
@@ -315,8 +324,9 @@
         Ok(last / CHANGES)
     }
 
-    /// Changes documents one after another, as a push from a relay; returns the mean time.
-    fn change_documents(&mut self) -> Result<Duration, Box<dyn Error>> {
+    /// Changes a document a second, read by a relay or pushed by one; returns the mean time that
+    /// the push of a relay takes.
+    fn change_documents(&mut self, is_relay: bool) -> Result<Duration, Box<dyn Error>> {
         let mut spent = Duration::ZERO;
         let from = self.vms[self.vms.len() - 1].vm.clone();
         for number in 0..CHANGES {
@@ -327,6 +337,10 @@
             let generation = self.documents[index].generation.0 + 1;
             let changed = document(service, generation, since.0 + 1)?;
             self.documents[index] = changed.clone();
+            if is_relay {
+                self.run_for(Duration::from_secs(1));
+                continue;
+            }
             let message = PeerMessage::Documents {
                 since,
                 documents: vec![changed],
@@ -379,12 +393,16 @@
 
 /// Adds a message to a count of messages and bytes.
 fn count([messages, bytes]: &mut [usize; 2], message: &PeerMessage) {
+    *messages += 1;
+    *bytes += encoded_len(message);
+}
+
+fn encoded_len(message: &PeerMessage) -> usize {
     let envelope = Envelope {
         time: u64::MAX / 2,
         body: Some(message.clone().into()),
     };
-    *messages += 1;
-    *bytes += envelope.encoded_len() + FRAME_BYTES;
+    envelope.encoded_len() + FRAME_BYTES
 }
 
 const fn record(position: u64) -> TermPosition {
