Home: a read with a token past the end of the log is not answered

A read goes to the primary only once the primary was seen to hold the token's record; if its last status is older, the group is asked again, at most every 100 ms, and the read is refused (57P03, with a time to come back) after 0.5 s. Weighed: refusing by the known status alone; ruled out, since that lags behind writes made through other homes.

Seen failing with the check out: read_token_past_the_end_of_the_log_is_refused, 'the primary holds no such record'.

--- a/sapphireslip-core/src/dispatch.rs
+++ b/sapphireslip-core/src/dispatch.rs
@@ -41,6 +41,7 @@
         for id in queued {
             self.learn_floor(cx, &id);
             self.refresh_ages(cx, &id);
+            self.confirm_floor(cx, &id);
             match self.target(cx, fleet, &id) {
                 Target::Server(server) => self.send_to(cx, ids, &id, &server),
                 Target::Wait => {}
@@ -67,6 +68,27 @@
         self.group.probe(cx);
     }
 
+    /// Asks for the primary's log again for a read whose token is past what it was seen to hold.
+    fn confirm_floor(&mut self, cx: &mut Cx<'_>, id: &RequestId) {
+        let now = cx.now.instant;
+        let Some(primary) = self.group.primary() else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(id).filter(|job| !job.at_primary) else {
+            return;
+        };
+        let is_shown = job
+            .floor
+            .is_none_or(|floor| self.group.is_shown(&primary, floor));
+        if is_shown || job.probe_again_at.is_some_and(|at| now < at) {
+            return;
+        }
+        let again = now + PROBE_RETRY;
+        job.probe_again_at = Some(again);
+        self.add_timer(again, id);
+        self.group.probe(cx);
+    }
+
     /// Asks the group anew while reads come in and the best replica's known age nears the limit.
     fn refresh_ages(&mut self, cx: &mut Cx<'_>, id: &RequestId) {
         let now = cx.now.instant;
@@ -192,6 +214,7 @@
                 let pool = self.pools.get(&spec.id)?;
                 let leads = primary.as_ref().filter(|p| p.server == spec.id);
                 let visibility = match leads {
+                    Some(primary) if !self.group.is_shown(primary, floor) => Visibility::Behind,
                     Some(primary) => self.primary_visibility(primary, job.floor),
                     None if floor == TermPosition::default() => self.any_visibility(&spec.id),
                     None => self.group.visibility(&spec.id, floor),
--- a/sapphireslip-core/src/group.rs
+++ b/sapphireslip-core/src/group.rs
@@ -265,6 +265,16 @@
         }
     }
 
+    /// Returns whether a primary was seen to hold a record, as far as the record is of its term: a
+    /// token past the end of its log names nothing that was written.
+    pub(crate) fn is_shown(&self, primary: &Primary, record: TermPosition) -> bool {
+        record.term != primary.term
+            || self
+                .servers
+                .get(&primary.server)
+                .is_some_and(|server| server.has_held(record))
+    }
+
     fn is_lost(&self, record: TermPosition) -> bool {
         let Some(status) = self.open_log().filter(|s| s.fenced > record.term) else {
             return false;
--- a/sapphireslip-core/tests/home_route.rs
+++ b/sapphireslip-core/tests/home_route.rs
@@ -97,6 +97,18 @@
     assert_eq!(fake.only().server, "s-a");
 }
 
+#[test]
+fn read_token_past_the_end_of_the_log_is_refused() {
+    let mut fake = Fake::new();
+    let mut request = fake.request(StatementKind::Read);
+    request.freshness = Freshness::AtLeast(record(1, 999));
+    let read = fake.ask(request);
+    fake.run_ms(600);
+    assert!(fake.sent.is_empty(), "the primary holds no such record");
+    let expected = (RefusalReason::NoFreshServer, Certainty::NotRun);
+    assert_eq!(fake.refusal(read), Some(expected));
+}
+
 #[test]
 fn read_token_of_later_term_is_refused() {
     let mut fake = Fake::new();
--- a/sapphireslipd/tests/support/faults.rs
+++ b/sapphireslipd/tests/support/faults.rs
@@ -37,6 +37,13 @@
         .max_by_key(|server| group.status(*server).fenced)
 }
 
+/// Returns what the servers of the first database report, for the message of a failed check.
+pub fn describe_servers(fleet: &Fleet) -> String {
+    let status = |server| format!("server {server}: {:?}", fleet.group(0).status(server));
+    let all: Vec<String> = (0..SERVERS_A_GROUP).map(status).collect();
+    all.join("; ")
+}
+
 /// Carries out a fault on a server or a daemon.
 pub async fn fault(
     fleet: &mut Fleet,
--- a/sapphireslipd/tests/support/scenario_checks.rs
+++ b/sapphireslipd/tests/support/scenario_checks.rs
@@ -68,6 +68,24 @@
         Ok(large_answer(self.session_mut(&name)?).await)
     }
 
+    pub(super) async fn write_unkeyed(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let name = args.next("the session")?.to_owned();
+        let request = args.next("the request")?.to_owned();
+        let attempt = self.session_mut(&name)?.write_unkeyed(&request).await;
+        Ok(self.note(&name, &request, &attempt))
+    }
+
+    /// Writes once, without a key, where no write may be acknowledged: it is refused or unknown.
+    pub(super) async fn write_unacknowledged(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let said = self.write_unkeyed(args).await?;
+        let is_refused = said == "unknown" || said.starts_with("not run: 57P03");
+        Ok(if is_refused {
+            "not acknowledged".to_owned()
+        } else {
+            said
+        })
+    }
+
     /// Sends statements one after another without waiting for their answers.
     pub(super) async fn pipeline(&mut self, args: &mut ScriptArgs<'_>) -> Said {
         let name = args.next("the session")?.to_owned();
