Core: purge of request keys that are long past their lifetime

Rows of the key table grew for ever. One home of a database (the first in the order of its zones) deletes rows older than twice the lifetime: 200 a batch, a batch an hour, each second while a batch found rows, only when no request waits, never at a leaving primary. The lower condition is on the primary key, so no index of ours is needed; the second, on the birth, keeps a key that is written with leading zeros. Weighed and left out: agreement on who purges (two homes that both do so delete the same rows), and waiting for a majority (a lost batch is repeated).

--- a/sapphireslip-core/src/dispatch.rs
+++ b/sapphireslip-core/src/dispatch.rs
@@ -232,7 +232,7 @@
         }
     }
 
-    fn is_leaving(&self, fleet: Fleet<'_>, server: &ServerId) -> bool {
+    pub(crate) fn is_leaving(&self, fleet: Fleet<'_>, server: &ServerId) -> bool {
         self.server(server)
             .is_none_or(|spec| fleet.configuration.is_leaving(spec))
     }
--- a/sapphireslip-core/src/home.rs
+++ b/sapphireslip-core/src/home.rs
@@ -5,6 +5,7 @@
 
 use crate::derives::data;
 use crate::job::{Job, Timer, Transaction};
+use crate::key_purge::KeyPurge;
 use crate::link::{HomeIds, Link};
 use crate::placement::homes_of;
 use crate::{
@@ -37,6 +38,7 @@
         pub(crate) replies: BTreeMap<ServerId, Instant>,
         /// When the replicas' ages were last asked for.
         pub(crate) ages_asked: Option<Instant>,
+        pub(crate) purge: KeyPurge,
         wake: Option<Instant>,
     }
 }
@@ -93,6 +95,7 @@
             budget: RetryBudget::default(),
             replies: BTreeMap::new(),
             ages_asked: None,
+            purge: KeyPurge::default(),
             wake: None,
         };
         home.sync_pools(cx);
@@ -129,6 +132,7 @@
         self.close_silent_paths(cx);
         self.settle(cx);
         self.run_queue(cx, fleet, ids);
+        self.purge_keys(cx, fleet, ids);
         self.maintain_connections(cx, fleet, ids);
         self.schedule_wake(cx);
     }
@@ -295,7 +299,7 @@
         let pool = pools.flat_map(|pool| [pool.next_expiry(), pool.retry_at()]);
         let silence = self.next_silence_check(now);
         let transaction = self.next_transaction_check();
-        pool.chain([timer, silence, transaction])
+        pool.chain([timer, silence, transaction, self.purge.due()])
             .flatten()
             .filter(|due| now < *due)
             .min()
--- /dev/null
+++ b/sapphireslip-core/src/key_purge.rs
@@ -0,0 +1,164 @@
+//! Removal of request keys that are long past their lifetime.
+//!
+//! One home of a database, the first in the order of its zones, deletes old rows at the primary in
+//! bounded batches: another while a batch found rows, else none for a long interval. A row goes
+//! only at twice the lifetime of its key, so that a daemon whose wall clock is wrong by less than
+//! the lifetime takes no key whose row is gone. A batch that is lost is made good by the next.
+
+use std::time::Duration;
+
+use crate::derives::data;
+use crate::link::{HomeIds, LinkState};
+use crate::placement::homes_of;
+use crate::{
+    BackendEffect, ConnectionId, Cx, Fleet, Home, Instant, REQUEST_KEY_LIFETIME, SqlState, Text,
+    TransactionStatus, WorkEnd, WorkId, WorkPayload,
+};
+
+/// The most rows that one batch deletes.
+pub const PURGE_BATCH_ROWS: u32 = 200;
+
+/// Between two looks for old rows; jittered.
+pub const PURGE_INTERVAL: Duration = Duration::from_secs(60 * 60);
+
+/// Between two batches while there are old rows.
+pub const PURGE_PAUSE: Duration = Duration::from_secs(1);
+
+/// How long an answer to a batch is awaited before its connection is closed.
+pub const PURGE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How long after its birth the row of a key is deleted at the earliest.
+pub const REQUEST_ROW_LIFETIME: Duration = Duration::from_secs(2 * REQUEST_KEY_LIFETIME.as_secs());
+
+data! {
+    /// When the next batch is due, and the one under way.
+    #[derive(Default)]
+    pub(crate) struct KeyPurge {
+        next: Option<Instant>,
+        running: Option<Batch>,
+    }
+
+    struct Batch {
+        connection: ConnectionId,
+        until: Instant,
+    }
+}
+
+impl KeyPurge {
+    /// Returns when there is something to do.
+    pub(crate) fn due(&self) -> Option<Instant> {
+        match &self.running {
+            Some(batch) => Some(batch.until),
+            None => self.next,
+        }
+    }
+}
+
+/// Returns the statement that deletes a batch of rows whose keys are too old at wall-clock time
+/// `unix` (since the Unix epoch). The first condition lets the server use the primary key.
+///
+/// ```
+/// use std::time::Duration;
+/// let sql = sapphireslip_core::purge_sql(Duration::from_secs(1_764_966_000));
+/// assert!(sql.contains("request_key < '1764793200' AND born_s < 1764793200 LIMIT 200"));
+/// ```
+#[must_use]
+pub fn purge_sql(unix: Duration) -> Text {
+    let oldest = unix.saturating_sub(REQUEST_ROW_LIFETIME).as_secs();
+    let sql = format!(
+        "DELETE FROM sapphireslip_request WHERE request_key IN \
+         (SELECT request_key FROM sapphireslip_request \
+         WHERE request_key < '{oldest}' AND born_s < {oldest} LIMIT {PURGE_BATCH_ROWS}) \
+         RETURNING request_key"
+    );
+    sql.into()
+}
+
+impl Home {
+    /// Sends a batch if one is due and nothing waits, and gives up one that takes too long.
+    pub(crate) fn purge_keys(&mut self, cx: &mut Cx<'_>, fleet: Fleet<'_>, ids: &mut HomeIds) {
+        let now = cx.now.instant;
+        if let Some(batch) = self.purge.running.clone() {
+            if batch.until <= now {
+                self.close(cx, batch.connection);
+                self.end_purge(cx, PURGE_INTERVAL);
+            }
+            return;
+        }
+        let Some(next) = self.purge.next else {
+            return self.end_purge(cx, PURGE_INTERVAL);
+        };
+        if next > now {
+            return;
+        }
+        if homes_of(fleet.membership, &self.spec).first() != Some(&cx.local.vm) {
+            return self.end_purge(cx, PURGE_INTERVAL);
+        }
+        match self.take_idle_primary(fleet) {
+            Some(connection) => self.send_purge(cx, ids, connection),
+            None => self.end_purge(cx, PURGE_PAUSE),
+        }
+    }
+
+    /// Takes a connection of the primary, if no request waits for one.
+    fn take_idle_primary(&mut self, fleet: Fleet<'_>) -> Option<ConnectionId> {
+        if !self.queue.is_empty() || self.is_closing {
+            return None;
+        }
+        let primary = self.group.primary()?.server;
+        if self.is_leaving(fleet, &primary) {
+            return None;
+        }
+        self.pools.get_mut(&primary)?.take()
+    }
+
+    fn send_purge(&mut self, cx: &mut Cx<'_>, ids: &mut HomeIds, connection: ConnectionId) {
+        let Some(link) = self.links.get_mut(&connection) else {
+            return;
+        };
+        let work = ids.work();
+        link.state = LinkState::Purging(work);
+        self.purge.running = Some(Batch {
+            connection,
+            until: cx.now.instant + PURGE_TIMEOUT,
+        });
+        cx.backend(BackendEffect::Send {
+            connection,
+            work,
+            payload: WorkPayload::Sql(purge_sql(cx.now.unix)),
+        });
+    }
+
+    /// Takes the end of a batch; one that deleted rows is followed by another soon.
+    pub(crate) fn on_purge_end(
+        &mut self,
+        cx: &mut Cx<'_>,
+        connection: ConnectionId,
+        work: WorkId,
+        end: &WorkEnd,
+    ) {
+        let link = self.links.get(&connection);
+        if !link.is_some_and(|link| link.state == LinkState::Purging(work)) {
+            return;
+        }
+        match end.transaction {
+            TransactionStatus::Idle => self.release(cx, connection),
+            TransactionStatus::Open | TransactionStatus::Failed => self.close(cx, connection),
+        }
+        let has_deleted = end.sqlstate.is_none() && end.value.is_some();
+        let is_superseded = end.sqlstate == Some(SqlState::SUPERSEDED);
+        self.end_purge(
+            cx,
+            match has_deleted || is_superseded {
+                true => PURGE_PAUSE,
+                false => PURGE_INTERVAL,
+            },
+        );
+    }
+
+    /// Ends the batch under way, if there is one, and sets the time of the next.
+    pub(crate) fn end_purge(&mut self, cx: &mut Cx<'_>, wait: Duration) {
+        self.purge.running = None;
+        self.purge.next = Some(cx.now.instant + cx.random.jitter(wait));
+    }
+}
--- a/sapphireslip-core/src/link.rs
+++ b/sapphireslip-core/src/link.rs
@@ -25,6 +25,8 @@
         Idle,
         /// Has work.
         Working(Work),
+        /// Deletes old request keys.
+        Purging(WorkId),
         /// Belongs to the open transaction of a session, which is between two statements.
         Pinned(SessionKey),
     }
--- a/sapphireslip-core/src/loss.rs
+++ b/sapphireslip-core/src/loss.rs
@@ -5,7 +5,10 @@
 use crate::derives::key;
 use crate::job::{LossClass, Stage};
 use crate::link::LinkState;
-use crate::{ConnectionId, Cx, Home, KeyedNext, RefusalReason, RequestId, ServerId, StatementKind};
+use crate::{
+    ConnectionId, Cx, Home, KeyedNext, PURGE_INTERVAL, RefusalReason, RequestId, ServerId,
+    StatementKind,
+};
 
 key! {
     /// Whether a lost request may be tried on another server, within the budget.
@@ -29,6 +32,7 @@
         self.group.note_failed(cx, &link.server);
         match link.state {
             LinkState::Opening | LinkState::Idle => {}
+            LinkState::Purging(_) => self.end_purge(cx, PURGE_INTERVAL),
             LinkState::Pinned(session) => {
                 self.transactions.remove(&session);
             }
--- a/sapphireslip-core/src/work.rs
+++ b/sapphireslip-core/src/work.rs
@@ -24,6 +24,9 @@
             return;
         };
         let LinkState::Working(current) = &mut link.state else {
+            if let Some(end) = end {
+                self.on_purge_end(cx, connection, work, end);
+            }
             return;
         };
         if current.id != work {
--- a/sapphireslip-core/tests/home_fake/mod.rs
+++ b/sapphireslip-core/tests/home_fake/mod.rs
@@ -109,16 +109,21 @@
     }
 
     pub fn with(queued: u32, max_staleness: &str) -> Self {
-        let mut fake = Self::cold(queued, max_staleness);
+        let mut fake = Self::cold("a", queued, max_staleness);
         fake.run(Duration::from_millis(20));
         assert!(fake.sent.is_empty());
         fake
     }
 
-    fn cold(queued: u32, max_staleness: &str) -> Self {
+    /// Returns a home in another zone than the first; the entry daemon in `b` is home there.
+    pub fn in_zone(zone: &str) -> Self {
+        Self::cold(zone, 100, "1s")
+    }
+
+    fn cold(zone: &str, queued: u32, max_staleness: &str) -> Self {
         let local = Local {
             vm: VmId::try_from("vm-home").unwrap(),
-            zone: ZoneName::try_from("a").unwrap(),
+            zone: ZoneName::try_from(zone).unwrap(),
             address: "10.1.0.1:7000".parse().unwrap(),
             incarnation: Incarnation(1),
         };
