Documents: one server at a time, an owner row for each service, and apply names the lines

- A change that adds and removes more than one server of a database in all may leave two majorities without a common server: AcceptedState refuses it.
One at another address is another server.
- Two members could have documents for one service accepted, and a new daemon, which sees only the last change of each, could take the rival's.
The change now has the row `service/NAME` among its conditions.
- `apply` checks with AcceptedState, so that refusals name the line.

--- a/sapphireslip-core/src/document_change.rs
+++ b/sapphireslip-core/src/document_change.rs
@@ -1,12 +1,12 @@
 //! Checks a changed document against what is accepted, before it is submitted.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::derives::data;
 use crate::raw_document::line_of;
 use crate::{
-    DatabaseName, Document, DocumentError, DocumentErrors, DocumentFault, Generation, MemberName,
-    RawDocument, ServiceName,
+    DatabaseName, DatabaseSpec, Document, DocumentError, DocumentErrors, DocumentFault, Generation,
+    MemberName, RawDocument, ServerSpec, ServiceName,
 };
 
 data! {
@@ -16,6 +16,8 @@
         pub member: MemberName,
         /// The accepted generation.
         pub generation: Generation,
+        /// The databases that it declares.
+        pub databases: Vec<DatabaseSpec>,
     }
 
     /// Which service owns a database.
@@ -42,8 +44,9 @@
     /// # Errors
     ///
     /// Every fault of the text; and if there is none, every reason against the change: a
-    /// generation that is not the next one, a service that another member owns, and each database
-    /// that another service owns.
+    /// generation that is not the next one, a service that another member owns, each database
+    /// that another service owns, and each database of which more than one server is added or
+    /// removed.
     ///
     /// ```
     /// use sapphireslip_core::{AcceptedState, CurrentDocument, Generation, MemberName};
@@ -61,6 +64,7 @@
     ///     current: Some(CurrentDocument {
     ///         member: MemberName::try_from("red-quetzal").unwrap(),
     ///         generation: Generation(generation),
+    ///         databases: Vec::new(),
     ///     }),
     ///     owners: Vec::new(),
     /// };
@@ -76,6 +80,7 @@
         errors.extend(self.check_generation(&document, &lines));
         errors.extend(self.check_member(&document, &lines));
         errors.extend(self.check_owners(&document, &lines));
+        errors.extend(self.check_servers(&document, &lines));
         if errors.is_empty() {
             return Ok(document);
         }
@@ -103,6 +108,22 @@
         })
     }
 
+    /// Majorities of two lists of servers share a server only if the lists differ by one.
+    fn check_servers(&self, document: &Document, lines: &Lines) -> Vec<DocumentError> {
+        let before = self.current.iter().flat_map(|current| &current.databases);
+        let before: BTreeMap<_, _> = before.map(|spec| (&spec.name, spec)).collect();
+        let changed = document.databases.iter().filter_map(|spec| {
+            let changed = servers_changed(before.get(&spec.name)?, spec);
+            (changed > 1).then_some((&spec.name, changed))
+        });
+        let error = |(name, changed): (&DatabaseName, usize)| DocumentError {
+            line: lines.databases.get(name.as_str()).copied(),
+            path: format!("database.{name}.server"),
+            fault: DocumentFault::ServersChanged(changed),
+        };
+        changed.map(error).collect()
+    }
+
     fn check_owners(&self, document: &Document, lines: &Lines) -> Vec<DocumentError> {
         let rivals = self
             .owners
@@ -123,6 +144,15 @@
     }
 }
 
+/// Returns how many servers were added and removed; one with another address is another server.
+fn servers_changed(before: &DatabaseSpec, after: &DatabaseSpec) -> usize {
+    let places = |spec: &DatabaseSpec| -> BTreeSet<_> {
+        let place = |server: &ServerSpec| (server.id.clone(), server.address);
+        spec.servers.iter().map(place).collect()
+    };
+    places(before).symmetric_difference(&places(after)).count()
+}
+
 /// The lines of the keys that a change may be refused for.
 struct Lines {
     generation: Option<usize>,
--- a/sapphireslip-core/src/document_error.rs
+++ b/sapphireslip-core/src/document_error.rs
@@ -107,6 +107,10 @@
         ServiceOwned(service: ServiceName, owner: MemberName) {
             display("service `{service}` belongs to member `{owner}`: give your service another name")
         }
+        /// Too many servers of a database change at once.
+        ServersChanged(count: usize) {
+            display("adds and removes {count} servers in all: add or remove one at a time, and go on once the change is in force everywhere")
+        }
         /// Another service owns the database.
         DatabaseOwned(database: DatabaseName, owner: ServiceName) {
             display("database `{database}` belongs to service `{owner}`: give your database another name")
--- a/sapphireslip-core/tests/document_change.rs
+++ b/sapphireslip-core/tests/document_change.rs
@@ -3,8 +3,9 @@
 mod fleet_support;
 
 use fleet_support::document;
+use rstest::rstest;
 use sapphireslip_core::{
-    AcceptedState, CurrentDocument, DatabaseOwner, DocumentErrors, Generation,
+    AcceptedState, CurrentDocument, DatabaseOwner, Document, DocumentErrors, Generation,
 };
 
 fn accepted(member: &str, generation: u64) -> AcceptedState {
@@ -16,6 +17,7 @@
         current: Some(CurrentDocument {
             member: member.try_into().unwrap(),
             generation: Generation(generation),
+            databases: Vec::new(),
         }),
         owners: vec![owner("stock", "stock"), owner("ledger", "billing")],
     }
@@ -55,3 +57,43 @@
          database another name"
     );
 }
+
+/// Returns a document of one database with these servers, given as identifier and last octet.
+fn with_servers(generation: u64, servers: &[(&str, u8)]) -> String {
+    let head = "service = \"stock\"\nmember = \"m\"\n";
+    let mut text = format!(
+        "{head}generation = {generation}\n[limits]\nsessions = 10\nqueued = 10\n[stop]\n\
+         bound = \"5s\"\n[[database]]\nname = \"stock\"\nconnections = 16\n\
+         max_staleness = \"5s\"\ndeadline = \"2s\"\n"
+    );
+    for (id, octet) in servers {
+        text += &format!(
+            "[[database.server]]\nid = \"{id}\"\nzone = \"a\"\naddress = \"10.9.0.{octet}:5432\"\n"
+        );
+    }
+    text
+}
+
+#[rstest]
+#[case::same(&[("a", 1), ("b", 2), ("c", 3)], None)]
+#[case::add_one(&[("a", 1), ("b", 2), ("c", 3), ("d", 4)], None)]
+#[case::remove_one(&[("a", 1), ("b", 2)], None)]
+#[case::replace_one(&[("a", 1), ("b", 2), ("d", 4)], Some(2))]
+#[case::move_one(&[("a", 1), ("b", 2), ("c", 4)], Some(2))]
+#[case::add_two(&[("a", 1), ("b", 2), ("c", 3), ("d", 4), ("e", 5)], Some(2))]
+#[case::remove_two(&[("a", 1)], Some(2))]
+fn document_change_servers(#[case] servers: &[(&str, u8)], #[case] expected: Option<usize>) {
+    let before = with_servers(3, &[("a", 1), ("b", 2), ("c", 3)]);
+    let before = Document::try_from(before.as_bytes()).unwrap();
+    let mut state = accepted("m", 3);
+    state.current.as_mut().unwrap().databases = before.databases;
+    let checked = state.check(with_servers(4, servers).as_bytes());
+    let faults = checked.err().map(|errors| errors.to_string());
+    let expected = expected.map(|count| {
+        format!(
+            "line 10: database.stock.server: adds and removes {count} servers in all: add or \
+             remove one at a time, and go on once the change is in force everywhere"
+        )
+    });
+    assert_eq!(faults, expected);
+}
--- a/sapphireslip-wire/src/apply.rs
+++ b/sapphireslip-wire/src/apply.rs
@@ -11,6 +11,7 @@
 };
 use crate::table_layout::{
     CHANGE_PREFIX, CHANGES_KEY, change_key, changes, database_key, decode_row, document_key, row,
+    service_key,
 };
 
 quick_error! {
@@ -25,6 +26,10 @@
         Owned(database: DatabaseName, owner: String) {
             display("database `{database}` belongs to `{owner}`: choose another name")
         }
+        /// Another member owns the service.
+        ServiceOwned(service: ServiceName, owner: String) {
+            display("service `{service}` belongs to member `{owner}`: choose another name")
+        }
         /// A row can't be decoded.
         Row(err: WireError) {
             display("{err}")
@@ -75,7 +80,8 @@
     /// #     against: Generation(0), databases: vec![DatabaseName::try_from("stock")?],
     /// #     released: vec![], text: "".into(), writer: "w1".into(),
     /// # };
-    /// assert_eq!(apply.reads().keys, ["changes", "document/acme/shop", "database/stock"]);
+    /// let keys = ["changes", "document/acme/shop", "service/shop", "database/stock"];
+    /// assert_eq!(apply.reads().keys, keys);
     /// # Ok::<(), NameError>(())
     /// ```
     #[must_use]
@@ -83,6 +89,7 @@
         let mut keys = vec![
             CHANGES_KEY.to_owned(),
             document_key(&self.member, &self.service),
+            service_key(&self.service),
         ];
         keys.extend(self.databases.iter().map(database_key));
         keys.extend(self.released.iter().map(database_key));
@@ -93,7 +100,7 @@
     ///
     /// # Errors
     ///
-    /// The document is at another generation, a database has another owner, or a row can't be
+    /// The document is at another generation, the service or a database has another owner, or a row can't be
     /// decoded.
     ///
     /// ```
@@ -107,17 +114,20 @@
     /// let absent = |key: String| Row { key, ..Row::default() };
     /// let rows = apply.reads().keys.into_iter().map(absent).collect();
     /// let transaction = apply.transaction(&ReadReply { rows })?;
-    /// assert_eq!(transaction.conditions.len(), 3);
+    /// assert_eq!(transaction.conditions.len(), 4);
     /// # Ok::<(), Box<dyn std::error::Error>>(())
     /// ```
     pub fn transaction(&self, reply: &ReadReply) -> Result<TransactRequest, ApplyError> {
         let change = ChangeCount(changes(reply)?.0 + 1);
         let document_key = document_key(&self.member, &self.service);
         self.check_generation(row(reply, &document_key)?)?;
+        let service_key = service_key(&self.service);
+        self.check_service(row(reply, &service_key)?)?;
         let mut writes = vec![
             put(CHANGES_KEY, change.0.to_be_bytes().to_vec()),
             put(&change_key(change), self.change_value().into_bytes()),
             put(&document_key, self.document_value(change)),
+            put(&service_key, self.member.as_str().as_bytes().to_vec()),
         ];
         for database in &self.databases {
             let key = database_key(database);
@@ -202,6 +212,14 @@
         Err(ApplyError::Generation(self.against.0, current))
     }
 
+    fn check_service(&self, row: &Row) -> Result<(), ApplyError> {
+        if row.version == 0 || row.value == self.member.as_str().as_bytes() {
+            return Ok(());
+        }
+        let owner = String::from_utf8_lossy(&row.value).into_owned();
+        Err(ApplyError::ServiceOwned(self.service.clone(), owner))
+    }
+
     fn check_owner(&self, database: &DatabaseName, row: &Row) -> Result<(), ApplyError> {
         if row.version == 0 || row.value == self.owner().as_bytes() {
             return Ok(());
--- a/sapphireslip-wire/src/table_layout.rs
+++ b/sapphireslip-wire/src/table_layout.rs
@@ -5,6 +5,7 @@
 //! | `changes` | the count of accepted changes, as 8 bytes, big-endian |
 //! | `change/COUNT` | the key of the changed document, a line break, and the writer's identifier |
 //! | `document/MEMBER/SERVICE` | a [`DocumentRow`](crate::platform::DocumentRow) |
+//! | `service/NAME` | `MEMBER` of the owner |
 //! | `database/NAME` | `MEMBER/SERVICE` of the owner |
 
 use std::collections::BTreeSet;
@@ -52,6 +53,19 @@
     format!("{DOCUMENT_PREFIX}{member}/{service}")
 }
 
+/// Returns the key of a service's owner.
+///
+/// ```
+/// use sapphireslip_core::ServiceName;
+/// let key = sapphireslip_wire::service_key(&ServiceName::try_from("shop")?);
+/// assert_eq!(key, "service/shop");
+/// # Ok::<(), sapphireslip_core::NameError>(())
+/// ```
+#[must_use]
+pub fn service_key(service: &ServiceName) -> String {
+    format!("service/{service}")
+}
+
 /// Returns the key of a database's owner.
 ///
 /// ```
--- a/sapphireslip/src/apply.rs
+++ b/sapphireslip/src/apply.rs
@@ -5,9 +5,14 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use sapphireslip_core::{DatabaseName, Document, Generation};
-use sapphireslip_wire::platform::{ReadRequest, TransactRequest};
-use sapphireslip_wire::{Apply, ApplyError, Settled, document, document_key};
+use sapphireslip_core::{
+    AcceptedState, CurrentDocument, DatabaseName, DatabaseOwner, Document, DocumentErrors,
+    Generation, ServiceName,
+};
+use sapphireslip_wire::platform::{ReadRequest, Row, TransactRequest};
+use sapphireslip_wire::{
+    Apply, ApplyError, Settled, WireError, database_key, document, document_key,
+};
 use serde::Serialize;
 
 use crate::platform_client::PlatformClient;
@@ -53,12 +58,17 @@
 /// The file has faults, the platform refuses the change or does not answer.
 pub async fn apply(arguments: &ApplyArguments) -> Result<Output, Error> {
     let bytes = read_document(&arguments.file)?;
-    let checked = Document::try_from(bytes.as_slice())
-        .map_err(|faults| Error::Faults(arguments.file.clone(), faults.to_string()))?;
+    let faults = |faults: DocumentErrors| {
+        let path = arguments.file.clone();
+        Error::Faults(path, faults.to_string())
+    };
+    let checked = Document::try_from(bytes.as_slice()).map_err(faults)?;
     let text = String::from_utf8_lossy(&bytes).into_owned();
     let mut platform = PlatformClient::new(arguments.platform)?;
     for attempt in 0..ATTEMPTS_MAX {
-        let change = change(&mut platform, &checked, &text, attempt).await?;
+        let accepted = read_accepted(&mut platform, &checked).await?;
+        accepted.state.check(&bytes).map_err(faults)?;
+        let change = change(&checked, &accepted, &text, attempt);
         if let Commit::Accepted = commit(&mut platform, &change).await? {
             let accepted = Accepted {
                 member: checked.member.to_string(),
@@ -76,35 +86,70 @@
     Err(Error::NotAccepted(message))
 }
 
-/// Reads what is accepted now and builds the change against it.
-async fn change(
+/// What is accepted now, as far as a document's change is concerned.
+struct AcceptedNow {
+    state: AcceptedState,
+    /// The databases that the accepted document declares.
+    databases: Vec<DatabaseName>,
+}
+
+/// Reads what a document's change is checked against.
+async fn read_accepted(
     platform: &mut PlatformClient,
     new: &Document,
-    text: &str,
-    attempt: u32,
-) -> Result<Apply, Error> {
-    let key = document_key(&new.member, &new.service);
-    let reply = platform.read(ReadRequest { keys: vec![key] }).await?;
+) -> Result<AcceptedNow, Error> {
+    let mut keys = vec![document_key(&new.member, &new.service)];
+    keys.extend(new.databases.iter().map(|spec| database_key(&spec.name)));
+    let reply = platform.read(ReadRequest { keys }).await?;
     let old = reply.rows.first().map(document).transpose();
-    let old = old
-        .map_err(|err| Error::Form("the platform's table", err.to_string()))?
-        .flatten();
-    let old = old.and_then(|old| Document::try_from(old.text.as_bytes()).ok());
+    let old = old.map_err(form)?.flatten();
+    let declared = old
+        .as_ref()
+        .and_then(|old| Document::try_from(old.text.as_bytes()).ok());
+    let declared = declared.map(|old| old.databases).unwrap_or_default();
+    let databases = declared.iter().map(|spec| spec.name.clone()).collect();
+    let current = old.map(|old| CurrentDocument {
+        member: old.member,
+        generation: old.generation,
+        databases: declared,
+    });
+    let rows = reply.rows.iter().skip(1).zip(&new.databases);
+    let owners = rows.filter_map(|(row, spec)| owner(row, new, &spec.name));
+    let owners = owners.collect();
+    let state = AcceptedState { current, owners };
+    Ok(AcceptedNow { state, databases })
+}
+
+fn form(err: WireError) -> Error {
+    Error::Form("the platform's table", err.to_string())
+}
+
+/// Returns the owner of a database, if it is another document than the new one.
+fn owner(row: &Row, new: &Document, database: &DatabaseName) -> Option<DatabaseOwner> {
+    let value = String::from_utf8_lossy(&row.value);
+    let (member, service) = value.split_once('/')?;
+    let is_own = member == new.member.as_str() && service == new.service.as_str();
+    let service = ServiceName::try_from(service).ok().filter(|_| !is_own)?;
+    Some(DatabaseOwner {
+        database: database.clone(),
+        service,
+    })
+}
+
+/// Builds the change against what is accepted now.
+fn change(new: &Document, accepted: &AcceptedNow, text: &str, attempt: u32) -> Apply {
     let databases: Vec<DatabaseName> = names(new);
-    let released = old.as_ref().map(names).unwrap_or_default();
-    let released = released
-        .into_iter()
-        .filter(|name| !databases.contains(name))
-        .collect();
-    Ok(Apply {
+    let released = accepted.databases.iter();
+    let released = released.filter(|name| !databases.contains(name)).cloned();
+    Apply {
         member: new.member.clone(),
         service: new.service.clone(),
         against: Generation(new.generation.0.saturating_sub(1)),
+        released: released.collect(),
         databases,
-        released,
         text: Arc::from(text),
         writer: Arc::from(writer(attempt)),
-    })
+    }
 }
 
 fn names(document: &Document) -> Vec<DatabaseName> {
