Scenarios for promises 5 to 9: leaving servers, stops, operators, late originals, repeated faults

The stand-in server counts the statements it takes. Callers of a load may roam, count attempts in doubt, and know 57P01 on an idle session. The check waits for a free connection at the server.

--- a/sapphireslip-core/tests/home_write.rs
+++ b/sapphireslip-core/tests/home_write.rs
@@ -279,6 +279,18 @@
     assert!(fake.state.homes.is_idle());
 }
 
+/// Silence is found at half the time to the deadline, here 2,990 ms, or with the next poll.
+#[test]
+fn silent_path_is_found_within_its_bound() {
+    let mut fake = Fake::new();
+    fake.ask_kind(StatementKind::Read);
+    let silent = fake.only();
+    fake.run_ms(1494);
+    assert!(fake.open.contains_key(&silent.connection));
+    fake.run_ms(506);
+    assert!(!fake.open.contains_key(&silent.connection));
+}
+
 #[test]
 fn silent_path_is_closed_and_its_read_moved() {
     let mut fake = Fake::new();
--- a/sapphireslipd/tests/scenario.rs
+++ b/sapphireslipd/tests/scenario.rs
@@ -14,6 +14,13 @@
     run_script(&path);
 }
 
+/// Measures on an otherwise idle machine; run by hand.
+#[rstest]
+#[ignore = "its verdict depends on what else the machine does"]
+fn measure_script(#[files("tests/measures/*.script")] path: std::path::PathBuf) {
+    run_script(&path);
+}
+
 fn run_script(path: &Path) {
     let expected = std::fs::read_to_string(path).expect("the script can be read");
     let said = goldenscript::generate(&mut Scenario::default(), &expected)
--- a/sapphireslipd/tests/support/load.rs
+++ b/sapphireslipd/tests/support/load.rs
@@ -1,5 +1,6 @@
 //! Writers and readers that go on in the background of a scenario.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -17,16 +18,26 @@
 pub struct Load {
     stop: Arc<AtomicBool>,
     writes: Arc<AtomicU64>,
+    doubts: Arc<AtomicU64>,
     tasks: Vec<JoinHandle<()>>,
 }
 
 impl Load {
     /// Starts a session for each target: it writes under a key, then reads its writes.
-    pub fn start(name: &str, targets: Vec<Target>, ledger: &Arc<Mutex<Ledger>>) -> Self {
+    /// One that roams goes on at another daemon when it does not know what became of a write.
+    pub fn start(
+        name: &str,
+        targets: Vec<Target>,
+        roams: &[SocketAddr],
+        ledger: &Arc<Mutex<Ledger>>,
+    ) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let writes = Arc::new(AtomicU64::new(0));
+        let doubts = Arc::new(AtomicU64::new(0));
         let tasks = targets.into_iter().enumerate().map(|(number, target)| {
-            let session = ScriptSession::new(&format!("{name}-{number}"), target);
+            let mut session = ScriptSession::new(&format!("{name}-{number}"), target);
+            session.roams = roams.to_vec();
+            session.doubts = Arc::clone(&doubts);
             let run = run(
                 session,
                 Arc::clone(ledger),
@@ -39,6 +50,7 @@
             tasks: tasks.collect(),
             stop,
             writes,
+            doubts,
         }
     }
 
@@ -47,6 +59,11 @@
         self.writes.load(Ordering::Relaxed)
     }
 
+    /// Returns how many attempts had no outcome that their caller could know.
+    pub fn doubts(&self) -> u64 {
+        self.doubts.load(Ordering::Relaxed)
+    }
+
     /// Lets every session end its operation, and waits for that.
     pub async fn stop(self) {
         self.stop.store(true, Ordering::Relaxed);
--- a/sapphireslipd/tests/support/mod.rs
+++ b/sapphireslipd/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 mod faults;
 mod load;
+mod operators;
+mod planned;
 mod scenario;
 mod script_args;
 mod script_session;
--- a/sapphireslipd/tests/support/scenario.rs
+++ b/sapphireslipd/tests/support/scenario.rs
@@ -23,6 +23,9 @@
 /// The time within which a background load must make progress once nothing is broken.
 const PROGRESS_LIMIT: Duration = Duration::from_secs(20);
 
+/// The time within which daemons close connections that are no longer used.
+const CHECK_LIMIT: Duration = Duration::from_secs(90);
+
 /// Writes that count as progress.
 const PROGRESS_WRITES: u64 = 20;
 
@@ -30,11 +33,17 @@
 #[derive(Debug)]
 pub struct Scenario {
     runtime: Runtime,
-    fleet: Option<Fleet>,
+    pub(super) fleet: Option<Fleet>,
+    /// The server that was told to leave last, and when.
+    pub(super) leaving: Option<(usize, Instant)>,
+    /// Throughput measured earlier, by load.
+    pub(super) rates: BTreeMap<String, f64>,
     sessions: BTreeMap<String, ScriptSession>,
-    loads: BTreeMap<String, Load>,
+    pub(super) loads: BTreeMap<String, Load>,
     ledger: Arc<Mutex<Ledger>>,
-    generation: u64,
+    pub(super) generation: u64,
+    /// The second at which the scenario began, for request keys that are used again.
+    began: u64,
     started: BTreeMap<String, JoinHandle<StartedSql>>,
     killed: BTreeSet<usize>,
 }
@@ -42,13 +51,16 @@
 /// A session and the answer to the statement that it was given.
 type StartedSql = (ScriptSession, Result<Vec<SimpleQueryMessage>, Attempt>);
 
-type Said = Result<String, Box<dyn Error>>;
+pub(super) type Said = Result<String, Box<dyn Error>>;
 
 impl Default for Scenario {
     fn default() -> Self {
         Self {
             runtime: Runtime::new().expect("a runtime can be had"),
             fleet: None,
+            leaving: None,
+            rates: BTreeMap::new(),
+            began: unix_seconds(),
             sessions: BTreeMap::new(),
             loads: BTreeMap::new(),
             ledger: Arc::default(),
@@ -95,15 +107,28 @@
             "apply" => self.apply(args).await,
             "in-force" => self.in_force(args).await,
             "check" => self.check().await,
+            "unknown" => Ok(format!(
+                "unknown {}",
+                self.ledger.lock().unwrap().verdict([]).unknown
+            )),
+            "load-doubts" => self.load_doubts(args),
+            "refused-soon" => self.refused_soon(args).await,
+            "closed" => self.closed(args).await,
+            "leave" => self.leave(args).await,
+            "no-new-work" => self.no_new_work(args).await,
+            "replace-all" => self.replace_all().await,
+            "operator" => self.operator(args).await,
+            "operators-race" => self.operators_race().await,
+            "throughput" => self.throughput(args).await,
             _ => fault(self.fleet_mut()?, name, args).await,
         }
     }
 
-    fn fleet(&self) -> Result<&Fleet, &'static str> {
+    pub(super) fn fleet(&self) -> Result<&Fleet, &'static str> {
         self.fleet.as_ref().ok_or("start with `fleet`")
     }
 
-    fn fleet_mut(&mut self) -> Result<&mut Fleet, &'static str> {
+    pub(super) fn fleet_mut(&mut self) -> Result<&mut Fleet, &'static str> {
         self.fleet.as_mut().ok_or("start with `fleet`")
     }
 
@@ -179,7 +204,7 @@
         ))
     }
 
-    fn session_mut(&mut self, name: &str) -> Result<&mut ScriptSession, String> {
+    pub(super) fn session_mut(&mut self, name: &str) -> Result<&mut ScriptSession, String> {
         self.sessions
             .get_mut(name)
             .ok_or_else(|| format!("no session `{name}`"))
@@ -188,15 +213,25 @@
     async fn sql(&mut self, args: &mut ScriptArgs<'_>) -> Said {
         let name = args.next("the session")?.to_owned();
         let text = args.next("the statement")?.to_owned();
-        let text = text.replace("NOW", &unix_seconds().to_string());
+        let text = self.with_times(&text);
         let answer = self.session_mut(&name)?.query(&text).await;
         Ok(describe_answer(&answer))
     }
 
+    /// Puts the second at which the scenario began, and hours from it, in place of `NOW`.
+    fn with_times(&self, text: &str) -> String {
+        let hour = 60 * 60;
+        text.replace("NOW-25H", &(self.began - 25 * hour).to_string())
+            .replace("NOW-22H", &(self.began - 22 * hour).to_string())
+            .replace("NOW+1H", &(self.began + hour).to_string())
+            .replace("NOW", &self.began.to_string())
+    }
+
     /// Sends a statement and returns once its daemon has it.
     async fn sql_start(&mut self, args: &mut ScriptArgs<'_>) -> Said {
         let name = args.next("the session")?.to_owned();
         let text = args.next("the statement")?.to_owned();
+        let text = self.with_times(&text);
         let mut session = self.sessions.remove(&name).ok_or("no such session")?;
         let fleet = self.fleet()?;
         let daemon = (0..fleet.daemons())
@@ -296,13 +331,16 @@
         let sessions = args.parse("sessions")?.unwrap_or(6);
         let database = args.text("database").unwrap_or("stock").to_owned();
         let daemon: Option<usize> = args.parse("daemon")?;
+        let is_roaming = args.parse("roam")?.unwrap_or(false);
         let fleet = self.fleet()?;
         let daemons = fleet.daemons();
+        let all: Vec<_> = (0..daemons).map(|number| fleet.callers(number)).collect();
+        let roams = if is_roaming { all } else { Vec::new() };
         let targets = (0..sessions)
             .map(|number| target(fleet, daemon.unwrap_or(number % daemons), &database, None))
             .collect();
-        self.loads
-            .insert(name.clone(), Load::start(&name, targets, &self.ledger));
+        let load = Load::start(&name, targets, &roams, &self.ledger);
+        self.loads.insert(name, load);
         Ok(String::new())
     }
 
@@ -316,6 +354,13 @@
         Ok(String::new())
     }
 
+    /// Says how many attempts of a load had no outcome that their caller could know.
+    fn load_doubts(&self, args: &mut ScriptArgs<'_>) -> Said {
+        let name = args.next("the load")?;
+        let load = self.loads.get(name).ok_or("no such load")?;
+        Ok(format!("{} in doubt", load.doubts()))
+    }
+
     async fn load_stop(&mut self, args: &mut ScriptArgs<'_>) -> Said {
         let name = args.next("the load")?.to_owned();
         self.loads.remove(&name).ok_or("no such load")?.stop().await;
@@ -338,7 +383,12 @@
     }
 
     fn platform(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let lag: Option<u64> = args.parse("lag")?;
         let platform = self.fleet()?.platform();
+        if let Some(lag) = lag {
+            platform.set_vm_list_lag(Duration::from_millis(lag));
+            return Ok(String::new());
+        }
         match args.next("`up`, `down` or `lose-answer`")? {
             "up" => platform.down(false),
             "down" => platform.down(true),
@@ -399,11 +449,7 @@
             let primary = async || primary(fleet, database);
             let server = wait_for("primary", PROGRESS_LIMIT, primary).await?;
             assert!(server < SERVERS_A_GROUP);
-            stored.extend(
-                fleet
-                    .stored(database, server, "SELECT request FROM entry")
-                    .await?,
-            );
+            stored.extend(stored_requests(fleet, database, server).await?);
         }
         let verdict = self
             .ledger
@@ -431,6 +477,18 @@
         .map_or_else(|| err.to_string(), |code| code.code().to_owned())
 }
 
+/// Returns the requests that a server holds; while daemons hold all its connections, waits for one
+/// that they close for idleness.
+async fn stored_requests(
+    fleet: &Fleet,
+    database: usize,
+    server: usize,
+) -> Result<Vec<String>, Box<dyn Error>> {
+    let sql = "SELECT request FROM entry";
+    let stored = async || fleet.stored(database, server, sql).await.ok();
+    Ok(wait_for("stored requests", CHECK_LIMIT, stored).await?)
+}
+
 /// Returns how many requests homes have sent to backend servers.
 async fn sent_requests(fleet: &Fleet) -> usize {
     let mut sent = 0;
--- a/sapphireslipd/tests/support/script_session.rs
+++ b/sapphireslipd/tests/support/script_session.rs
@@ -1,6 +1,8 @@
 //! A caller's session in a scenario.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use sapphireslip::{Attempt, attempt_of};
@@ -21,6 +23,12 @@
 /// The longest that a caller waits for one answer; far above every deadline of a document.
 const ANSWER_LIMIT: Duration = Duration::from_secs(30);
 
+/// How often, and after what pause, a closed session looks for the reason.
+const CLOSE_POLLS: u32 = 20;
+
+/// The pause between two looks.
+const CLOSE_POLL: Duration = Duration::from_millis(5);
+
 /// Where a session connects, and with what token.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -37,6 +45,12 @@
     pub target: Target,
     pub client: Option<Client>,
     pub acknowledged: u64,
+    /// Where it goes on after a write of unknown outcome, in turn.
+    pub roams: Vec<SocketAddr>,
+    /// Attempts of which it was not told whether they ran.
+    pub doubts: Arc<AtomicU64>,
+    /// The SQLSTATE with which its daemon closed the session.
+    pub closed_with: Arc<Mutex<Option<String>>>,
 }
 
 impl ScriptSession {
@@ -46,6 +60,9 @@
             target,
             client: None,
             acknowledged: 0,
+            roams: Vec::new(),
+            doubts: Arc::default(),
+            closed_with: Arc::default(),
         }
     }
 
@@ -69,8 +86,13 @@
             config.options(format!("-c sapphireslip.token={token}"));
         }
         let (client, connection) = config.connect(NoTls).await?;
+        let closed_with = Arc::clone(&self.closed_with);
+        *closed_with.lock().unwrap() = None;
         tokio::spawn(async move {
-            let _closed = connection.await;
+            if let Err(err) = connection.await {
+                let code = err.code().map(|code| code.code().to_owned());
+                *closed_with.lock().unwrap() = code;
+            }
         });
         self.client = Some(client);
         Ok(())
@@ -94,6 +116,12 @@
         };
         let answer = tokio::time::timeout(ANSWER_LIMIT, client.simple_query(sql)).await;
         match answer {
+            Ok(Err(err)) if err.is_closed() && self.was_told_to_leave().await => {
+                Err(Attempt::NotRun {
+                    retry_after: Some(Duration::ZERO),
+                    message: "57P01: closed while idle".to_owned(),
+                })
+            }
             Ok(result) => result.map_err(|err| attempt_of(&err)),
             Err(_elapsed) => Err(Attempt::Unknown {
                 message: "no answer at all".to_owned(),
@@ -101,6 +129,18 @@
         }
     }
 
+    /// Returns whether the daemon closed the idle session with the code of a planned stop: then
+    /// it has taken nothing that was sent since.
+    async fn was_told_to_leave(&self) -> bool {
+        for _ in 0..CLOSE_POLLS {
+            if self.closed_with.lock().unwrap().is_some() {
+                break;
+            }
+            tokio::time::sleep(CLOSE_POLL).await;
+        }
+        self.closed_with.lock().unwrap().as_deref() == Some("57P01")
+    }
+
     /// Reads the token that the session's daemon has reported.
     pub async fn token(&mut self) -> Option<String> {
         let rows = self.query("SHOW sapphireslip.token").await.ok()?;
@@ -149,7 +189,9 @@
                 }
                 Err(Attempt::Unknown { message }) => {
                     may_have_run = true;
+                    self.doubts.fetch_add(1, Ordering::Relaxed);
                     last = message;
+                    self.roam();
                     tokio::time::sleep(DEFAULT_RETRY_AFTER).await;
                 }
                 Err(Attempt::Done) => return Attempt::Done,
@@ -164,6 +206,16 @@
         }
     }
 
+    /// Goes to the next daemon, if it roams.
+    fn roam(&mut self) {
+        if self.roams.is_empty() {
+            return;
+        }
+        self.target.daemon = self.roams.remove(0);
+        self.roams.push(self.target.daemon);
+        self.client = None;
+    }
+
     /// Returns whether a read shows every write that this session was told is done.
     pub async fn sees_its_writes(&mut self) -> Result<bool, Attempt> {
         let sql = format!("SELECT count(*) FROM entry WHERE session = '{}'", self.name);
--- a/standins/src/backend_group.rs
+++ b/standins/src/backend_group.rs
@@ -127,6 +127,13 @@
         server.limits.connections - free
     }
 
+    /// Returns how many statements a server has taken on ordinary connections.
+    #[must_use]
+    pub fn statements(&self, server: usize) -> u64 {
+        let counter = &self.servers[server].statements;
+        counter.load(std::sync::atomic::Ordering::SeqCst)
+    }
+
     /// Drops a server's connections and stops it listening; its log stays.
     pub fn kill(&self, server: usize) {
         self.servers[server].kill();
@@ -255,5 +262,6 @@
         writer: Mutex::default(),
         changed: watch::Sender::new(0),
         next_connection: 1.into(),
+        statements: 0.into(),
     }
 }
--- a/standins/src/backend_server.rs
+++ b/standins/src/backend_server.rs
@@ -74,6 +74,8 @@
     pub(crate) changed: watch::Sender<u64>,
     pub(crate) run: Mutex<Run>,
     pub(crate) next_connection: std::sync::atomic::AtomicU64,
+    /// Statements taken on ordinary connections.
+    pub(crate) statements: std::sync::atomic::AtomicU64,
 }
 
 /// Locks, also after a panic of another holder.
--- a/standins/src/backend_statements.rs
+++ b/standins/src/backend_statements.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use pgwire::messages::data::{FieldDescription, NoData, ParameterDescription, RowDescription};
 use pgwire::messages::extendedquery::{Bind, BindComplete, CloseComplete, Parse, ParseComplete};
@@ -54,6 +55,9 @@
 
     /// Takes a message; returns whether the session goes on.
     pub(crate) async fn take(&mut self, wire: &mut Wire, message: In) -> io::Result<bool> {
+        if matches!(message, In::Query(_) | In::Execute(_)) {
+            wire.server.statements.fetch_add(1, Ordering::SeqCst);
+        }
         match message {
             In::Query(query) => self.simple(wire, &query.query).await,
             In::Sync(_) => self.sync(wire).await,
