--- a/sapphireslipd/tests/scenario.rs
+++ b/sapphireslipd/tests/scenario.rs
@@ -17,6 +17,12 @@
 
 /// Scripts that run at the same time: each has up to nine daemon processes.
 static SCRIPTS_AT_ONCE: Semaphore = Semaphore::const_new(4);
+/// Measures on an otherwise idle machine; run by hand.
+#[rstest]
+#[ignore = "its verdict depends on what else the machine does"]
+fn measure_script(#[files("tests/measures/*.script")] path: std::path::PathBuf) {
+    run_script(&path);
+}
 
 fn run_script(path: &Path) {
     let _permit = futures::executor::block_on(SCRIPTS_AT_ONCE.acquire());
--- a/sapphireslipd/tests/support/load.rs
+++ b/sapphireslipd/tests/support/load.rs
@@ -18,6 +18,7 @@
 pub struct Load {
     stop: Arc<AtomicBool>,
     writes: Arc<AtomicU64>,
+    doubts: Arc<AtomicU64>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -32,9 +33,11 @@
     ) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let writes = Arc::new(AtomicU64::new(0));
+        let doubts = Arc::new(AtomicU64::new(0));
         let tasks = targets.into_iter().enumerate().map(|(number, target)| {
             let mut session = ScriptSession::new(&format!("{name}-{number}"), target);
             session.roams = roams.to_vec();
+            session.doubts = Arc::clone(&doubts);
             let run = run(
                 session,
                 Arc::clone(ledger),
@@ -47,6 +50,7 @@
             tasks: tasks.collect(),
             stop,
             writes,
+            doubts,
         }
     }
 
@@ -55,6 +59,11 @@
         self.writes.load(Ordering::Relaxed)
     }
 
+    /// Returns how many attempts had no outcome that their caller could know.
+    pub fn doubts(&self) -> u64 {
+        self.doubts.load(Ordering::Relaxed)
+    }
+
     /// Lets every session end its operation, and waits for that.
     pub async fn stop(self) {
         self.stop.store(true, Ordering::Relaxed);
--- a/sapphireslipd/tests/support/operators.rs
+++ b/sapphireslipd/tests/support/operators.rs
@@ -1,6 +1,7 @@
 //! Operators in a scenario, who use the code of the command `apply`.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use sapphireslip::{ApplyArguments, apply};
 use tempfile::TempDir;
@@ -8,6 +9,9 @@
 use super::scenario::{Said, Scenario};
 use super::script_args::ScriptArgs;
 
+/// What each call to the platform takes while two operators race.
+const CALL_DELAY: Duration = Duration::from_millis(200);
+
 /// Runs `apply` on a text and says what came of it.
 async fn submit(platform: std::net::SocketAddr, text: &str) -> Result<String, String> {
     let folder = TempDir::new().map_err(|err| err.to_string())?;
@@ -58,7 +62,10 @@
         let platform = fleet.platform_address();
         let text = fleet.document(0, generation);
         let other = text.replace("queued = 500", "queued = 400");
+        // So slow that both have read before either commits.
+        fleet.platform().slow(CALL_DELAY);
         let raced = tokio::join!(submit(platform, &text), submit(platform, &other));
+        fleet.platform().slow(Duration::ZERO);
         let results = [raced.0, raced.1];
         let accepted = results.iter().filter(|result| result.is_ok()).count();
         self.generation = generation;
--- a/sapphireslipd/tests/support/planned.rs
+++ b/sapphireslipd/tests/support/planned.rs
@@ -3,6 +3,8 @@
 use std::time::{Duration, Instant};
 
 use rustix::process::Signal;
+use sapphireslip::Attempt;
+use sapphireslip_core::RETRY_NO_MAJORITY;
 use standins::{Fleet, accept_document, wait_for};
 
 use super::faults::server;
@@ -90,6 +92,30 @@
         Ok(code.unwrap_or_else(|| "closed without a word".to_owned()))
     }
 
+    /// Writes until a write is refused for want of a majority, so that its home knows, and says
+    /// whether the next one is refused within a bound.
+    pub(super) async fn refused_soon(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let name = args.next("the session")?.to_owned();
+        let bound = Duration::from_millis(args.parse("ms")?.ok_or("give a bound in `ms`")?);
+        let session = self.session_mut(&name)?;
+        let mut refused = async || {
+            let started = Instant::now();
+            match session.write_unkeyed("refused").await {
+                Attempt::NotRun { retry_after, .. } if retry_after == Some(RETRY_NO_MAJORITY) => {
+                    Some(started.elapsed())
+                }
+                _ => None,
+            }
+        };
+        let first = wait_for("refusal", REPLACE_LIMIT, &mut refused).await?;
+        let took = wait_for("refusal", REPLACE_LIMIT, &mut refused).await?;
+        eprintln!("refused after {first:?}, then after {took:?}");
+        if took > bound {
+            return Err(format!("refused after {took:?}, over {bound:?}").into());
+        }
+        Ok(String::new())
+    }
+
     /// Measures a load's acknowledged writes a second; with `least`, against the last measure.
     pub(super) async fn throughput(&mut self, args: &mut ScriptArgs<'_>) -> Said {
         let name = args.next("the load")?.to_owned();
--- a/sapphireslipd/tests/support/scenario.rs
+++ b/sapphireslipd/tests/support/scenario.rs
@@ -25,6 +25,9 @@
 /// The time within which a background load must make progress once nothing is broken.
 pub(super) const PROGRESS_LIMIT: Duration = Duration::from_secs(20);
 
+/// The time within which daemons close connections that are no longer used.
+const CHECK_LIMIT: Duration = Duration::from_secs(90);
+
 /// Writes that count as progress.
 pub(super) const PROGRESS_WRITES: u64 = 20;
 
@@ -118,6 +121,8 @@
                 "unknown {}",
                 self.ledger.lock().unwrap().verdict([]).unknown
             )),
+            "load-doubts" => self.load_doubts(args),
+            "refused-soon" => self.refused_soon(args).await,
             "closed" => self.closed(args).await,
             "leave" => self.leave(args).await,
             "no-new-work" => self.no_new_work(args).await,
@@ -361,6 +366,13 @@
         Ok(String::new())
     }
 
+    /// Says how many attempts of a load had no outcome that their caller could know.
+    fn load_doubts(&self, args: &mut ScriptArgs<'_>) -> Said {
+        let name = args.next("the load")?;
+        let load = self.loads.get(name).ok_or("no such load")?;
+        Ok(format!("{} in doubt", load.doubts()))
+    }
+
     async fn load_stop(&mut self, args: &mut ScriptArgs<'_>) -> Said {
         let name = args.next("the load")?.to_owned();
         self.loads.remove(&name).ok_or("no such load")?.stop().await;
@@ -454,11 +466,7 @@
             let primary = async || primary(fleet, database);
             let server = wait_for("primary", PROGRESS_LIMIT, primary).await?;
             assert!(server < SERVERS_A_GROUP);
-            stored.extend(
-                fleet
-                    .stored(database, server, "SELECT request FROM entry")
-                    .await?,
-            );
+            stored.extend(stored_requests(fleet, database, server).await?);
         }
         let verdict = self
             .ledger
@@ -491,6 +499,18 @@
         .map_or_else(|| err.to_string(), |code| code.code().to_owned())
 }
 
+/// Returns the requests that a server holds; while daemons hold all its connections, waits for one
+/// that they close for idleness.
+async fn stored_requests(
+    fleet: &Fleet,
+    database: usize,
+    server: usize,
+) -> Result<Vec<String>, Box<dyn Error>> {
+    let sql = "SELECT request FROM entry";
+    let stored = async || fleet.stored(database, server, sql).await.ok();
+    Ok(wait_for("stored requests", CHECK_LIMIT, stored).await?)
+}
+
 /// Returns how many requests homes have sent to backend servers.
 async fn sent_requests(fleet: &Fleet) -> usize {
     let mut sent = 0;
--- a/sapphireslipd/tests/support/script_session.rs
+++ b/sapphireslipd/tests/support/script_session.rs
@@ -1,6 +1,7 @@
 //! A caller's session in a scenario.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -22,6 +23,12 @@
 /// The longest that a caller waits for one answer; far above every deadline of a document.
 const ANSWER_LIMIT: Duration = Duration::from_secs(30);
 
+/// How often, and after what pause, a closed session looks for the reason.
+const CLOSE_POLLS: u32 = 20;
+
+/// The pause between two looks.
+const CLOSE_POLL: Duration = Duration::from_millis(5);
+
 /// Where a session connects, and with what token.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -40,6 +47,8 @@
     pub acknowledged: u64,
     /// Where it goes on after a write of unknown outcome, in turn.
     pub roams: Vec<SocketAddr>,
+    /// Attempts of which it was not told whether they ran.
+    pub doubts: Arc<AtomicU64>,
     /// The SQLSTATE with which its daemon closed the session.
     pub closed_with: Arc<Mutex<Option<String>>>,
 }
@@ -52,6 +61,7 @@
             client: None,
             acknowledged: 0,
             roams: Vec::new(),
+            doubts: Arc::default(),
             closed_with: Arc::default(),
         }
     }
@@ -106,6 +116,12 @@
         };
         let answer = tokio::time::timeout(ANSWER_LIMIT, client.simple_query(sql)).await;
         match answer {
+            Ok(Err(err)) if err.is_closed() && self.was_told_to_leave().await => {
+                Err(Attempt::NotRun {
+                    retry_after: Some(Duration::ZERO),
+                    message: "57P01: closed while idle".to_owned(),
+                })
+            }
             Ok(result) => result.map_err(|err| attempt_of(&err)),
             Err(_elapsed) => Err(Attempt::Unknown {
                 message: "no answer at all".to_owned(),
@@ -136,6 +152,18 @@
             .collect()
     }
 
+    /// Returns whether the daemon closed the idle session with the code of a planned stop: then
+    /// it has taken nothing that was sent since.
+    async fn was_told_to_leave(&self) -> bool {
+        for _ in 0..CLOSE_POLLS {
+            if self.closed_with.lock().unwrap().is_some() {
+                break;
+            }
+            tokio::time::sleep(CLOSE_POLL).await;
+        }
+        self.closed_with.lock().unwrap().as_deref() == Some("57P01")
+    }
+
     /// Reads the token that the session's daemon has reported.
     pub async fn token(&mut self) -> Option<String> {
         let rows = self.query("SHOW sapphireslip.token").await.ok()?;
@@ -184,6 +212,7 @@
                 }
                 Err(Attempt::Unknown { message }) => {
                     may_have_run = true;
+                    self.doubts.fetch_add(1, Ordering::Relaxed);
                     last = message;
                     self.roam();
                     tokio::time::sleep(DEFAULT_RETRY_AFTER).await;
