Transactions of a home that was cut off end at the server after 6 s

Cause of the writes that stalled over 10 s in primary_isolated_twice: a home in a cut-off zone had a transaction open at the primary of another zone; nobody could reach that connection, and its locks (in the stand-in the only write lock) stopped all other writes. The time lines showed writes of both connected zones waiting in their first step at a healthy primary. Ruled out: the group (primary, term and majority were well), membership, connections (8 of the home's share open).

Every connection now asks its server to end a transaction that hears nothing for 6 s, and a home ends an idle one after 5 s in place of 60 s; the target is 10 s.

--- a/sapphireslip-core/src/transaction.rs
+++ b/sapphireslip-core/src/transaction.rs
@@ -11,7 +11,7 @@
 };
 
 /// How long a transaction may stand idle between two statements before it is rolled back.
-pub const TRANSACTION_IDLE_MAX: Duration = Duration::from_secs(60);
+pub const TRANSACTION_IDLE_MAX: Duration = Duration::from_secs(5);
 
 impl Home {
     /// Sends a statement on the connection of its session's transaction.
--- a/sapphireslipd/src/backend_connection.rs
+++ b/sapphireslipd/src/backend_connection.rs
@@ -17,6 +17,10 @@
 use crate::backend_error::BackendError;
 use crate::frames::{FrameReader, decode_checked, session_context};
 
+/// How long a server keeps a transaction open that hears nothing from its home: one whose home was
+/// cut off must not hold its locks for longer. A home that can be reached ends it itself before.
+pub const SERVER_TRANSACTION_IDLE: Duration = Duration::from_secs(6);
+
 /// The time within which a connection must be open.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -111,7 +115,12 @@
     };
     let mut startup = Startup::new();
     let origin = settings.origin();
+    let options = format!(
+        "-c idle_in_transaction_session_timeout={}",
+        SERVER_TRANSACTION_IDLE.as_millis()
+    );
     let parameters = [
+        ("options", options.as_str()),
         ("user", settings.user.as_ref()),
         ("database", database),
         ("application_name", origin.as_str()),
--- a/sapphireslipd/src/lib.rs
+++ b/sapphireslipd/src/lib.rs
@@ -39,7 +39,7 @@
 mod timers;
 
 pub use self::admin::*;
-pub use self::backend_connection::{BackendSettings, CONNECT_TIMEOUT};
+pub use self::backend_connection::{BackendSettings, CONNECT_TIMEOUT, SERVER_TRANSACTION_IDLE};
 pub use self::backend_edge::{CALL_QUEUE_MAX, WORK_QUEUE_MAX, run as run_backend_edge};
 pub use self::backend_error::BackendError;
 pub use self::backend_work::ANSWER_PART_BYTES;
--- a/sapphireslipd/src/peer_links.rs
+++ b/sapphireslipd/src/peer_links.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use sapphireslip_core::{Incarnation, TRANSACTION_IDLE_MAX, VmId};
+use sapphireslip_core::{Incarnation, VmId};
 use sapphireslip_wire::peer::Envelope;
 
 /// The most streams kept for one peer: one of each side, and as many that take their place.
@@ -16,9 +16,9 @@
 /// The longest delay before an attempt.
 const RETRY_DELAY_MAX: Duration = Duration::from_secs(1);
 
-/// How long a stream that carries requests may be unused: as long as a home keeps an idle
+/// How long a stream that carries requests may be unused: far longer than a home keeps an idle
 /// transaction open.
-pub const PEER_REQUESTS_IDLE: Duration = TRANSACTION_IDLE_MAX;
+pub const PEER_REQUESTS_IDLE: Duration = Duration::from_secs(60);
 
 /// How long any other stream may be unused.
 pub const PEER_CONTROL_IDLE: Duration = Duration::from_secs(2);
--- a/standins/src/backend_session.rs
+++ b/standins/src/backend_session.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::BytesMut;
 use pgwire::messages::response::{CommandComplete, ReadyForQuery, TransactionStatus};
@@ -22,6 +23,9 @@
 use crate::backend_statements::Session;
 use crate::backend_wire::{Wire, other, put_description, put_row};
 
+/// The setting by which a caller bounds how long its transactions may wait for it.
+const IDLE_SETTING: &str = "idle_in_transaction_session_timeout=";
+
 /// Has a connection beside the limit, as a server keeps one back for its operators.
 pub(crate) const RESERVED_USER: &str = "standins";
 
@@ -39,6 +43,8 @@
         input: BytesMut::new(),
         output: BytesMut::new(),
         cx,
+        idle_limit: None,
+        in_transaction: false,
     };
     let silent = server.until(|faults| faults.silent_until > number);
     tokio::select! {
@@ -61,6 +67,7 @@
         .rsplit_once('/')
         .map_or("", |(_, zone)| zone)
         .to_owned();
+    wire.idle_limit = idle_limit(parameter("options"));
     let _permit = match is_reserved {
         true => None,
         false => match admit(wire).await? {
@@ -84,6 +91,15 @@
     Ok(())
 }
 
+/// Returns how long a transaction may wait for its caller, from the options of the connection.
+fn idle_limit(options: &str) -> Option<Duration> {
+    let set = options
+        .split_whitespace()
+        .find_map(|word| word.strip_prefix(IDLE_SETTING));
+    set.and_then(|millis| millis.parse().ok())
+        .map(Duration::from_millis)
+}
+
 async fn admit(wire: &mut Wire) -> io::Result<Option<OwnedSemaphorePermit>> {
     let connections = Arc::clone(&lock(&wire.server.run).connections);
     let permit = connections.try_acquire_owned().ok();
--- a/standins/src/backend_statements.rs
+++ b/standins/src/backend_statements.rs
@@ -122,6 +122,7 @@
             Block::Open => TransactionStatus::Transaction,
             Block::Failed => TransactionStatus::Error,
         };
+        wire.in_transaction = self.transaction.block != Block::Idle;
         wire.put(Out::ReadyForQuery(ReadyForQuery::new(status)))?;
         wire.flush().await?;
         Ok(true)
--- a/standins/src/backend_wire.rs
+++ b/standins/src/backend_wire.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::BytesMut;
 use pgwire::error::PgWireError;
@@ -33,6 +34,9 @@
     pub(crate) input: BytesMut,
     pub(crate) output: BytesMut,
     pub(crate) cx: DecodeContext,
+    /// How long a transaction may wait for its caller.
+    pub(crate) idle_limit: Option<Duration>,
+    pub(crate) in_transaction: bool,
 }
 
 pub(crate) fn other(error: PgWireError) -> io::Error {
@@ -62,8 +66,26 @@
         self.server.until(open).await;
     }
 
+    /// Waits for the caller, but with a transaction open no longer than the caller asked for.
+    async fn unless_idle<T>(&self, wait: impl Future<Output = T>) -> io::Result<T> {
+        let Some(limit) = self.idle_limit.filter(|_| self.in_transaction) else {
+            return Ok(wait.await);
+        };
+        let waited = tokio::time::timeout(limit, wait).await;
+        if waited.is_err() {
+            // A frozen process closes nothing.
+            self.server.until(|faults| !faults.frozen).await;
+        }
+        Ok(waited?)
+    }
+
+    async fn receive(&mut self) -> io::Result<usize> {
+        self.unless_idle(self.socket.readable()).await??;
+        self.socket.read_buf(&mut self.input).await
+    }
+
     pub(crate) async fn flush(&mut self) -> io::Result<()> {
-        self.pass().await;
+        self.unless_idle(self.pass()).await?;
         let output = self.output.split();
         if output.len() > LARGE_ANSWER_BYTES && self.take_break() {
             self.socket.write_all(&output[..output.len() / 2]).await?;
@@ -79,11 +101,11 @@
 
     pub(crate) async fn read(&mut self) -> io::Result<Option<In>> {
         loop {
-            self.pass().await;
+            self.unless_idle(self.pass()).await?;
             if let Some(message) = In::decode(&mut self.input, &self.cx).map_err(other)? {
                 return Ok(Some(message));
             }
-            if self.socket.read_buf(&mut self.input).await? == 0 {
+            if self.receive().await? == 0 {
                 return Ok(None);
             }
         }
