--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rustix::process::Signal;
 use sapphireslip_core::ServerId;
@@ -34,6 +34,8 @@
     settings: PathBuf,
     log: PathBuf,
     process: Option<DaemonProcess>,
+    /// When the process was started, in microseconds since the Unix epoch.
+    started_micros: u64,
     link: Link,
 }
 
@@ -136,6 +138,7 @@
                 settings,
                 log: self.folder.path().join(format!("{number}.log")),
                 process: None,
+                started_micros: 0,
                 link: link.await?,
             });
         }
@@ -152,6 +155,8 @@
     /// The program can't be started.
     pub fn start_daemon(&mut self, number: usize) -> io::Result<()> {
         let daemon = &mut self.daemons[number];
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+        daemon.started_micros = u64::try_from(unix.unwrap_or_default().as_micros()).unwrap_or(0);
         daemon.process = Some(DaemonProcess::start(
             &self.plan.program,
             &daemon.settings,
@@ -162,19 +167,22 @@
 
     /// Waits until a daemon is ready.
     ///
+    /// Only the run that this fleet started counts: a daemon left over from a test that was killed
+    /// would answer from another group's past.
+    ///
     /// # Errors
     ///
     /// It is not within [`READY_LIMIT`].
     pub async fn wait_ready(&self, number: usize) -> io::Result<()> {
         let admin = self.admin(number);
+        let started = self.daemons[number].started_micros;
         let ready = async || {
-            http_get(admin, "/ready")
-                .await
-                .ok()
-                .filter(|page| page.status == 200)
+            let page = http_get(admin, "/ready").await.ok()?;
+            let incarnation = self.status(number).await?["incarnation"].as_u64()?;
+            (page.status == 200 && incarnation >= started).then_some(())
         };
         let waited = wait_for(&format!("ready daemon {number}"), READY_LIMIT, ready).await;
-        waited.map(|_page| ()).map_err(|err| {
+        waited.map_err(|err| {
             io::Error::other(format!(
                 "{err}; its log ends with:\n{}",
                 self.log_end(number)
@@ -182,6 +190,11 @@
         })
     }
 
+    async fn status(&self, number: usize) -> Option<serde_json::Value> {
+        let page = http_get(self.admin(number), "/status").await.ok()?;
+        serde_json::from_str(&page.body).ok()
+    }
+
     fn log_end(&self, number: usize) -> String {
         let text = std::fs::read_to_string(self.log(number)).unwrap_or_default();
         let lines: Vec<&str> = text.lines().collect();
@@ -301,8 +314,7 @@
     /// Returns the generation of a database's document that is in force on a daemon; none if the
     /// daemon does not answer.
     pub async fn generation(&self, daemon: usize, database: usize) -> Option<u64> {
-        let page = http_get(self.admin(daemon), "/status").await.ok()?;
-        let status: serde_json::Value = serde_json::from_str(&page.body).ok()?;
+        let status = self.status(daemon).await?;
         let service = format!("{}-service", self.plan.databases[database]);
         let documents = status.get("documents")?.as_array()?;
         let document = documents
