--- a/sapphireslipd/examples/experiment.rs
+++ b/sapphireslipd/examples/experiment.rs
@@ -93,6 +93,10 @@
     /// What goes wrong: none, kill-primary, freeze-primary, cut-primary-zone, kill-daemon, stop-daemon
     #[bpaf(argument("NAME"), fallback(Fault::None))]
     fault: Fault,
+    /// Have daemons log no more than a site does
+    quiet: bool,
+    /// Connect to the primary itself, past the daemons, to compare latencies
+    direct: bool,
     /// Have the platform down from before the fault on
     platform_down: bool,
     /// The time that a statement takes at a server at least, in microseconds
@@ -179,6 +183,7 @@
         .lag(Duration::from_millis(args.lag))
         .service_time(Duration::from_micros(args.service_micros))
         .deadline(Duration::from_millis(args.deadline));
+    let plan = if args.quiet { plan.quiet() } else { plan };
     let mut fleet = Fleet::start(plan).await?;
     let settings = bench_settings(args, seed, &fleet)?;
     let load = tokio::spawn(run_bench(settings, |_line| {}));
@@ -239,11 +244,13 @@
         args.fault != Fault::CutPrimaryZone || fleet.zone(*number) != fleet.zone(0)
     };
     let numbers: Vec<usize> = numbers.filter(is_outside).collect();
+    let targets = numbers.iter().map(|number| fleet.callers(*number));
+    let daemons = match args.direct {
+        true => vec![fleet.server_address(0, primary(fleet)?)],
+        false => targets.collect(),
+    };
     let raw = RawBenchSettings {
-        daemons: numbers
-            .iter()
-            .map(|number| fleet.callers(*number))
-            .collect(),
+        daemons,
         admin: (0..fleet.daemons())
             .map(|number| fleet.admin(number))
             .collect(),
@@ -266,10 +273,16 @@
     Duration::from_millis(seed * FAULT_PHASE_STEP_MS % 1_000)
 }
 
-fn make_fault(fault: Fault, fleet: &mut Fleet) -> Result<(), Box<dyn Error>> {
+/// Returns the group's primary.
+fn primary(fleet: &Fleet) -> Result<usize, &'static str> {
     let group = fleet.group(0);
     let is_primary = |server: &usize| group.status(*server).role == ServerRole::Primary;
-    let primary = (0..SERVERS_A_GROUP).find(is_primary).ok_or("no primary")?;
+    (0..SERVERS_A_GROUP).find(is_primary).ok_or("no primary")
+}
+
+fn make_fault(fault: Fault, fleet: &mut Fleet) -> Result<(), Box<dyn Error>> {
+    let primary = primary(fleet)?;
+    let group = fleet.group(0);
     match fault {
         Fault::None => {}
         Fault::KillPrimary => group.kill(primary),
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -386,7 +386,13 @@
         self.addresses.admin(number)
     }
 
-    /// Returns the address of a server of a database.
+    /// Returns where a server of a database listens.
+    #[must_use]
+    pub fn server_address(&self, database: usize, server: usize) -> SocketAddr {
+        self.addresses.server(database, server)
+    }
+
+    /// Returns the IP number of a server of a database.
     #[must_use]
     pub fn server_ip(&self, database: usize, server: usize) -> IpAddr {
         self.addresses.server(database, server).ip()
--- a/standins/src/fleet_files.rs
+++ b/standins/src/fleet_files.rs
@@ -17,7 +17,7 @@
 ) -> String {
     let mut text = format!(
         "vm = \"vm-{number}\"\nzone = \"{}\"\ncallers = \"{}\"\npeers = \"{}\"\n\
-         peers_advertised = \"{}\"\nadmin = \"{}\"\nplatform = \"{}\"\nlog_level = \"debug\"\n\
+         peers_advertised = \"{}\"\nadmin = \"{}\"\nplatform = \"{}\"\nlog_level = \"{}\"\n\
          drain_bound = \"{}ms\"\n\n[backend]\nuser = \"sapphireslip\"\n",
         zone_of(plan, number),
         addresses.callers(number),
@@ -25,6 +25,7 @@
         addresses.link(number),
         addresses.admin(number),
         addresses.platform(),
+        plan.log_level,
         plan.drain_bound.as_millis(),
     );
     let daemons = plan.zones.len() * plan.daemons_per_zone;
--- a/standins/src/fleet_plan.rs
+++ b/standins/src/fleet_plan.rs
@@ -20,6 +20,7 @@
     pub(crate) lag: Duration,
     pub(crate) service_time: Duration,
     pub(crate) is_platform_up: bool,
+    pub(crate) log_level: &'static str,
 }
 
 impl FleetPlan {
@@ -48,6 +49,7 @@
             lag: Duration::from_millis(5),
             service_time: Duration::ZERO,
             is_platform_up: true,
+            log_level: "debug",
         }
     }
 
@@ -114,6 +116,13 @@
         self
     }
 
+    /// Logs no more than a site does, for measurements of time.
+    #[must_use]
+    pub const fn quiet(mut self) -> Self {
+        self.log_level = "info";
+        self
+    }
+
     /// Starts with the platform down.
     #[must_use]
     pub const fn platform_down(mut self) -> Self {
