Scenarios: a caller that is told when to come back does so

late_original failed in a run from a fresh clone: the second caller's one attempt met the change of primary and was told 57P03, not run, come back, which the promises allow.

--- a/sapphireslipd/tests/support/scenario.rs
+++ b/sapphireslipd/tests/support/scenario.rs
@@ -98,6 +98,7 @@
             "fleet" => self.start(args).await,
             "session" => self.session(args).await,
             "sql" => self.sql(args).await,
+            "sql-retry" => self.sql_retry(args).await,
             "sql-start" => self.sql_start(args).await,
             "sql-wait" => self.sql_wait(args).await,
             "kill-primary" => self.kill_primary().await,
@@ -246,6 +247,24 @@
             .replace("NOW", &self.began.to_string())
     }
 
+    /// Sends a statement, and again while it is told that it was not run and when to come back.
+    async fn sql_retry(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let name = args.next("the session")?.to_owned();
+        let text = self.with_times(args.next("the statement")?);
+        let until = Instant::now() + PROGRESS_LIMIT;
+        let session = self.session_mut(&name)?;
+        loop {
+            let answer = session.query(&text).await;
+            match &answer {
+                Err(Attempt::NotRun {
+                    retry_after: Some(wait),
+                    ..
+                }) if Instant::now() < until => tokio::time::sleep(*wait).await,
+                _ => return Ok(describe_answer(&answer)),
+            }
+        }
+    }
+
     /// Sends a statement and returns once its daemon has it.
     async fn sql_start(&mut self, args: &mut ScriptArgs<'_>) -> Said {
         let name = args.next("the session")?.to_owned();
