Core: session-level advisory locks are refused

Cause: they counted as writes, so the lock stayed on a pooled connection that the next caller got. With the earlier classification classify_session_state fails for pg_advisory_lock and pg_try_advisory_lock; with the change it passes. Those of a transaction pass, as writes.

--- a/sapphireslip-core/src/statement.rs
+++ b/sapphireslip-core/src/statement.rs
@@ -91,6 +91,9 @@
     if SESSION_STATE.contains(&first) {
         return Err(StatementError::SessionState(first.to_owned()));
     }
+    if let Some(lock) = words.iter().find(|word| is_session_lock(word)) {
+        return Err(StatementError::SessionState(lock.to_ascii_lowercase()));
+    }
     if first == "CREATE" && (has("TEMP") || has("TEMPORARY")) {
         return Err(StatementError::SessionState("CREATE TEMPORARY".to_owned()));
     }
@@ -106,10 +109,19 @@
     })
 }
 
+/// Returns whether a word is an advisory lock that outlives its transaction.
+fn is_session_lock(word: &str) -> bool {
+    is_advisory_lock(word) && !word.contains("XACT")
+}
+
+fn is_advisory_lock(word: &str) -> bool {
+    word.starts_with("PG_ADVISORY") || word.starts_with("PG_TRY_ADVISORY")
+}
+
 fn read_unless_writing(words: &[String]) -> StatementKind {
     let writes = words
         .iter()
-        .any(|word| WRITE_WORDS.contains(&word.as_str()) || word.starts_with("PG_ADVISORY"));
+        .any(|word| WRITE_WORDS.contains(&word.as_str()) || is_advisory_lock(word));
     if writes {
         StatementKind::Write
     } else {
--- a/sapphireslip-core/tests/statement.rs
+++ b/sapphireslip-core/tests/statement.rs
@@ -28,6 +28,7 @@
 #[case::read_only_then_write("begin read only; insert into t values (1)", StatementKind::Begin)]
 #[case::rollback_to("rollback to savepoint a", StatementKind::Write)]
 #[case::insert_commit("insert into t values (1); commit", StatementKind::Commit)]
+#[case::transaction_lock("select pg_advisory_xact_lock(1)", StatementKind::Write)]
 #[case::empty("", StatementKind::Read)]
 fn classify_kind(#[case] text: &str, #[case] kind: StatementKind) {
     assert_eq!(classify(text), Ok(kind));
@@ -40,6 +41,8 @@
 #[case::two_phase("prepare transaction 'a'")]
 #[case::temporary("create temp table t (a int)")]
 #[case::copy("copy t from stdin")]
+#[case::session_lock("select pg_advisory_lock(1)")]
+#[case::try_session_lock("select pg_try_advisory_lock(1)")]
 fn classify_session_state(#[case] text: &str) {
     assert!(classify(text).is_err());
 }
