Time line: one record for the daemon and the command

The command read its entries into a copy of the daemon's record, field for field. The daemon's record can be read back now, what merging needs of it stands beside it, and the command uses it under its own name. Tests are unchanged and pass.

--- a/sapphireslip/src/lib.rs
+++ b/sapphireslip/src/lib.rs
@@ -24,7 +24,6 @@
 mod status;
 mod timeline;
 mod timeline_group;
-mod timeline_line;
 mod timeline_page;
 mod timeline_view;
 mod verifier;
@@ -34,5 +33,7 @@
     apply::*, arguments::*, attempt::*, bench_report::*, bench_run::*, bench_session::*,
     bench_settings::*, check::*, error::*, html_page::*, latency::*, ledger::*, output::*,
     read_share::*, run::*, show::*, statement_latencies::*, status::*, timeline::*,
-    timeline_line::*, timeline_page::*, timeline_view::*, verifier::*, workload::*,
+    timeline_page::*, timeline_view::*, verifier::*, workload::*,
 };
+
+pub use sapphireslipd::{TimelineOrder, TimelinePage, TimelineRecord as TimelineLine};
--- a/sapphireslipd/src/lib.rs
+++ b/sapphireslipd/src/lib.rs
@@ -35,6 +35,7 @@
 mod settings_fault;
 mod sql_scan;
 mod status;
+mod timeline_order;
 mod timeline_ring;
 mod timers;
 
@@ -72,5 +73,6 @@
 pub use self::settings::*;
 pub use self::settings_fault::*;
 pub use self::status::*;
+pub use self::timeline_order::*;
 pub use self::timeline_ring::*;
 pub use self::timers::*;
--- a/sapphireslip/src/timeline_line.rs
+++ b/sapphireslipd/src/timeline_order.rs
@@ -1,48 +1,6 @@
-//! One entry of a time line, as daemons give it.
+//! What merging the time lines of several processes needs of an entry.
 
-use serde::{Deserialize, Serialize};
-
-/// Entries from a number on.
-#[derive(Clone, Debug, Deserialize)]
-pub struct TimelinePage {
-    /// The number to ask from next.
-    pub next: u64,
-    /// The entries.
-    pub entries: Vec<TimelineLine>,
-}
-
-/// An entry with its time and process.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct TimelineLine {
-    /// Its number within this run of the daemon.
-    pub number: u64,
-    /// The hybrid logical time as a 64-bit NTP time, in decimal digits.
-    pub time: String,
-    /// The same time in microseconds since the Unix epoch.
-    pub unix_micros: u64,
-    /// The VM.
-    pub vm: String,
-    /// Its availability zone.
-    pub zone: String,
-    /// The run of the daemon.
-    pub incarnation: u64,
-    /// What happened.
-    pub kind: String,
-    /// The request.
-    pub request: Option<String>,
-    /// The session.
-    pub session: Option<u64>,
-    /// The database.
-    pub database: Option<String>,
-    /// The backend server.
-    pub server: Option<String>,
-    /// The peer VM.
-    pub peer: Option<String>,
-    /// The term.
-    pub term: Option<u64>,
-    /// More for people.
-    pub detail: String,
-}
+use crate::TimelineRecord;
 
 /// The place of an entry among those of all processes.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -52,7 +10,7 @@
     number: u64,
 }
 
-impl TimelineLine {
+impl TimelineRecord {
     /// Returns the entry's place: by hybrid logical time, then by process and number.
     #[must_use]
     pub fn order(&self) -> TimelineOrder {
@@ -83,7 +41,7 @@
     }
 
     /// Returns what the entry is about besides its request, in one line.
-    pub(crate) fn subject_without_request(&self) -> String {
+    pub fn subject_without_request(&self) -> String {
         let named = [
             ("session", self.session.map(|session| session.to_string())),
             ("database", self.database.clone()),
--- a/sapphireslipd/src/timeline_ring.rs
+++ b/sapphireslipd/src/timeline_ring.rs
@@ -4,7 +4,7 @@
 use std::sync::{Mutex, PoisonError};
 
 use sapphireslip_core::{Local, TimelineEntry};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::unix_of;
 
@@ -15,7 +15,7 @@
 pub const TIMELINE_PAGE_ENTRIES: usize = 2_048;
 
 /// An entry with its time and process.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TimelineRecord {
     /// Its number within this run of the daemon, from 1 on.
     pub number: u64,
@@ -48,7 +48,7 @@
 }
 
 /// Entries from a number on.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TimelinePage {
     /// The number to ask from next.
     pub next: u64,
