Daemon: ticks keep their own deadline under a stream of events

Cause: the tick's sleep began anew with each event, so that a daemon with events at least every 40 ms never looked at the time: after a restart it read no permissions for up to 15 s, and no statement ran out of time. Ruled out: conflicts of the permission's row (the debug log shows no write at all in that time).

--- a/sapphireslipd/src/lead_runner.rs
+++ b/sapphireslipd/src/lead_runner.rs
@@ -7,6 +7,7 @@
 use sapphireslip_core::SessionId;
 use sapphireslip_lead::{Effect, Event, State};
 use sapphireslip_platform::{encode_failure, encode_reply, encode_welcome, promote};
+use tokio::time::{Instant, sleep_until};
 
 use crate::BootClock;
 use crate::lead_callers::{Callers, NewCaller};
@@ -37,15 +38,20 @@
 impl LeadRunner {
     /// Runs until the reducer asks to leave.
     pub(crate) async fn run(mut self) {
+        let mut ticked = Instant::now();
         loop {
             let pause = if self.state.is_pressed() {
                 TICK_PRESSED
             } else {
                 TICK_CALM
             };
-            let tick = tokio::time::sleep(pause);
+            // Time comes first: a stream of events must not hold up what is due.
             let event = tokio::select! {
                 biased;
+                () = sleep_until(ticked + pause) => {
+                    ticked = Instant::now();
+                    Event::Tick
+                }
                 event = self.events.recv_async() => event.unwrap_or(Event::Tick),
                 caller = self.new_callers.recv_async() => {
                     if let Ok(caller) = caller {
@@ -55,7 +61,6 @@
                     }
                     continue;
                 }
-                () = tick => Event::Tick,
             };
             if self.take(event) {
                 return;
