Drain: close sessions only when their callers pause; fewer idle connections; shorter permissions

Daemons killed by power leave their connections at the servers for 3 s, where up to 28 of 16 were in use, so that successors met the limit until then. A promotion away from a zone that is cut off waits for its daemons' permissions.

--- a/sapphireslip-lead/src/client.rs
+++ b/sapphireslip-lead/src/client.rs
@@ -34,7 +34,8 @@
         };
         match failure {
             None => {
-                self.sessions.insert(session, Session::new(database));
+                self.sessions
+                    .insert(session, Session::new(database, self.now));
                 self.effects.push(Effect::Welcome { session });
             }
             Some(failure) => {
@@ -273,14 +274,13 @@
         let Some(session) = self.sessions.get_mut(&id) else {
             return;
         };
+        session.heard = self.now;
         if let Some(transaction) = session.transaction.as_mut() {
             transaction.rested = self.now;
         }
         self.effects.push(Effect::Answer { session: id, reply });
         if let Some(query) = session.ahead.pop_front() {
             self.start(id, query);
-        } else if self.is_leaving() {
-            self.close_if_idle(id);
         }
     }
 
--- a/sapphireslip-lead/src/drain.rs
+++ b/sapphireslip-lead/src/drain.rs
@@ -5,6 +5,7 @@
 use sapphireslip_core::{Instant, SessionId, data};
 
 use crate::refusal::{RETRY_ELSEWHERE, busy};
+use crate::session::Session;
 use crate::state::State;
 use crate::{Effect, Record, RecordKind, StoreWrite};
 
@@ -12,6 +13,9 @@
 /// checks, one a second.
 const BALANCER_TIME: Duration = Duration::from_millis(2_500);
 
+/// How long a session without work must have been quiet to be closed: a few round trips.
+const CALLER_PAUSE: Duration = Duration::from_millis(150);
+
 /// The time that is left for the last effects before the process would be killed.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
@@ -48,9 +52,26 @@
             has_cut: false,
             is_over: false,
         });
-        let idle: Vec<SessionId> = self.sessions.keys().copied().collect();
-        for session in idle {
-            self.close_if_idle(session);
+        self.close_idle_sessions();
+    }
+
+    /// Closes the sessions that have nothing at work and whose callers pause: one that has just
+    /// been answered is about to send its next statement.
+    fn close_idle_sessions(&mut self) {
+        let is_resting =
+            |session: &Session| session.is_idle() && self.now.since(session.heard) >= CALLER_PAUSE;
+        let resting: Vec<SessionId> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| is_resting(session))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in resting {
+            self.sessions.remove(&id);
+            self.effects.push(Effect::CloseSession {
+                session: id,
+                failure: None,
+            });
         }
     }
 
@@ -65,27 +86,13 @@
         }
     }
 
-    /// Closes a session that has nothing at work.
-    pub(crate) fn close_if_idle(&mut self, id: SessionId) {
-        if self
-            .sessions
-            .get(&id)
-            .is_some_and(crate::session::Session::is_idle)
-        {
-            self.sessions.remove(&id);
-            self.effects.push(Effect::CloseSession {
-                session: id,
-                failure: None,
-            });
-        }
-    }
-
     /// Ends what is left as the grace runs out, and the process once nothing is.
     pub(crate) fn go_on_draining(&mut self) {
         let Some(drain) = self.drain.clone().filter(|drain| !drain.is_over) else {
             return;
         };
         let passed = self.now.since(drain.began);
+        self.close_idle_sessions();
         let has_time = passed + EXIT_MARGIN < drain.grace;
         if passed * 2 >= drain.grace && !drain.has_cut {
             self.cut_resting_transactions();
@@ -102,9 +109,8 @@
         }
         let open: Vec<SessionId> = self.sessions.keys().copied().collect();
         for id in open {
-            let rests = |session: &crate::session::Session| {
-                session.running.is_none() && session.transaction.is_some()
-            };
+            let rests =
+                |session: &Session| session.running.is_none() && session.transaction.is_some();
             if self.sessions.get(&id).is_some_and(rests) {
                 self.end_transaction(id);
                 self.sessions.remove(&id);
--- a/sapphireslip-lead/src/duty.rs
+++ b/sapphireslip-lead/src/duty.rs
@@ -189,8 +189,7 @@
         if let Some(reason) = self.reason_to_replace(service, &leader) {
             return self.begin_handover(service, Some(leader), reason);
         }
-        let changed = self.leads.changed_at(service).unwrap_or_default();
-        if self.leads.term(service).is_none() && self.now.since(changed) >= OPENING_MAX {
+        if self.leads.term(service).is_none() && self.is_left_unpromoted(service, &leader) {
             self.resume_handover(service, leader);
         }
     }
@@ -233,6 +232,21 @@
         Some((id.clone(), server.status.as_ref()?.term))
     }
 
+    /// Returns whether a named leader says that it does not lead, or has not been heard of for long.
+    fn is_left_unpromoted(&self, service: &ServiceName, leader: &ServerId) -> bool {
+        let changed = self.leads.changed_at(service).unwrap_or_default();
+        let waited = self.now.since(changed);
+        let server = self.servers.get(leader);
+        let status = server.and_then(|server| server.status.as_ref());
+        let asked = server.and_then(|server| server.status_asked);
+        match status {
+            Some(status) if asked > Some(changed) => {
+                status.role == Role::Replica && waited >= OPENING_MAX
+            }
+            _ => waited >= NO_PRIMARY_MAX,
+        }
+    }
+
     fn reason_to_replace(&self, service: &ServiceName, leader: &ServerId) -> Option<Reason> {
         let Some(server) = self.servers.get(leader) else {
             return Some(Reason::Gone);
--- a/sapphireslip-lead/src/permit.rs
+++ b/sapphireslip-lead/src/permit.rs
@@ -17,10 +17,10 @@
 
 /// How long a permission lasts: longer than the store's usual outages, as it can't be renewed then;
 /// a promotion away from a silent primary waits so long for daemons that have died.
-pub const PERMIT_LENGTH: Duration = Duration::from_millis(6_000);
+pub const PERMIT_LENGTH: Duration = Duration::from_millis(2_500);
 
 /// How often a permission is renewed: a lost answer or two do no harm.
-const RENEW_EVERY: Duration = Duration::from_millis(1_500);
+const RENEW_EVERY: Duration = Duration::from_millis(700);
 
 /// How soon a renewal is tried again that was not answered.
 const RENEW_RETRY: Duration = Duration::from_millis(250);
--- a/sapphireslip-lead/src/session.rs
+++ b/sapphireslip-lead/src/session.rs
@@ -26,6 +26,8 @@
         pub(crate) ahead: VecDeque<Query>,
         /// The last record that the session wrote, and the service whose log it is in.
         pub(crate) written: Option<(ServiceName, TermPosition)>,
+        /// When it last had an answer, or was opened.
+        pub(crate) heard: Instant,
     }
 
     /// An open transaction.
@@ -45,7 +47,7 @@
 }
 
 impl Session {
-    pub(crate) const fn new(database: Text) -> Self {
+    pub(crate) const fn new(database: Text, now: Instant) -> Self {
         Self {
             database,
             values: BTreeMap::new(),
@@ -54,6 +56,7 @@
             running: None,
             ahead: VecDeque::new(),
             written: None,
+            heard: now,
         }
     }
 
--- a/sapphireslip-lead/src/timeouts.rs
+++ b/sapphireslip-lead/src/timeouts.rs
@@ -32,8 +32,12 @@
 /// The most reads at work twice, as a share of the reads at work: one in this many.
 const MOVE_SHARE: usize = 4;
 
-/// How long a connection beyond the share may stay unused.
-const SPARE_IDLE: Duration = Duration::from_secs(2);
+/// How many unused connections to a server are kept: each daemon that dies leaves its connections
+/// to the servers for seconds, and they count there against those of its successor.
+const IDLE_KEPT: usize = 1;
+
+/// How long a connection beyond those may stay unused.
+const SPARE_IDLE: Duration = Duration::from_millis(1_500);
 
 impl State {
     /// Ends what has run out of time.
@@ -219,12 +223,8 @@
     pub(crate) fn keep_connections(&mut self) {
         for server in self.pool.servers() {
             let is_known = self.servers.get(&server).is_some();
-            let share = self.connections_share(&server);
-            let mut spare = if is_known {
-                self.pool.count(&server).saturating_sub(share)
-            } else {
-                usize::MAX
-            };
+            let kept = if is_known { IDLE_KEPT } else { 0 };
+            let mut spare = self.pool.count(&server).saturating_sub(kept);
             for (connection, heard) in self.pool.idle(&server) {
                 if spare == 0 || (is_known && self.now.since(heard) < SPARE_IDLE) {
                     break;
