--- a/sapphireslip-lead/src/duty.rs
+++ b/sapphireslip-lead/src/duty.rs
@@ -38,11 +38,6 @@
 }
 
 impl Duty {
-    /// Returns whether a write for the duty is under way.
-    pub(crate) const fn is_pending(&self) -> bool {
-        self.is_pending
-    }
-
     /// Returns whether a primary is being replaced.
     pub(crate) fn is_at_work(&self) -> bool {
         !self.handovers.is_empty()
@@ -184,7 +179,8 @@
             self.duty.without_primary.remove(service);
         }
         if let Some(newer) = self.newer_primary(service, &leader) {
-            return self.name_leader(service, &newer.0, Term(newer.1.0.saturating_sub(1)));
+            self.name_leader(service, &newer.0, Term(newer.1.0.saturating_sub(1)));
+            return;
         }
         if let Some(reason) = self.reason_to_replace(service, &leader) {
             return self.begin_handover(service, Some(leader), reason);
@@ -203,7 +199,8 @@
             .map(|(id, _)| id.clone())
             .next();
         if let Some(primary) = primary {
-            return self.name_leader(service, &primary, Term(0));
+            self.name_leader(service, &primary, Term(0));
+            return;
         }
         let now = self.now;
         let since = *self
@@ -290,13 +287,18 @@
         accusers * 2 > live
     }
 
-    /// Writes who is to lead a service.
-    pub(crate) fn name_leader(&mut self, service: &ServiceName, leader: &ServerId, above: Term) {
+    /// Writes who is to lead a service; returns false if another write has to end first.
+    pub(crate) fn name_leader(
+        &mut self,
+        service: &ServiceName,
+        leader: &ServerId,
+        above: Term,
+    ) -> bool {
         if self.duty.is_pending || self.now < self.duty.next_write {
-            return;
+            return false;
         }
         let Some(duty) = self.token() else {
-            return;
+            return false;
         };
         self.duty.is_pending = true;
         let table = &self.leads.table;
@@ -314,6 +316,7 @@
             duty,
             generation: table.generation,
         }));
+        true
     }
 
     /// Takes the outcome of a write of a lead.
--- a/sapphireslip-lead/src/handover.rs
+++ b/sapphireslip-lead/src/handover.rs
@@ -217,14 +217,13 @@
         {
             return;
         }
+        if !self.name_leader(service, &best, handover.above) {
+            return;
+        }
         if let Some(handover) = self.duty.handovers.get_mut(service) {
-            handover.new = Some(best.clone());
+            handover.new = Some(best);
         }
         self.set_step(service, Step::Naming);
-        self.name_leader(service, &best, handover.above);
-        if !self.is_write_pending() {
-            self.set_step(service, Step::Choosing);
-        }
     }
 
     fn is_back(&self, handover: &Handover) -> bool {
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -85,11 +85,6 @@
         true
     }
 
-    /// Returns whether a write for the duty is under way.
-    pub(crate) const fn is_write_pending(&self) -> bool {
-        self.duty.is_pending()
-    }
-
     pub(crate) fn on_permit_table(&mut self, table: Option<PermitTable>, sent: Instant) {
         self.reads.permits.is_pending = false;
         self.note_store(table.is_some());
