--- a/sapphireslip-lead/src/choice.rs
+++ b/sapphireslip-lead/src/choice.rs
@@ -1,5 +1,6 @@
 //! Which server a read goes to, and how many connections a server may have from here.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use sapphireslip_core::{ServerId, data};
@@ -83,7 +84,7 @@
                 },
             ));
         }
-        ranked.sort_by(|a, b| a.0.cmp(&b.0));
+        ranked.sort_by_key(|(rank, _)| *rank);
         Candidates {
             servers: ranked.into_iter().map(|(_, candidate)| candidate).collect(),
             floor,
@@ -108,30 +109,37 @@
         cost
     }
 
-    /// Returns how many daemons live.
-    pub(crate) fn live_daemons(&self) -> usize {
+    /// Returns how many zones have a live daemon, each with a home of every service.
+    fn live_zones(&self) -> usize {
         let Some(table) = &self.permits else {
             return 1;
         };
-        let lives = |record: &crate::PermitRecord| table.now < record.until;
-        table
+        let live = table
             .permits
             .iter()
-            .filter(|(record, _)| lives(record))
-            .count()
-            .max(1)
+            .filter(|(record, _)| table.now < record.alive);
+        let zones: BTreeSet<_> = live.map(|(record, _)| &record.zone).collect();
+        zones.len().max(1)
     }
 
-    /// Returns this daemon's share of a server's connections.
+    /// Returns this daemon's share of a server's connections: its zone's, if it is the home there.
     pub(crate) fn connections_share(&self, server: &ServerId) -> usize {
         let service = self
             .servers
             .get(server)
             .map(|server| &server.record.service);
-        let spec = service.zip(self.catalog.as_ref());
-        let all = spec.and_then(|(service, catalog)| catalog.services.get(service));
-        let all = all.map_or(CONNECTIONS_MIN, |spec| spec.connections);
-        (all * SHARED_PERCENT / 100 / self.live_daemons()).max(1)
+        let Some((service, catalog)) = service.zip(self.catalog.as_ref()) else {
+            return 1;
+        };
+        let all = catalog
+            .services
+            .get(service)
+            .map_or(CONNECTIONS_MIN, |spec| spec.connections);
+        if self.is_home(service) {
+            (all * SHARED_PERCENT / 100 / self.live_zones()).max(1)
+        } else {
+            1
+        }
     }
 
     /// Returns how many connections to a server this daemon may have at the moment.
--- a/sapphireslip-lead/src/client.rs
+++ b/sapphireslip-lead/src/client.rs
@@ -14,44 +14,69 @@
 impl State {
     pub(crate) fn on_client(&mut self, event: ClientEvent) {
         match event {
-            ClientEvent::Opened { session, database } => self.open_session(session, database),
+            ClientEvent::Opened {
+                session,
+                database,
+                passed_on,
+            } => self.open_session(session, database, passed_on),
             ClientEvent::Query { session, query } => self.on_query(session, query),
+            ClientEvent::RelayFailed {
+                session,
+                is_refused,
+            } => self.on_relay_failed(session, is_refused),
+            ClientEvent::RelayAsked { session } => self.on_relay_asked(session),
+            ClientEvent::RelayAnswered { session, status } => {
+                self.on_relay_answered(session, status);
+            }
             ClientEvent::Closed { session } => self.on_closed(session),
         }
     }
 
-    fn open_session(&mut self, session: SessionId, database: Text) {
-        let failure = match &self.catalog {
-            None => Some(busy("the configuration is not known yet", RETRY_ELSEWHERE)),
-            Some(catalog) if catalog.routes.contains_key(&database) => None,
-            Some(catalog) => {
-                let text = format!(
-                    "no route leads to database `{database}` in configuration {}",
-                    catalog.version
-                );
-                Some(Failure::new(ErrorCode::NoDatabase, &text))
-            }
+    fn open_session(&mut self, session: SessionId, database: Text, passed_on: Option<u64>) {
+        let Some(catalog) = &self.catalog else {
+            let failure = busy("the configuration is not known yet", RETRY_ELSEWHERE);
+            return self.refuse_session(session, failure);
         };
-        match failure {
-            None => {
-                self.sessions
-                    .insert(session, Session::new(database, self.now));
-                self.effects.push(Effect::Welcome { session });
-            }
-            Some(failure) => {
-                let line = Record::new(RecordKind::RequestRefused, Text::clone(&failure.text));
-                self.log(Record {
-                    session: Some(session),
-                    ..line
-                });
-                self.effects.push(Effect::CloseSession {
-                    session,
-                    failure: Some(failure),
-                });
+        let version = catalog.version;
+        let Some(route) = catalog.routes.get(&database) else {
+            let text =
+                format!("no route leads to database `{database}` in configuration {version}");
+            return self.refuse_session(session, Failure::new(ErrorCode::NoDatabase, &text));
+        };
+        let service = route.service.clone();
+        match passed_on {
+            Some(theirs) if version < theirs || !self.may_take_sessions() => {
+                let failure = busy("another daemon should serve this session", RETRY_ELSEWHERE);
+                self.refuse_session(session, failure);
             }
+            Some(_) => self.serve_session(session, database, true),
+            None => match self.other_home(&service) {
+                Some(home) => self.pass_on(session, database, home, version),
+                None => self.serve_session(session, database, false),
+            },
         }
     }
 
+    fn refuse_session(&mut self, session: SessionId, failure: Failure) {
+        let line = Record::new(RecordKind::RequestRefused, Text::clone(&failure.text));
+        self.log(Record {
+            session: Some(session),
+            ..line
+        });
+        self.effects.push(Effect::CloseSession {
+            session,
+            failure: Some(failure),
+        });
+    }
+
+    /// Serves a session on this daemon.
+    pub(crate) fn serve_session(&mut self, id: SessionId, database: Text, is_passed_on: bool) {
+        let session = Session::new(database, self.now, is_passed_on);
+        self.sessions.insert(id, session);
+        self.effects.push(Effect::Welcome { session: id });
+        self.renew_permit();
+    }
+
     fn on_query(&mut self, id: SessionId, query: Query) {
         let Some(session) = self.sessions.get_mut(&id) else {
             return;
@@ -286,6 +311,7 @@
 
     /// Forgets a session whose caller is gone.
     fn on_closed(&mut self, id: SessionId) {
+        self.relays.remove(id);
         let Some(session) = self.sessions.get(&id) else {
             return;
         };
--- a/sapphireslip-lead/src/drain.rs
+++ b/sapphireslip-lead/src/drain.rs
@@ -73,6 +73,9 @@
                 failure: None,
             });
         }
+        for id in self.relays.resting(self.now, CALLER_PAUSE) {
+            self.close_relay(id);
+        }
     }
 
     fn give_duty_back(&mut self) {
@@ -97,7 +100,8 @@
         if passed * 2 >= drain.grace && !drain.has_cut {
             self.cut_resting_transactions();
         }
-        let is_done = self.sessions.is_empty() && passed >= BALANCER_TIME;
+        let is_empty = self.sessions.is_empty() && self.relays.is_empty();
+        let is_done = is_empty && passed >= BALANCER_TIME;
         if is_done || !has_time {
             self.leave();
         }
@@ -107,6 +111,9 @@
         if let Some(drain) = self.drain.as_mut() {
             drain.has_cut = true;
         }
+        for id in self.relays.resting_in_transaction() {
+            self.close_relay(id);
+        }
         let open: Vec<SessionId> = self.sessions.keys().copied().collect();
         for id in open {
             let rests =
--- a/sapphireslip-lead/src/duty.rs
+++ b/sapphireslip-lead/src/duty.rs
@@ -52,6 +52,14 @@
         (is_own && self.permit.is_valid(self.now)).then_some(*version)
     }
 
+    /// Returns whether this daemon holds the duty as far as the store's rows say.
+    pub(crate) fn holds_duty(&self) -> bool {
+        let duty = self.leads.table.duty.as_ref();
+        duty.is_some_and(|(record, _)| {
+            record.holder == self.local.vm && record.incarnation == self.local.incarnation
+        })
+    }
+
     /// Does what the duty asks for, or takes it if nobody holds it.
     pub(crate) fn do_duty(&mut self) {
         if !self.leads.is_known || !self.permit.is_valid(self.now) || self.is_leaving() {
@@ -263,28 +271,24 @@
         })
     }
 
-    /// Returns whether most live daemons can't reach a leader.
+    /// Returns whether most of the live daemons that work with a leader can't reach it.
     fn is_lost(&self, leader: &ServerId) -> bool {
         let Some(table) = &self.permits else {
             return false;
         };
-        let mut live = 0;
-        let mut accusers = 0;
+        let is_unreachable = self
+            .servers
+            .get(leader)
+            .is_none_or(|server| server.is_unreachable(self.now));
+        let (mut accusers, mut witnesses) = if is_unreachable { (1, 0) } else { (0, 1) };
         for (record, _) in &table.permits {
-            if record.until <= table.now {
+            if record.vm == self.local.vm || record.alive <= table.now {
                 continue;
             }
-            live += 1;
-            let accuses = if record.vm == self.local.vm {
-                self.servers
-                    .get(leader)
-                    .is_none_or(|s| s.is_unreachable(self.now))
-            } else {
-                record.unreachable.contains(leader)
-            };
-            accusers += usize::from(accuses);
+            accusers += usize::from(record.unreachable.contains(leader));
+            witnesses += usize::from(record.reached.contains(leader));
         }
-        accusers * 2 > live
+        accusers > witnesses
     }
 
     /// Writes who is to lead a service; returns false if another write has to end first.
--- a/sapphireslip-lead/src/effect.rs
+++ b/sapphireslip-lead/src/effect.rs
@@ -17,6 +17,19 @@
             /// The session.
             session: SessionId,
         },
+        /// Pass a session on to another daemon.
+        Relay {
+            /// The session.
+            session: SessionId,
+            /// The other daemon.
+            vm: VmId,
+            /// Where it takes such sessions.
+            address: SocketAddr,
+            /// The database.
+            database: Text,
+            /// The version of this daemon's configuration.
+            version: u64,
+        },
         /// Give a caller the answer to its statement.
         Answer {
             /// The session.
--- a/sapphireslip-lead/src/event.rs
+++ b/sapphireslip-lead/src/event.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use sapphireslip_core::{ConnectionId, Instant, ServiceName, SessionId, Text, data};
+use sapphireslip_core::{
+    ConnectionId, Instant, ServiceName, SessionId, Text, TransactionStatus, data,
+};
 
 use crate::{
     Catalog, LeadTable, PermitTable, Query, Reply, RowVersion, ServerRecord, ServerStatus,
@@ -55,6 +57,28 @@
             session: SessionId,
             /// The database.
             database: Text,
+            /// The version of the configuration of the daemon that passes the session on; none if
+            /// the caller has connected here.
+            passed_on: Option<u64>,
+        },
+        /// The daemon that a session was to be passed on to does not take it.
+        RelayFailed {
+            /// The session.
+            session: SessionId,
+            /// Whether that daemon answered at all.
+            is_refused: bool,
+        },
+        /// A caller whose session was passed on sent a statement.
+        RelayAsked {
+            /// The session.
+            session: SessionId,
+        },
+        /// The other daemon answered a session that was passed on.
+        RelayAnswered {
+            /// The session.
+            session: SessionId,
+            /// Whether the session is in a transaction.
+            status: TransactionStatus,
         },
         /// A caller sent a statement.
         Query {
--- a/sapphireslip-lead/src/handover.rs
+++ b/sapphireslip-lead/src/handover.rs
@@ -259,10 +259,11 @@
     }
 
     fn poll_permits(&mut self, service: &ServiceName, handover: &Handover) {
-        if self.now.since(handover.polled) >= ACKNOWLEDGE_POLL && self.read_permits() {
-            if let Some(handover) = self.duty.handovers.get_mut(service) {
-                handover.polled = self.now;
-            }
+        if self.now.since(handover.polled) >= ACKNOWLEDGE_POLL
+            && self.read_permits()
+            && let Some(handover) = self.duty.handovers.get_mut(service)
+        {
+            handover.polled = self.now;
         }
     }
 
--- /dev/null
+++ b/sapphireslip-lead/src/homes.rs
@@ -0,0 +1,162 @@
+//! Which daemon of an availability zone serves a service: its home there.
+//!
+//! Connections to servers are scarce, and a transaction keeps one while its caller pauses. With one
+//! home a service in each zone, a few daemons share a server's connections instead of all.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sapphireslip_core::{ServiceName, SessionId, VmId, data};
+
+use crate::state::State;
+use crate::{Effect, PermitRecord, Record, RecordKind};
+
+/// How long a session must have been quiet to be moved to its home: its caller pauses.
+const MOVE_QUIET: Duration = Duration::from_millis(400);
+
+/// The pause between two sessions that are moved, so that callers do not reconnect all at once.
+const MOVE_SPACING: Duration = Duration::from_millis(40);
+
+/// How long the permission may be missing before callers are sent to other daemons: by then the
+/// platform's balancer knows that this daemon is not ready.
+const UNABLE_MAX: Duration = Duration::from_millis(2_300);
+
+/// As above for sessions that another daemon passed on, which finds another home at once.
+const UNABLE_PASSED_ON_MAX: Duration = Duration::from_millis(200);
+
+data! {
+    /// A daemon that serves a service.
+    pub(crate) struct HomeOf {
+        pub(crate) vm: VmId,
+        pub(crate) address: SocketAddr,
+    }
+}
+
+impl State {
+    /// Returns the home of a service in this zone if that is another daemon.
+    pub(crate) fn other_home(&self, service: &ServiceName) -> Option<HomeOf> {
+        let table = self.permits.as_ref()?;
+        let leader = self.leads.named(service);
+        let is_able = |record: &&PermitRecord| {
+            record.zone == self.local.zone
+                && table.now < record.alive
+                && record.vm != self.local.vm
+                && !self.relays.is_avoided(&record.vm, self.now)
+                && leader.is_none_or(|leader| !record.unreachable.contains(leader))
+        };
+        let others = table
+            .permits
+            .iter()
+            .map(|(record, _)| record)
+            .filter(is_able);
+        let best = others.max_by_key(|record| weight(service, &record.vm))?;
+        let is_own = self.is_able_home(service)
+            && weight(service, &best.vm) < weight(service, &self.local.vm);
+        (!is_own).then(|| HomeOf {
+            vm: best.vm.clone(),
+            address: best.peers,
+        })
+    }
+
+    fn is_able_home(&self, service: &ServiceName) -> bool {
+        let leader = self
+            .leads
+            .named(service)
+            .and_then(|leader| self.servers.get(leader));
+        let reaches = leader.is_none_or(|leader| !leader.is_unreachable(self.now));
+        reaches && self.may_take_sessions()
+    }
+
+    /// Returns whether sessions of other daemons may come here.
+    pub(crate) fn may_take_sessions(&self) -> bool {
+        let is_unable = self.permit.lacked_for(self.now) >= UNABLE_PASSED_ON_MAX;
+        !is_unable && !self.is_leaving() && self.servers.read.is_some()
+    }
+
+    /// Returns whether this daemon is the home of a service in its zone.
+    pub(crate) fn is_home(&self, service: &ServiceName) -> bool {
+        self.other_home(service).is_none()
+    }
+
+    /// Returns whether this daemon works with servers, so that it needs a permission.
+    pub(crate) fn needs_permission(&self) -> bool {
+        let Some(catalog) = &self.catalog else {
+            return true;
+        };
+        !self.sessions.is_empty()
+            || self.holds_duty()
+            || catalog.services.keys().any(|service| self.is_home(service))
+    }
+
+    /// Sends callers to where their sessions are better served.
+    pub(crate) fn move_sessions(&mut self) {
+        if self.is_leaving() {
+            return;
+        }
+        let lacked = self.permit.lacked_for(self.now);
+        if lacked >= UNABLE_PASSED_ON_MAX {
+            let all = lacked >= UNABLE_MAX;
+            return self.send_away(|session| all || session.is_passed_on);
+        }
+        if self.relays.moved + MOVE_SPACING > self.now {
+            return;
+        }
+        let is_elsewhere = |session: &crate::session::Session| {
+            let route = self
+                .catalog
+                .as_ref()
+                .and_then(|c| c.routes.get(&session.database));
+            !session.is_passed_on && route.is_some_and(|route| !self.is_home(&route.service))
+        };
+        let quiet = self.sessions.iter().find(|(_, session)| {
+            session.is_idle()
+                && self.now.since(session.heard) >= MOVE_QUIET
+                && is_elsewhere(session)
+        });
+        if let Some(id) = quiet.map(|(id, _)| *id) {
+            self.relays.moved = self.now;
+            self.close_quietly(id);
+        }
+    }
+
+    /// Closes the sessions of a kind that have nothing at work.
+    fn send_away(&mut self, is_meant: impl Fn(&crate::session::Session) -> bool) {
+        let quiet: Vec<SessionId> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| {
+                session.is_idle()
+                    && self.now.since(session.heard) >= UNABLE_PASSED_ON_MAX
+                    && is_meant(session)
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in quiet {
+            self.close_quietly(id);
+        }
+    }
+
+    fn close_quietly(&mut self, id: SessionId) {
+        self.sessions.remove(&id);
+        let line = Record::new(
+            RecordKind::SessionMoved,
+            "its caller is to reconnect".into(),
+        );
+        self.log(Record {
+            session: Some(id),
+            ..line
+        });
+        self.effects.push(Effect::CloseSession {
+            session: id,
+            failure: None,
+        });
+    }
+}
+
+/// Returns the weight of a daemon for a service: the highest one is the home.
+fn weight(service: &ServiceName, vm: &VmId) -> (u64, VmId) {
+    let mut hasher = DefaultHasher::new();
+    (service.as_str(), vm.as_str()).hash(&mut hasher);
+    (hasher.finish(), vm.clone())
+}
--- a/sapphireslip-lead/src/lead_record.rs
+++ b/sapphireslip-lead/src/lead_record.rs
@@ -1,9 +1,10 @@
 //! The rows that daemons agree on through the store: who leads, who may promote, who may rely on it.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use sapphireslip_core::{Incarnation, ServerId, ServiceName, VmId, data, key};
+use sapphireslip_core::{Incarnation, ServerId, ServiceName, VmId, ZoneName, data, key};
 
 use crate::Term;
 
@@ -40,10 +41,18 @@
         pub vm: VmId,
         /// Its run.
         pub incarnation: Incarnation,
-        /// When the permission ends, by the store's clock.
+        /// Its availability zone.
+        pub zone: ZoneName,
+        /// Where it takes sessions that other daemons pass on.
+        pub peers: SocketAddr,
+        /// Until when it counts as alive, by the store's clock.
+        pub alive: StoreTime,
+        /// When the permission ends, by the store's clock; long past for a daemon that has none.
         pub until: StoreTime,
         /// The leaders that the daemon can't reach.
         pub unreachable: Vec<ServerId>,
+        /// The leaders that have lately answered it.
+        pub reached: Vec<ServerId>,
     }
 
     /// All leads at one version of the store.
--- a/sapphireslip-lead/src/leads.rs
+++ b/sapphireslip-lead/src/leads.rs
@@ -1,12 +1,16 @@
 //! Who leads each service, as far as this daemon may rely on it.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use sapphireslip_core::{Instant, ServerId, ServiceName, data};
 
 use crate::state::State;
 use crate::{LeadTable, Record, RecordKind, Role, ServerStatus, Term};
 
+/// How long a permission usually takes to come, with a margin for one lost answer.
+const PERMIT_TIME: Duration = Duration::from_millis(150);
+
 data! {
     /// The leads that the store names and what the servers said of them.
     #[derive(Default)]
@@ -64,6 +68,9 @@
             return LeaderView::Nobody("no primary is named yet");
         };
         if !self.permit.is_valid(self.now) {
+            if self.permit.lacked_for(self.now) < PERMIT_TIME {
+                return LeaderView::Opening(leader.clone());
+            }
             return LeaderView::Nobody("the permission to rely on the primary has ended");
         }
         let Some(server) = self.servers.get(leader) else {
--- a/sapphireslip-lead/src/permit.rs
+++ b/sapphireslip-lead/src/permit.rs
@@ -22,6 +22,15 @@
 /// How often a permission is renewed: a lost answer or two do no harm.
 const RENEW_EVERY: Duration = Duration::from_millis(700);
 
+/// How often a daemon without work at servers says that it lives.
+const PRESENCE_EVERY: Duration = Duration::from_secs(3);
+
+/// How long it counts as alive then.
+const PRESENCE_LENGTH: Duration = Duration::from_secs(8);
+
+/// How recent a leader's answer must be to be reported.
+const REACHED_MAX: Duration = Duration::from_millis(1_500);
+
 /// How soon a renewal is tried again that was not answered.
 const RENEW_RETRY: Duration = Duration::from_millis(250);
 
@@ -42,10 +51,13 @@
         until: Option<Instant>,
         is_pending: bool,
         next: Instant,
+        retry: Instant,
         sent: Instant,
         /// The generation that the last renewal was based on.
         acknowledged: RowVersion,
         reported: Vec<ServerId>,
+        /// Since when the daemon has lacked the permission, although it needs it.
+        lacking: Option<Instant>,
         pub(crate) clock: StoreClock,
         was_valid: bool,
     }
@@ -56,6 +68,12 @@
     pub(crate) fn is_valid(&self, now: Instant) -> bool {
         self.until.is_some_and(|until| now < until)
     }
+
+    /// Returns for how long the daemon has needed the permission and lacked it.
+    pub(crate) fn lacked_for(&self, now: Instant) -> Duration {
+        self.lacking
+            .map_or(Duration::ZERO, |since| now.since(since))
+    }
 }
 
 impl State {
@@ -63,6 +81,8 @@
     /// ones any more.
     pub(crate) fn renew_permit(&mut self) {
         self.note_permit_change();
+        let needs = self.needs_permission();
+        self.note_lack(needs);
         let Some(row) = self.permit.row.filter(|_| self.leads.is_known) else {
             return;
         };
@@ -74,7 +94,10 @@
         let is_new_lead = self.permit.acknowledged < generation;
         let is_news = unreachable != self.permit.reported
             && self.now.since(self.permit.sent) >= REPORT_SPACING;
-        if !(is_new_lead || is_news || self.permit.next <= self.now) {
+        let is_missing = needs && !self.permit.is_valid(self.now) && self.permit.retry <= self.now;
+        let is_due = self.permit.next <= self.now;
+        let is_new_lead = is_new_lead && (needs || self.permit.is_valid(self.now));
+        if !(is_new_lead || is_news || is_missing || is_due) {
             return;
         }
         if is_new_lead && !self.leave_old_leaders() {
@@ -85,13 +108,22 @@
         };
         self.permit.is_pending = true;
         self.permit.sent = self.now;
-        self.permit.next = self.now + RENEW_EVERY;
+        self.permit.retry = self.now + RENEW_RETRY;
+        self.permit.next = self.now + if needs { RENEW_EVERY } else { PRESENCE_EVERY };
         self.permit.reported.clone_from(&unreachable);
+        let (length, alive) = match needs {
+            true => (PERMIT_LENGTH, PERMIT_LENGTH),
+            false => (Duration::ZERO, PRESENCE_LENGTH),
+        };
         let record = PermitRecord {
             vm: self.local.vm.clone(),
             incarnation: self.local.incarnation,
-            until: StoreTime(latest.0 + PERMIT_LENGTH),
+            zone: self.local.zone.clone(),
+            peers: self.local.peers,
+            alive: StoreTime(latest.0 + alive),
+            until: StoreTime(latest.0 + length),
             unreachable,
+            reached: self.reached_leaders(),
         };
         self.effects.push(Effect::Write(StoreWrite::Permit {
             record,
@@ -168,14 +200,42 @@
             .map(|(record, _)| &record.leader);
         leaders
             .filter(|leader| {
-                self.servers
-                    .get(leader)
-                    .is_none_or(|server| server.is_unreachable(self.now))
+                let server = self.servers.get(leader);
+                server.is_some_and(|server| server.is_unreachable(self.now))
+            })
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the leaders that have lately answered.
+    fn reached_leaders(&self) -> Vec<ServerId> {
+        let leaders = self
+            .leads
+            .table
+            .leads
+            .values()
+            .map(|(record, _)| &record.leader);
+        leaders
+            .filter(|leader| {
+                let server = self.servers.get(leader);
+                server.is_some_and(|server| {
+                    let answered = server.answered;
+                    !server.is_unreachable(self.now)
+                        && answered.is_some_and(|at| self.now.since(at) <= REACHED_MAX)
+                })
             })
             .cloned()
             .collect()
     }
 
+    fn note_lack(&mut self, needs: bool) {
+        if !needs || self.permit.is_valid(self.now) {
+            self.permit.lacking = None;
+        } else {
+            self.permit.lacking.get_or_insert(self.now);
+        }
+    }
+
     /// Ends what still works at servers that are no longer to lead; returns whether nothing does.
     fn leave_old_leaders(&mut self) -> bool {
         let mut is_left = true;
--- a/sapphireslip-lead/src/probes.rs
+++ b/sapphireslip-lead/src/probes.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use sapphireslip_core::{Instant, ServerId, data};
+use sapphireslip_core::{Instant, ServerId, ServiceName, data};
 
 use crate::connection::{Answer, Purpose};
+use crate::session::Session;
 use crate::state::State;
 use crate::{ServerRequest, Shape};
 
@@ -60,6 +61,9 @@
             let Some(server) = self.servers.get(&record.leader) else {
                 continue;
             };
+            if !self.works_with(service) {
+                continue;
+            }
             let is_led = self.leads.term(service).is_some();
             let (pause, heard) = if is_led && !server.is_failing() {
                 let sampled = self.floors.get(service).and_then(crate::Floors::newest);
@@ -76,6 +80,25 @@
         }
     }
 
+    /// Returns whether this daemon works with the servers of a service.
+    pub(crate) fn works_with(&self, service: &ServiceName) -> bool {
+        self.is_home(service) || self.holds_duty() || self.serves(service)
+    }
+
+    /// Returns whether sessions of a service are served here.
+    fn serves(&self, service: &ServiceName) -> bool {
+        let Some(catalog) = &self.catalog else {
+            return false;
+        };
+        let leads_there = |session: &Session| {
+            catalog
+                .routes
+                .get(&session.database)
+                .is_some_and(|route| route.service == *service)
+        };
+        self.sessions.values().any(leads_there)
+    }
+
     /// Asks a server for its status, on a new connection if no other is free to answer.
     pub(crate) fn probe(&mut self, server: &ServerId) {
         if self.pool.to(server).any(Self::awaits_status) {
--- a/sapphireslip-lead/src/record.rs
+++ b/sapphireslip-lead/src/record.rs
@@ -51,6 +51,10 @@
         StoreReachable,
         /// A connection to a server was closed for a fault.
         ConnectionClosed,
+        /// A session's caller is to reconnect, so that another daemon serves it.
+        SessionMoved,
+        /// No session is passed on to a daemon for a while.
+        DaemonAvoided,
         /// The graceful stop began or went on.
         Drain,
     }
@@ -116,6 +120,8 @@
             Self::ServerReachable => "server_reachable",
             Self::StoreReachable => "store_reachable",
             Self::ConnectionClosed => "connection_closed",
+            Self::SessionMoved => "session_moved",
+            Self::DaemonAvoided => "daemon_avoided",
             Self::Drain => "drain",
         }
     }
--- /dev/null
+++ b/sapphireslip-lead/src/relays.rs
@@ -0,0 +1,178 @@
+//! Sessions that were passed on to other daemons, and how those answer.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sapphireslip_core::{Instant, SessionId, Text, TransactionStatus, VmId, data};
+
+use crate::homes::HomeOf;
+use crate::state::State;
+use crate::{Effect, Record, RecordKind};
+
+/// How long a daemon may leave all sessions that were passed on to it unanswered: longer than a
+/// primary is waited for there.
+const SILENCE_MAX: Duration = Duration::from_millis(600);
+
+/// How long no session is passed on to a daemon that could not be reached.
+const AVOID_SILENT: Duration = Duration::from_secs(3);
+
+/// How long no session is passed on to a daemon that refused one.
+const AVOID_REFUSING: Duration = Duration::from_millis(500);
+
+data! {
+    /// The sessions that were passed on.
+    #[derive(Default)]
+    pub(crate) struct Relays {
+        sessions: BTreeMap<SessionId, Relay>,
+        /// When each daemon last answered.
+        heard: BTreeMap<VmId, Instant>,
+        avoided: BTreeMap<VmId, Instant>,
+        /// When a session was last moved to its home.
+        pub(crate) moved: Instant,
+    }
+
+    struct Relay {
+        vm: VmId,
+        database: Text,
+        /// Since when a statement is unanswered.
+        asked: Option<Instant>,
+        status: TransactionStatus,
+        heard: Instant,
+    }
+}
+
+impl Relays {
+    pub(crate) fn remove(&mut self, id: SessionId) {
+        self.sessions.remove(&id);
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.sessions.is_empty()
+    }
+
+    pub(crate) fn is_avoided(&self, vm: &VmId, now: Instant) -> bool {
+        self.avoided.get(vm).is_some_and(|until| now < *until)
+    }
+
+    /// Returns the sessions without work whose callers have paused for a while.
+    pub(crate) fn resting(&self, now: Instant, pause: Duration) -> Vec<SessionId> {
+        let is_resting = |relay: &Relay| {
+            relay.asked.is_none()
+                && relay.status == TransactionStatus::Idle
+                && now.since(relay.heard) >= pause
+        };
+        self.ids(is_resting)
+    }
+
+    /// Returns the sessions with an open transaction and no statement at work.
+    pub(crate) fn resting_in_transaction(&self) -> Vec<SessionId> {
+        self.ids(|relay| relay.asked.is_none() && relay.status != TransactionStatus::Idle)
+    }
+
+    fn ids(&self, is_meant: impl Fn(&Relay) -> bool) -> Vec<SessionId> {
+        let meant = self.sessions.iter().filter(|(_, relay)| is_meant(relay));
+        meant.map(|(id, _)| *id).collect()
+    }
+
+    /// Returns the daemons that have left a statement unanswered and nothing else answered.
+    fn silent(&self, now: Instant) -> Vec<VmId> {
+        let is_silent = |relay: &&Relay| {
+            let heard = self.heard.get(&relay.vm).copied().unwrap_or_default();
+            relay.asked.is_some_and(|asked| {
+                now.since(asked) >= SILENCE_MAX && now.since(heard) >= SILENCE_MAX
+            })
+        };
+        let mut vms: Vec<VmId> = self
+            .sessions
+            .values()
+            .filter(is_silent)
+            .map(|relay| relay.vm.clone())
+            .collect();
+        vms.sort_unstable();
+        vms.dedup();
+        vms
+    }
+}
+
+impl State {
+    /// Passes a session on to its home.
+    pub(crate) fn pass_on(
+        &mut self,
+        session: SessionId,
+        database: Text,
+        home: HomeOf,
+        version: u64,
+    ) {
+        let relay = Relay {
+            vm: home.vm.clone(),
+            database: Text::clone(&database),
+            asked: Some(self.now),
+            status: TransactionStatus::Idle,
+            heard: self.now,
+        };
+        self.relays.sessions.insert(session, relay);
+        self.effects.push(Effect::Relay {
+            session,
+            vm: home.vm,
+            address: home.address,
+            database,
+            version,
+        });
+    }
+
+    /// Serves a session here that its home does not take.
+    pub(crate) fn on_relay_failed(&mut self, id: SessionId, is_refused: bool) {
+        let Some(relay) = self.relays.sessions.remove(&id) else {
+            return;
+        };
+        let pause = if is_refused {
+            AVOID_REFUSING
+        } else {
+            AVOID_SILENT
+        };
+        self.avoid(&relay.vm, pause);
+        self.serve_session(id, relay.database, false);
+    }
+
+    fn avoid(&mut self, vm: &VmId, pause: Duration) {
+        let until = self.now + pause;
+        self.relays.avoided.insert(vm.clone(), until);
+        let detail = format!("no session goes to `{vm}` for {} ms", pause.as_millis());
+        self.log(Record::new(RecordKind::DaemonAvoided, detail.into()));
+    }
+
+    pub(crate) fn on_relay_asked(&mut self, id: SessionId) {
+        if let Some(relay) = self.relays.sessions.get_mut(&id) {
+            relay.asked.get_or_insert(self.now);
+        }
+    }
+
+    pub(crate) fn on_relay_answered(&mut self, id: SessionId, status: TransactionStatus) {
+        if let Some(relay) = self.relays.sessions.get_mut(&id) {
+            relay.asked = None;
+            relay.status = status;
+            relay.heard = self.now;
+            self.relays.heard.insert(relay.vm.clone(), self.now);
+        }
+    }
+
+    /// Ends the sessions that were passed on to daemons that have gone silent: their callers come
+    /// back, and a statement that only reads is tried again.
+    pub(crate) fn watch_relays(&mut self) {
+        for vm in self.relays.silent(self.now) {
+            self.avoid(&vm, AVOID_SILENT);
+            let lost = self.relays.ids(|relay| relay.vm == vm);
+            for id in lost {
+                self.close_relay(id);
+            }
+        }
+    }
+
+    pub(crate) fn close_relay(&mut self, id: SessionId) {
+        self.relays.sessions.remove(&id);
+        self.effects.push(Effect::CloseSession {
+            session: id,
+            failure: None,
+        });
+    }
+}
--- a/sapphireslip-lead/src/session.rs
+++ b/sapphireslip-lead/src/session.rs
@@ -28,6 +28,8 @@
         pub(crate) written: Option<(ServiceName, TermPosition)>,
         /// When it last had an answer, or was opened.
         pub(crate) heard: Instant,
+        /// Whether another daemon passed it on.
+        pub(crate) is_passed_on: bool,
     }
 
     /// An open transaction.
@@ -47,7 +49,7 @@
 }
 
 impl Session {
-    pub(crate) const fn new(database: Text, now: Instant) -> Self {
+    pub(crate) const fn new(database: Text, now: Instant, is_passed_on: bool) -> Self {
         Self {
             database,
             values: BTreeMap::new(),
@@ -57,6 +59,7 @@
             ahead: VecDeque::new(),
             written: None,
             heard: now,
+            is_passed_on,
         }
     }
 
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -1,6 +1,7 @@
 //! The whole state of a daemon, and the one reducer over all events.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use sapphireslip_core::{
     Incarnation, Instant, Random, ServiceName, SessionId, VmId, ZoneName, data,
@@ -13,6 +14,7 @@
 use crate::permit::Permit;
 use crate::pool::Pool;
 use crate::probes::Shapes;
+use crate::relays::Relays;
 use crate::servers::Servers;
 use crate::session::Session;
 use crate::store_events::Reads;
@@ -27,6 +29,8 @@
         pub zone: ZoneName,
         /// This run of it.
         pub incarnation: Incarnation,
+        /// Where it takes sessions that other daemons pass on.
+        pub peers: SocketAddr,
     }
 
     /// The whole state of a daemon.
@@ -43,6 +47,7 @@
         pub(crate) duty: Duty,
         pub(crate) reads: Reads,
         pub(crate) sessions: BTreeMap<SessionId, Session>,
+        pub(crate) relays: Relays,
         pub(crate) jobs: BTreeMap<JobId, Job>,
         pub(crate) next_job: u64,
         /// The waiting statements of each service, the next one first.
@@ -73,6 +78,7 @@
             duty: Duty::default(),
             reads: Reads::default(),
             sessions: BTreeMap::new(),
+            relays: Relays::default(),
             jobs: BTreeMap::new(),
             next_job: 0,
             lanes: BTreeMap::new(),
@@ -109,6 +115,8 @@
         self.read_store();
         self.probe_all();
         self.do_duty();
+        self.watch_relays();
+        self.move_sessions();
         self.keep_connections();
         self.run_all_lanes();
         self.go_on_draining();
@@ -117,9 +125,11 @@
     /// Returns whether callers should come to this daemon.
     #[must_use]
     pub fn is_ready(&self) -> bool {
+        let has_permission = self.permit.is_valid(self.now) || !self.needs_permission();
         self.catalog.is_some()
             && self.servers.read.is_some()
-            && self.permit.is_valid(self.now)
+            && self.permits.is_some()
+            && has_permission
             && !self.is_leaving()
     }
 
--- a/sapphireslip-lead/src/timeouts.rs
+++ b/sapphireslip-lead/src/timeouts.rs
@@ -223,7 +223,9 @@
     pub(crate) fn keep_connections(&mut self) {
         for server in self.pool.servers() {
             let is_known = self.servers.get(&server).is_some();
-            let kept = if is_known { IDLE_KEPT } else { 0 };
+            let service = self.servers.get(&server).map(|known| &known.record.service);
+            let is_used = service.is_some_and(|service| self.works_with(service));
+            let kept = if is_used { IDLE_KEPT } else { 0 };
             let mut spare = self.pool.count(&server).saturating_sub(kept);
             for (connection, heard) in self.pool.idle(&server) {
                 if spare == 0 || (is_known && self.now.since(heard) < SPARE_IDLE) {
@@ -241,7 +243,11 @@
             .servers
             .known
             .iter()
-            .filter(|(id, server)| server.is_staying() && self.pool.count(id) == 0)
+            .filter(|(id, server)| {
+                server.is_staying()
+                    && self.pool.count(id) == 0
+                    && self.works_with(&server.record.service)
+            })
             .map(|(id, _)| id.clone())
             .collect();
         for server in unused {
--- a/sapphireslipd/src/lead_callers.rs
+++ b/sapphireslipd/src/lead_callers.rs
@@ -1,21 +1,32 @@
-//! Connections of callers.
+//! Connections of callers, served here or passed on to other daemons.
 
 use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use sapphireslip_core::SessionId;
+use bytes::BytesMut;
+use sapphireslip_core::{SessionId, TransactionStatus};
 use sapphireslip_lead::{ClientEvent, ErrorCode, Event, Failure};
-use sapphireslip_platform::{ClientMessage, decode_client, encode_failure};
+use sapphireslip_platform::{
+    ClientMessage, LINE_END, answers, asks, decode_client, decode_pass_on, encode_failure,
+    encode_welcome,
+};
 use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::line_stream::{LineReader, split, write_all};
+use crate::line_stream::{LineReader, split};
 
 /// The pause after a connection could not be taken, as when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// The most answers that wait for one caller to read them.
-const ANSWERS_MAX: usize = 128;
+const ORDERS_MAX: usize = 128;
+
+/// How long another daemon may take to open a session that is passed on: some round trips within a
+/// zone, and a turn of its processor.
+const RELAY_OPEN_MAX: Duration = Duration::from_millis(150);
 
 /// How long a caller may take to read what was sent to it.
 const WRITE_MAX: Duration = Duration::from_secs(10);
@@ -23,23 +34,40 @@
 /// How long a caller may take to name its database.
 const START_MAX: Duration = Duration::from_secs(10);
 
+/// What a session's task is asked to do.
+enum Order {
+    /// Send these bytes to the caller.
+    Send(Vec<u8>),
+    /// Pass the session on to another daemon.
+    PassOn(SocketAddr, Vec<u8>),
+}
+
 /// The ways to the callers.
 #[derive(Debug, Default)]
 pub(crate) struct Callers {
-    open: BTreeMap<SessionId, flume::Sender<Vec<u8>>>,
+    open: BTreeMap<SessionId, flume::Sender<Order>>,
 }
 
-/// A caller that has connected.
+/// A caller that has connected, here or at another daemon that passes its session on.
 pub(crate) struct NewCaller {
-    pub(crate) stream: TcpStream,
+    stream: TcpStream,
+    is_passed_on: bool,
 }
 
 /// Takes connections until the receiver is gone.
-pub(crate) async fn accept(listener: TcpListener, callers: flume::Sender<NewCaller>) {
+pub(crate) async fn accept(
+    listener: TcpListener,
+    is_passed_on: bool,
+    callers: flume::Sender<NewCaller>,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if callers.send_async(NewCaller { stream }).await.is_err() {
+                let caller = NewCaller {
+                    stream,
+                    is_passed_on,
+                };
+                if callers.send_async(caller).await.is_err() {
                     return;
                 }
             }
@@ -54,10 +82,11 @@
 impl Callers {
     /// Serves a new caller as a session.
     pub(crate) fn add(&mut self, id: SessionId, caller: NewCaller, events: flume::Sender<Event>) {
-        let (tx, rx) = flume::bounded(ANSWERS_MAX);
+        let (tx, orders) = flume::bounded(ORDERS_MAX);
         self.open.insert(id, tx);
         tokio::spawn(async move {
-            if let Err(err) = serve(id, caller.stream, &rx, &events).await {
+            let served = SessionTask::open(id, caller, orders, events.clone());
+            if let Err(err) = served.await {
                 log::debug!(session = id.0; "a caller's connection ended: {err}");
             }
             let closed = Event::Client(ClientEvent::Closed { session: id });
@@ -68,8 +97,17 @@
 
     /// Sends bytes to a caller; one that does not read loses its connection.
     pub(crate) fn send(&mut self, id: SessionId, bytes: Vec<u8>) {
+        self.order(id, Order::Send(bytes));
+    }
+
+    /// Passes a session on to another daemon.
+    pub(crate) fn pass_on(&mut self, id: SessionId, to: SocketAddr, opening: Vec<u8>) {
+        self.order(id, Order::PassOn(to, opening));
+    }
+
+    fn order(&mut self, id: SessionId, order: Order) {
         if let Some(tx) = self.open.get(&id)
-            && tx.try_send(bytes).is_err()
+            && tx.try_send(order).is_err()
         {
             self.open.remove(&id);
         }
@@ -85,82 +123,237 @@
     }
 }
 
-async fn serve(
+/// One session's connection to its caller.
+struct SessionTask {
     id: SessionId,
-    stream: TcpStream,
-    answers: &flume::Receiver<Vec<u8>>,
-    events: &flume::Sender<Event>,
-) -> std::io::Result<()> {
-    let (mut lines, mut writer) = split(stream)?;
-    let start = tokio::time::timeout(START_MAX, lines.next()).await;
-    let Some(line) = start.map_err(std::io::Error::other)?? else {
-        return Ok(());
-    };
-    let Ok(ClientMessage::Start { database }) = decode_client(&line) else {
-        return refuse(&mut writer, "expected START and a database").await;
-    };
-    tell(
-        events,
-        ClientEvent::Opened {
+    lines: LineReader,
+    writer: OwnedWriteHalf,
+    orders: flume::Receiver<Order>,
+    events: flume::Sender<Event>,
+}
+
+/// What follows after a while of serving.
+enum Next {
+    /// The session has ended.
+    End,
+    /// It is passed on.
+    PassOn(SocketAddr, Vec<u8>),
+}
+
+impl SessionTask {
+    /// Serves a session to its end.
+    async fn open(
+        id: SessionId,
+        caller: NewCaller,
+        orders: flume::Receiver<Order>,
+        events: flume::Sender<Event>,
+    ) -> io::Result<()> {
+        let (lines, writer) = split(caller.stream)?;
+        let mut task = Self {
+            id,
+            lines,
+            writer,
+            orders,
+            events,
+        };
+        let passed_on = match caller.is_passed_on {
+            true => {
+                let line = task.first_line().await?;
+                Some(decode_pass_on(&line).map_err(io::Error::other)?)
+            }
+            false => None,
+        };
+        let line = task.first_line().await?;
+        let Ok(ClientMessage::Start { database }) = decode_client(&line) else {
+            return task.refuse("expected START and a database").await;
+        };
+        task.tell(ClientEvent::Opened {
             session: id,
             database,
-        },
-    )
-    .await;
-    loop {
-        tokio::select! {
-            biased;
-            answer = answers.recv_async() => {
-                let Ok(bytes) = answer else {
-                    return writer.shutdown().await;
-                };
-                let write = write_all(&mut writer, bytes, answers);
-                tokio::time::timeout(WRITE_MAX, write).await.map_err(std::io::Error::other)??;
-            }
-            line = lines.next() => {
-                let Some(line) = line? else {
-                    return Ok(());
-                };
-                if !take(id, &line, events, &mut lines).await {
-                    return refuse(&mut writer, "the line is no message").await;
+            passed_on,
+        })
+        .await;
+        loop {
+            match task.serve().await? {
+                Next::End => return Ok(()),
+                Next::PassOn(to, opening) => {
+                    if task.pass_on(to, opening).await? {
+                        return Ok(());
+                    }
                 }
             }
         }
     }
-}
 
-/// Takes a line; returns false if the session can't go on.
-async fn take(
-    id: SessionId,
-    line: &[u8],
-    events: &flume::Sender<Event>,
-    _lines: &mut LineReader,
-) -> bool {
-    match decode_client(line) {
-        Ok(ClientMessage::Query(query)) => {
-            tell(events, ClientEvent::Query { session: id, query }).await;
-            true
+    async fn first_line(&mut self) -> io::Result<BytesMut> {
+        let line = tokio::time::timeout(START_MAX, self.lines.next()).await;
+        let line = line.map_err(io::Error::other)??;
+        line.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+    }
+
+    /// Serves the session here.
+    async fn serve(&mut self) -> io::Result<Next> {
+        loop {
+            tokio::select! {
+                biased;
+                order = self.orders.recv_async() => match order {
+                    Err(_) => {
+                        self.writer.shutdown().await?;
+                        return Ok(Next::End);
+                    }
+                    Ok(Order::PassOn(to, opening)) => return Ok(Next::PassOn(to, opening)),
+                    Ok(Order::Send(bytes)) => self.write(bytes).await?,
+                },
+                line = self.lines.next() => {
+                    let Some(line) = line? else {
+                        return Ok(Next::End);
+                    };
+                    if !self.take(&line).await {
+                        self.refuse("the line is no message").await?;
+                        return Ok(Next::End);
+                    }
+                }
+            }
         }
-        Ok(ClientMessage::Terminate) => {
-            tell(events, ClientEvent::Closed { session: id }).await;
-            true
+    }
+
+    async fn write(&mut self, bytes: Vec<u8>) -> io::Result<()> {
+        let write = self.writer.write_all(&bytes);
+        tokio::time::timeout(WRITE_MAX, write)
+            .await
+            .map_err(io::Error::other)?
+    }
+
+    /// Takes a line; returns false if the session can't go on.
+    async fn take(&self, line: &[u8]) -> bool {
+        match decode_client(line) {
+            Ok(ClientMessage::Query(query)) => {
+                self.tell(ClientEvent::Query {
+                    session: self.id,
+                    query,
+                })
+                .await;
+                true
+            }
+            Ok(ClientMessage::Terminate) => {
+                self.tell(ClientEvent::Closed { session: self.id }).await;
+                true
+            }
+            Ok(ClientMessage::Start { .. }) => false,
+            Err(err) => {
+                log::debug!(session = self.id.0; "{err}");
+                false
+            }
         }
-        Ok(ClientMessage::Start { .. }) => false,
-        Err(err) => {
-            log::debug!(session = id.0; "{err}");
-            false
+    }
+
+    /// Passes the session on; returns false if the other daemon does not take it.
+    async fn pass_on(&mut self, to: SocketAddr, opening: Vec<u8>) -> io::Result<bool> {
+        let opened = tokio::time::timeout(RELAY_OPEN_MAX, open_relay(to, &opening)).await;
+        let is_refused = match opened.unwrap_or_else(|err| Err(io::Error::other(err))) {
+            Ok(Some((lines, writer))) => {
+                let mut bytes = Vec::new();
+                encode_welcome(&mut bytes);
+                self.tell(ClientEvent::RelayAnswered {
+                    session: self.id,
+                    status: TransactionStatus::Idle,
+                })
+                .await;
+                self.write(bytes).await?;
+                self.relay(lines, writer).await?;
+                return Ok(true);
+            }
+            Ok(None) => true,
+            Err(err) => {
+                log::debug!("passing a session on to `{to}`: {err}");
+                false
+            }
+        };
+        self.tell(ClientEvent::RelayFailed {
+            session: self.id,
+            is_refused,
+        })
+        .await;
+        Ok(false)
+    }
+
+    /// Moves lines both ways until one side ends, or the session is to be closed.
+    async fn relay(&mut self, mut lines: LineReader, mut writer: OwnedWriteHalf) -> io::Result<()> {
+        loop {
+            tokio::select! {
+                biased;
+                order = self.orders.recv_async() => match order {
+                    Ok(Order::Send(bytes)) => self.write(bytes).await?,
+                    Ok(Order::PassOn(..)) | Err(_) => return self.writer.shutdown().await,
+                },
+                line = lines.next() => {
+                    let Some(line) = line? else {
+                        return self.writer.shutdown().await;
+                    };
+                    let (bytes, status) = join(line, &mut lines, |status, line| {
+                        answers(line).or(status)
+                    });
+                    if let Some(status) = status {
+                        self.tell(ClientEvent::RelayAnswered { session: self.id, status }).await;
+                    }
+                    self.write(bytes).await?;
+                }
+                line = self.lines.next() => {
+                    let Some(line) = line? else {
+                        return Ok(());
+                    };
+                    let (bytes, asked) = join(line, &mut self.lines, |asked, line| {
+                        asked.or_else(|| asks(line).then_some(()))
+                    });
+                    if asked.is_some() {
+                        self.tell(ClientEvent::RelayAsked { session: self.id }).await;
+                    }
+                    writer.write_all(&bytes).await?;
+                }
+            }
         }
     }
+
+    async fn tell(&self, event: ClientEvent) {
+        // Fails only when the daemon is stopping already.
+        let _stopping = self.events.send_async(Event::Client(event)).await;
+    }
+
+    async fn refuse(&mut self, text: &str) -> io::Result<()> {
+        let mut bytes = Vec::new();
+        encode_failure(&Failure::new(ErrorCode::Malformed, text), &mut bytes);
+        self.writer.write_all(&bytes).await?;
+        self.writer.shutdown().await
+    }
 }
 
-async fn tell(events: &flume::Sender<Event>, event: ClientEvent) {
-    // Fails only when the daemon is stopping already.
-    let _stopping = events.send_async(Event::Client(event)).await;
+/// Opens a session at another daemon; returns none if that refuses it.
+async fn open_relay(
+    to: SocketAddr,
+    opening: &[u8],
+) -> io::Result<Option<(LineReader, OwnedWriteHalf)>> {
+    let stream = TcpStream::connect(to).await?;
+    let (mut lines, mut writer) = split(stream)?;
+    writer.write_all(opening).await?;
+    let line = lines.next().await?;
+    let line = line.ok_or(io::ErrorKind::UnexpectedEof)?;
+    Ok(answers(&line).map(|_| (lines, writer)))
 }
 
-async fn refuse(writer: &mut tokio::net::tcp::OwnedWriteHalf, text: &str) -> std::io::Result<()> {
-    let mut bytes = Vec::new();
-    encode_failure(&Failure::new(ErrorCode::Malformed, text), &mut bytes);
-    writer.write_all(&bytes).await?;
-    writer.shutdown().await
+/// Joins a line and all that have been read after it, and gathers what they say.
+fn join<T>(
+    first: BytesMut,
+    lines: &mut LineReader,
+    gather: impl Fn(Option<T>, &[u8]) -> Option<T>,
+) -> (Vec<u8>, Option<T>) {
+    let mut bytes = Vec::with_capacity(first.len() + 2);
+    let mut said = None;
+    let mut next = Some(first);
+    while let Some(line) = next {
+        said = gather(said, &line);
+        bytes.extend_from_slice(&line);
+        bytes.extend_from_slice(LINE_END);
+        next = lines.take();
+    }
+    (bytes, said)
 }
--- a/sapphireslipd/src/lead_run.rs
+++ b/sapphireslipd/src/lead_run.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::lead_callers::{Callers, accept};
+use crate::lead_callers::{Callers, NewCaller, accept};
 use crate::lead_runner::LeadRunner;
 use crate::lead_servers::Backends;
 use crate::run::listen;
@@ -29,6 +29,7 @@
 /// One of its addresses can't be listened on, or the process lacks a clock or signals.
 pub async fn serve_lead(settings: LeadSettings) -> Result<(), Error> {
     let callers = listen("callers", settings.callers).await?;
+    let peers = listen("peers", settings.peers).await?;
     let readiness = listen("the readiness page", settings.readiness).await?;
     let clock = BootClock::start().map_err(Error::Clock)?;
     let (events_tx, events) = flume::bounded(LEAD_EVENTS_MAX);
@@ -52,6 +53,7 @@
         vm: settings.vm,
         zone: settings.zone,
         incarnation,
+        peers: settings.peers,
     };
     log::info!(callers:% = settings.callers, incarnation = incarnation.0; "started");
     let runner = LeadRunner {
@@ -59,7 +61,7 @@
         clock,
         events,
         events_tx,
-        new_callers: take_callers(callers),
+        new_callers: take_callers(callers, peers),
         callers: Callers::default(),
         backends: Backends::default(),
         store,
@@ -71,9 +73,10 @@
     Ok(())
 }
 
-fn take_callers(listener: TcpListener) -> flume::Receiver<crate::lead_callers::NewCaller> {
+fn take_callers(callers: TcpListener, peers: TcpListener) -> flume::Receiver<NewCaller> {
     let (tx, rx) = flume::bounded(NEW_CALLERS_MAX);
-    tokio::spawn(accept(listener, tx));
+    tokio::spawn(accept(callers, false, tx.clone()));
+    tokio::spawn(accept(peers, true, tx));
     rx
 }
 
--- a/sapphireslipd/src/lead_runner.rs
+++ b/sapphireslipd/src/lead_runner.rs
@@ -6,7 +6,9 @@
 
 use sapphireslip_core::SessionId;
 use sapphireslip_lead::{Effect, Event, State};
-use sapphireslip_platform::{encode_failure, encode_reply, encode_welcome, promote};
+use sapphireslip_platform::{
+    encode_failure, encode_pass_on, encode_reply, encode_welcome, promote,
+};
 use tokio::time::{Instant, sleep_until};
 
 use crate::BootClock;
@@ -87,6 +89,17 @@
                 encode_welcome(&mut bytes);
                 self.callers.send(session, bytes);
             }
+            Effect::Relay {
+                session,
+                address,
+                database,
+                version,
+                ..
+            } => {
+                let mut opening = Vec::new();
+                encode_pass_on(version, &database, &mut opening);
+                self.callers.pass_on(session, address, opening);
+            }
             Effect::Answer { session, reply } => {
                 let mut bytes = Vec::new();
                 encode_reply(&reply, &mut bytes);
--- a/sapphireslipd/src/lead_settings.rs
+++ b/sapphireslipd/src/lead_settings.rs
@@ -5,6 +5,7 @@
 //! zone = "a"
 //! callers = "10.0.0.1:5432"     # where callers connect
 //! readiness = "10.0.0.1:9000"   # where the platform asks whether they should
+//! peers = "10.0.0.1:7000"       # where other daemons pass sessions on
 //! metrics = "10.0.0.1:9001"     # where metrics are served
 //! log_level = "info"            # may be left out
 //! drain_bound = "6s"            # how long a stop may take; may be left out
@@ -43,6 +44,8 @@
     pub callers: SocketAddr,
     /// Where the platform asks whether callers should come.
     pub readiness: SocketAddr,
+    /// Where other daemons pass sessions on.
+    pub peers: SocketAddr,
     /// Where metrics are served.
     pub metrics: SocketAddr,
     /// The least severe level that is logged.
@@ -89,6 +92,7 @@
     let zone = name::<ZoneName>(&mut root, faults, "zone");
     let callers = address(&mut root, faults, "callers");
     let readiness = address(&mut root, faults, "readiness");
+    let peers = address(&mut root, faults, "peers");
     let metrics = address(&mut root, faults, "metrics");
     let level = log_level(&mut root, faults);
     let drain_bound = duration(&mut root, faults, "drain_bound", LEAD_DRAIN_BOUND_MAX);
@@ -100,6 +104,7 @@
         zone: zone?.value,
         callers: callers?.value,
         readiness: readiness?.value,
+        peers: peers?.value,
         metrics: metrics?.value,
         log_level: level.unwrap_or(LevelFilter::Info),
         drain_bound: drain_bound.unwrap_or(LEAD_DRAIN_BOUND_DEFAULT),
