--- a/sapphireslip-lead/src/choice.rs
+++ b/sapphireslip-lead/src/choice.rs
@@ -29,6 +29,10 @@
 /// How many times its share a daemon may use while the server has connections left.
 const SHARE_OVERDRAFT: usize = 2;
 
+/// The most statements outstanding at a server from one daemon, in its slots: with three homes its
+/// queue then stays short, and what waits does so here, where the order of priority holds.
+const OUTSTANDING_PER_SLOT: usize = 2;
+
 /// The fewest connections to one server that a daemon may use.
 const CONNECTIONS_MIN: usize = 2;
 
@@ -142,6 +146,15 @@
         }
     }
 
+    /// Returns whether a server has enough to do from this daemon.
+    pub(crate) fn is_loaded(&self, server: &ServerId) -> bool {
+        let slots = self
+            .servers
+            .get(server)
+            .map_or(1, |known| known.record.slots.max(1));
+        self.pool.at_work(server) >= slots * OUTSTANDING_PER_SLOT
+    }
+
     /// Returns how many connections to a server this daemon may have at the moment.
     pub(crate) fn connections_max(&self, server: &ServerId) -> usize {
         let share = self.connections_share(server);
--- a/sapphireslip-lead/src/dispatch.rs
+++ b/sapphireslip-lead/src/dispatch.rs
@@ -162,6 +162,9 @@
         let Some(session) = self.sessions.get(&job.session) else {
             return false;
         };
+        if self.is_loaded(server) {
+            return false;
+        }
         let number = job.shape.as_ref().map(|shape| self.shapes.number(shape));
         let Some(connection) = self.pool.free(server, session, number) else {
             return false;
@@ -297,7 +300,7 @@
         if self.pool.opening(server) > 0 {
             return true;
         }
-        if self.pool.count(server) >= self.connections_max(server) {
+        if self.is_loaded(server) || self.pool.count(server) >= self.connections_max(server) {
             return false;
         }
         self.connect(server)
--- a/sapphireslip-lead/src/server_record.rs
+++ b/sapphireslip-lead/src/server_record.rs
@@ -15,6 +15,8 @@
         pub address: SocketAddr,
         /// Its availability zone.
         pub zone: ZoneName,
+        /// How many statements it runs at a time.
+        pub slots: usize,
         /// Whether it is about to leave.
         pub is_draining: bool,
         /// How it sees itself; out of date by up to a heartbeat, or more after a crash.
--- /dev/null
+++ b/sapphireslip-lead/tests/handover.rs
@@ -0,0 +1,112 @@
+//! A primary that leaves or is lost is replaced.
+
+mod support;
+
+use rstest::rstest;
+use sapphireslip_lead::{Effect, ErrorCode};
+use support::{Daemon, PAYMENTS, server, service};
+
+#[rstest]
+fn draining_primary_hands_over_all_of_its_log() {
+    let mut daemon = Daemon::ready();
+    let session = daemon.open(PAYMENTS);
+    daemon.run(session, "1", "WRITE x 1");
+    daemon.group.get_mut(&server("s-a")).is_draining = true;
+    daemon.advance(1_200);
+    daemon.group.replicate();
+    daemon.advance(1_000);
+    let leader = daemon
+        .group
+        .servers
+        .iter()
+        .max_by_key(|server| server.term)
+        .expect("a server");
+    assert_ne!(leader.id, server("s-a"));
+    assert_eq!(leader.log.len(), 2, "the acknowledged write is there");
+    daemon.statements();
+    assert_eq!(daemon.run(session, "2", "WRITE x 2").failure(), None);
+    assert_ne!(daemon.statements()[0].0, "s-a");
+}
+
+#[rstest]
+fn open_transaction_ends_before_the_primary_is_replaced() {
+    let mut daemon = Daemon::ready();
+    let session = daemon.open(PAYMENTS);
+    daemon.run(session, "1", "BEGIN");
+    daemon.run(session, "2", "WRITE x 1");
+    daemon.group.get_mut(&server("s-a")).is_draining = true;
+    while daemon.store.leads.leads[&service()].0.leader == server("s-a") {
+        daemon.advance(10);
+    }
+    daemon.advance(300);
+    let is_promoted = |daemon: &Daemon| daemon.group.servers.iter().any(|s| s.term.0 > 1);
+    assert!(!is_promoted(&daemon), "the transaction is waited for");
+    assert_eq!(daemon.run(session, "3", "COMMIT").failure(), None);
+    daemon.group.replicate();
+    daemon.advance(500);
+    assert!(daemon.group.servers.iter().any(|server| server.term.0 == 2));
+}
+
+#[rstest]
+fn transaction_that_rests_is_aborted_for_the_handover() {
+    let mut daemon = Daemon::ready();
+    let session = daemon.open(PAYMENTS);
+    daemon.run(session, "1", "BEGIN");
+    daemon.run(session, "2", "WRITE x 1");
+    daemon.group.get_mut(&server("s-a")).is_draining = true;
+    daemon.advance(2_500);
+    daemon.group.replicate();
+    daemon.advance(1_000);
+    assert!(daemon.group.servers.iter().any(|server| server.term.0 == 2));
+    let reply = daemon.run(session, "3", "COMMIT");
+    assert_eq!(
+        reply.failure().map(|f| f.code.clone()),
+        Some(ErrorCode::Aborted)
+    );
+}
+
+#[rstest]
+fn crashed_primary_is_replaced() {
+    let mut daemon = Daemon::ready();
+    daemon.group.get_mut(&server("s-a")).is_dark = true;
+    daemon.break_connections(&server("s-a"));
+    daemon.advance(2_000);
+    assert!(daemon.group.servers.iter().any(|server| server.term.0 == 2));
+}
+
+#[rstest]
+fn lost_primary_with_missing_records_is_waited_for() {
+    let mut daemon = Daemon::ready();
+    let session = daemon.open(PAYMENTS);
+    daemon.run(session, "1", "WRITE x 1");
+    daemon.group.get_mut(&server("s-a")).is_dark = true;
+    daemon.break_connections(&server("s-a"));
+    daemon.advance(1_000);
+    assert!(
+        daemon.group.servers.iter().all(|server| server.term.0 == 1),
+        "it is given time"
+    );
+    daemon.group.get_mut(&server("s-a")).is_dark = false;
+    daemon.advance(2_500);
+    assert!(
+        daemon.group.servers.iter().all(|server| server.term.0 == 1),
+        "it came back"
+    );
+    assert_eq!(daemon.run(session, "2", "WRITE x 2").failure(), None);
+}
+
+#[rstest]
+fn nothing_is_promoted_while_the_store_is_away() {
+    let mut daemon = Daemon::ready();
+    daemon.store_answers = false;
+    daemon.group.get_mut(&server("s-a")).is_dark = true;
+    daemon.break_connections(&server("s-a"));
+    daemon.advance(6_000);
+    assert!(daemon.group.servers.iter().all(|server| server.term.0 == 1));
+    assert!(
+        !daemon
+            .effects
+            .iter()
+            .any(|effect| matches!(effect, Effect::Promote { .. }))
+    );
+}
--- /dev/null
+++ b/sapphireslip-lead/tests/lead_safety.rs
@@ -0,0 +1,90 @@
+//! Random cuts, freezes and outages around three daemons: no write is acknowledged by a superseded
+//! primary, and no read at a primary misses an acknowledged write.
+
+mod support;
+
+use rstest::rstest;
+use support::{Fleet, server};
+
+/// Lets one random fault begin or end.
+fn disturb(fleet: &mut Fleet) {
+    let n = fleet.random(3) as usize;
+    let id = server(["s-a", "s-b", "s-c"][fleet.random(3) as usize]);
+    match fleet.random(7) {
+        0 => fleet.store_is_down = !fleet.store_is_down,
+        1 => fleet.daemons[n].is_cut_from_store = !fleet.daemons[n].is_cut_from_store,
+        2 => fleet.daemons[n].is_frozen = !fleet.daemons[n].is_frozen,
+        3 | 4 => {
+            let cuts = &mut fleet.daemons[n].cut_servers;
+            if !cuts.remove(&id) {
+                cuts.insert(id);
+            }
+        }
+        _ => {
+            let dark = fleet.group.servers.iter().filter(|s| s.is_dark).count();
+            let server = fleet.group.get_mut(&id);
+            server.is_dark = !server.is_dark && dark == 0;
+        }
+    }
+}
+
+fn heal(fleet: &mut Fleet) {
+    fleet.store_is_down = false;
+    for daemon in &mut fleet.daemons {
+        daemon.is_cut_from_store = false;
+        daemon.is_frozen = false;
+        daemon.cut_servers.clear();
+    }
+    for server in &mut fleet.group.servers {
+        server.is_dark = false;
+    }
+}
+
+#[rstest]
+fn faults_seed(#[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16)] seed: u64) {
+    let mut fleet = Fleet::new(seed);
+    fleet.advance(3_000);
+    for _ in 0..40 {
+        disturb(&mut fleet);
+        let pause = 200 + fleet.random(1_500);
+        fleet.advance(pause);
+    }
+    heal(&mut fleet);
+    fleet.advance(10_000);
+    let healed = fleet.acknowledged();
+    fleet.advance(2_000);
+    assert_eq!(fleet.faults(), Vec::<String>::new());
+    assert!(
+        fleet.acknowledged() > healed + 20,
+        "writes land again after the faults"
+    );
+}
+
+#[rstest]
+fn lost_primary_is_replaced_within_permission() {
+    let mut fleet = Fleet::new(1);
+    fleet.advance(3_000);
+    fleet.group.get_mut(&server("s-a")).is_dark = true;
+    fleet.advance(4_000);
+    assert_eq!(fleet.promotions, 1);
+    let before = fleet.acknowledged();
+    fleet.advance(1_000);
+    assert!(
+        fleet.acknowledged() > before + 20,
+        "writes land at the new primary"
+    );
+    assert_eq!(fleet.faults(), Vec::<String>::new());
+}
+
+#[rstest]
+fn cut_off_daemon_stops_before_the_promotion() {
+    let mut fleet = Fleet::new(2);
+    fleet.advance(3_000);
+    // Daemon 0 keeps the old primary; the others lose it, and the store loses daemon 0.
+    fleet.daemons[0].is_cut_from_store = true;
+    fleet.daemons[1].cut_servers.insert(server("s-a"));
+    fleet.daemons[2].cut_servers.insert(server("s-a"));
+    fleet.advance(8_000);
+    assert_eq!(fleet.promotions, 1);
+    assert_eq!(fleet.faults(), Vec::<String>::new());
+}
--- /dev/null
+++ b/sapphireslip-lead/tests/refusals.rs
@@ -0,0 +1,163 @@
+//! What is refused, when, and what that promises.
+
+mod support;
+
+use rstest::rstest;
+use sapphireslip_core::{ServerId, TransactionStatus};
+use sapphireslip_lead::{ErrorCode, Reply};
+use support::{BALANCES, Daemon, PAYMENTS, server};
+
+fn code(reply: &Reply) -> Option<ErrorCode> {
+    reply.failure().map(|failure| failure.code.clone())
+}
+
+fn primary() -> ServerId {
+    server("s-a")
+}
+
+#[rstest]
+fn write_without_permission_is_refused_at_once() {
+    let mut daemon = Daemon::ready();
+    let session = daemon.open(PAYMENTS);
+    daemon.store_answers = false;
+    daemon.advance(4_000);
+    let session = if daemon.closed.contains(&session) {
+        daemon.open(PAYMENTS)
+    } else {
+        session
+    };
+    daemon.statements();
+    let reply = daemon.run(session, "1", "WRITE x 1");
+    assert_eq!(code(&reply), Some(ErrorCode::Busy));
+    assert!(
+        reply
+            .failure()
+            .is_some_and(|f| f.text.contains("retry after"))
+    );
+    assert_eq!(daemon.statements(), []);
+}
+
+#[rstest]
+fn write_at_an_unreachable_primary_is_refused_at_once() {
+    let mut daemon = Daemon::ready();
+    let session = daemon.open(PAYMENTS);
+    daemon.store_answers = false;
+    daemon.group.get_mut(&primary()).is_dark = true;
+    daemon.break_connections(&primary());
+    daemon.advance(500);
+    assert_eq!(
+        code(&daemon.run(session, "1", "WRITE x 1")),
+        Some(ErrorCode::Busy)
+    );
+}
+
+#[rstest]
+fn lost_write_is_unknown() {
+    let mut daemon = Daemon::ready();
+    let session = daemon.open(PAYMENTS);
+    daemon.holds_back = true;
+    daemon.ask(session, "1", "WRITE x 1");
+    daemon.break_connections(&primary());
+    let (_, reply) = daemon.answers.pop().expect("an answer");
+    assert_eq!(code(&reply), Some(ErrorCode::InDoubt));
+}
+
+#[rstest]
+fn lost_read_is_tried_again() {
+    let mut daemon = Daemon::ready();
+    let session = daemon.open(PAYMENTS);
+    daemon.holds_back = true;
+    daemon.ask(session, "1", "READ x");
+    daemon.break_connections(&primary());
+    daemon.advance(100);
+    daemon.answer_all();
+    let (_, reply) = daemon.answers.pop().expect("an answer");
+    assert_eq!(code(&reply), None);
+}
+
+#[rstest]
+fn transaction_that_lost_its_connection_is_aborted() {
+    let mut daemon = Daemon::ready();
+    let session = daemon.open(PAYMENTS);
+    daemon.run(session, "1", "BEGIN");
+    daemon.run(session, "2", "WRITE x 1");
+    daemon.holds_back = true;
+    daemon.ask(session, "3", "WRITE y 1");
+    daemon.break_connections(&primary());
+    let (_, reply) = daemon.answers.pop().expect("an answer");
+    assert_eq!(code(&reply), Some(ErrorCode::Aborted));
+    assert_eq!(reply.transaction, TransactionStatus::Idle);
+}
+
+#[rstest]
+#[case::that_wrote("WRITE x 1", ErrorCode::InDoubt)]
+#[case::that_only_read("READ x", ErrorCode::Aborted)]
+fn lost_commit_of_a_transaction(#[case] statement: &str, #[case] expected: ErrorCode) {
+    let mut daemon = Daemon::ready();
+    let session = daemon.open(PAYMENTS);
+    daemon.run(session, "1", "BEGIN");
+    daemon.run(session, "2", statement);
+    daemon.holds_back = true;
+    daemon.ask(session, "3", "COMMIT");
+    daemon.break_connections(&primary());
+    let (_, reply) = daemon.answers.pop().expect("an answer");
+    assert_eq!(code(&reply), Some(expected));
+}
+
+#[rstest]
+fn statements_sent_ahead_do_not_run_outside_their_transaction() {
+    let mut daemon = Daemon::ready();
+    let session = daemon.open(PAYMENTS);
+    daemon.run(session, "1", "BEGIN");
+    daemon.run(session, "2", "WRITE x 1");
+    daemon.holds_back = true;
+    daemon.ask(session, "3", "WRITE y 1");
+    daemon.ask(session, "4", "WRITE z 1");
+    daemon.ask(session, "5", "COMMIT");
+    daemon.statements();
+    daemon.break_connections(&primary());
+    daemon.advance(200);
+    assert_eq!(daemon.statements(), []);
+    let codes: Vec<_> = daemon
+        .answers
+        .iter()
+        .map(|(_, reply)| code(reply))
+        .collect();
+    let expected = [ErrorCode::Aborted, ErrorCode::Malformed, ErrorCode::Aborted].map(Some);
+    assert_eq!(codes, expected);
+}
+
+#[rstest]
+fn write_unanswered_for_the_route_s_time_is_unknown() {
+    let mut daemon = Daemon::ready();
+    let session = daemon.open(PAYMENTS);
+    daemon.holds_back = true;
+    daemon.ask(session, "1", "WRITE x 1");
+    daemon.advance(790);
+    assert_eq!(daemon.answers.len(), 0);
+    daemon.advance(20);
+    assert_eq!(code(&daemon.answers[0].1), Some(ErrorCode::InDoubt));
+}
+
+/// Pattern: a burst of reads on few connections.
+#[rstest]
+fn burst_waits_no_longer_than_the_target() {
+    let mut daemon = Daemon::ready();
+    daemon.holds_back = true;
+    for n in 0..60 {
+        let session = daemon.open(BALANCES);
+        daemon.ask(session, &n.to_string(), "READ x");
+    }
+    daemon.advance(130);
+    let refused = daemon
+        .answers
+        .iter()
+        .filter(|(_, r)| code(r) == Some(ErrorCode::Busy))
+        .count();
+    assert!(refused >= 30, "{refused} of 60 reads were refused");
+    let sent = daemon.statements().len();
+    assert!(
+        refused + sent >= 60,
+        "{refused} refused, {sent} sent: no read waits on"
+    );
+}
--- /dev/null
+++ b/sapphireslip-lead/tests/session_state.rs
@@ -0,0 +1,120 @@
+//! What sessions set and prepare, on connections that they share.
+
+mod support;
+
+use rstest::rstest;
+use sapphireslip_core::{SessionId, TransactionStatus};
+use sapphireslip_lead::{ErrorCode, ServerRequest};
+use support::{Daemon, PAYMENTS};
+
+fn requests(daemon: &mut Daemon) -> Vec<String> {
+    let sent = std::mem::take(&mut daemon.sent);
+    let name = |request: &ServerRequest| match request {
+        ServerRequest::Set { name, value } => format!("SET {name} {value}"),
+        ServerRequest::Prepare { number, shape } => format!("PREPARE {number} {}", shape.text),
+        ServerRequest::Forward { text, .. } => text.to_string(),
+        ServerRequest::Execute {
+            number, arguments, ..
+        } => format!("EXECUTE {number} {arguments}"),
+        ServerRequest::Begin { .. } => "BEGIN".to_owned(),
+        other => format!("{other:?}"),
+    };
+    sent.iter()
+        .map(|(_, request)| name(request))
+        .filter(|name| name != "Status")
+        .collect()
+}
+
+fn two_sessions() -> (Daemon, SessionId, SessionId) {
+    let mut daemon = Daemon::ready();
+    let (a, b) = (daemon.open(PAYMENTS), daemon.open(PAYMENTS));
+    (daemon, a, b)
+}
+
+#[rstest]
+fn values_of_one_session_do_not_reach_another() {
+    let (mut daemon, a, b) = two_sessions();
+    daemon.run(a, "1", "SET tz utc");
+    daemon.run(a, "2", "READ x");
+    assert_eq!(requests(&mut daemon), ["SET tz utc", "READ x"]);
+    daemon.run(b, "3", "READ x");
+    assert_eq!(requests(&mut daemon), ["Reset", "READ x"]);
+}
+
+#[rstest]
+fn values_are_set_once_a_connection() {
+    let (mut daemon, a, _) = two_sessions();
+    daemon.run(a, "1", "SET tz utc");
+    daemon.run(a, "2", "READ x");
+    daemon.run(a, "3", "READ x");
+    assert_eq!(requests(&mut daemon), ["SET tz utc", "READ x", "READ x"]);
+}
+
+#[rstest]
+fn prepared_names_are_shared_by_shape() {
+    let (mut daemon, a, b) = two_sessions();
+    daemon.run(a, "1", "PREPARE s1 READ q1");
+    daemon.run(b, "2", "PREPARE s1 READ q2");
+    daemon.run(b, "3", "PREPARE s2 READ q1");
+    daemon.run(a, "4", "EXECUTE s1 x");
+    daemon.run(b, "5", "EXECUTE s1 x");
+    daemon.run(b, "6", "EXECUTE s2 x");
+    let expected = [
+        "PREPARE 1 READ q1",
+        "EXECUTE 1 x",
+        "PREPARE 2 READ q2",
+        "EXECUTE 2 x",
+        "EXECUTE 1 x",
+    ];
+    assert_eq!(requests(&mut daemon), expected);
+}
+
+#[rstest]
+fn unknown_name_is_refused_here() {
+    let (mut daemon, a, _) = two_sessions();
+    let reply = daemon.run(a, "1", "EXECUTE s9 x");
+    assert_eq!(
+        reply.failure().map(|f| f.code.clone()),
+        Some(ErrorCode::NoStatement)
+    );
+    assert_eq!(requests(&mut daemon), Vec::<String>::new());
+}
+
+#[rstest]
+fn transaction_keeps_its_connection_and_begins_late() {
+    let (mut daemon, a, b) = two_sessions();
+    assert_eq!(
+        daemon.run(a, "1", "BEGIN").transaction,
+        TransactionStatus::Open
+    );
+    assert_eq!(requests(&mut daemon), Vec::<String>::new());
+    daemon.run(a, "2", "WRITE x 1");
+    daemon.run(b, "3", "READ x");
+    daemon.run(a, "4", "COMMIT");
+    // The other session's read opens a connection of its own and waits for it.
+    assert_eq!(
+        requests(&mut daemon),
+        ["BEGIN", "WRITE x 1", "READ x", "COMMIT"]
+    );
+    assert_eq!(daemon.answers.len(), 0);
+}
+
+#[rstest]
+fn values_set_in_a_rolled_back_transaction_are_unknown() {
+    let (mut daemon, a, _) = two_sessions();
+    daemon.run(a, "1", "BEGIN");
+    daemon.run(a, "2", "SET tz utc");
+    daemon.run(a, "3", "READ x");
+    daemon.run(a, "4", "ROLLBACK");
+    daemon.run(a, "5", "READ x");
+    let expected = [
+        "BEGIN",
+        "SET tz utc",
+        "READ x",
+        "Rollback",
+        "Reset",
+        "SET tz utc",
+        "READ x",
+    ];
+    assert_eq!(requests(&mut daemon), expected);
+}
--- /dev/null
+++ b/sapphireslip-lead/tests/support/fleet.rs
@@ -0,0 +1,384 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use sapphireslip_core::{
+    ConnectionId, Incarnation, Random, ServerId, SessionId, Text, TransactionStatus,
+};
+use sapphireslip_lead::{
+    ClientEvent, ConnectFailure, Effect, Event, Identity, PromoteOutcome, Role, ServerEvent,
+    ServerRequest, State, Term, WriteOutcome, Written,
+};
+
+use super::{Deed, FakeGroup, FakeStore, PAYMENTS, at, catalog, query, vm, zone};
+
+/// The steps in which time passes, in milliseconds.
+const STEP: u64 = 10;
+
+/// How long a promotion takes, in milliseconds.
+const PROMOTE: u64 = 300;
+
+/// Several daemons around one store and one group, with an independent check of what callers see.
+#[derive(Debug)]
+pub struct Fleet {
+    pub daemons: Vec<Member>,
+    pub store: FakeStore,
+    pub group: FakeGroup,
+    pub millis: u64,
+    pub store_is_down: bool,
+    pub promotions: usize,
+    random: Random,
+    /// Events under way: when, to which daemon.
+    due: Vec<(u64, usize, Event)>,
+    promoting: Vec<(u64, ServerId)>,
+    history: History,
+}
+
+/// One daemon, with what is cut off from it.
+#[derive(Debug)]
+pub struct Member {
+    state: State,
+    /// Whether the process is stopped for a while; its clock goes on.
+    pub is_frozen: bool,
+    pub is_cut_from_store: bool,
+    pub cut_servers: BTreeSet<ServerId>,
+    connections: BTreeMap<ConnectionId, (ServerId, TransactionStatus)>,
+    sessions: u64,
+    /// The statement of each session, and whether it writes.
+    asked: BTreeMap<SessionId, (Text, bool)>,
+    waiting: Vec<Event>,
+}
+
+/// What callers and servers saw.
+#[derive(Debug, Default)]
+struct History {
+    /// When each write was acknowledged.
+    acknowledged: BTreeMap<Text, u64>,
+    /// When and in which term each write was committed.
+    committed: BTreeMap<Text, (Term, u64)>,
+    /// When each read was asked, and the log that it ran on.
+    asked: BTreeMap<Text, u64>,
+    read: Vec<(Text, BTreeSet<Text>)>,
+    /// When each promotion took effect, and its term.
+    promoted: Vec<(u64, Term)>,
+    statements: u64,
+}
+
+impl Fleet {
+    pub fn new(seed: u64) -> Self {
+        let member = |n: usize| Member {
+            state: State::new(
+                Identity {
+                    vm: vm(&format!("vm-{n}")),
+                    zone: zone(["a", "b", "c"][n % 3]),
+                    incarnation: Incarnation(1),
+                    peers: format!("10.1.0.{}:7000", n + 1)
+                        .parse()
+                        .expect("an address"),
+                },
+                seed + n as u64,
+            ),
+            is_frozen: false,
+            is_cut_from_store: false,
+            cut_servers: BTreeSet::new(),
+            connections: BTreeMap::new(),
+            sessions: 0,
+            asked: BTreeMap::new(),
+            waiting: Vec::new(),
+        };
+        let mut fleet = Self {
+            daemons: (0..3).map(member).collect(),
+            store: FakeStore::default(),
+            group: FakeGroup::new(),
+            millis: 0,
+            store_is_down: false,
+            promotions: 0,
+            random: Random::new(seed),
+            due: Vec::new(),
+            promoting: Vec::new(),
+            history: History::default(),
+        };
+        for n in 0..fleet.daemons.len() {
+            fleet.take(n, Event::Catalog(catalog(1)));
+            fleet.take(n, Event::Leads(fleet.store.leads.clone()));
+        }
+        fleet
+    }
+
+    pub fn random(&mut self, bound: u64) -> u64 {
+        self.random.below(bound)
+    }
+
+    /// Lets time pass while callers work.
+    pub fn advance(&mut self, millis: u64) {
+        for _ in 0..millis / STEP {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.millis += STEP;
+        let now = self.millis;
+        let (done, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.promoting)
+            .into_iter()
+            .partition(|(when, _)| *when <= now);
+        self.promoting = later;
+        for (_, server) in done {
+            self.group.promote(&server);
+            self.promotions += 1;
+            self.history
+                .promoted
+                .push((now, self.group.get(&server).term));
+        }
+        if now.is_multiple_of(30) {
+            self.group.replicate();
+        }
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.due)
+            .into_iter()
+            .partition(|(when, ..)| *when <= now);
+        self.due = later;
+        for (_, daemon, event) in due {
+            self.take(daemon, event);
+        }
+        for n in 0..self.daemons.len() {
+            self.take(n, Event::Tick);
+            if self.random.below(4) == 0 {
+                self.work(n);
+            }
+        }
+    }
+
+    /// Has a caller send a write or a read that must see all acknowledged writes.
+    fn work(&mut self, n: usize) {
+        self.history.statements += 1;
+        let member = &mut self.daemons[n];
+        member.sessions += 1;
+        let session = SessionId(member.sessions);
+        let id: Text = format!("{n}-{}", self.history.statements).into();
+        let text = if self.random.below(2) == 0 {
+            "WRITE x 1"
+        } else {
+            "READ x"
+        };
+        self.history.asked.insert(Text::clone(&id), self.millis);
+        let writes = text.starts_with("WRITE");
+        self.daemons[n]
+            .asked
+            .insert(session, (Text::clone(&id), writes));
+        self.take(
+            n,
+            Event::Client(ClientEvent::Opened {
+                session,
+                database: PAYMENTS.into(),
+                // Served where it arrives: each daemon works with the servers by itself.
+                passed_on: Some(0),
+            }),
+        );
+        let query = query(&id, text);
+        self.take(n, Event::Client(ClientEvent::Query { session, query }));
+    }
+
+    fn take(&mut self, n: usize, event: Event) {
+        if self.daemons[n].is_frozen {
+            if !matches!(event, Event::Tick) {
+                self.daemons[n].waiting.push(event);
+            }
+            return;
+        }
+        for event in std::mem::take(&mut self.daemons[n].waiting) {
+            self.reduce(n, event);
+        }
+        self.reduce(n, event);
+    }
+
+    fn reduce(&mut self, n: usize, event: Event) {
+        for effect in self.daemons[n].state.reduce(at(self.millis), event) {
+            self.carry_out(n, effect);
+        }
+    }
+
+    fn later(&mut self, n: usize, within: u64, event: Event) {
+        let delay = STEP + self.random.below(within);
+        self.due.push((self.millis + delay, n, event));
+    }
+
+    fn reaches_store(&self, n: usize) -> bool {
+        !self.store_is_down && !self.daemons[n].is_cut_from_store
+    }
+
+    fn reaches(&self, n: usize, server: &ServerId) -> bool {
+        !self.group.get(server).is_dark && !self.daemons[n].cut_servers.contains(server)
+    }
+
+    fn carry_out(&mut self, n: usize, effect: Effect) {
+        match effect {
+            Effect::Connect {
+                connection, server, ..
+            } => {
+                if self.reaches(n, &server) {
+                    let state = (server, TransactionStatus::Idle);
+                    self.daemons[n].connections.insert(connection, state);
+                    self.later(n, 20, Event::Server(ServerEvent::Connected { connection }));
+                } else {
+                    let failure = ConnectFailure::Silent;
+                    let event = ServerEvent::ConnectFailed {
+                        connection,
+                        failure,
+                    };
+                    self.due.push((self.millis + 400, n, Event::Server(event)));
+                }
+            }
+            Effect::Send {
+                connection,
+                requests,
+            } => {
+                for request in &requests {
+                    self.serve(n, connection, request);
+                }
+            }
+            Effect::Disconnect { connection } => {
+                self.daemons[n].connections.remove(&connection);
+            }
+            Effect::ReadServers => {
+                let list = self.reaches_store(n).then(|| self.group.records());
+                self.later(n, 30, Event::Servers(list));
+            }
+            Effect::ReadPermits => {
+                let table = self
+                    .reaches_store(n)
+                    .then(|| self.store.permits(self.millis));
+                let sent = at(self.millis);
+                self.later(n, 30, Event::Permits { table, sent });
+            }
+            Effect::Write(write) => {
+                let outcome = match self.reaches_store(n) {
+                    true => self.store.write(self.millis, &write),
+                    false => WriteOutcome::Unknown,
+                };
+                // An answer may be lost after the write was done.
+                let is_lost = self.random.below(10) == 0;
+                let outcome = if is_lost {
+                    WriteOutcome::Unknown
+                } else {
+                    outcome
+                };
+                let sent = at(self.millis);
+                self.later(
+                    n,
+                    30,
+                    Event::Written(Written {
+                        write,
+                        sent,
+                        outcome,
+                    }),
+                );
+                self.tell_leads();
+            }
+            Effect::Promote {
+                service, server, ..
+            } => {
+                self.promoting.push((self.millis + PROMOTE, server));
+                let outcome = PromoteOutcome::Accepted;
+                self.later(n, 30, Event::Promoted { service, outcome });
+            }
+            Effect::Log(_) | Effect::Welcome { .. } | Effect::CloseSession { .. } => {}
+            Effect::Answer { session, reply } => {
+                let id = self.daemons[n].asked.remove(&session);
+                if let Some((id, true)) = id
+                    && reply.failure().is_none()
+                {
+                    self.history.acknowledged.insert(id, self.millis);
+                }
+            }
+            other => panic!("{other:?} is not expected here"),
+        }
+    }
+
+    fn tell_leads(&mut self) {
+        for n in 0..self.daemons.len() {
+            if self.reaches_store(n) {
+                let leads = self.store.leads.clone();
+                self.later(n, 40, Event::Leads(leads));
+            }
+        }
+    }
+
+    fn serve(&mut self, n: usize, connection: ConnectionId, request: &ServerRequest) {
+        let Some((server, mut transaction)) = self.daemons[n].connections.get(&connection).cloned()
+        else {
+            return;
+        };
+        if !self.reaches(n, &server) {
+            return;
+        }
+        let (reply, status, deed) = self
+            .group
+            .get_mut(&server)
+            .answer(request, &mut transaction);
+        self.daemons[n]
+            .connections
+            .insert(connection, (server.clone(), transaction));
+        match deed {
+            Some(Deed::Wrote(id)) => {
+                let term = self.group.get(&server).term;
+                self.history.committed.insert(id, (term, self.millis));
+            }
+            Some(Deed::Read(id)) => {
+                let log = self.group.get(&server).log.iter();
+                let log = log.map(|(_, write)| Text::clone(write)).collect();
+                self.history.read.push((id, log));
+            }
+            None => {}
+        }
+        let event = ServerEvent::Replied {
+            connection,
+            reply,
+            status,
+        };
+        self.later(n, 30, Event::Server(event));
+    }
+}
+
+impl Fleet {
+    /// Returns what is wrong with what callers saw.
+    pub fn faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        let last = self
+            .group
+            .servers
+            .iter()
+            .filter(|server| server.role == Role::Primary)
+            .max_by_key(|server| server.term)
+            .expect("a primary");
+        let kept: BTreeSet<_> = last.log.iter().map(|(_, id)| Text::clone(id)).collect();
+        for (id, log) in &self.history.read {
+            let asked = self.history.asked[id];
+            for (write, at) in &self.history.acknowledged {
+                if *at < asked && kept.contains(write) && !log.contains(write) {
+                    faults.push(format!("read {id} at {asked} misses {write} of {at}"));
+                }
+            }
+        }
+        for write in self.history.acknowledged.keys() {
+            let Some((term, at)) = self.history.committed.get(write) else {
+                faults.push(format!("{write} was acknowledged and never committed"));
+                continue;
+            };
+            let newer = self
+                .history
+                .promoted
+                .iter()
+                .find(|(when, new)| when <= at && new > term);
+            if let Some((when, new)) = newer {
+                let (term, new) = (term.0, new.0);
+                faults.push(format!(
+                    "{write} of term {term} at {at}, after term {new} at {when}"
+                ));
+            }
+        }
+        faults
+    }
+
+    /// Returns how many writes were acknowledged.
+    pub fn acknowledged(&self) -> usize {
+        self.history.acknowledged.len()
+    }
+}
--- /dev/null
+++ b/sapphireslip-lead/tests/support/group.rs
@@ -0,0 +1,206 @@
+use sapphireslip_core::{ServerId, Text, TransactionStatus};
+use sapphireslip_lead::{
+    ErrorCode, Failure, Position, Reply, ReplyEnd, Role, ServerRecord, ServerRequest, ServerStatus,
+    Term, TermPosition,
+};
+
+use super::{server, service, zone};
+
+/// A backend server with its log.
+#[derive(Clone, Debug)]
+pub struct FakeServer {
+    pub id: ServerId,
+    pub role: Role,
+    pub term: Term,
+    /// The identifiers of the writes, with their terms.
+    pub log: Vec<(Term, Text)>,
+    pub is_draining: bool,
+    /// Whether nobody reaches it.
+    pub is_dark: bool,
+    zone: &'static str,
+}
+
+/// What a server did for a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Deed {
+    /// It committed a write.
+    Wrote(Text),
+    /// It ran a read on a log of this many records.
+    Read(Text),
+}
+
+/// The servers of one service.
+#[derive(Clone, Debug)]
+pub struct FakeGroup {
+    pub servers: Vec<FakeServer>,
+}
+
+impl FakeGroup {
+    pub fn new() -> Self {
+        let of = |(name, zone, role): (&str, &'static str, Role)| FakeServer {
+            id: server(name),
+            role,
+            term: Term(1),
+            log: vec![(Term(1), "first".into())],
+            is_draining: false,
+            is_dark: false,
+            zone,
+        };
+        let servers = [
+            ("s-a", "a", Role::Primary),
+            ("s-b", "b", Role::Replica),
+            ("s-c", "c", Role::Replica),
+        ];
+        Self {
+            servers: servers.into_iter().map(of).collect(),
+        }
+    }
+
+    pub fn get(&self, id: &ServerId) -> &FakeServer {
+        self.servers.iter().find(|s| s.id == *id).expect("a server")
+    }
+
+    pub fn get_mut(&mut self, id: &ServerId) -> &mut FakeServer {
+        self.servers
+            .iter_mut()
+            .find(|s| s.id == *id)
+            .expect("a server")
+    }
+
+    pub fn records(&self) -> Vec<ServerRecord> {
+        let record = |(n, server): (usize, &FakeServer)| ServerRecord {
+            id: server.id.clone(),
+            service: service(),
+            address: format!("10.0.0.{}:5000", n + 1)
+                .parse()
+                .expect("an address"),
+            zone: zone(server.zone),
+            slots: 2,
+            is_draining: server.is_draining,
+            role: server.role,
+            born: 1,
+        };
+        self.servers.iter().enumerate().map(record).collect()
+    }
+
+    /// Copies the log of the highest reachable primary to the others that are reachable.
+    pub fn replicate(&mut self) {
+        let primary = self
+            .servers
+            .iter()
+            .filter(|server| server.role == Role::Primary && !server.is_dark)
+            .max_by_key(|server| server.term)
+            .cloned();
+        let Some(primary) = primary else {
+            return;
+        };
+        for server in &mut self.servers {
+            if !server.is_dark && server.id != primary.id {
+                server.log.clone_from(&primary.log);
+                server.term = primary.term;
+                server.role = Role::Replica;
+            }
+        }
+    }
+
+    /// Makes a server the primary of the next term.
+    pub fn promote(&mut self, id: &ServerId) {
+        let next = self.servers.iter().map(|s| s.term.0).max().unwrap_or(0) + 1;
+        let server = self.get_mut(id);
+        if server.role != Role::Primary || server.is_dark {
+            server.role = Role::Primary;
+            server.term = Term(next);
+        }
+    }
+}
+
+impl FakeServer {
+    pub fn position(&self) -> TermPosition {
+        TermPosition {
+            term: self.term,
+            position: Position(self.log.len() as u64),
+        }
+    }
+
+    /// Answers a request; `transaction` is the state of the connection before and after it.
+    pub fn answer(
+        &mut self,
+        request: &ServerRequest,
+        transaction: &mut TransactionStatus,
+    ) -> (Reply, Option<ServerStatus>, Option<Deed>) {
+        let mut deed = None;
+        let failure = match request {
+            ServerRequest::Forward { id, floor, text } => {
+                self.run(id, *floor, text, *transaction, &mut deed)
+            }
+            ServerRequest::Execute { id, floor, .. } => {
+                self.run(id, *floor, "READ", *transaction, &mut deed)
+            }
+            ServerRequest::Begin { reads_only, floor } => {
+                let failure = self.refusal(*floor, !reads_only);
+                if failure.is_none() {
+                    *transaction = TransactionStatus::Open;
+                }
+                failure
+            }
+            ServerRequest::Rollback => {
+                *transaction = TransactionStatus::Idle;
+                None
+            }
+            _ => None,
+        };
+        if matches!(request, ServerRequest::Forward { text, .. } if &**text == "COMMIT") {
+            *transaction = TransactionStatus::Idle;
+        }
+        let status = (*request == ServerRequest::Status).then(|| ServerStatus {
+            role: self.role,
+            term: self.term,
+            received: self.position(),
+        });
+        let end = match failure {
+            Some(code) => ReplyEnd::Failed(Failure::new(code, "")),
+            None => ReplyEnd::Complete {
+                signature: Some("signature".into()),
+            },
+        };
+        let reply = Reply {
+            rows: Vec::new(),
+            end,
+            transaction: *transaction,
+            position: Some(self.position()),
+        };
+        (reply, status, deed)
+    }
+
+    fn refusal(&self, floor: Option<TermPosition>, writes: bool) -> Option<ErrorCode> {
+        if floor.is_some_and(|floor| self.position() < floor) {
+            return Some(ErrorCode::Lagging);
+        }
+        (writes && self.role != Role::Primary).then_some(ErrorCode::ReadOnly)
+    }
+
+    fn run(
+        &mut self,
+        id: &Text,
+        floor: Option<TermPosition>,
+        text: &str,
+        transaction: TransactionStatus,
+        deed: &mut Option<Deed>,
+    ) -> Option<ErrorCode> {
+        let writes = text.starts_with("WRITE") || text == "COMMIT";
+        if let Some(code) = self.refusal(floor, writes) {
+            return Some(code);
+        }
+        let commits = match transaction {
+            TransactionStatus::Idle => text.starts_with("WRITE"),
+            _ => text == "COMMIT",
+        };
+        if commits {
+            self.log.push((self.term, Text::clone(id)));
+            *deed = Some(Deed::Wrote(Text::clone(id)));
+        } else {
+            *deed = Some(Deed::Read(Text::clone(id)));
+        }
+        None
+    }
+}
--- /dev/null
+++ b/sapphireslip-lead/tests/support/mod.rs
@@ -0,0 +1,111 @@
+//! Fakes for tests of the reducer: a store, a group of backend servers, and daemons around them.
+
+#![allow(
+    dead_code,
+    unreachable_pub,
+    unused_imports,
+    reason = "each test file uses a part of the fakes"
+)]
+
+mod daemon;
+mod fleet;
+mod group;
+mod store;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sapphireslip_core::{Instant, ServerId, ServiceName, Text, VmId, ZoneName};
+use sapphireslip_lead::{Catalog, Freshness, Query, Route, ServiceSpec, Shape, Statement};
+
+pub use self::daemon::*;
+pub use self::fleet::*;
+pub use self::group::*;
+pub use self::store::*;
+
+/// The database whose reads go to the primary.
+pub const PAYMENTS: &str = "payments";
+
+/// The database whose reads may be 1.5 s old.
+pub const BALANCES: &str = "balances";
+
+/// The database whose reads see their session's writes.
+pub const ORDERS: &str = "orders";
+
+pub fn at(millis: u64) -> Instant {
+    Instant {
+        since_start: Duration::from_millis(millis),
+    }
+}
+
+pub fn vm(name: &str) -> VmId {
+    VmId::try_from(name).expect("a name")
+}
+
+pub fn zone(name: &str) -> ZoneName {
+    ZoneName::try_from(name).expect("a name")
+}
+
+pub fn server(name: &str) -> ServerId {
+    ServerId::try_from(name).expect("a name")
+}
+
+pub fn service() -> ServiceName {
+    ServiceName::try_from("stock").expect("a name")
+}
+
+pub fn catalog(version: u64) -> Catalog {
+    let route = |freshness| Route {
+        service: service(),
+        freshness,
+        timeout: Duration::from_millis(800),
+        target: Duration::from_millis(100),
+        priority: 1,
+    };
+    let age = Duration::from_millis(1_500);
+    Catalog {
+        version,
+        routes: BTreeMap::from([
+            (PAYMENTS.into(), route(Freshness::Primary)),
+            (BALANCES.into(), route(Freshness::Bounded(age))),
+            (ORDERS.into(), route(Freshness::OwnWrites(age))),
+        ]),
+        services: BTreeMap::from([(service(), ServiceSpec { connections: 16 })]),
+        transaction_idle: Duration::from_secs(3),
+    }
+}
+
+pub fn query(id: &str, text: &str) -> Query {
+    let (verb, rest) = text.split_once(' ').unwrap_or((text, ""));
+    let (name, value) = rest.split_once(' ').unwrap_or((rest, ""));
+    let statement = match verb {
+        "BEGIN" => Statement::Begin {
+            reads_only: rest == "READ",
+        },
+        "COMMIT" => Statement::Commit,
+        "ROLLBACK" => Statement::Rollback,
+        "READ" => Statement::Read,
+        "WRITE" => Statement::Write,
+        "SET" => Statement::Set {
+            name: name.into(),
+            value: value.into(),
+        },
+        "PREPARE" => Statement::Prepare {
+            name: name.into(),
+            shape: Shape {
+                writes: value.starts_with("WRITE"),
+                text: value.into(),
+            },
+        },
+        "EXECUTE" => Statement::Execute {
+            name: name.into(),
+            arguments: value.into(),
+        },
+        other => panic!("`{other}` is no statement of these tests"),
+    };
+    Query {
+        id: id.into(),
+        text: Text::from(text),
+        statement: Some(statement),
+    }
+}
--- /dev/null
+++ b/sapphireslip-lead/tests/support/store.rs
@@ -0,0 +1,101 @@
+use std::collections::BTreeMap;
+
+use sapphireslip_core::VmId;
+use sapphireslip_lead::{
+    LeadTable, PermitRecord, PermitTable, RowVersion, StoreTime, StoreWrite, WriteOutcome,
+};
+
+use super::at;
+
+/// A store that does a write only if its conditions hold.
+#[derive(Debug, Default)]
+pub struct FakeStore {
+    version: u64,
+    pub leads: LeadTable,
+    permits: BTreeMap<VmId, (PermitRecord, RowVersion)>,
+}
+
+impl FakeStore {
+    pub fn now(&self, millis: u64) -> StoreTime {
+        // Another zero than the daemons' clocks have.
+        StoreTime(at(millis + 70_000).since_start)
+    }
+
+    pub fn permits(&self, millis: u64) -> PermitTable {
+        PermitTable {
+            permits: self.permits.values().cloned().collect(),
+            now: self.now(millis),
+        }
+    }
+
+    fn permit_version(&self, vm: &VmId) -> RowVersion {
+        self.permits
+            .get(vm)
+            .map_or(RowVersion(0), |(_, version)| *version)
+    }
+
+    pub fn write(&mut self, millis: u64, write: &StoreWrite) -> WriteOutcome {
+        let now = self.now(millis);
+        if !self.holds(write) {
+            let permit = match write {
+                StoreWrite::Permit { record, .. } => Some(self.permit_version(&record.vm)),
+                _ => None,
+            };
+            return WriteOutcome::Conflict { permit, now };
+        }
+        self.version += 1;
+        let version = RowVersion(self.version);
+        match write {
+            StoreWrite::Permit { record, .. } => {
+                let row = (record.clone(), version);
+                self.permits.insert(record.vm.clone(), row);
+            }
+            StoreWrite::DropPermit { vm, .. } => {
+                self.permits.remove(vm);
+            }
+            StoreWrite::Duty { record, .. } => {
+                self.leads.duty = record.clone().map(|record| (record, version));
+            }
+            StoreWrite::Lead {
+                service, record, ..
+            } => {
+                let row = (record.clone(), version);
+                self.leads.leads.insert(service.clone(), row);
+                self.leads.generation = version;
+            }
+        }
+        WriteOutcome::Done { version, now }
+    }
+
+    fn holds(&self, write: &StoreWrite) -> bool {
+        let duty_version = self
+            .leads
+            .duty
+            .as_ref()
+            .map_or(RowVersion(0), |(_, version)| *version);
+        match write {
+            StoreWrite::Permit {
+                record,
+                permit,
+                generation,
+            } => self.permit_version(&record.vm) == *permit && self.leads.generation == *generation,
+            StoreWrite::DropPermit { vm, permit } => self.permit_version(vm) == *permit,
+            StoreWrite::Duty { duty, ended, .. } => {
+                let has_ended =
+                    |(vm, version): &(VmId, RowVersion)| self.permit_version(vm) == *version;
+                duty_version == *duty && ended.as_ref().is_none_or(has_ended)
+            }
+            StoreWrite::Lead {
+                service,
+                lead,
+                duty,
+                generation,
+                ..
+            } => {
+                let present = self.leads.leads.get(service);
+                let version = present.map_or(RowVersion(0), |(_, version)| *version);
+                version == *lead && duty_version == *duty && self.leads.generation == *generation
+            }
+        }
+    }
+}
