--- a/sapphireslip-lead/src/choice.rs
+++ b/sapphireslip-lead/src/choice.rs
@@ -74,10 +74,15 @@
             if !is_fit || server.is_unreachable(self.now) || is_at_work(job, id) {
                 continue;
             }
+            // Asking a replica that has just lagged is in vain: the primary is worth waiting for.
+            let is_lagging = server.is_lagging(self.now) && !is_leader;
+            if is_lagging && leader.is_some() {
+                continue;
+            }
             let rank = (
                 job.tried.contains(id),
                 server.is_failing(),
-                server.is_lagging(self.now) && !is_leader,
+                is_lagging,
                 self.cost(id, is_leader),
             );
             ranked.push((
--- a/sapphireslip-lead/src/permit.rs
+++ b/sapphireslip-lead/src/permit.rs
@@ -17,16 +17,16 @@
 
 /// How long a permission lasts: longer than the store's usual outages, as it can't be renewed then;
 /// a promotion away from a silent primary waits so long for daemons that have died.
-pub const PERMIT_LENGTH: Duration = Duration::from_millis(2_500);
+pub const PERMIT_LENGTH: Duration = Duration::from_millis(2_000);
 
 /// How often a permission is renewed: a lost answer or two do no harm.
 const RENEW_EVERY: Duration = Duration::from_millis(700);
 
 /// How often a daemon without work at servers says that it lives.
-const PRESENCE_EVERY: Duration = Duration::from_secs(3);
+const PRESENCE_EVERY: Duration = Duration::from_secs(6);
 
 /// How long it counts as alive then.
-const PRESENCE_LENGTH: Duration = Duration::from_secs(8);
+const PRESENCE_LENGTH: Duration = Duration::from_secs(14);
 
 /// How recent a leader's answer must be to be reported.
 const REACHED_MAX: Duration = Duration::from_millis(1_500);
@@ -53,6 +53,8 @@
         next: Instant,
         retry: Instant,
         sent: Instant,
+        /// How long the last renewal took: a slow store does it late by as much.
+        took: Duration,
         /// The generation that the last renewal was based on.
         acknowledged: RowVersion,
         reported: Vec<ServerId>,
@@ -112,7 +114,10 @@
         self.permit.next = self.now + if needs { RENEW_EVERY } else { PRESENCE_EVERY };
         self.permit.reported.clone_from(&unreachable);
         let (length, alive) = match needs {
-            true => (PERMIT_LENGTH, PERMIT_LENGTH),
+            true => (
+                PERMIT_LENGTH + self.permit.took,
+                PERMIT_LENGTH + self.permit.took,
+            ),
             false => (Duration::ZERO, PRESENCE_LENGTH),
         };
         let record = PermitRecord {
@@ -141,6 +146,9 @@
         outcome: WriteOutcome,
     ) {
         self.permit.is_pending = false;
+        if outcome != WriteOutcome::Unknown {
+            self.permit.took = self.now.since(sent);
+        }
         match outcome {
             WriteOutcome::Done { version, now } => {
                 self.permit.clock.learn(sent, now);
--- a/sapphireslip-lead/src/server.rs
+++ b/sapphireslip-lead/src/server.rs
@@ -8,7 +8,7 @@
 
 /// How long a server may leave everything unanswered before it counts as unreachable: several
 /// times the longest work on the sites, on two slots with a full queue.
-const SILENCE_MAX: Duration = Duration::from_millis(1_000);
+const SILENCE_MAX: Duration = Duration::from_millis(800);
 
 /// How long a server may refuse connections before it counts as unreachable: longer than a quick
 /// restart of its listener.
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -8,12 +8,19 @@
 use crate::{Catalog, Effect, PermitTable, Record, RecordKind, ServerRecord, StoreWrite, Written};
 
 /// How often the list of backend servers is read: a draining server has to be left within seconds.
-const SERVERS_EVERY: Duration = Duration::from_millis(1_000);
+const SERVERS_EVERY: Duration = Duration::from_millis(1_500);
+
+/// How often a daemon reads it that works with no server; it reads it at once when it begins to.
+const SERVERS_EVERY_IDLE: Duration = Duration::from_secs(10);
 
 /// How often permissions are read by a daemon that does not hold the duty: it has to notice when
-/// the holder's has ended, and how many daemons share the connections.
+/// the holder's has ended, and which daemons are homes.
 const PERMITS_EVERY: Duration = Duration::from_millis(2_000);
 
+/// How often a daemon reads them that works with no server: a home that has died is noticed by the
+/// sessions that are passed on to it.
+const PERMITS_EVERY_IDLE: Duration = Duration::from_millis(2_500);
+
 /// How often the holder of the duty reads permissions, which name the leaders that can't be reached.
 const PERMITS_EVERY_HOLDER: Duration = Duration::from_millis(500);
 
@@ -55,7 +62,13 @@
 impl State {
     /// Asks the store for what is due.
     pub(crate) fn read_store(&mut self) {
-        if self.reads.servers.is_due(self.now, SERVERS_EVERY) {
+        let is_idle = !self.needs_permission();
+        let servers_every = if is_idle {
+            SERVERS_EVERY_IDLE
+        } else {
+            SERVERS_EVERY
+        };
+        if self.reads.servers.is_due(self.now, servers_every) {
             self.reads.servers.ask(self.now);
             self.effects.push(Effect::ReadServers);
         }
@@ -67,6 +80,7 @@
         let every = match (self.token().is_some(), doubts_leader) {
             (true, true) => PERMITS_EVERY_DOUBT,
             (true, false) => PERMITS_EVERY_HOLDER,
+            (false, _) if is_idle => PERMITS_EVERY_IDLE,
             (false, _) => PERMITS_EVERY,
         };
         if self.reads.permits.is_due(self.now, every) {
--- a/sapphireslip-lead/src/timeouts.rs
+++ b/sapphireslip-lead/src/timeouts.rs
@@ -12,7 +12,7 @@
 use crate::{ErrorCode, Failure, Record, RecordKind};
 
 /// How long an answer may be due before its server counts as failing.
-const ANSWER_DUE: Duration = Duration::from_millis(700);
+const ANSWER_DUE: Duration = Duration::from_millis(400);
 
 /// How long an answer may be due before the connection is given up: past every route's time.
 const ANSWER_MAX: Duration = Duration::from_millis(3_000);
--- a/sapphireslipd/src/store_client.rs
+++ b/sapphireslipd/src/store_client.rs
@@ -1,7 +1,9 @@
 //! Calls over HTTP to the platform's store and to its promotions.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -16,8 +18,14 @@
 /// How long a connection may take to be opened.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// How long a call may take besides the time that it asks the store to wait.
-pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// The shortest time that a call is given besides the time that it asks the store to wait.
+const CALL_TIMEOUT_MIN: Duration = Duration::from_millis(500);
+
+/// The longest time that a call is given: a permission would have ended by then.
+const CALL_TIMEOUT_MAX: Duration = Duration::from_millis(2_500);
+
+/// How many times the usual time a call is given.
+const CALL_TIMEOUT_FACTOR: u32 = 4;
 
 /// How long sent bytes may stay unacknowledged.
 const UNACKNOWLEDGED_MAX: Duration = Duration::from_millis(2_000);
@@ -67,6 +75,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct StoreClient {
     address: SocketAddr,
+    /// How long calls have lately taken, in microseconds.
+    usual_micros: Arc<AtomicU64>,
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
@@ -82,16 +92,36 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(POOL_IDLE)
             .build(connector);
-        Self { address, client }
+        Self {
+            address,
+            usual_micros: Arc::default(),
+            client,
+        }
     }
 
     /// Makes a call; `wait` is the time that the call asks the other side to wait.
     ///
     /// A connection whose answer is late is dropped: nothing more would come on it.
     pub(crate) async fn call(&self, call: Call, wait: Duration) -> Result<CallAnswer, CallError> {
-        let limit = CALL_TIMEOUT + wait;
-        let answer = tokio::time::timeout(limit, self.send(call)).await;
-        answer.unwrap_or(Err(CallError::Timeout(self.address, limit)))
+        let usual = Duration::from_micros(self.usual_micros.load(Ordering::Relaxed));
+        let limit = (usual * CALL_TIMEOUT_FACTOR).clamp(CALL_TIMEOUT_MIN, CALL_TIMEOUT_MAX);
+        let began = Instant::now();
+        let answer = tokio::time::timeout(limit + wait, self.send(call)).await;
+        if wait.is_zero() {
+            self.note_time(began.elapsed(), usual);
+        }
+        answer.unwrap_or(Err(CallError::Timeout(self.address, limit + wait)))
+    }
+
+    /// Follows a slow store at once, and a quick one step by step.
+    fn note_time(&self, took: Duration, usual: Duration) {
+        let usual = if usual < took {
+            took
+        } else {
+            (usual * 3 + took) / 4
+        };
+        let micros = u64::try_from(usual.as_micros()).unwrap_or(u64::MAX);
+        self.usual_micros.store(micros, Ordering::Relaxed);
     }
 
     async fn send(&self, call: Call) -> Result<CallAnswer, CallError> {
