--- a/sapphireslip-lead/src/duty.rs
+++ b/sapphireslip-lead/src/duty.rs
@@ -34,10 +34,17 @@
         was_held: bool,
         pub(crate) handovers: BTreeMap<ServiceName, Handover>,
         without_primary: BTreeMap<ServiceName, Instant>,
+        /// When the promotion of a server was last asked for, here or by an earlier holder.
+        pub(crate) promotion_asked: BTreeMap<ServiceName, Instant>,
     }
 }
 
 impl Duty {
+    /// Returns whether another leader is being named or promoted.
+    pub(crate) fn is_naming(&self) -> bool {
+        self.is_pending || self.handovers.values().any(Handover::is_named)
+    }
+
     /// Returns whether a primary is being replaced.
     pub(crate) fn is_at_work(&self) -> bool {
         !self.handovers.is_empty()
@@ -84,6 +91,11 @@
         let token = self.token();
         if token.is_some() != self.duty.was_held {
             self.duty.was_held = token.is_some();
+            self.await_earlier_grants();
+            for service in self.leads.table.leads.keys() {
+                let asked = self.now;
+                self.duty.promotion_asked.insert(service.clone(), asked);
+            }
             let detail = match token {
                 Some(token) => format!("taken with token {}", token.0),
                 None => "lost".to_owned(),
@@ -245,9 +257,8 @@
         let status = server.and_then(|server| server.status.as_ref());
         let asked = server.and_then(|server| server.status_asked);
         match status {
-            Some(status) if asked > Some(changed) => {
-                status.role == Role::Replica && waited >= OPENING_MAX
-            }
+            // A server that led before it was named is no further than it was.
+            Some(_) if asked > Some(changed) => waited >= OPENING_MAX,
             _ => waited >= NO_PRIMARY_MAX,
         }
     }
--- a/sapphireslip-lead/src/effect.rs
+++ b/sapphireslip-lead/src/effect.rs
@@ -1,6 +1,7 @@
 //! Everything that the reducer can ask for, as data.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use sapphireslip_core::{ConnectionId, ServerId, ServiceName, SessionId, Text, VmId, data};
 
@@ -73,6 +74,20 @@
         ReadPermits,
         /// Write to the store under conditions.
         Write(StoreWrite),
+        /// Ask the holder of the duty to name no other leader for a while.
+        AskGrant {
+            /// Where the holder takes questions of other daemons.
+            address: SocketAddr,
+            /// The version of the last change of a lead.
+            generation: RowVersion,
+        },
+        /// Answer a daemon that asked so, and close its connection.
+        Grant {
+            /// The connection.
+            session: SessionId,
+            /// For how long; zero to refuse.
+            length: Duration,
+        },
         /// Ask the platform to promote a server.
         Promote {
             /// The service.
--- a/sapphireslip-lead/src/event.rs
+++ b/sapphireslip-lead/src/event.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use sapphireslip_core::{
-    ConnectionId, Instant, ServiceName, SessionId, Text, TransactionStatus, data,
+    ConnectionId, Instant, ServiceName, SessionId, Text, TransactionStatus, VmId, data,
 };
 
 use crate::{
@@ -42,6 +42,24 @@
             /// What it said.
             outcome: PromoteOutcome,
         },
+        /// Another daemon asks this one, as the holder of the duty, to name no other leader.
+        GrantAsked {
+            /// The connection on which it waits for the answer.
+            session: SessionId,
+            /// The other daemon.
+            vm: VmId,
+            /// The version of the last change of a lead that it knows.
+            generation: RowVersion,
+        },
+        /// The holder of the duty gives its word to name no other leader for a while.
+        Granted {
+            /// The version of the last change of a lead that this daemon asked with.
+            generation: RowVersion,
+            /// For how long; zero if it gives no word.
+            length: Duration,
+            /// When it was asked.
+            sent: Instant,
+        },
         /// The process was asked to stop.
         Drain {
             /// The time until the process is killed.
--- /dev/null
+++ b/sapphireslip-lead/src/grant.rs
@@ -0,0 +1,105 @@
+//! Permissions while the store is away: the holder of the duty gives its word.
+//!
+//! Only the holder can name another leader, and nobody can take the duty from it before its own
+//! permission has ended in the store. So its word that it names nobody for a while is as good as a
+//! renewal in the store. It keeps the word by not promoting before the last one has run out.
+
+use std::time::Duration;
+
+use sapphireslip_core::{Instant, SessionId, VmId, data};
+
+use crate::permit::PERMIT_LENGTH;
+use crate::state::State;
+use crate::{Effect, Record, RecordKind, RowVersion};
+
+/// How long the holder's word is good.
+const GRANT_LENGTH: Duration = Duration::from_millis(1_500);
+
+/// How much of a permission must be left for the holder not to be asked.
+const ASK_BELOW: Duration = Duration::from_millis(1_100);
+
+/// The pause between two questions.
+const ASK_EVERY: Duration = Duration::from_millis(300);
+
+/// How much less than is left of it the holder gives away of its own time.
+const MARGIN: Duration = Duration::from_millis(50);
+
+/// How long the holder's permission lasts: longer than the store's usual outages. A holder that
+/// dies is succeeded after this time, or at once by the next run on its VM.
+pub(crate) const HOLD_LENGTH: Duration = Duration::from_millis(6_000);
+
+data! {
+    /// The words that this daemon gave and asked for.
+    #[derive(Default)]
+    pub(crate) struct Grants {
+        /// Until when this daemon, as the holder, may not promote.
+        pub(crate) given_until: Instant,
+        asked: Instant,
+    }
+}
+
+impl State {
+    /// Asks the holder for its word if the permission runs out and the store does not renew it.
+    pub(crate) fn ask_for_grant(&mut self) {
+        let left = self.permit.left(self.now);
+        let is_pressing =
+            self.needs_permission() && left < ASK_BELOW && self.permit.is_unanswered();
+        if !is_pressing || self.now.since(self.grants.asked) < ASK_EVERY || self.is_leaving() {
+            return;
+        }
+        let Some((duty, _)) = &self.leads.table.duty else {
+            return;
+        };
+        let holder = self.permits.as_ref().and_then(|table| {
+            let is_holder = |record: &&crate::PermitRecord| {
+                record.vm == duty.holder && record.vm != self.local.vm
+            };
+            table
+                .permits
+                .iter()
+                .map(|(record, _)| record)
+                .find(is_holder)
+        });
+        let Some(address) = holder.map(|record| record.peers) else {
+            return;
+        };
+        self.grants.asked = self.now;
+        self.effects.push(Effect::AskGrant {
+            address,
+            generation: self.leads.table.generation,
+        });
+    }
+
+    /// Takes the holder's word.
+    pub(crate) fn on_granted(&mut self, generation: RowVersion, length: Duration, sent: Instant) {
+        if generation == self.leads.table.generation && !length.is_zero() {
+            self.permit.extend(sent + length);
+            self.run_all_lanes();
+        }
+    }
+
+    /// Answers a daemon that asks for this one's word.
+    pub(crate) fn on_grant_asked(&mut self, session: SessionId, vm: &VmId, generation: RowVersion) {
+        let length = self.grant_length(generation);
+        self.grants.given_until = self.grants.given_until.max(self.now + length);
+        let detail = format!("`{vm}` is granted {} ms", length.as_millis());
+        self.log(Record::new(RecordKind::PermitChanged, detail.into()));
+        self.effects.push(Effect::Grant { session, length });
+    }
+
+    fn grant_length(&self, generation: RowVersion) -> Duration {
+        let is_free = self.token().is_some()
+            && self.leads.table.generation == generation
+            && !self.duty.is_naming()
+            && !self.is_leaving();
+        match is_free {
+            true => GRANT_LENGTH.min(self.permit.left(self.now).saturating_sub(MARGIN)),
+            false => Duration::ZERO,
+        }
+    }
+
+    /// Takes into account the words that an earlier holder may have given.
+    pub(crate) fn await_earlier_grants(&mut self) {
+        self.grants.given_until = self.now + GRANT_LENGTH.max(PERMIT_LENGTH);
+    }
+}
--- a/sapphireslip-lead/src/handover.rs
+++ b/sapphireslip-lead/src/handover.rs
@@ -9,7 +9,7 @@
 use sapphireslip_core::{Instant, ServerId, ServiceName, data, key};
 
 use crate::state::State;
-use crate::{Effect, PromoteOutcome, Record, RecordKind, RowVersion, Term, TermPosition};
+use crate::{Effect, PromoteOutcome, Record, RecordKind, Role, RowVersion, Term, TermPosition};
 
 /// How long the status of the servers that could take over is awaited.
 const CHOICE_TIME: Duration = Duration::from_millis(250);
@@ -30,6 +30,9 @@
 /// How long a chosen server may take to lead before another one is chosen.
 const PROMOTE_TIME: Duration = Duration::from_secs(6);
 
+/// How long a request to promote may take to take effect.
+const LATE_PROMOTION: Duration = Duration::from_secs(6);
+
 key! {
     /// Why a primary is replaced.
     pub(crate) enum Reason {
@@ -72,6 +75,13 @@
     }
 }
 
+impl Handover {
+    /// Returns whether the new leader is named, or about to be.
+    pub(crate) fn is_named(&self) -> bool {
+        self.step != Step::Choosing
+    }
+}
+
 impl State {
     pub(crate) fn begin_handover(
         &mut self,
@@ -203,29 +213,46 @@
                 received,
             )
         };
-        let Some(best) = others
-            .iter()
-            .filter(|id| is_asked(self, id))
-            .max_by_key(rank)
-        else {
+        let may_adopt = self.may_adopt(service);
+        let is_fit =
+            |id: &&ServerId| is_asked(self, id) && (may_adopt || self.led_term(id).is_none());
+        let Some(best) = others.iter().filter(is_fit).max_by_key(rank) else {
             return;
         };
         let best = best.clone();
+        let above = match self.led_term(&best) {
+            Some(term) => Term(term.0.saturating_sub(1)),
+            None => handover.above,
+        };
         if handover.reason == Reason::Lost
             && self.would_lose_records(handover, &best)
             && waited < MISSING_RECORDS_PATIENCE
         {
             return;
         }
-        if !self.name_leader(service, &best, handover.above) {
+        if !self.name_leader(service, &best, above) {
             return;
         }
         if let Some(handover) = self.duty.handovers.get_mut(service) {
             handover.new = Some(best);
+            handover.above = above;
         }
         self.set_step(service, Step::Naming);
     }
 
+    /// Returns the term that a server says it leads.
+    fn led_term(&self, id: &ServerId) -> Option<Term> {
+        let status = self.servers.get(id)?.status.as_ref()?;
+        (status.role == Role::Primary).then_some(status.term)
+    }
+
+    /// Returns whether a server that leads already may be named again: the platform changes nothing
+    /// for it, and no promotion of another server may still take effect.
+    fn may_adopt(&self, service: &ServiceName) -> bool {
+        let asked = self.duty.promotion_asked.get(service);
+        asked.is_none_or(|asked| self.now.since(*asked) >= LATE_PROMOTION)
+    }
+
     fn is_back(&self, handover: &Handover) -> bool {
         let old = handover.old.as_ref().and_then(|old| self.servers.get(old));
         old.is_some_and(|server| !server.is_failing() && server.answered > Some(handover.since))
@@ -269,6 +296,9 @@
 
     /// Goes on with the replacements that every live daemon has acknowledged.
     pub(crate) fn count_acknowledgements(&mut self) {
+        if self.now < self.grants.given_until {
+            return;
+        }
         let Some(table) = &self.permits else {
             return;
         };
@@ -353,6 +383,7 @@
         if let Some(handover) = self.duty.handovers.get_mut(service) {
             handover.step = Step::Promoting(Some(self.now));
         }
+        self.duty.promotion_asked.insert(service.clone(), self.now);
         self.effects.push(Effect::Promote {
             service: service.clone(),
             server: new,
--- a/sapphireslip-lead/src/lib.rs
+++ b/sapphireslip-lead/src/lib.rs
@@ -12,6 +12,7 @@
 mod effect;
 mod event;
 mod floors;
+mod grant;
 mod handover;
 mod homes;
 mod job;
--- a/sapphireslip-lead/src/permit.rs
+++ b/sapphireslip-lead/src/permit.rs
@@ -9,6 +9,7 @@
 use sapphireslip_core::{Instant, ServerId, data};
 
 use crate::connection::Purpose;
+use crate::grant::HOLD_LENGTH;
 use crate::state::State;
 use crate::{
     Effect, PermitRecord, PermitTable, Record, RecordKind, RowVersion, StoreClock, StoreTime,
@@ -50,6 +51,7 @@
         /// Until when it is valid, by this daemon's clock.
         until: Option<Instant>,
         is_pending: bool,
+        is_unknown: bool,
         next: Instant,
         retry: Instant,
         sent: Instant,
@@ -71,6 +73,21 @@
         self.until.is_some_and(|until| now < until)
     }
 
+    /// Returns how long the permission lasts.
+    pub(crate) fn left(&self, now: Instant) -> Duration {
+        self.until.map_or(Duration::ZERO, |until| until.since(now))
+    }
+
+    /// Returns whether the last renewal has had no answer yet, or got none.
+    pub(crate) const fn is_unanswered(&self) -> bool {
+        self.is_pending || self.is_unknown
+    }
+
+    /// Prolongs the permission by another daemon's word.
+    pub(crate) fn extend(&mut self, until: Instant) {
+        self.until = self.until.max(Some(until));
+    }
+
     /// Returns for how long the daemon has needed the permission and lacked it.
     pub(crate) fn lacked_for(&self, now: Instant) -> Duration {
         self.lacking
@@ -114,19 +131,22 @@
         self.permit.next = self.now + if needs { RENEW_EVERY } else { PRESENCE_EVERY };
         self.permit.reported.clone_from(&unreachable);
         let (length, alive) = match needs {
-            true => (
-                PERMIT_LENGTH + self.permit.took,
-                PERMIT_LENGTH + self.permit.took,
-            ),
+            true if self.holds_duty() => (HOLD_LENGTH, PERMIT_LENGTH),
+            true => (PERMIT_LENGTH, PERMIT_LENGTH),
             false => (Duration::ZERO, PRESENCE_LENGTH),
         };
+        let took = if needs {
+            self.permit.took
+        } else {
+            Duration::ZERO
+        };
         let record = PermitRecord {
             vm: self.local.vm.clone(),
             incarnation: self.local.incarnation,
             zone: self.local.zone.clone(),
             peers: self.local.peers,
-            alive: StoreTime(latest.0 + alive),
-            until: StoreTime(latest.0 + length),
+            alive: StoreTime(latest.0 + alive + took),
+            until: StoreTime(latest.0 + length + took),
             unreachable,
             reached: self.reached_leaders(),
         };
@@ -146,6 +166,7 @@
         outcome: WriteOutcome,
     ) {
         self.permit.is_pending = false;
+        self.permit.is_unknown = outcome == WriteOutcome::Unknown;
         if outcome != WriteOutcome::Unknown {
             self.permit.took = self.now.since(sent);
         }
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -9,6 +9,7 @@
 
 use crate::drain::Drain;
 use crate::duty::Duty;
+use crate::grant::Grants;
 use crate::job::{Job, JobId};
 use crate::leads::Leads;
 use crate::permit::Permit;
@@ -44,6 +45,7 @@
         pub(crate) leads: Leads,
         pub(crate) permit: Permit,
         pub(crate) permits: Option<PermitTable>,
+        pub(crate) grants: Grants,
         pub(crate) duty: Duty,
         pub(crate) reads: Reads,
         pub(crate) sessions: BTreeMap<SessionId, Session>,
@@ -75,6 +77,7 @@
             leads: Leads::default(),
             permit: Permit::default(),
             permits: None,
+            grants: Grants::default(),
             duty: Duty::default(),
             reads: Reads::default(),
             sessions: BTreeMap::new(),
@@ -104,6 +107,16 @@
             Event::Permits { table, sent } => self.on_permit_table(table, sent),
             Event::Written(written) => self.on_written(written),
             Event::Promoted { service, outcome } => self.on_promoted(&service, &outcome),
+            Event::GrantAsked {
+                session,
+                vm,
+                generation,
+            } => self.on_grant_asked(session, &vm, generation),
+            Event::Granted {
+                generation,
+                length,
+                sent,
+            } => self.on_granted(generation, length, sent),
             Event::Drain { grace } => self.begin_drain(grace),
         }
         std::mem::take(&mut self.effects)
@@ -112,6 +125,7 @@
     fn on_tick(&mut self) {
         self.expire();
         self.renew_permit();
+        self.ask_for_grant();
         self.read_store();
         self.probe_all();
         self.do_duty();
--- a/sapphireslip-lead/tests/lead_safety.rs
+++ b/sapphireslip-lead/tests/lead_safety.rs
@@ -88,3 +88,23 @@
     assert_eq!(fleet.promotions, 1);
     assert_eq!(fleet.faults(), Vec::<String>::new());
 }
+
+/// Pattern: the whole store is away for 5 s under full load.
+#[rstest]
+fn outage_of_the_store_stops_no_writes() {
+    let mut fleet = Fleet::new(3);
+    fleet.advance(4_000);
+    fleet.store_is_down = true;
+    for _ in 0..9 {
+        let before = fleet.acknowledged();
+        fleet.advance(500);
+        let landed = fleet.acknowledged() - before;
+        assert!(
+            landed >= 9,
+            "{landed} writes landed in half a second of the outage"
+        );
+    }
+    fleet.store_is_down = false;
+    fleet.advance(1_000);
+    assert_eq!(fleet.faults(), Vec::<String>::new());
+}
--- a/sapphireslipd/src/lead_callers.rs
+++ b/sapphireslipd/src/lead_callers.rs
@@ -9,8 +9,8 @@
 use sapphireslip_core::{SessionId, TransactionStatus};
 use sapphireslip_lead::{ClientEvent, ErrorCode, Event, Failure};
 use sapphireslip_platform::{
-    ClientMessage, LINE_END, answers, asks, decode_client, decode_pass_on, encode_failure,
-    encode_welcome,
+    ClientMessage, LINE_END, PeerOpening, answers, asks, decode_client, decode_peer,
+    encode_failure, encode_welcome,
 };
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -48,25 +48,22 @@
     open: BTreeMap<SessionId, flume::Sender<Order>>,
 }
 
-/// A caller that has connected, here or at another daemon that passes its session on.
+/// A caller, or another daemon, that has connected.
 pub(crate) struct NewCaller {
     stream: TcpStream,
-    is_passed_on: bool,
+    is_peer: bool,
 }
 
 /// Takes connections until the receiver is gone.
 pub(crate) async fn accept(
     listener: TcpListener,
-    is_passed_on: bool,
+    is_peer: bool,
     callers: flume::Sender<NewCaller>,
 ) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let caller = NewCaller {
-                    stream,
-                    is_passed_on,
-                };
+                let caller = NewCaller { stream, is_peer };
                 if callers.send_async(caller).await.is_err() {
                     return;
                 }
@@ -156,13 +153,24 @@
             orders,
             events,
         };
-        let passed_on = match caller.is_passed_on {
-            true => {
-                let line = task.first_line().await?;
-                Some(decode_pass_on(&line).map_err(io::Error::other)?)
+        let mut passed_on = None;
+        if caller.is_peer {
+            let line = task.first_line().await?;
+            match decode_peer(&line).map_err(io::Error::other)? {
+                PeerOpening::PassOn(version) => passed_on = Some(version),
+                PeerOpening::Ask { vm, generation } => {
+                    let session = id;
+                    let event = Event::GrantAsked {
+                        session,
+                        vm,
+                        generation,
+                    };
+                    // Fails only when the daemon is stopping already.
+                    let _stopping = task.events.send_async(event).await;
+                    return task.serve().await.map(|_| ());
+                }
             }
-            false => None,
-        };
+        }
         let line = task.first_line().await?;
         let Ok(ClientMessage::Start { database }) = decode_client(&line) else {
             return task.refuse("expected START and a database").await;
--- a/sapphireslipd/src/lead_run.rs
+++ b/sapphireslipd/src/lead_run.rs
@@ -36,6 +36,7 @@
     let store = StoreEdge {
         store: StoreClient::new(settings.store),
         promotion: StoreClient::new(settings.promotion),
+        vm: settings.vm.clone(),
         clock,
         events: events_tx.clone(),
     };
--- a/sapphireslipd/src/lead_runner.rs
+++ b/sapphireslipd/src/lead_runner.rs
@@ -7,7 +7,7 @@
 use sapphireslip_core::SessionId;
 use sapphireslip_lead::{Effect, Event, State};
 use sapphireslip_platform::{
-    encode_failure, encode_pass_on, encode_reply, encode_welcome, promote,
+    encode_failure, encode_grant, encode_pass_on, encode_reply, encode_welcome, promote,
 };
 use tokio::time::{Instant, sleep_until};
 
@@ -150,6 +150,18 @@
                 let call = promote(&service, &server, &holder, token);
                 tokio::spawn(self.store.clone().promote(service, call));
             }
+            Effect::AskGrant {
+                address,
+                generation,
+            } => {
+                tokio::spawn(self.store.clone().ask_grant(address, generation));
+            }
+            Effect::Grant { session, length } => {
+                let mut bytes = Vec::new();
+                encode_grant(length, &mut bytes);
+                self.callers.send(session, bytes);
+                self.callers.close(session);
+            }
             Effect::Log(record) => log_record(&record),
             Effect::StopListening => log::info!(sessions = self.callers.len(); "stopping"),
             Effect::Exit => return true,
--- a/sapphireslipd/src/store_edge.rs
+++ b/sapphireslipd/src/store_edge.rs
@@ -1,24 +1,34 @@
 //! Carries out what the reducer asks of the store and of promotions.
 
+use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use sapphireslip_core::ServiceName;
+use sapphireslip_core::{ServiceName, VmId};
 use sapphireslip_lead::{
-    Event, PermitTable, PromoteOutcome, ServerRecord, StoreWrite, WriteOutcome, Written,
+    Event, PermitTable, PromoteOutcome, RowVersion, ServerRecord, StoreWrite, WriteOutcome, Written,
 };
 use sapphireslip_platform::{
-    Call, PlatformError, Table, decode_permits, decode_promote, decode_servers, decode_write,
-    read_table, write,
+    Call, PlatformError, Table, decode_grant, decode_permits, decode_promote, decode_servers,
+    decode_write, encode_ask, read_table, write,
 };
 
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
 use crate::BootClock;
+use crate::line_stream::split;
 use crate::store_client::StoreClient;
 
+/// How long the holder of the duty may take to answer: a connection and a round trip.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// The store, the promotions and where their answers go.
 #[derive(Clone, Debug)]
 pub(crate) struct StoreEdge {
     pub(crate) store: StoreClient,
     pub(crate) promotion: StoreClient,
+    pub(crate) vm: VmId,
     pub(crate) clock: BootClock,
     pub(crate) events: flume::Sender<Event>,
 }
@@ -95,8 +105,36 @@
         self.tell(Event::Promoted { service, outcome }).await;
     }
 
+    /// Asks the holder of the duty for its word.
+    pub(crate) async fn ask_grant(self, address: SocketAddr, generation: RowVersion) {
+        let sent = self.clock.now();
+        let asked = tokio::time::timeout(GRANT_TIMEOUT, grant(address, &self.vm, generation));
+        match asked.await.unwrap_or_else(|err| Err(io::Error::other(err))) {
+            Ok(length) => {
+                let event = Event::Granted {
+                    generation,
+                    length,
+                    sent,
+                };
+                self.tell(event).await;
+            }
+            Err(err) => log::debug!("asking `{address}` for its word: {err}"),
+        }
+    }
+
     async fn tell(&self, event: Event) {
         // Fails only when the daemon is stopping already.
         let _stopping = self.events.send_async(event).await;
     }
 }
+
+async fn grant(address: SocketAddr, vm: &VmId, generation: RowVersion) -> io::Result<Duration> {
+    let stream = TcpStream::connect(address).await?;
+    let (mut lines, mut writer) = split(stream)?;
+    let mut bytes = Vec::new();
+    encode_ask(vm, generation, &mut bytes);
+    writer.write_all(&bytes).await?;
+    let line = lines.next().await?;
+    let line = line.ok_or(io::ErrorKind::UnexpectedEof)?;
+    decode_grant(&line).map_err(io::Error::other)
+}
