Stops: the holder of the duty keeps it to the end; conflicts read the leads; lost relays are answered

After a zone cut a daemon's watch hung 1.8 s on a dead connection while its renewals met the conflict.

--- a/sapphireslip-lead/src/client.rs
+++ b/sapphireslip-lead/src/client.rs
@@ -24,6 +24,7 @@
                 session,
                 is_refused,
             } => self.on_relay_failed(session, is_refused),
+            ClientEvent::RelayLost { session } => self.close_relay(session),
             ClientEvent::RelayAsked { session } => self.on_relay_asked(session),
             ClientEvent::RelayAnswered { session, status } => {
                 self.on_relay_answered(session, status);
--- a/sapphireslip-lead/src/drain.rs
+++ b/sapphireslip-lead/src/drain.rs
@@ -35,6 +35,11 @@
         self.drain.is_some()
     }
 
+    /// Returns whether the stop is over and the process about to end.
+    pub(crate) fn has_left(&self) -> bool {
+        self.drain.as_ref().is_some_and(|drain| drain.is_over)
+    }
+
     pub(crate) fn begin_drain(&mut self, grace: Duration) {
         if self.drain.is_some() {
             return;
@@ -45,7 +50,6 @@
             grace.as_millis()
         );
         self.log(Record::new(RecordKind::Drain, detail.into()));
-        self.give_duty_back();
         self.drain = Some(Drain {
             began: self.now,
             grace,
@@ -136,6 +140,7 @@
         }
         let detail = format!("leaves with {} sessions open", self.sessions.len());
         self.log(Record::new(RecordKind::Drain, detail.into()));
+        self.give_duty_back();
         if let Some(permit) = self.permit.row {
             let write = StoreWrite::DropPermit {
                 vm: self.local.vm.clone(),
--- a/sapphireslip-lead/src/duty.rs
+++ b/sapphireslip-lead/src/duty.rs
@@ -69,13 +69,16 @@
 
     /// Does what the duty asks for, or takes it if nobody holds it.
     pub(crate) fn do_duty(&mut self) {
-        if !self.leads.is_known || !self.permit.is_valid(self.now) || self.is_leaving() {
+        if !self.leads.is_known || !self.permit.is_valid(self.now) || self.has_left() {
             return;
         }
         self.note_duty_change();
         if self.token().is_none() {
             self.duty.handovers.clear();
-            return self.take_duty();
+            if !self.is_leaving() {
+                self.take_duty();
+            }
+            return;
         }
         let services = self
             .catalog
--- a/sapphireslip-lead/src/effect.rs
+++ b/sapphireslip-lead/src/effect.rs
@@ -70,6 +70,8 @@
         },
         /// Read the list of backend servers.
         ReadServers,
+        /// Read all leads.
+        ReadLeads,
         /// Read all permissions.
         ReadPermits,
         /// Write to the store under conditions.
--- a/sapphireslip-lead/src/event.rs
+++ b/sapphireslip-lead/src/event.rs
@@ -86,6 +86,11 @@
             /// Whether that daemon answered at all.
             is_refused: bool,
         },
+        /// The other daemon ended a session that was passed on.
+        RelayLost {
+            /// The session.
+            session: SessionId,
+        },
         /// A caller whose session was passed on sent a statement.
         RelayAsked {
             /// The session.
--- a/sapphireslip-lead/src/grant.rs
+++ b/sapphireslip-lead/src/grant.rs
@@ -44,7 +44,7 @@
         let left = self.permit.left(self.now);
         let is_pressing =
             self.needs_permission() && left < ASK_BELOW && self.permit.is_unanswered();
-        if !is_pressing || self.now.since(self.grants.asked) < ASK_EVERY || self.is_leaving() {
+        if !is_pressing || self.now.since(self.grants.asked) < ASK_EVERY || self.has_left() {
             return;
         }
         let Some((duty, _)) = &self.leads.table.duty else {
@@ -83,7 +83,7 @@
         let length = self.grant_length(generation);
         self.grants.given_until = self.grants.given_until.max(self.now + length);
         let detail = format!("`{vm}` is granted {} ms", length.as_millis());
-        self.log(Record::new(RecordKind::PermitChanged, detail.into()));
+        self.log(Record::new(RecordKind::Grant, detail.into()));
         self.effects.push(Effect::Grant { session, length });
     }
 
@@ -91,7 +91,7 @@
         let is_free = self.token().is_some()
             && self.leads.table.generation == generation
             && !self.duty.is_naming()
-            && !self.is_leaving();
+            && !self.has_left();
         match is_free {
             true => GRANT_LENGTH.min(self.permit.left(self.now).saturating_sub(MARGIN)),
             false => Duration::ZERO,
--- a/sapphireslip-lead/src/permit.rs
+++ b/sapphireslip-lead/src/permit.rs
@@ -105,7 +105,7 @@
         let Some(row) = self.permit.row.filter(|_| self.leads.is_known) else {
             return;
         };
-        if self.permit.is_pending || self.is_leaving() {
+        if self.permit.is_pending || self.has_left() {
             return;
         }
         let unreachable = self.unreachable_leaders();
@@ -180,6 +180,8 @@
             }
             WriteOutcome::Conflict { permit, now } => {
                 self.permit.clock.learn(sent, now);
+                // The watch of the leads may hang on a connection that has gone silent.
+                self.effects.push(Effect::ReadLeads);
                 if permit.is_some() {
                     self.permit.row = permit;
                 }
--- a/sapphireslip-lead/src/record.rs
+++ b/sapphireslip-lead/src/record.rs
@@ -37,6 +37,8 @@
         LeadChanged,
         /// The permission to rely on the known leads began or ended.
         PermitChanged,
+        /// A word was given to another daemon.
+        Grant,
         /// The duty of promotions was taken or lost.
         DutyChanged,
         /// A step of a promotion.
@@ -113,6 +115,7 @@
             Self::RequestUnknown => "request_unknown",
             Self::LeadChanged => "lead_changed",
             Self::PermitChanged => "permit_changed",
+            Self::Grant => "grant",
             Self::DutyChanged => "duty_changed",
             Self::Promotion => "promotion",
             Self::CatalogTaken => "catalog_taken",
--- a/sapphireslip-lead/src/relays.rs
+++ b/sapphireslip-lead/src/relays.rs
@@ -7,7 +7,7 @@
 
 use crate::homes::HomeOf;
 use crate::state::State;
-use crate::{Effect, Record, RecordKind};
+use crate::{Effect, ErrorCode, Failure, Record, RecordKind, Reply};
 
 /// How long a daemon may leave all sessions that were passed on to it unanswered: longer than a
 /// primary is waited for there.
@@ -168,8 +168,22 @@
         }
     }
 
+    /// Ends a session that was passed on; a statement at work is answered as unknown.
     pub(crate) fn close_relay(&mut self, id: SessionId) {
-        self.relays.sessions.remove(&id);
+        let relay = self.relays.sessions.remove(&id);
+        if relay.is_some_and(|relay| relay.asked.is_some()) {
+            let cause = "the daemon that served the session was lost";
+            let line = Record::new(RecordKind::RequestUnknown, cause.into());
+            self.log(Record {
+                session: Some(id),
+                ..line
+            });
+            let failure = Failure::new(ErrorCode::InDoubt, cause);
+            self.effects.push(Effect::Answer {
+                session: id,
+                reply: Reply::failed(failure, TransactionStatus::Idle),
+            });
+        }
         self.effects.push(Effect::CloseSession {
             session: id,
             failure: None,
--- /dev/null
+++ b/sapphireslip-lead/tests/relays.rs
@@ -0,0 +1,137 @@
+//! Sessions that are passed on to the home of their service.
+
+mod support;
+
+use std::time::Duration;
+
+use rstest::rstest;
+use sapphireslip_core::{Incarnation, SessionId, TransactionStatus};
+use sapphireslip_lead::{
+    ClientEvent, Effect, ErrorCode, Event, PermitRecord, RowVersion, StoreTime, StoreWrite,
+};
+use support::{Daemon, PAYMENTS, vm, zone};
+
+/// Adds a live daemon of the same zone, and returns whether it is the home.
+fn with_other(name: &str, other_zone: &str) -> (Daemon, bool) {
+    let mut daemon = Daemon::ready();
+    let record = PermitRecord {
+        vm: vm(name),
+        incarnation: Incarnation(1),
+        zone: zone(other_zone),
+        peers: "10.1.0.9:7000".parse().expect("an address"),
+        alive: StoreTime(Duration::from_secs(600)),
+        until: StoreTime::default(),
+        unreachable: Vec::new(),
+        reached: Vec::new(),
+    };
+    let generation = daemon.store.leads.generation;
+    let permit = RowVersion(0);
+    let write = StoreWrite::Permit {
+        record,
+        permit,
+        generation,
+    };
+    daemon.store.write(daemon.millis, &write);
+    daemon.advance(2_500);
+    let session = daemon.open(PAYMENTS);
+    let is_home = daemon.effects.iter().any(
+        |effect| matches!(effect, Effect::Relay { session: relayed, .. } if *relayed == session),
+    );
+    daemon.event(Event::Client(ClientEvent::Closed { session }));
+    daemon.effects.clear();
+    (daemon, is_home)
+}
+
+/// Returns a daemon whose sessions go to another one, and such a session.
+fn passing_on() -> (Daemon, SessionId) {
+    for n in 0..20 {
+        let (mut daemon, is_home) = with_other(&format!("other-{n}"), "a");
+        if is_home {
+            let session = daemon.open(PAYMENTS);
+            return (daemon, session);
+        }
+    }
+    panic!("one of twenty names should have the higher weight");
+}
+
+fn tell(daemon: &mut Daemon, event: ClientEvent) {
+    daemon.event(Event::Client(event));
+}
+
+#[rstest]
+fn daemons_of_other_zones_are_no_homes() {
+    for n in 0..20 {
+        assert!(!with_other(&format!("other-{n}"), "b").1);
+    }
+}
+
+#[rstest]
+fn session_that_its_home_refuses_is_served_here() {
+    let (mut daemon, session) = passing_on();
+    let is_refused = true;
+    tell(
+        &mut daemon,
+        ClientEvent::RelayFailed {
+            session,
+            is_refused,
+        },
+    );
+    assert_eq!(daemon.run(session, "1", "READ x").failure(), None);
+}
+
+#[rstest]
+#[case::with_a_statement_at_work(true, 1)]
+#[case::at_rest(false, 0)]
+fn lost_home(#[case] asks: bool, #[case] answers: usize) {
+    let (mut daemon, session) = passing_on();
+    let status = TransactionStatus::Idle;
+    tell(&mut daemon, ClientEvent::RelayAnswered { session, status });
+    if asks {
+        tell(&mut daemon, ClientEvent::RelayAsked { session });
+    }
+    tell(&mut daemon, ClientEvent::RelayLost { session });
+    assert_eq!(daemon.closed, [session]);
+    assert_eq!(daemon.answers.len(), answers);
+    for (_, reply) in &daemon.answers {
+        let code = reply.failure().map(|failure| failure.code.clone());
+        assert_eq!(code, Some(ErrorCode::InDoubt));
+    }
+}
+
+/// Pattern: the home's machine freezes while sessions wait there.
+#[rstest]
+fn silent_home_is_left() {
+    let (mut daemon, session) = passing_on();
+    let status = TransactionStatus::Idle;
+    tell(&mut daemon, ClientEvent::RelayAnswered { session, status });
+    tell(&mut daemon, ClientEvent::RelayAsked { session });
+    daemon.advance(500);
+    assert_eq!(daemon.closed, []);
+    daemon.advance(200);
+    assert_eq!(daemon.closed, [session]);
+    daemon.effects.clear();
+    let next = daemon.open(PAYMENTS);
+    assert!(
+        !daemon
+            .effects
+            .iter()
+            .any(|effect| matches!(effect, Effect::Relay { .. }))
+    );
+    assert_eq!(daemon.run(next, "1", "READ x").failure(), None);
+}
+
+#[rstest]
+fn stop_waits_for_a_statement_that_was_passed_on() {
+    let (mut daemon, session) = passing_on();
+    tell(&mut daemon, ClientEvent::RelayAsked { session });
+    daemon.event(Event::Drain {
+        grace: Duration::from_secs(6),
+    });
+    daemon.advance(400);
+    assert_eq!(daemon.closed, []);
+    let status = TransactionStatus::Idle;
+    tell(&mut daemon, ClientEvent::RelayAnswered { session, status });
+    daemon.advance(200);
+    assert_eq!(daemon.closed, [session]);
+    assert_eq!(daemon.answers.len(), 0);
+}
--- a/sapphireslip-lead/tests/support/daemon.rs
+++ b/sapphireslip-lead/tests/support/daemon.rs
@@ -163,6 +163,10 @@
                 let list = self.store_answers.then(|| self.group.records());
                 self.event(Event::Servers(list));
             }
+            Effect::ReadLeads => {
+                let leads = self.store.leads.clone();
+                self.event(Event::Leads(leads));
+            }
             Effect::ReadPermits => {
                 let table = self.store_answers.then(|| self.store.permits(self.millis));
                 let sent = at(self.millis);
--- a/sapphireslip-lead/tests/support/fleet.rs
+++ b/sapphireslip-lead/tests/support/fleet.rs
@@ -249,6 +249,12 @@
                 let list = self.reaches_store(n).then(|| self.group.records());
                 self.later(n, 30, Event::Servers(list));
             }
+            Effect::ReadLeads => {
+                if self.reaches_store(n) {
+                    let leads = self.store.leads.clone();
+                    self.later(n, 40, Event::Leads(leads));
+                }
+            }
             Effect::ReadPermits => {
                 let table = self
                     .reaches_store(n)
--- a/sapphireslipd/src/lead_callers.rs
+++ b/sapphireslipd/src/lead_callers.rs
@@ -285,20 +285,32 @@
         Ok(false)
     }
 
-    /// Moves lines both ways until one side ends, or the session is to be closed.
-    async fn relay(&mut self, mut lines: LineReader, mut writer: OwnedWriteHalf) -> io::Result<()> {
+    /// Moves lines both ways until the caller leaves or the session is to be closed.
+    async fn relay(&mut self, lines: LineReader, writer: OwnedWriteHalf) -> io::Result<()> {
+        let mut peer = Some((lines, writer));
         loop {
+            let from_peer = async {
+                match &mut peer {
+                    Some((lines, _)) => lines.next().await,
+                    None => std::future::pending().await,
+                }
+            };
             tokio::select! {
                 biased;
                 order = self.orders.recv_async() => match order {
                     Ok(Order::Send(bytes)) => self.write(bytes).await?,
                     Ok(Order::PassOn(..)) | Err(_) => return self.writer.shutdown().await,
                 },
-                line = lines.next() => {
-                    let Some(line) = line? else {
-                        return self.writer.shutdown().await;
+                line = from_peer => {
+                    let Some((lines, _)) = &mut peer else {
+                        continue;
                     };
-                    let (bytes, status) = join(line, &mut lines, |status, line| {
+                    let Ok(Some(line)) = line else {
+                        peer = None;
+                        self.tell(ClientEvent::RelayLost { session: self.id }).await;
+                        continue;
+                    };
+                    let (bytes, status) = join(line, lines, |status, line| {
                         answers(line).or(status)
                     });
                     if let Some(status) = status {
@@ -316,7 +328,12 @@
                     if asked.is_some() {
                         self.tell(ClientEvent::RelayAsked { session: self.id }).await;
                     }
-                    writer.write_all(&bytes).await?;
+                    // A peer that does not take it has broken off, which its lines tell.
+                    if let Some((_, writer)) = &mut peer
+                        && let Err(err) = writer.write_all(&bytes).await
+                    {
+                        log::debug!(session = self.id.0; "passing a line on: {err}");
+                    }
                 }
             }
         }
--- a/sapphireslipd/src/lead_run.rs
+++ b/sapphireslipd/src/lead_run.rs
@@ -7,6 +7,7 @@
 use sapphireslip_platform::{PlatformError, Table, decode_catalog, decode_leads};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::JoinSet;
 
 use crate::lead_callers::{Callers, NewCaller, accept};
 use crate::lead_runner::LeadRunner;
@@ -68,6 +69,7 @@
         store,
         is_ready,
         sessions: 0,
+        writes: JoinSet::new(),
     };
     runner.run().await;
     log::info!("stopped");
--- a/sapphireslipd/src/lead_runner.rs
+++ b/sapphireslipd/src/lead_runner.rs
@@ -9,6 +9,7 @@
 use sapphireslip_platform::{
     encode_failure, encode_grant, encode_pass_on, encode_reply, encode_welcome, promote,
 };
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until};
 
 use crate::BootClock;
@@ -23,6 +24,9 @@
 /// How often time is looked at otherwise.
 const TICK_CALM: Duration = Duration::from_millis(40);
 
+/// How long the last writes to the store may take at the end of a stop.
+const FLUSH_MAX: Duration = Duration::from_millis(400);
+
 /// What the runner works with.
 pub(crate) struct LeadRunner {
     pub(crate) state: State,
@@ -35,6 +39,8 @@
     pub(crate) store: StoreEdge,
     pub(crate) is_ready: Arc<AtomicBool>,
     pub(crate) sessions: u64,
+    /// The writes to the store that are under way.
+    pub(crate) writes: JoinSet<()>,
 }
 
 impl LeadRunner {
@@ -65,8 +71,17 @@
                 }
             };
             if self.take(event) {
-                return;
+                return self.flush().await;
             }
+            while self.writes.try_join_next().is_some() {}
+        }
+    }
+
+    /// Lets the last writes to the store end, which give back what this daemon holds.
+    async fn flush(mut self) {
+        let writes = async { while self.writes.join_next().await.is_some() {} };
+        if tokio::time::timeout(FLUSH_MAX, writes).await.is_err() {
+            log::warn!("the last writes to the store did not end in time");
         }
     }
 
@@ -135,11 +150,14 @@
             Effect::ReadServers => {
                 tokio::spawn(self.store.clone().read_servers());
             }
+            Effect::ReadLeads => {
+                tokio::spawn(self.store.clone().read_leads());
+            }
             Effect::ReadPermits => {
                 tokio::spawn(self.store.clone().read_permits());
             }
             Effect::Write(write) => {
-                tokio::spawn(self.store.clone().write(write));
+                self.writes.spawn(self.store.clone().write(write));
             }
             Effect::Promote {
                 service,
--- a/sapphireslipd/src/store_edge.rs
+++ b/sapphireslipd/src/store_edge.rs
@@ -9,8 +9,8 @@
     Event, PermitTable, PromoteOutcome, RowVersion, ServerRecord, StoreWrite, WriteOutcome, Written,
 };
 use sapphireslip_platform::{
-    Call, PlatformError, Table, decode_grant, decode_permits, decode_promote, decode_servers,
-    decode_write, encode_ask, read_table, write,
+    Call, PlatformError, Table, decode_grant, decode_leads, decode_permits, decode_promote,
+    decode_servers, decode_write, encode_ask, read_table, write,
 };
 
 use tokio::io::AsyncWriteExt;
@@ -45,6 +45,12 @@
         self.tell(Event::Servers(list)).await;
     }
 
+    pub(crate) async fn read_leads(self) {
+        if let Some(table) = self.read(Table::Leads, decode_leads).await {
+            self.tell(Event::Leads(table)).await;
+        }
+    }
+
     pub(crate) async fn read_permits(self) {
         let sent = self.clock.now();
         let table: Option<PermitTable> = self.read(Table::Permits, decode_permits).await;
