Handover and load: lagging replicas do not take over, lost answers are no load, shorter queues

The primary serves on while a replica lacks more than 20 records, for 3.5 s at the most. Cause 3: statements waited for their whole target and were answered late.

--- a/sapphireslip-lead/src/choice.rs
+++ b/sapphireslip-lead/src/choice.rs
@@ -105,7 +105,7 @@
         let Some(server) = self.servers.get(id) else {
             return Duration::MAX;
         };
-        let outstanding = u32::try_from(self.pool.at_work(id)).unwrap_or(u32::MAX);
+        let outstanding = u32::try_from(self.pool.at_work(id, self.now)).unwrap_or(u32::MAX);
         let mut cost = server
             .latency()
             .saturating_mul(outstanding.saturating_add(1));
@@ -157,7 +157,7 @@
             .servers
             .get(server)
             .map_or(1, |known| known.record.slots.max(1));
-        self.pool.at_work(server) >= slots * OUTSTANDING_PER_SLOT
+        self.pool.at_work(server, self.now) >= slots * OUTSTANDING_PER_SLOT
     }
 
     /// Returns how many connections to a server this daemon may have at the moment.
--- a/sapphireslip-lead/src/handover.rs
+++ b/sapphireslip-lead/src/handover.rs
@@ -8,6 +8,7 @@
 
 use sapphireslip_core::{Instant, ServerId, ServiceName, data, key};
 
+use crate::server::KnownServer;
 use crate::state::State;
 use crate::{Effect, PromoteOutcome, Record, RecordKind, Role, RowVersion, Term, TermPosition};
 
@@ -18,6 +19,16 @@
 /// acknowledged writes would be lost with it.
 const MISSING_RECORDS_PATIENCE: Duration = Duration::from_millis(2_000);
 
+/// How many records a replica may lack of a primary that can still be asked: while others are
+/// written these few arrive, after the last one they may not.
+const LAG_MAX_RECORDS: u64 = 20;
+
+/// How long a replica that lacks more is waited for, while the primary goes on working.
+const LAG_PATIENCE: Duration = Duration::from_millis(3_500);
+
+/// How long a new leader may receive nothing before no more is expected.
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(700);
+
 /// How often permissions are read while their acknowledgement is awaited.
 const ACKNOWLEDGE_POLL: Duration = Duration::from_millis(40);
 
@@ -72,10 +83,23 @@
         /// When the step began.
         since: Instant,
         polled: Instant,
+        /// How far the new leader's log had come when it last moved on.
+        received: Option<TermPosition>,
+        moved: Instant,
     }
 }
 
 impl Handover {
+    /// Returns whether the old leader serves again, or stays.
+    fn is_needless(&self, state: &State) -> bool {
+        let old = self.old.as_ref().and_then(|old| state.servers.get(old));
+        match self.reason {
+            Reason::Lost => state.is_back(self),
+            Reason::Draining | Reason::Gone => old.is_some_and(KnownServer::is_staying),
+            Reason::NoPrimary => false,
+        }
+    }
+
     /// Returns whether the new leader is named, or about to be.
     pub(crate) fn is_named(&self) -> bool {
         self.step != Step::Choosing
@@ -105,6 +129,8 @@
             step: Step::Choosing,
             since: self.now,
             polled: self.now,
+            received: None,
+            moved: self.now,
         };
         self.note_step(service, &handover);
         self.duty.handovers.insert(service.clone(), handover);
@@ -124,6 +150,8 @@
             step: Step::Acknowledging(*version),
             since: self.now,
             polled: Instant::default(),
+            received: None,
+            moved: self.now,
         };
         self.note_step(service, &handover);
         self.duty.handovers.insert(service.clone(), handover);
@@ -171,10 +199,9 @@
     }
 
     fn choose(&mut self, service: &ServiceName, handover: &Handover) {
-        if handover.reason == Reason::Lost && self.is_back(handover) {
+        if handover.is_needless(self) {
             self.log(
-                Record::new(RecordKind::Promotion, "the primary answers again".into())
-                    .service(service),
+                Record::new(RecordKind::Promotion, "the primary serves on".into()).service(service),
             );
             self.duty.handovers.remove(service);
             return;
@@ -191,6 +218,12 @@
             let asked = state.servers.get(id).and_then(|server| server.status_asked);
             asked >= Some(handover.since)
         };
+        for id in &others {
+            let status = self.servers.get(id).and_then(|server| server.status_asked);
+            if status.is_none_or(|asked| self.now.since(asked) >= CHOICE_TIME) {
+                self.probe(id);
+            }
+        }
         let unasked: Vec<_> = others
             .iter()
             .filter(|id| !is_asked(self, id))
@@ -208,10 +241,7 @@
             let received = server
                 .and_then(|s| s.status.as_ref())
                 .map(|status| status.received);
-            (
-                server.is_some_and(crate::server::KnownServer::is_staying),
-                received,
-            )
+            (server.is_some_and(KnownServer::is_staying), received)
         };
         let may_adopt = self.may_adopt(service);
         let is_fit =
@@ -230,6 +260,9 @@
         {
             return;
         }
+        if self.lacks_too_much(handover, &best) && waited < LAG_PATIENCE {
+            return;
+        }
         if !self.name_leader(service, &best, above) {
             return;
         }
@@ -269,6 +302,21 @@
         had > status.map(|status| status.received)
     }
 
+    /// Returns whether a server lacks many records of an old leader that can still be asked.
+    fn lacks_too_much(&self, handover: &Handover, new: &ServerId) -> bool {
+        let old = handover.old.as_ref().and_then(|old| self.servers.get(old));
+        let old = old.filter(|old| !old.is_unreachable(self.now));
+        let Some(last) = old.and_then(|old| old.position) else {
+            return false;
+        };
+        let status = self
+            .servers
+            .get(new)
+            .and_then(|server| server.status.as_ref());
+        let received = status.map(|status| status.received).unwrap_or_default();
+        received.term < last.term || received.position.0 + LAG_MAX_RECORDS < last.position.0
+    }
+
     /// Takes the outcome of the write that names the new leader.
     pub(crate) fn on_named(&mut self, service: &ServiceName, version: Option<RowVersion>) {
         let is_naming = self
@@ -341,8 +389,16 @@
                 .map(|status| status.received)
         };
         let final_record = received(self, &old);
-        let has_all = final_record.is_some() && final_record <= received(self, &new);
-        if has_all || self.now.since(handover.since) >= CATCH_UP_TIME {
+        let present = received(self, &new);
+        let has_all = final_record.is_some() && final_record <= present;
+        if present != handover.received
+            && let Some(handover) = self.duty.handovers.get_mut(service)
+        {
+            handover.received = present;
+            handover.moved = self.now;
+        }
+        let stands = self.now.since(handover.moved.max(handover.since)) >= CATCH_UP_PAUSE;
+        if has_all || stands || self.now.since(handover.since) >= CATCH_UP_TIME {
             return self.start_promoting(service);
         }
         self.probe(&new);
--- a/sapphireslip-lead/src/pool.rs
+++ b/sapphireslip-lead/src/pool.rs
@@ -1,12 +1,16 @@
 //! All connections to backend servers.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use sapphireslip_core::{ConnectionId, Instant, ServerId, data};
 
 use crate::connection::{Connection, Purpose};
 use crate::session::Session;
 
+/// How long an answer is likely to come: later ones are mostly lost, and take no slot.
+const ANSWER_LIKELY: Duration = Duration::from_millis(250);
+
 data! {
     /// The connections.
     #[derive(Default)]
@@ -47,11 +51,14 @@
             .count()
     }
 
-    /// Returns how many connections to a server have a request outstanding.
-    pub(crate) fn at_work(&self, server: &ServerId) -> usize {
-        self.to(server)
-            .filter(|connection| !connection.awaited.is_empty())
-            .count()
+    /// Returns how many connections to a server have a request outstanding that is likely to be
+    /// answered yet.
+    pub(crate) fn at_work(&self, server: &ServerId, now: Instant) -> usize {
+        let is_at_work = |connection: &&Connection| {
+            let awaited = connection.awaited.front();
+            awaited.is_some_and(|awaited| now.since(awaited.sent) < ANSWER_LIKELY)
+        };
+        self.to(server).filter(is_at_work).count()
     }
 
     /// Adds a connection that is being opened.
--- a/sapphireslip-lead/src/timeouts.rs
+++ b/sapphireslip-lead/src/timeouts.rs
@@ -18,7 +18,11 @@
 const ANSWER_MAX: Duration = Duration::from_millis(3_000);
 
 /// How long an answer may be due while the server answers on other connections.
-const SILENT_PATH: Duration = Duration::from_millis(900);
+const SILENT_PATH: Duration = Duration::from_millis(500);
+
+/// The share of an operation's time that one of its statements may wait to be sent: under overload
+/// the queue stands at this length, and what is sent from it has to be in time.
+const QUEUE_PERCENT: u32 = 45;
 
 /// The multiple of a server's usual latency after which a read is also sent to another server.
 const MOVE_LATENCIES: u32 = 5;
@@ -65,15 +69,15 @@
         }
     }
 
-    /// Returns until when a statement waits to be sent: as long as it can still be answered in
-    /// time for its caller, or half of its time where a primary is about to open.
+    /// Returns until when a statement waits to be sent: as long as its operation can still be
+    /// answered in time, or half of its time where a primary is about to open.
     fn queue_end(&self, job: &Job) -> Instant {
         let half = job.deadline.since(job.arrived) / 2;
         let is_opening = matches!(self.leader_view(&job.service), LeaderView::Opening(_));
         if is_opening {
             job.arrived + half
         } else {
-            job.arrived + job.target.min(half)
+            job.arrived + (job.target * QUEUE_PERCENT / 100).min(half)
         }
     }
 
@@ -156,9 +160,12 @@
                 .get(&connection.server)
                 .and_then(|server| server.answered);
             let is_alone = heard.is_some_and(|heard| sent + SILENT_PATH / 2 < heard);
-            if due >= ANSWER_MAX || (due >= SILENT_PATH && is_alone) {
+            if due >= ANSWER_MAX
+                || (due >= SILENT_PATH && is_alone && !self.awaits_write(connection))
+            {
                 silent.push(connection.id);
-            } else if due >= ANSWER_DUE {
+            } else if due >= ANSWER_DUE && heard < Some(sent) {
+                // A server that has answered since has only lost this answer.
                 failing.push((connection.server.clone(), sent));
             }
         }
@@ -173,6 +180,15 @@
         }
     }
 
+    /// Returns whether a caller waits on a connection for the outcome of a write: until its time is
+    /// over, a late answer is better than none.
+    fn awaits_write(&self, connection: &Connection) -> bool {
+        let Some(Answer::Statement(id)) = connection.awaited.front().map(|a| &a.what) else {
+            return false;
+        };
+        self.jobs.get(id).is_some_and(|job| job.work != Work::Read)
+    }
+
     /// Ends transactions whose callers rest too long.
     fn expire_transactions(&mut self) {
         let Some(idle) = self
--- a/sapphireslip-lead/tests/handover.rs
+++ b/sapphireslip-lead/tests/handover.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use rstest::rstest;
-use sapphireslip_lead::{Effect, ErrorCode};
+use sapphireslip_lead::{Effect, ErrorCode, Record, RecordKind};
 use support::{Daemon, PAYMENTS, server, service};
 
 #[rstest]
@@ -65,6 +65,56 @@
     );
 }
 
+/// Pattern: replication hangs while the primary is asked to leave.
+#[rstest]
+fn replica_that_lacks_much_does_not_take_over() {
+    let mut daemon = Daemon::ready();
+    let session = daemon.open(PAYMENTS);
+    for n in 0..30 {
+        daemon.run(session, &n.to_string(), "WRITE x 1");
+    }
+    daemon.group.get_mut(&server("s-a")).is_draining = true;
+    daemon.advance(3_000);
+    assert_eq!(
+        daemon.run(session, "30", "WRITE x 1").failure(),
+        None,
+        "it serves on"
+    );
+    daemon.group.replicate();
+    daemon.advance(1_500);
+    let leader = daemon
+        .group
+        .servers
+        .iter()
+        .max_by_key(|server| server.term)
+        .expect("a server");
+    assert_ne!(leader.id, server("s-a"));
+    assert_eq!(leader.log.len(), 32);
+}
+
+/// Pattern: a primary under load whose answers are lost now and then.
+#[rstest]
+fn primary_that_loses_single_answers_is_kept() {
+    let mut daemon = Daemon::ready();
+    let loser = daemon.open(PAYMENTS);
+    let session = daemon.open(PAYMENTS);
+    for n in 0..40 {
+        if n % 10 == 0 {
+            daemon.holds_back = true;
+            daemon.ask(loser, &format!("lost-{n}"), "READ x");
+            daemon.holds_back = false;
+        }
+        daemon.run(session, &n.to_string(), "WRITE x 1");
+        daemon.advance(100);
+    }
+    let steps: Vec<_> = daemon
+        .records
+        .iter()
+        .filter(|record| record.kind == RecordKind::Promotion)
+        .collect();
+    assert_eq!(steps, Vec::<&Record>::new());
+}
+
 #[rstest]
 fn crashed_primary_is_replaced() {
     let mut daemon = Daemon::ready();
--- a/sapphireslip-lead/tests/refusals.rs
+++ b/sapphireslip-lead/tests/refusals.rs
@@ -140,6 +140,24 @@
     assert_eq!(code(&daemon.answers[0].1), Some(ErrorCode::InDoubt));
 }
 
+/// Pattern: a server loses many answers; statements that nobody will answer take up its slots.
+#[rstest]
+fn lost_answers_leave_room_for_others() {
+    let mut daemon = Daemon::ready();
+    daemon.holds_back = true;
+    for n in 0..4 {
+        let session = daemon.open(PAYMENTS);
+        daemon.ask(session, &format!("lost-{n}"), "WRITE x 1");
+    }
+    daemon.holds_back = false;
+    daemon.advance(300);
+    let session = daemon.open(PAYMENTS);
+    daemon.ask(session, "1", "READ x");
+    daemon.advance(20);
+    let (_, reply) = daemon.answers.pop().expect("an answer");
+    assert_eq!(code(&reply), None);
+}
+
 /// Pattern: a burst of reads on few connections.
 #[rstest]
 fn burst_waits_no_longer_than_the_target() {
--- a/sapphireslip-lead/tests/support/daemon.rs
+++ b/sapphireslip-lead/tests/support/daemon.rs
@@ -2,8 +2,8 @@
 
 use sapphireslip_core::{ConnectionId, Incarnation, ServerId, SessionId, TransactionStatus};
 use sapphireslip_lead::{
-    ClientEvent, ConnectFailure, Effect, Event, Identity, PromoteOutcome, Reply, ServerEvent,
-    ServerRequest, State, StoreWrite, WriteOutcome, Written,
+    ClientEvent, ConnectFailure, Effect, Event, Identity, PromoteOutcome, Record, Reply,
+    ServerEvent, ServerRequest, State, StoreWrite, WriteOutcome, Written,
 };
 
 use super::{FakeGroup, FakeStore, at, catalog, query, vm, zone};
@@ -23,6 +23,7 @@
     /// All other effects, as they came.
     pub effects: Vec<Effect>,
     pub sent: Vec<(ServerId, ServerRequest)>,
+    pub records: Vec<Record>,
     held: Vec<(ConnectionId, ServerRequest)>,
     connections: BTreeMap<ConnectionId, (ServerId, TransactionStatus)>,
     sessions: u64,
@@ -63,6 +64,7 @@
             closed: Vec::new(),
             effects: Vec::new(),
             sent: Vec::new(),
+            records: Vec::new(),
             held: Vec::new(),
             connections: BTreeMap::new(),
             sessions: 0,
@@ -185,7 +187,8 @@
                 self.closed.push(session);
                 self.effects.push(effect);
             }
-            Effect::Log(_) | Effect::Welcome { .. } => {}
+            Effect::Log(record) => self.records.push(record),
+            Effect::Welcome { .. } => {}
             other => self.effects.push(other),
         }
     }
