--- a/sapphireslip-lead/src/dispatch.rs
+++ b/sapphireslip-lead/src/dispatch.rs
@@ -346,6 +346,7 @@
         );
         let line = Record::new(RecordKind::RequestAnswered, detail.into())
             .service(&job.service)
+            .elapsed(self.now.since(job.arrived))
             .request(job.session, &job.query.id);
         self.log(line);
         self.answer(job.session, reply);
--- a/sapphireslip-lead/src/drain.rs
+++ b/sapphireslip-lead/src/drain.rs
@@ -71,14 +71,11 @@
             .map(|(id, _)| *id)
             .collect();
         for id in resting {
-            self.sessions.remove(&id);
-            self.effects.push(Effect::CloseSession {
-                session: id,
-                failure: None,
-            });
+            self.close_when_idle(id);
         }
         for id in self.relays.resting(self.now, CALLER_PAUSE) {
-            self.close_relay(id);
+            self.relays.mark_closing(id);
+            self.effects.push(Effect::CloseWhenIdle { session: id });
         }
     }
 
@@ -111,6 +108,14 @@
         }
     }
 
+    /// Ends a session that rests; a statement that its caller has just sent is answered first.
+    pub(crate) fn close_when_idle(&mut self, id: SessionId) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.is_closing = true;
+            self.effects.push(Effect::CloseWhenIdle { session: id });
+        }
+    }
+
     fn cut_resting_transactions(&mut self) {
         if let Some(drain) = self.drain.as_mut() {
             drain.has_cut = true;
--- a/sapphireslip-lead/src/effect.rs
+++ b/sapphireslip-lead/src/effect.rs
@@ -45,6 +45,11 @@
             /// What to tell the caller first.
             failure: Option<Failure>,
         },
+        /// End a session once every statement that has been read from its caller is answered.
+        CloseWhenIdle {
+            /// The session.
+            session: SessionId,
+        },
         /// Open a connection to a backend server.
         Connect {
             /// The connection.
--- a/sapphireslip-lead/src/homes.rs
+++ b/sapphireslip-lead/src/homes.rs
@@ -10,7 +10,7 @@
 use sapphireslip_core::{ServiceName, SessionId, VmId, data};
 
 use crate::state::State;
-use crate::{Effect, PermitRecord, Record, RecordKind};
+use crate::{PermitRecord, Record, RecordKind};
 
 /// How long a session must have been quiet to be moved to its home: its caller pauses.
 const MOVE_QUIET: Duration = Duration::from_millis(400);
@@ -138,7 +138,6 @@
     }
 
     fn close_quietly(&mut self, id: SessionId) {
-        self.sessions.remove(&id);
         let line = Record::new(
             RecordKind::SessionMoved,
             "its caller is to reconnect".into(),
@@ -147,10 +146,7 @@
             session: Some(id),
             ..line
         });
-        self.effects.push(Effect::CloseSession {
-            session: id,
-            failure: None,
-        });
+        self.close_when_idle(id);
     }
 }
 
--- a/sapphireslip-lead/src/record.rs
+++ b/sapphireslip-lead/src/record.rs
@@ -1,5 +1,7 @@
 //! One line of the log: a decision with what decided it.
 
+use std::time::Duration;
+
 use sapphireslip_core::{ServerId, ServiceName, SessionId, Text, data, key};
 
 data! {
@@ -15,6 +17,8 @@
         pub service: Option<ServiceName>,
         /// The backend server.
         pub server: Option<ServerId>,
+        /// How long the statement took, for its answer.
+        pub elapsed: Option<Duration>,
         /// What decided it, and the outcome.
         pub detail: Text,
     }
@@ -78,6 +82,7 @@
             session: None,
             service: None,
             server: None,
+            elapsed: None,
             detail,
         }
     }
@@ -92,6 +97,11 @@
         self
     }
 
+    pub(crate) const fn elapsed(mut self, elapsed: Duration) -> Self {
+        self.elapsed = Some(elapsed);
+        self
+    }
+
     pub(crate) fn request(mut self, session: SessionId, id: &Text) -> Self {
         self.session = Some(session);
         self.request = Some(Text::clone(id));
--- a/sapphireslip-lead/src/relays.rs
+++ b/sapphireslip-lead/src/relays.rs
@@ -38,6 +38,8 @@
         asked: Option<Instant>,
         status: TransactionStatus,
         heard: Instant,
+        /// Whether it is to end.
+        is_closing: bool,
     }
 }
 
@@ -46,6 +48,16 @@
         self.sessions.remove(&id);
     }
 
+    pub(crate) fn mark_closing(&mut self, id: SessionId) {
+        if let Some(relay) = self.sessions.get_mut(&id) {
+            relay.is_closing = true;
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.sessions.len()
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.sessions.is_empty()
     }
@@ -57,7 +69,8 @@
     /// Returns the sessions without work whose callers have paused for a while.
     pub(crate) fn resting(&self, now: Instant, pause: Duration) -> Vec<SessionId> {
         let is_resting = |relay: &Relay| {
-            relay.asked.is_none()
+            !relay.is_closing
+                && relay.asked.is_none()
                 && relay.status == TransactionStatus::Idle
                 && now.since(relay.heard) >= pause
         };
@@ -109,6 +122,7 @@
             asked: Some(self.now),
             status: TransactionStatus::Idle,
             heard: self.now,
+            is_closing: false,
         };
         self.relays.sessions.insert(session, relay);
         self.effects.push(Effect::Relay {
--- a/sapphireslip-lead/src/session.rs
+++ b/sapphireslip-lead/src/session.rs
@@ -30,6 +30,8 @@
         pub(crate) heard: Instant,
         /// Whether another daemon passed it on.
         pub(crate) is_passed_on: bool,
+        /// Whether it is to end, and may have sent a statement before its caller knew.
+        pub(crate) is_closing: bool,
     }
 
     /// An open transaction.
@@ -60,6 +62,7 @@
             written: None,
             heard: now,
             is_passed_on,
+            is_closing: false,
         }
     }
 
@@ -70,9 +73,12 @@
             .map_or(TransactionStatus::Idle, |transaction| transaction.status)
     }
 
-    /// Returns whether nothing is at work and no transaction is open.
+    /// Returns whether it can be ended: nothing is at work and no transaction is open.
     pub(crate) fn is_idle(&self) -> bool {
-        self.running.is_none() && self.transaction.is_none() && self.ahead.is_empty()
+        !self.is_closing
+            && self.running.is_none()
+            && self.transaction.is_none()
+            && self.ahead.is_empty()
     }
 
     /// Returns the last record that the session wrote to a service.
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use sapphireslip_core::{
     Incarnation, Instant, Random, ServiceName, SessionId, VmId, ZoneName, data,
@@ -34,6 +35,28 @@
         pub peers: SocketAddr,
     }
 
+    /// What metrics show of the state.
+    pub struct Snapshot {
+        /// Sessions that are served here.
+        pub sessions: usize,
+        /// Sessions that are passed on.
+        pub relays: usize,
+        /// Statements that wait for a server or a connection.
+        pub waiting: usize,
+        /// Connections to backend servers.
+        pub connections: usize,
+        /// Known backend servers.
+        pub servers: usize,
+        /// The time left of the permission.
+        pub permission_left: Duration,
+        /// How old the list of backend servers is.
+        pub servers_age: Duration,
+        /// The version of the configuration, 0 if none is known.
+        pub configuration: u64,
+        /// Whether callers should come.
+        pub is_ready: bool,
+    }
+
     /// The whole state of a daemon.
     pub struct State {
         pub(crate) local: Identity,
@@ -153,6 +176,23 @@
         !self.jobs.is_empty() || self.duty.is_at_work() || self.is_leaving()
     }
 
+    /// Returns what metrics show of the state.
+    #[must_use]
+    pub fn snapshot(&self) -> Snapshot {
+        let read = self.servers.read;
+        Snapshot {
+            sessions: self.sessions.len(),
+            relays: self.relays.len(),
+            waiting: self.lanes.values().map(Vec::len).sum(),
+            connections: self.pool.all().count(),
+            servers: self.servers.known.len(),
+            permission_left: self.permit.left(self.now),
+            servers_age: read.map_or(Duration::ZERO, |read| self.now.since(read)),
+            configuration: self.catalog.as_ref().map_or(0, |catalog| catalog.version),
+            is_ready: self.is_ready(),
+        }
+    }
+
     pub(crate) fn log(&mut self, record: Record) {
         self.effects.push(Effect::Log(record));
     }
--- a/sapphireslip-lead/tests/support/daemon.rs
+++ b/sapphireslip-lead/tests/support/daemon.rs
@@ -183,6 +183,10 @@
                 self.event(Event::Promoted { service, outcome });
             }
             Effect::Answer { session, reply } => self.answers.push((session, reply)),
+            Effect::CloseWhenIdle { session } => {
+                self.closed.push(session);
+                self.event(Event::Client(ClientEvent::Closed { session }));
+            }
             Effect::CloseSession { session, .. } => {
                 self.closed.push(session);
                 self.effects.push(effect);
--- a/sapphireslip-lead/tests/support/fleet.rs
+++ b/sapphireslip-lead/tests/support/fleet.rs
@@ -307,7 +307,10 @@
                 };
                 self.later(asker, 30, event);
             }
-            Effect::Log(_) | Effect::Welcome { .. } | Effect::CloseSession { .. } => {}
+            Effect::Log(_)
+            | Effect::Welcome { .. }
+            | Effect::CloseSession { .. }
+            | Effect::CloseWhenIdle { .. } => {}
             Effect::Answer { session, reply } => {
                 let id = self.daemons[n].asked.remove(&session);
                 if let Some((id, true)) = id
--- a/sapphireslipd/src/error.rs
+++ b/sapphireslipd/src/error.rs
@@ -42,6 +42,11 @@
             display("taking signals: {err}")
             source(err)
         }
+        /// The thread that writes the log can't be started.
+        LogThread(err: io::Error) {
+            display("starting the thread that writes the log: {err}")
+            source(err)
+        }
         /// The logger can't be set.
         Logger(err: log::SetLoggerError) {
             display("setting the logger: {err}")
--- a/sapphireslipd/src/lead_callers.rs
+++ b/sapphireslipd/src/lead_callers.rs
@@ -38,6 +38,10 @@
 enum Order {
     /// Send these bytes to the caller.
     Send(Vec<u8>),
+    /// Send the answer to a statement.
+    Answer(Vec<u8>),
+    /// End the session once every statement that was read is answered.
+    CloseWhenIdle,
     /// Pass the session on to another daemon.
     PassOn(SocketAddr, Vec<u8>),
 }
@@ -97,6 +101,16 @@
         self.order(id, Order::Send(bytes));
     }
 
+    /// Sends a caller the answer to its statement.
+    pub(crate) fn answer(&mut self, id: SessionId, bytes: Vec<u8>) {
+        self.order(id, Order::Answer(bytes));
+    }
+
+    /// Ends a session once every statement that was read is answered.
+    pub(crate) fn close_when_idle(&mut self, id: SessionId) {
+        self.order(id, Order::CloseWhenIdle);
+    }
+
     /// Passes a session on to another daemon.
     pub(crate) fn pass_on(&mut self, id: SessionId, to: SocketAddr, opening: Vec<u8>) {
         self.order(id, Order::PassOn(to, opening));
@@ -127,6 +141,9 @@
     writer: OwnedWriteHalf,
     orders: flume::Receiver<Order>,
     events: flume::Sender<Event>,
+    /// How many statements were read and are not answered.
+    unanswered: usize,
+    is_closing: bool,
 }
 
 /// What follows after a while of serving.
@@ -152,6 +169,8 @@
             writer,
             orders,
             events,
+            unanswered: 0,
+            is_closing: false,
         };
         let mut passed_on = None;
         if caller.is_peer {
@@ -202,6 +221,10 @@
     /// Serves the session here.
     async fn serve(&mut self) -> io::Result<Next> {
         loop {
+            if self.is_over() {
+                self.writer.shutdown().await?;
+                return Ok(Next::End);
+            }
             tokio::select! {
                 biased;
                 order = self.orders.recv_async() => match order {
@@ -210,7 +233,7 @@
                         return Ok(Next::End);
                     }
                     Ok(Order::PassOn(to, opening)) => return Ok(Next::PassOn(to, opening)),
-                    Ok(Order::Send(bytes)) => self.write(bytes).await?,
+                    Ok(order) => self.obey(order).await?,
                 },
                 line = self.lines.next() => {
                     let Some(line) = line? else {
@@ -225,6 +248,25 @@
         }
     }
 
+    /// Returns whether the session is to end and owes no answer.
+    const fn is_over(&self) -> bool {
+        self.is_closing && self.unanswered == 0
+    }
+
+    async fn obey(&mut self, order: Order) -> io::Result<()> {
+        match order {
+            Order::Send(bytes) => self.write(bytes).await,
+            Order::Answer(bytes) => {
+                self.unanswered = self.unanswered.saturating_sub(1);
+                self.write(bytes).await
+            }
+            Order::CloseWhenIdle | Order::PassOn(..) => {
+                self.is_closing = true;
+                Ok(())
+            }
+        }
+    }
+
     async fn write(&mut self, bytes: Vec<u8>) -> io::Result<()> {
         let write = self.writer.write_all(&bytes);
         tokio::time::timeout(WRITE_MAX, write)
@@ -233,9 +275,10 @@
     }
 
     /// Takes a line; returns false if the session can't go on.
-    async fn take(&self, line: &[u8]) -> bool {
+    async fn take(&mut self, line: &[u8]) -> bool {
         match decode_client(line) {
             Ok(ClientMessage::Query(query)) => {
+                self.unanswered += 1;
                 self.tell(ClientEvent::Query {
                     session: self.id,
                     query,
@@ -289,6 +332,9 @@
     async fn relay(&mut self, lines: LineReader, writer: OwnedWriteHalf) -> io::Result<()> {
         let mut peer = Some((lines, writer));
         loop {
+            if self.is_over() {
+                return self.writer.shutdown().await;
+            }
             let from_peer = async {
                 match &mut peer {
                     Some((lines, _)) => lines.next().await,
@@ -298,8 +344,8 @@
             tokio::select! {
                 biased;
                 order = self.orders.recv_async() => match order {
-                    Ok(Order::Send(bytes)) => self.write(bytes).await?,
-                    Ok(Order::PassOn(..)) | Err(_) => return self.writer.shutdown().await,
+                    Ok(order) => self.obey(order).await?,
+                    Err(_) => return self.writer.shutdown().await,
                 },
                 line = from_peer => {
                     let Some((lines, _)) = &mut peer else {
@@ -310,9 +356,14 @@
                         self.tell(ClientEvent::RelayLost { session: self.id }).await;
                         continue;
                     };
-                    let (bytes, status) = join(line, lines, |status, line| {
-                        answers(line).or(status)
+                    let mut status = None;
+                    let mut answered = 0;
+                    let bytes = join(line, lines, |line| {
+                        let end = answers(line);
+                        answered += usize::from(end.is_some());
+                        status = end.or(status);
                     });
+                    self.unanswered = self.unanswered.saturating_sub(answered);
                     if let Some(status) = status {
                         self.tell(ClientEvent::RelayAnswered { session: self.id, status }).await;
                     }
@@ -322,10 +373,12 @@
                     let Some(line) = line? else {
                         return Ok(());
                     };
-                    let (bytes, asked) = join(line, &mut self.lines, |asked, line| {
-                        asked.or_else(|| asks(line).then_some(()))
+                    let mut asked = 0;
+                    let bytes = join(line, &mut self.lines, |line| {
+                        asked += usize::from(asks(line));
                     });
-                    if asked.is_some() {
+                    self.unanswered += asked;
+                    if asked > 0 {
                         self.tell(ClientEvent::RelayAsked { session: self.id }).await;
                     }
                     // A peer that does not take it has broken off, which its lines tell.
@@ -365,20 +418,15 @@
     Ok(answers(&line).map(|_| (lines, writer)))
 }
 
-/// Joins a line and all that have been read after it, and gathers what they say.
-fn join<T>(
-    first: BytesMut,
-    lines: &mut LineReader,
-    gather: impl Fn(Option<T>, &[u8]) -> Option<T>,
-) -> (Vec<u8>, Option<T>) {
-    let mut bytes = Vec::with_capacity(first.len() + 2);
-    let mut said = None;
+/// Joins a line and all that have been read after it, and shows each.
+fn join(first: BytesMut, lines: &mut LineReader, mut show: impl FnMut(&[u8])) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(first.len() + LINE_END.len());
     let mut next = Some(first);
     while let Some(line) = next {
-        said = gather(said, &line);
+        show(&line);
         bytes.extend_from_slice(&line);
         bytes.extend_from_slice(LINE_END);
         next = lines.take();
     }
-    (bytes, said)
+    bytes
 }
--- a/sapphireslipd/src/lead_log.rs
+++ b/sapphireslipd/src/lead_log.rs
@@ -12,7 +12,6 @@
         | RecordKind::Promotion
         | RecordKind::PermitChanged
         | RecordKind::LeadChanged => log::Level::Warn,
-        RecordKind::RequestSent | RecordKind::RequestAnswered => log::Level::Debug,
         _ => log::Level::Info,
     };
     let text =
--- a/sapphireslipd/src/lead_run.rs
+++ b/sapphireslipd/src/lead_run.rs
@@ -10,6 +10,7 @@
 use tokio::task::JoinSet;
 
 use crate::lead_callers::{Callers, NewCaller, accept};
+use crate::lead_metrics::LeadMetrics;
 use crate::lead_runner::LeadRunner;
 use crate::lead_servers::Backends;
 use crate::run::listen;
@@ -32,15 +33,21 @@
     let callers = listen("callers", settings.callers).await?;
     let peers = listen("peers", settings.peers).await?;
     let readiness = listen("the readiness page", settings.readiness).await?;
+    let metrics_page = listen("metrics", settings.metrics).await?;
+    let metrics = Arc::new(LeadMetrics::default());
     let clock = BootClock::start().map_err(Error::Clock)?;
     let (events_tx, events) = flume::bounded(LEAD_EVENTS_MAX);
     let store = StoreEdge {
-        store: StoreClient::new(settings.store),
-        promotion: StoreClient::new(settings.promotion),
+        store: StoreClient::new(settings.store, Arc::clone(&metrics)),
+        promotion: StoreClient::new(settings.promotion, Arc::clone(&metrics)),
         vm: settings.vm.clone(),
         clock,
         events: events_tx.clone(),
     };
+    tokio::spawn(readiness_page::serve_metrics(
+        metrics_page,
+        Arc::clone(&metrics),
+    ));
     let is_ready = Arc::new(AtomicBool::new(false));
     tokio::spawn(readiness_page::serve(readiness, Arc::clone(&is_ready)));
     watch(&store, Table::Operator, |body| {
@@ -68,7 +75,9 @@
         backends: Backends::default(),
         store,
         is_ready,
+        metrics,
         sessions: 0,
+        shown: tokio::time::Instant::now(),
         writes: JoinSet::new(),
     };
     runner.run().await;
--- a/sapphireslipd/src/lead_runner.rs
+++ b/sapphireslipd/src/lead_runner.rs
@@ -15,6 +15,7 @@
 use crate::BootClock;
 use crate::lead_callers::{Callers, NewCaller};
 use crate::lead_log::log_record;
+use crate::lead_metrics::LeadMetrics;
 use crate::lead_servers::{Backends, Target};
 use crate::store_edge::StoreEdge;
 
@@ -24,6 +25,9 @@
 /// How often time is looked at otherwise.
 const TICK_CALM: Duration = Duration::from_millis(40);
 
+/// How often the state is shown in the metrics.
+const SHOW_EVERY: Duration = Duration::from_secs(1);
+
 /// How long the last writes to the store may take at the end of a stop.
 const FLUSH_MAX: Duration = Duration::from_millis(400);
 
@@ -38,7 +42,9 @@
     pub(crate) backends: Backends,
     pub(crate) store: StoreEdge,
     pub(crate) is_ready: Arc<AtomicBool>,
+    pub(crate) metrics: Arc<LeadMetrics>,
     pub(crate) sessions: u64,
+    pub(crate) shown: Instant,
     /// The writes to the store that are under way.
     pub(crate) writes: JoinSet<()>,
 }
@@ -58,6 +64,7 @@
                 biased;
                 () = sleep_until(ticked + pause) => {
                     ticked = Instant::now();
+                    self.show();
                     Event::Tick
                 }
                 event = self.events.recv_async() => event.unwrap_or(Event::Tick),
@@ -77,6 +84,14 @@
         }
     }
 
+    /// Shows the state in the metrics, now and then.
+    fn show(&mut self) {
+        if self.shown.elapsed() >= SHOW_EVERY {
+            self.shown = Instant::now();
+            self.metrics.show(&self.state.snapshot());
+        }
+    }
+
     /// Lets the last writes to the store end, which give back what this daemon holds.
     async fn flush(mut self) {
         let writes = async { while self.writes.join_next().await.is_some() {} };
@@ -118,7 +133,7 @@
             Effect::Answer { session, reply } => {
                 let mut bytes = Vec::new();
                 encode_reply(&reply, &mut bytes);
-                self.callers.send(session, bytes);
+                self.callers.answer(session, bytes);
             }
             Effect::CloseSession { session, failure } => {
                 if let Some(failure) = failure {
@@ -128,6 +143,7 @@
                 }
                 self.callers.close(session);
             }
+            Effect::CloseWhenIdle { session } => self.callers.close_when_idle(session),
             Effect::Connect {
                 connection,
                 address,
@@ -180,7 +196,10 @@
                 self.callers.send(session, bytes);
                 self.callers.close(session);
             }
-            Effect::Log(record) => log_record(&record),
+            Effect::Log(record) => {
+                self.metrics.record(&record);
+                log_record(&record);
+            }
             Effect::StopListening => log::info!(sessions = self.callers.len(); "stopping"),
             Effect::Exit => return true,
         }
--- a/sapphireslipd/src/logging.rs
+++ b/sapphireslipd/src/logging.rs
@@ -1,7 +1,7 @@
 //! Logs as JSON lines on the standard error stream.
 
 use std::io;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use log::kv::{Error as KeyValueError, Key, Value, VisitSource};
 use log::{LevelFilter, Record};
@@ -9,6 +9,7 @@
 use serde_json::{Map, Value as Json};
 
 use crate::Error;
+use crate::bounded_log::BoundedLog;
 
 /// Sets the process's logger.
 ///
@@ -16,6 +17,30 @@
 ///
 /// The process has a logger already.
 pub fn start_logging(vm: &VmId, level: LevelFilter) -> Result<(), Error> {
+    dispatch(vm, level)
+        .chain(io::stderr())
+        .apply()
+        .map_err(Error::Logger)
+}
+
+/// Sets the process's logger to lines on the standard output that never hold the process up.
+///
+/// # Errors
+///
+/// The process has a logger already, or can't start the thread that writes.
+pub(crate) fn start_bounded_logging(vm: &VmId, level: LevelFilter) -> Result<BoundedLog, Error> {
+    let bounded = BoundedLog::start().map_err(Error::LogThread)?;
+    let budget = bounded.clone();
+    let output: Box<dyn io::Write + Send> = Box::new(bounded.clone());
+    dispatch(vm, level)
+        .filter(move |line| budget.admits(line.level(), Instant::now()))
+        .chain(output)
+        .apply()
+        .map_err(Error::Logger)?;
+    Ok(bounded)
+}
+
+fn dispatch(vm: &VmId, level: LevelFilter) -> fern::Dispatch {
     let vm = vm.clone();
     fern::Dispatch::new()
         .level(LevelFilter::Warn)
@@ -24,9 +49,6 @@
         .format(move |out, message, record| {
             out.finish(format_args!("{}", line(&vm, &message.to_string(), record)));
         })
-        .chain(io::stderr())
-        .apply()
-        .map_err(Error::Logger)
 }
 
 fn line(vm: &VmId, message: &str, record: &Record<'_>) -> Json {
--- a/sapphireslipd/src/readiness_page.rs
+++ b/sapphireslipd/src/readiness_page.rs
@@ -5,11 +5,29 @@
 
 use axum::Router;
 use axum::extract::State;
-use axum::http::StatusCode;
+use axum::http::{StatusCode, header};
+use axum::response::IntoResponse;
 use axum::routing::get;
 use sapphireslip_platform::READY_PATH;
 use tokio::net::TcpListener;
 
+use crate::lead_metrics::LeadMetrics;
+
+/// Serves the metrics until the future is dropped.
+pub(crate) async fn serve_metrics(listener: TcpListener, metrics: Arc<LeadMetrics>) {
+    let router = Router::new()
+        .route("/metrics", get(show_metrics))
+        .with_state(metrics);
+    if let Err(err) = axum::serve(listener, router).await {
+        log::error!("serving the metrics: {err}");
+    }
+}
+
+async fn show_metrics(State(metrics): State<Arc<LeadMetrics>>) -> impl IntoResponse {
+    let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+    ([(header::CONTENT_TYPE, kind)], metrics.to_text())
+}
+
 /// Answers until the future is dropped.
 pub(crate) async fn serve(listener: TcpListener, is_ready: Arc<AtomicBool>) {
     let router = Router::new()
--- a/sapphireslipd/src/run.rs
+++ b/sapphireslipd/src/run.rs
@@ -13,6 +13,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinSet;
 
+use crate::logging::start_bounded_logging;
 use crate::{
     Admin, BackendSettings, Clock, EFFECTS_MAX, EVENTS_MAX, EffectSenders, Error, HybridClock,
     LeadSettings, Metrics, PeerEdge, ReadinessCell, Runner, RunnerParts, Settings, TimelineRing,
@@ -93,12 +94,15 @@
     if args.check {
         return Ok(());
     }
-    start_logging(&settings.vm, settings.log_level)?;
+    let log = start_bounded_logging(&settings.vm, settings.log_level)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(Error::Runtime)?;
-    runtime.block_on(serve_lead(settings))
+    let served = runtime.block_on(serve_lead(settings));
+    // Nobody is left to be told if the output has been closed.
+    let _closed = log.flush();
+    served
 }
 
 fn read_file(path: &Path) -> Result<Vec<u8>, Error> {
--- a/sapphireslipd/src/store_client.rs
+++ b/sapphireslipd/src/store_client.rs
@@ -15,6 +15,8 @@
 use quick_error::quick_error;
 use sapphireslip_platform::Call;
 
+use crate::lead_metrics::LeadMetrics;
+
 /// How long a connection may take to be opened.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -77,11 +79,12 @@
     address: SocketAddr,
     /// How long calls have lately taken, in microseconds.
     usual_micros: Arc<AtomicU64>,
+    metrics: Arc<LeadMetrics>,
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
 impl StoreClient {
-    pub(crate) fn new(address: SocketAddr) -> Self {
+    pub(crate) fn new(address: SocketAddr, metrics: Arc<LeadMetrics>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
@@ -95,6 +98,7 @@
         Self {
             address,
             usual_micros: Arc::default(),
+            metrics,
             client,
         }
     }
@@ -103,6 +107,7 @@
     ///
     /// A connection whose answer is late is dropped: nothing more would come on it.
     pub(crate) async fn call(&self, call: Call, wait: Duration) -> Result<CallAnswer, CallError> {
+        let name = call.name;
         let usual = Duration::from_micros(self.usual_micros.load(Ordering::Relaxed));
         let limit = (usual * CALL_TIMEOUT_FACTOR).clamp(CALL_TIMEOUT_MIN, CALL_TIMEOUT_MAX);
         let began = Instant::now();
@@ -110,6 +115,13 @@
         if wait.is_zero() {
             self.note_time(began.elapsed(), usual);
         }
+        let outcome = match &answer {
+            Ok(Ok(answer)) if answer.status == 200 => "done",
+            Ok(Ok(_)) => "refused",
+            Ok(Err(_)) => "failed",
+            Err(_) => "timeout",
+        };
+        self.metrics.store_call(name, outcome, began.elapsed());
         answer.unwrap_or(Err(CallError::Timeout(self.address, limit + wait)))
     }
 
