--- a/sapphireslipd/src/bounded_log.rs
+++ b/sapphireslipd/src/bounded_log.rs
@@ -81,12 +81,6 @@
         io::stdout().write_all(&waiting)
     }
 
-    /// Returns what waits, and forgets it.
-    #[cfg(test)]
-    pub(crate) fn take(&self) -> Vec<u8> {
-        std::mem::take(&mut self.lines().waiting)
-    }
-
     fn lines(&self) -> std::sync::MutexGuard<'_, Lines> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- /dev/null
+++ b/sapphireslipd/tests/lead_daemon.rs
@@ -0,0 +1,344 @@
+//! The daemon of the platform's path, over real connections to stand-ins.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+use log::LevelFilter;
+use sapphireslip_core::{VmId, ZoneName};
+use sapphireslipd::{LeadSettings, serve_lead};
+use standins::{LineGroup, LineStore};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Lines};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+
+/// How long a condition is waited for.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// How long daemons that start together take to know each other: two reads of the permissions.
+const MEETING_TIME: Duration = Duration::from_millis(4_200);
+
+const SERVICE: &str = "ledger";
+
+/// A site with one daemon a name, each in zone a.
+struct Site {
+    store: LineStore,
+    group: LineGroup,
+    daemons: Vec<LeadSettings>,
+}
+
+/// Returns a loopback address that no other daemon of this process has.
+fn own_address() -> Ipv4Addr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [.., low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 77, low, NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
+fn config(version: u64) -> String {
+    serde_json::json!({
+        "version": version,
+        "routes": [{
+            "name": "r", "database_name": "fees", "prefix": "/", "type": "primary",
+            "timeout_ms": 800, "target_latency_ms": 200, "priority": 1, "service": SERVICE,
+        }],
+        "services": [{"name": SERVICE, "max_connections": 16, "sync_replicas": 0}],
+        "limits": {"tx_idle_ms": 3000},
+    })
+    .to_string()
+}
+
+impl Site {
+    async fn start(names: &[&str]) -> Self {
+        let group = LineGroup::start(SERVICE).await.expect("servers");
+        let store = LineStore::start(group.clone()).await.expect("a store");
+        store.put("op", "config", config(1).as_bytes());
+        for (id, entry) in group.entries(SERVICE) {
+            store.put("servers", &id, entry.as_bytes());
+        }
+        let mut daemons = Vec::new();
+        for name in names {
+            let ip = own_address();
+            let settings = LeadSettings {
+                vm: VmId::try_from(*name).expect("a name"),
+                zone: ZoneName::try_from("a").expect("a name"),
+                callers: (ip, 5432).into(),
+                peers: (ip, 7000).into(),
+                readiness: (ip, 9000).into(),
+                metrics: (ip, 9001).into(),
+                log_level: LevelFilter::Info,
+                drain_bound: Duration::from_secs(6),
+                store: store.address(),
+                promotion: store.address(),
+            };
+            tokio::spawn(serve_lead(settings.clone()));
+            daemons.push(settings);
+        }
+        let site = Self {
+            store,
+            group,
+            daemons,
+        };
+        for n in 0..names.len() {
+            site.wait_until_ready(n).await;
+            site.wait_until_served(n).await;
+        }
+        site
+    }
+
+    async fn wait_until_ready(&self, n: usize) {
+        let until = Instant::now() + PATIENCE;
+        while !self
+            .get(self.daemons[n].readiness, "/-/readyz")
+            .await
+            .starts_with("HTTP/1.1 200")
+        {
+            assert!(Instant::now() < until, "daemon {n} is ready in time");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Waits until a primary is named, which takes the first daemon a moment.
+    async fn wait_until_served(&self, n: usize) {
+        let until = Instant::now() + PATIENCE;
+        let mut caller = self.caller(n).await;
+        while !caller
+            .run("first", "READ nothing")
+            .await
+            .starts_with("COMPLETE")
+        {
+            assert!(Instant::now() < until, "daemon {n} serves in time");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Returns how many sessions are passed on, over all daemons.
+    async fn passed_on(&self) -> u32 {
+        let mut passed_on = 0;
+        for daemon in &self.daemons {
+            let metrics = self.get(daemon.metrics, "/metrics").await;
+            let prefix = "sapphireslip_open{what=\"sessions_passed_on\"} ";
+            let value = metrics.lines().find_map(|line| line.strip_prefix(prefix));
+            passed_on += value.map_or(0, |value| value.parse::<u32>().expect("a number"));
+        }
+        passed_on
+    }
+
+    async fn get(&self, address: SocketAddr, path: &str) -> String {
+        let Ok(mut stream) = TcpStream::connect(address).await else {
+            return String::new();
+        };
+        let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.expect("sent");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.expect("an answer");
+        answer
+    }
+
+    async fn caller(&self, n: usize) -> Caller {
+        let mut caller = Caller::connect(self.daemons[n].callers).await;
+        assert_eq!(caller.send("START fees till").await, "READY I -");
+        caller
+    }
+}
+
+struct Caller {
+    lines: Lines<BufReader<OwnedReadHalf>>,
+    writer: OwnedWriteHalf,
+}
+
+impl Caller {
+    async fn connect(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).await.expect("a connection");
+        let (read, writer) = stream.into_split();
+        let lines = BufReader::new(read).lines();
+        Self { lines, writer }
+    }
+
+    async fn line(&mut self) -> String {
+        let line = tokio::time::timeout(PATIENCE, self.lines.next_line()).await;
+        line.expect("in time")
+            .expect("a line")
+            .unwrap_or_else(|| "closed".to_owned())
+    }
+
+    /// Sends a line and returns the first one that comes.
+    async fn send(&mut self, line: &str) -> String {
+        self.writer
+            .write_all(format!("{line}\r\n").as_bytes())
+            .await
+            .expect("sent");
+        self.line().await
+    }
+
+    /// Runs a statement and returns its lines up to the one that ends it, without the position.
+    async fn run(&mut self, id: &str, text: &str) -> String {
+        let mut answer = self.send(&format!("QUERY {id} {text}")).await;
+        loop {
+            let line = self.line().await;
+            if let Some(rest) = line.strip_prefix("READY ") {
+                return format!("{answer} {}", rest.split(' ').next().unwrap_or_default());
+            }
+            assert_ne!(line, "closed", "after `{answer}`");
+            answer = format!("{answer} {line}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn statements_of_every_kind_are_served() {
+    let site = Site::start(&["vm-1"]).await;
+    let mut caller = site.caller(0).await;
+    assert_eq!(caller.run("1", "WRITE x 41").await, "COMPLETE 1 I");
+    assert_eq!(caller.run("2", "READ x").await, "ROW 41 COMPLETE read I");
+    assert_eq!(caller.run("3", "PREPARE s1 WRITE q").await, "COMPLETE - I");
+    assert_eq!(caller.run("4", "EXECUTE s1 x 42").await, "COMPLETE 4 I");
+    assert_eq!(caller.run("5", "BEGIN").await, "COMPLETE - T");
+    assert_eq!(caller.run("6", "WRITE y 1").await, "COMPLETE write T");
+    assert_eq!(caller.run("7", "ROLLBACK").await, "COMPLETE - I");
+    assert_eq!(caller.run("8", "BEGIN").await, "COMPLETE - T");
+    assert_eq!(caller.run("9", "WRITE y 2").await, "COMPLETE write T");
+    assert_eq!(caller.run("10", "COMMIT").await, "COMPLETE 10 I");
+    let expected =
+        [("x", "41"), ("x", "42"), ("y", "2")].map(|(k, v)| (k.to_owned(), v.to_owned()));
+    assert_eq!(site.group.written(), expected);
+}
+
+#[tokio::test]
+async fn two_daemons_of_a_zone_serve_through_one_home() {
+    let site = Site::start(&["vm-1", "vm-2"]).await;
+    let mut callers = [site.caller(0).await, site.caller(1).await];
+    assert_eq!(callers[0].run("1", "WRITE x 1").await, "COMPLETE 1 I");
+    assert_eq!(callers[1].run("2", "READ x").await, "ROW 1 COMPLETE read I");
+    tokio::time::sleep(MEETING_TIME).await;
+    let mut late = [site.caller(0).await, site.caller(1).await];
+    for (n, caller) in late.iter_mut().enumerate() {
+        assert_eq!(
+            caller.run(&format!("late-{n}"), "READ x").await,
+            "ROW 1 COMPLETE read I"
+        );
+    }
+    let until = Instant::now() + PATIENCE;
+    while site.passed_on().await != 1 {
+        assert!(
+            Instant::now() < until,
+            "one daemon passes its session on in time"
+        );
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test]
+async fn writes_land_again_after_a_lost_primary() {
+    let site = Site::start(&["vm-1", "vm-2"]).await;
+    let mut caller = site.caller(0).await;
+    assert_eq!(caller.run("1", "WRITE x 1").await, "COMPLETE 1 I");
+    site.group.kill_primary();
+    let until = Instant::now() + PATIENCE;
+    for n in 2.. {
+        let mut caller = site.caller(0).await;
+        if caller
+            .run(&n.to_string(), &format!("WRITE x {n}"))
+            .await
+            .starts_with("COMPLETE")
+        {
+            break;
+        }
+        assert!(Instant::now() < until, "writes land in time");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(site.group.written()[0], ("x".to_owned(), "1".to_owned()));
+    assert!(site.store.promotions() >= 1);
+}
+
+#[tokio::test]
+async fn configuration_is_in_force_at_once() {
+    let site = Site::start(&["vm-1"]).await;
+    let mut caller = site.caller(0).await;
+    let without = config(2).replace("\"fees\"", "\"other\"");
+    site.store.put("op", "config", without.as_bytes());
+    let until = Instant::now() + Duration::from_secs(3);
+    for n in 0.. {
+        if caller
+            .run(&n.to_string(), "READ x")
+            .await
+            .starts_with("ERROR NODB")
+        {
+            break;
+        }
+        assert!(Instant::now() < until, "in force within 3 s");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    // An older version, and one that can't be read, change nothing.
+    site.store.put("op", "config", config(1).as_bytes());
+    site.store.put("op", "config", b"{");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert!(caller.run("old", "READ x").await.starts_with("ERROR NODB"));
+}
+
+#[tokio::test]
+async fn bad_input_is_refused_and_the_daemon_lives() {
+    let site = Site::start(&["vm-1"]).await;
+    // Entries of servers that can't be read name no server.
+    site.store.put("servers", "i-9", b"\xff\xfe");
+    site.store.put("servers", "i-8", b"{\"service\": 7}");
+    let mut caller = site.caller(0).await;
+    assert!(
+        caller
+            .run("1", "EXPLODE x")
+            .await
+            .starts_with("ERROR MALFORMED")
+    );
+    assert!(
+        caller
+            .run("2", "EXECUTE s9 x")
+            .await
+            .starts_with("ERROR NOSTMT s9")
+    );
+    assert!(
+        caller
+            .run("3", "COMMIT")
+            .await
+            .starts_with("ERROR MALFORMED")
+    );
+    assert!(caller.send("NONSENSE").await.starts_with("ERROR MALFORMED"));
+    assert_eq!(caller.line().await, "closed");
+
+    let mut long = Caller::connect(site.daemons[0].callers).await;
+    let line = vec![b'x'; (1 << 20) + 8_192];
+    // The daemon may close before all of it is sent.
+    let _closed_early = long.writer.write_all(&line).await;
+    let read = tokio::time::timeout(PATIENCE, long.lines.next_line())
+        .await
+        .expect("in time");
+    assert!(!matches!(read, Ok(Some(_))), "{read:?}");
+
+    let mut nowhere = Caller::connect(site.daemons[0].callers).await;
+    assert!(
+        nowhere
+            .send("START nowhere till")
+            .await
+            .starts_with("ERROR NODB")
+    );
+    let mut caller = site.caller(0).await;
+    assert_eq!(caller.run("4", "WRITE x 1").await, "COMPLETE 4 I");
+}
+
+#[tokio::test]
+async fn outage_of_the_store_stops_nothing_for_seconds() {
+    let site = Site::start(&["vm-1", "vm-2"]).await;
+    tokio::time::sleep(MEETING_TIME).await;
+    site.store.set_down(true);
+    let began = Instant::now();
+    let mut n = 0;
+    while began.elapsed() < Duration::from_secs(4) {
+        n += 1;
+        let mut caller = site.caller(n % 2).await;
+        assert_eq!(
+            caller.run(&n.to_string(), "WRITE x 1").await,
+            format!("COMPLETE {n} I")
+        );
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    site.store.set_down(false);
+    assert_eq!(site.group.written().len(), n);
+}
--- /dev/null
+++ b/standins/src/line_group.rs
@@ -0,0 +1,278 @@
+//! A stand-in for a group of backend servers that speak the platform's line protocol.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
+
+/// The servers of one service, in three zones; the first one leads at first.
+#[derive(Clone, Debug)]
+pub struct LineGroup {
+    shared: Arc<Mutex<Group>>,
+}
+
+#[derive(Debug, Default)]
+struct Group {
+    servers: Vec<Server>,
+}
+
+#[derive(Debug)]
+struct Server {
+    id: String,
+    address: SocketAddr,
+    is_primary: bool,
+    is_dead: bool,
+    term: u64,
+    /// The items written, in order; replicas hold the primary's at once.
+    log: Vec<(String, String)>,
+    connections: Vec<AbortHandle>,
+}
+
+/// One connection's state.
+#[derive(Default)]
+struct Connection {
+    is_open: bool,
+    writes: Vec<(String, String)>,
+    prepared: BTreeMap<String, String>,
+}
+
+impl LineGroup {
+    /// Starts three servers on free ports of the loopback interface.
+    ///
+    /// # Errors
+    ///
+    /// No port can be listened on.
+    pub async fn start(service: &'static str) -> std::io::Result<Self> {
+        let group = Self {
+            shared: Arc::default(),
+        };
+        for n in 0..3 {
+            let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+            let server = Server {
+                id: format!("i-{n}"),
+                address: listener.local_addr()?,
+                is_primary: n == 0,
+                is_dead: false,
+                term: 1,
+                log: Vec::new(),
+                connections: Vec::new(),
+            };
+            group.lock().servers.push(server);
+            tokio::spawn(accept(group.clone(), n, service, listener));
+        }
+        Ok(group)
+    }
+
+    /// Returns the entries that the servers write about themselves, by their identifiers.
+    #[must_use]
+    pub fn entries(&self, service: &str) -> Vec<(String, String)> {
+        let group = self.lock();
+        let entry = |(server, zone): (&Server, &str)| {
+            let role = if server.is_primary {
+                "primary"
+            } else {
+                "replica"
+            };
+            let entry = serde_json::json!({
+                "service": service, "address": server.address, "zone": zone, "version": "v1",
+                "capacity": 2, "state": "ready", "warmup_left_ms": 0, "db_role": role,
+                "sequence": 1, "born": 1,
+            });
+            (server.id.clone(), entry.to_string())
+        };
+        group
+            .servers
+            .iter()
+            .zip(["a", "b", "c"])
+            .map(entry)
+            .collect()
+    }
+
+    /// Has a server lead the next term; returns false if it does not run.
+    pub(crate) fn promote(&self, id: &str) -> bool {
+        let mut group = self.lock();
+        let next = group
+            .servers
+            .iter()
+            .map(|s| s.term)
+            .max()
+            .unwrap_or_default()
+            + 1;
+        let Some(chosen) = group.servers.iter().position(|s| s.id == id && !s.is_dead) else {
+            return false;
+        };
+        if !group.servers[chosen].is_primary {
+            for (n, server) in group.servers.iter_mut().enumerate() {
+                server.is_primary = n == chosen;
+                server.term = next;
+            }
+        }
+        true
+    }
+
+    /// Kills the server that leads: its connections break, and no new ones are taken.
+    pub fn kill_primary(&self) {
+        let mut group = self.lock();
+        if let Some(server) = group.servers.iter_mut().find(|server| server.is_primary) {
+            server.is_dead = true;
+            for connection in server.connections.drain(..) {
+                connection.abort();
+            }
+        }
+    }
+
+    /// Returns the items that the present primary holds, in the order of the writes.
+    #[must_use]
+    pub fn written(&self) -> Vec<(String, String)> {
+        let group = self.lock();
+        let primary = group.servers.iter().find(|server| server.is_primary);
+        primary.map(|server| server.log.clone()).unwrap_or_default()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Group> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn accept(group: LineGroup, n: usize, service: &'static str, listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        if group.lock().servers[n].is_dead {
+            continue;
+        }
+        let serving = tokio::spawn(serve(group.clone(), n, service, stream));
+        group.lock().servers[n]
+            .connections
+            .push(serving.abort_handle());
+    }
+}
+
+async fn serve(
+    group: LineGroup,
+    n: usize,
+    service: &'static str,
+    stream: TcpStream,
+) -> std::io::Result<()> {
+    let (read, mut write) = stream.into_split();
+    let mut lines = BufReader::new(read).lines();
+    let start = lines.next_line().await?.unwrap_or_default();
+    let expected = format!(
+        "START {service} sapphireslip {}",
+        group.lock().servers[n].id
+    );
+    if start != expected {
+        return write.write_all(b"ERROR MISROUTED another server\r\n").await;
+    }
+    let greeting = format!("READY I {}\r\n", group.position(n));
+    write.write_all(greeting.as_bytes()).await?;
+    let mut connection = Connection::default();
+    while let Some(line) = lines.next_line().await? {
+        let answer = group.answer(n, &mut connection, &line);
+        let state = if connection.is_open { "T" } else { "I" };
+        let answer = format!("{answer}READY {state} {}\r\n", group.position(n));
+        write.write_all(answer.as_bytes()).await?;
+    }
+    Ok(())
+}
+
+impl LineGroup {
+    fn position(&self, n: usize) -> String {
+        let group = self.lock();
+        let server = &group.servers[n];
+        format!("{}.{}", server.term, server.log.len())
+    }
+
+    fn answer(&self, n: usize, connection: &mut Connection, line: &str) -> String {
+        let done = "COMPLETE -\r\n".to_owned();
+        let fields: Vec<&str> = line.splitn(3, ' ').collect();
+        let ["QUERY", id, text] = fields.as_slice() else {
+            return "ERROR MALFORMED line\r\n".to_owned();
+        };
+        let text = match text.strip_prefix("AFTER ") {
+            Some(rest) => rest.split_once(' ').map_or("", |(_, text)| text),
+            None => text,
+        };
+        let (verb, rest) = text.split_once(' ').unwrap_or((text, ""));
+        match verb {
+            "STATUS" => self.status(n),
+            "BEGIN" if rest != "READ" && !self.leads(n) => "ERROR READONLY\r\n".to_owned(),
+            "BEGIN" => {
+                connection.is_open = true;
+                done
+            }
+            "ROLLBACK" => {
+                connection.is_open = false;
+                connection.writes.clear();
+                done
+            }
+            "COMMIT" => {
+                connection.is_open = false;
+                let writes = std::mem::take(&mut connection.writes);
+                self.commit(n, writes, id)
+            }
+            "PREPARE" => {
+                let (name, shape) = rest.split_once(' ').unwrap_or((rest, ""));
+                connection
+                    .prepared
+                    .insert(name.to_owned(), shape.to_owned());
+                done
+            }
+            "EXECUTE" => self.execute(n, connection, id, rest),
+            "READ" => self.read(n, rest),
+            "WRITE" => self.write(n, connection, id, rest),
+            _ => done,
+        }
+    }
+
+    fn execute(&self, n: usize, connection: &mut Connection, id: &str, rest: &str) -> String {
+        let (name, arguments) = rest.split_once(' ').unwrap_or((rest, ""));
+        match connection.prepared.get(name).cloned() {
+            None => format!("ERROR NOSTMT {name}\r\n"),
+            Some(shape) if shape.starts_with("WRITE") => self.write(n, connection, id, arguments),
+            Some(_) => self.read(n, arguments),
+        }
+    }
+
+    fn leads(&self, n: usize) -> bool {
+        self.lock().servers[n].is_primary
+    }
+
+    fn status(&self, n: usize) -> String {
+        let role = if self.leads(n) { "primary" } else { "replica" };
+        let position = self.position(n);
+        let term = self.lock().servers[n].term;
+        format!("ROW {role} {term} {position} 0 0 0 1\r\nCOMPLETE -\r\n")
+    }
+
+    fn read(&self, n: usize, item: &str) -> String {
+        let group = self.lock();
+        let log = &group.servers[n].log;
+        let found = log.iter().rev().find(|(name, _)| name == item);
+        let row = found
+            .map(|(_, data)| format!("ROW {data}\r\n"))
+            .unwrap_or_default();
+        format!("{row}COMPLETE read\r\n")
+    }
+
+    fn write(&self, n: usize, connection: &mut Connection, id: &str, rest: &str) -> String {
+        let (item, data) = rest.split_once(' ').unwrap_or((rest, ""));
+        connection.writes.push((item.to_owned(), data.to_owned()));
+        if connection.is_open {
+            return "COMPLETE write\r\n".to_owned();
+        }
+        let writes = std::mem::take(&mut connection.writes);
+        self.commit(n, writes, id)
+    }
+
+    fn commit(&self, n: usize, writes: Vec<(String, String)>, id: &str) -> String {
+        if !self.leads(n) {
+            return "ERROR READONLY\r\n".to_owned();
+        }
+        for server in &mut self.lock().servers {
+            server.log.extend(writes.clone());
+        }
+        format!("COMPLETE {id}\r\n")
+    }
+}
--- /dev/null
+++ b/standins/src/line_store.rs
@@ -0,0 +1,239 @@
+//! A stand-in for the platform's metadata store and for its promotions, over HTTP.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use axum::Router;
+use axum::extract::{Query, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+use crate::LineGroup;
+
+type Key = (String, String, String);
+
+/// The store, with a switch for outages.
+#[derive(Clone, Debug)]
+pub struct LineStore {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    rows: Mutex<Rows>,
+    changed: Notify,
+    began: Instant,
+    group: LineGroup,
+}
+
+#[derive(Debug, Default)]
+struct Rows {
+    version: u64,
+    rows: BTreeMap<Key, (String, u64)>,
+    /// The version of the last change of each table.
+    tables: BTreeMap<String, u64>,
+    is_down: bool,
+    promotions: u64,
+}
+
+impl LineStore {
+    /// Starts a store on a free port of the loopback interface; promotions go to the group.
+    ///
+    /// # Errors
+    ///
+    /// No port can be listened on.
+    pub async fn start(group: LineGroup) -> std::io::Result<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            rows: Mutex::default(),
+            changed: Notify::new(),
+            began: Instant::now(),
+            group,
+        });
+        let router = Router::new()
+            .route("/-/rows-get", get(rows_get))
+            .route("/-/rows-feed", get(rows_feed))
+            .route("/-/rows-tx", post(rows_tx))
+            .route("/promote", post(promote))
+            .with_state(Arc::clone(&shared));
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        Ok(Self { address, shared })
+    }
+
+    /// Returns where the store, and the promotions, are.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Writes a row outside every part, as operators and servers do.
+    pub fn put(&self, table: &str, key: &str, value: &[u8]) {
+        let mut rows = self.shared.rows();
+        rows.version += 1;
+        let version = rows.version;
+        let key = (table.to_owned(), String::new(), key.to_owned());
+        rows.rows.insert(key, (STANDARD.encode(value), version));
+        rows.tables.insert(table.to_owned(), version);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Has the store answer nothing but that it is unavailable, or serve again.
+    pub fn set_down(&self, is_down: bool) {
+        self.shared.rows().is_down = is_down;
+    }
+
+    /// Returns how many promotions were asked for.
+    #[must_use]
+    pub fn promotions(&self) -> u64 {
+        self.shared.rows().promotions
+    }
+}
+
+impl Shared {
+    fn rows(&self) -> std::sync::MutexGuard<'_, Rows> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn answer(&self, status: StatusCode, rows: Vec<Value>) -> Response {
+        let version = self.rows().version;
+        let now = u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let body = json!({
+            "rows": rows, "has_more": false, "row_version": version, "now_ms": now,
+        });
+        (status, axum::Json(body)).into_response()
+    }
+
+    fn is_down(&self) -> bool {
+        self.rows().is_down
+    }
+}
+
+fn row((table, part, key): &Key, (value, version): &(String, u64)) -> Value {
+    json!({"table": table, "part": part, "key": key, "value": value, "row_version": version})
+}
+
+fn unavailable() -> Response {
+    StatusCode::SERVICE_UNAVAILABLE.into_response()
+}
+
+async fn rows_get(
+    State(shared): State<Arc<Shared>>,
+    Query(query): Query<BTreeMap<String, String>>,
+) -> Response {
+    if shared.is_down() {
+        return unavailable();
+    }
+    let is_meant = |(table, part, _): &Key| {
+        query.get("table") == Some(table) && query.get("part").is_none_or(|wanted| wanted == part)
+    };
+    let rows: Vec<Value> = {
+        let rows = shared.rows();
+        rows.rows
+            .iter()
+            .filter(|(key, _)| is_meant(key))
+            .map(|(k, v)| row(k, v))
+            .collect()
+    };
+    shared.answer(StatusCode::OK, rows)
+}
+
+async fn rows_feed(
+    State(shared): State<Arc<Shared>>,
+    Query(query): Query<BTreeMap<String, String>>,
+) -> Response {
+    let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok());
+    let after = number("after").unwrap_or_default();
+    let wait = Duration::from_millis(number("wait_ms").unwrap_or_default());
+    let table = query.get("table").cloned().unwrap_or_default();
+    let until = Instant::now() + wait;
+    loop {
+        let changed = shared.changed.notified();
+        if shared.is_down() {
+            return unavailable();
+        }
+        let last = shared
+            .rows()
+            .tables
+            .get(&table)
+            .copied()
+            .unwrap_or_default();
+        if last > after {
+            let changed = json!({"table": table, "part": "", "key": "", "row_version": last});
+            return shared.answer(StatusCode::OK, vec![changed]);
+        }
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() || tokio::time::timeout(left, changed).await.is_err() {
+            return shared.answer(StatusCode::OK, Vec::new());
+        }
+    }
+}
+
+fn entry_key(entry: &Value) -> Key {
+    let text = |name: &str| entry[name].as_str().unwrap_or_default().to_owned();
+    (text("table"), text("part"), text("key"))
+}
+
+async fn rows_tx(State(shared): State<Arc<Shared>>, body: String) -> Response {
+    if shared.is_down() {
+        return unavailable();
+    }
+    let Ok(transaction) = serde_json::from_str::<Value>(&body) else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let list = |name: &str| transaction[name].as_array().cloned().unwrap_or_default();
+    let expected = list("expected_revision");
+    let conflicts = {
+        let mut rows = shared.rows();
+        let present = |key: &Key| rows.rows.get(key).map_or(0, |(_, version)| *version);
+        let holds = expected
+            .iter()
+            .all(|entry| entry["row_version"].as_u64() == Some(present(&entry_key(entry))));
+        if holds {
+            rows.version += 1;
+            let version = rows.version;
+            for entry in list("puts") {
+                let key = entry_key(&entry);
+                let value = entry["value"].as_str().unwrap_or_default().to_owned();
+                rows.tables.insert(key.0.clone(), version);
+                rows.rows.insert(key, (value, version));
+            }
+            for entry in list("remove") {
+                let key = entry_key(&entry);
+                rows.tables.insert(key.0.clone(), version);
+                rows.rows.remove(&key);
+            }
+            None
+        } else {
+            let keys = expected.iter().map(entry_key);
+            let found = keys.filter_map(|key| rows.rows.get(&key).map(|value| row(&key, value)));
+            Some(found.collect())
+        }
+    };
+    shared.changed.notify_waiters();
+    match conflicts {
+        None => shared.answer(StatusCode::OK, Vec::new()),
+        Some(rows) => shared.answer(StatusCode::PRECONDITION_FAILED, rows),
+    }
+}
+
+async fn promote(State(shared): State<Arc<Shared>>, body: String) -> StatusCode {
+    let body: Value = serde_json::from_str(&body).unwrap_or_default();
+    shared.rows().promotions += 1;
+    match shared
+        .group
+        .promote(body["id"].as_str().unwrap_or_default())
+    {
+        true => StatusCode::OK,
+        false => StatusCode::CONFLICT,
+    }
+}
