--- a/sapphireslip-lead/src/duty.rs
+++ b/sapphireslip-lead/src/duty.rs
@@ -3,18 +3,22 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use sapphireslip_core::{Instant, ServerId, ServiceName, data};
+use sapphireslip_core::{Instant, ServerId, ServiceName, ZoneName, data};
 
 use crate::handover::{Handover, Reason};
 use crate::state::State;
 use crate::{
-    DutyRecord, Effect, LeadRecord, Record, RecordKind, Role, RowVersion, StoreWrite, Term,
-    WriteOutcome,
+    DutyRecord, Effect, LeadRecord, PermitRecord, Record, RecordKind, Role, RowVersion, StoreWrite,
+    Term, WriteOutcome,
 };
 
 /// The pause between two daemons' attempts to take a vacant duty.
 const TAKE_SPACING: Duration = Duration::from_millis(150);
 
+/// How long nothing must have happened before the duty goes to another zone: holders that take
+/// turns would race.
+const HAND_ON_AFTER: Duration = Duration::from_secs(10);
+
 /// How soon a write for the duty is tried again.
 const WRITE_RETRY: Duration = Duration::from_millis(300);
 
@@ -32,6 +36,8 @@
         next_write: Instant,
         vacant: Option<Instant>,
         was_held: bool,
+        /// Since when this daemon has held the duty and replaced no primary.
+        quiet_since: Instant,
         pub(crate) handovers: BTreeMap<ServiceName, Handover>,
         without_primary: BTreeMap<ServiceName, Instant>,
         /// When the promotion of a server was last asked for, here or by an earlier holder.
@@ -80,6 +86,10 @@
             }
             return;
         }
+        if !self.duty.handovers.is_empty() {
+            self.duty.quiet_since = self.now;
+        }
+        self.hand_on_duty();
         let services = self
             .catalog
             .as_ref()
@@ -95,6 +105,7 @@
         if token.is_some() != self.duty.was_held {
             self.duty.was_held = token.is_some();
             self.await_earlier_grants();
+            self.duty.quiet_since = self.now;
             for service in self.leads.table.leads.keys() {
                 let asked = self.now;
                 self.duty.promotion_asked.insert(service.clone(), asked);
@@ -164,18 +175,54 @@
         }
     }
 
-    /// Returns how many live daemons come before this one.
+    /// Returns how many live daemons had better hold the duty than this one.
     fn rank(&self) -> usize {
-        let Some(table) = &self.permits else {
-            return 0;
-        };
+        let own = (self.leaders_in(&self.local.zone), &self.local.vm);
         let comes_first =
-            |record: &crate::PermitRecord| table.now < record.until && record.vm < self.local.vm;
-        table
-            .permits
-            .iter()
-            .filter(|(record, _)| comes_first(record))
-            .count()
+            |record: &&PermitRecord| (self.leaders_in(&record.zone), &record.vm) < own;
+        self.permitted().filter(comes_first).count()
+    }
+
+    /// Returns the daemons with a permission.
+    fn permitted(&self) -> impl Iterator<Item = &PermitRecord> {
+        let table = self.permits.as_ref();
+        let permits = table.into_iter().flat_map(|table| {
+            let is_permitted = |(record, _): &&(PermitRecord, RowVersion)| table.now < record.until;
+            table.permits.iter().filter(is_permitted)
+        });
+        permits.map(|(record, _)| record)
+    }
+
+    /// Returns how many leaders are in a zone. A holder that is cut off together with leaders holds
+    /// up their replacement until its permission has ended.
+    fn leaders_in(&self, zone: &ZoneName) -> usize {
+        let leaders = self.leads.table.leads.values();
+        let servers = leaders.filter_map(|(record, _)| self.servers.get(&record.leader));
+        servers.filter(|server| server.record.zone == *zone).count()
+    }
+
+    /// Gives the duty back in calm times if a daemon in a zone with fewer leaders can take it.
+    fn hand_on_duty(&mut self) {
+        let Some(duty) = self.token() else {
+            return;
+        };
+        let own = self.leaders_in(&self.local.zone);
+        let is_better = |record: &PermitRecord| self.leaders_in(&record.zone) < own;
+        let is_calm = self.duty.handovers.is_empty()
+            && !self.duty.is_pending
+            && self.now.since(self.duty.quiet_since) >= HAND_ON_AFTER;
+        if is_calm && self.permitted().any(is_better) {
+            self.duty.is_pending = true;
+            self.log(Record::new(
+                RecordKind::DutyChanged,
+                "given to another zone".into(),
+            ));
+            self.effects.push(Effect::Write(StoreWrite::Duty {
+                record: None,
+                duty,
+                ended: None,
+            }));
+        }
     }
 
     /// Takes the outcome of a write for the duty.
--- a/sapphireslip-lead/tests/lead_safety.rs
+++ b/sapphireslip-lead/tests/lead_safety.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use rstest::rstest;
-use support::{Fleet, server};
+use support::{Fleet, server, vm};
 
 /// Lets one random fault begin or end.
 fn disturb(fleet: &mut Fleet) {
@@ -108,3 +108,13 @@
     fleet.advance(1_000);
     assert_eq!(fleet.faults(), Vec::<String>::new());
 }
+
+/// Pattern: a zone is cut off with the primary and the holder of the duty.
+#[rstest]
+fn duty_goes_to_a_zone_without_primaries() {
+    let mut fleet = Fleet::new(4);
+    fleet.advance(16_000);
+    let (duty, _) = fleet.store.leads.duty.clone().expect("a holder");
+    assert_ne!(duty.holder, vm("vm-0"), "it is in the zone of the primary");
+    assert_eq!(fleet.faults(), Vec::<String>::new());
+}
