--- a/sapphireslip-lead/src/effect.rs
+++ b/sapphireslip-lead/src/effect.rs
@@ -178,8 +178,8 @@
             record: PermitRecord,
             /// The version of the present row; 0 if there is none.
             permit: RowVersion,
-            /// The version of the last change of a lead.
-            generation: RowVersion,
+            /// The version of the last change of a lead; none for a row that permits nothing.
+            generation: Option<RowVersion>,
         },
         /// Gives this daemon's permission back.
         DropPermit {
--- a/sapphireslip-lead/src/homes.rs
+++ b/sapphireslip-lead/src/homes.rs
@@ -12,6 +12,9 @@
 use crate::state::State;
 use crate::{PermitRecord, Record, RecordKind};
 
+/// How long daemons that start together take to say that they live, and to read it of the others.
+const MEETING_TIME: Duration = Duration::from_millis(800);
+
 /// How long a session must have been quiet to be moved to its home: its caller pauses.
 const MOVE_QUIET: Duration = Duration::from_millis(400);
 
@@ -81,12 +84,16 @@
 
     /// Returns whether this daemon works with servers, so that it needs a permission.
     pub(crate) fn needs_permission(&self) -> bool {
-        let Some(catalog) = &self.catalog else {
+        if !self.sessions.is_empty() || self.holds_duty() {
             return true;
-        };
-        !self.sessions.is_empty()
-            || self.holds_duty()
-            || catalog.services.keys().any(|service| self.is_home(service))
+        }
+        // Daemons that start together have to know each other to tell who is a home.
+        let knows_others = self.now.since_start >= MEETING_TIME && self.permits.is_some();
+        let services = self
+            .catalog
+            .iter()
+            .flat_map(|catalog| catalog.services.keys());
+        knows_others && services.into_iter().any(|service| self.is_home(service))
     }
 
     /// Sends callers to where their sessions are better served.
--- a/sapphireslip-lead/src/permit.rs
+++ b/sapphireslip-lead/src/permit.rs
@@ -102,7 +102,7 @@
         self.note_permit_change();
         let needs = self.needs_permission();
         self.note_lack(needs);
-        let Some(row) = self.permit.row.filter(|_| self.leads.is_known) else {
+        let Some(row) = self.permit.row.filter(|_| self.leads.is_known || !needs) else {
             return;
         };
         if self.permit.is_pending || self.has_left() {
@@ -130,6 +130,10 @@
         self.permit.retry = self.now + RENEW_RETRY;
         self.permit.next = self.now + if needs { RENEW_EVERY } else { PRESENCE_EVERY };
         self.permit.reported.clone_from(&unreachable);
+        if !needs {
+            // The new row will count as an acknowledgement of every change of a lead.
+            self.permit.until = None;
+        }
         let (length, alive) = match needs {
             true if self.holds_duty() => (HOLD_LENGTH, PERMIT_LENGTH),
             true => (PERMIT_LENGTH, PERMIT_LENGTH),
@@ -153,7 +157,7 @@
         self.effects.push(Effect::Write(StoreWrite::Permit {
             record,
             permit: row,
-            generation,
+            generation: needs.then_some(generation),
         }));
     }
 
@@ -161,7 +165,7 @@
     pub(crate) fn on_permit_written(
         &mut self,
         record: &PermitRecord,
-        generation: RowVersion,
+        generation: Option<RowVersion>,
         sent: Instant,
         outcome: WriteOutcome,
     ) {
@@ -174,7 +178,8 @@
             WriteOutcome::Done { version, now } => {
                 self.permit.clock.learn(sent, now);
                 self.permit.row = Some(version);
-                self.permit.acknowledged = self.permit.acknowledged.max(generation);
+                self.permit.acknowledged =
+                    self.permit.acknowledged.max(generation.unwrap_or_default());
                 let length = record.until.0.saturating_sub(now.0);
                 self.permit.until = self.permit.until.max(Some(sent + length));
             }
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -176,6 +176,12 @@
         !self.jobs.is_empty() || self.duty.is_at_work() || self.is_leaving()
     }
 
+    /// Returns whether the leads are of use to this daemon.
+    #[must_use]
+    pub fn needs_leads(&self) -> bool {
+        self.needs_permission()
+    }
+
     /// Returns what metrics show of the state.
     #[must_use]
     pub fn snapshot(&self) -> Snapshot {
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -21,6 +21,18 @@
 /// sessions that are passed on to it.
 const PERMITS_EVERY_IDLE: Duration = Duration::from_millis(2_500);
 
+/// The most of these pauses' length, also in the largest fleet.
+const PERMITS_EVERY_IDLE_MAX: Duration = Duration::from_secs(10);
+
+/// The daemons for which that pause is meant; twice as many read half as often.
+const IDLE_FLEET: usize = 30;
+
+/// How often permissions are read right after the start, when other daemons may start too.
+const PERMITS_EVERY_START: Duration = Duration::from_millis(600);
+
+/// How long that goes on.
+const START_TIME: Duration = Duration::from_millis(1_500);
+
 /// How often the holder of the duty reads permissions, which name the leaders that can't be reached.
 const PERMITS_EVERY_HOLDER: Duration = Duration::from_millis(500);
 
@@ -80,7 +92,8 @@
         let every = match (self.token().is_some(), doubts_leader) {
             (true, true) => PERMITS_EVERY_DOUBT,
             (true, false) => PERMITS_EVERY_HOLDER,
-            (false, _) if is_idle => PERMITS_EVERY_IDLE,
+            (false, _) if self.now.since_start < START_TIME => PERMITS_EVERY_START,
+            (false, _) if is_idle => self.idle_pause(),
             (false, _) => PERMITS_EVERY,
         };
         if self.reads.permits.is_due(self.now, every) {
@@ -89,6 +102,15 @@
         }
     }
 
+    /// Returns how often a daemon without work reads permissions: the more daemons, the rarer.
+    fn idle_pause(&self) -> Duration {
+        let daemons = self.permits.as_ref().map_or(0, |table| table.permits.len());
+        let times = u32::try_from(daemons / IDLE_FLEET).unwrap_or(u32::MAX);
+        PERMITS_EVERY_IDLE
+            .saturating_mul(times.max(1))
+            .min(PERMITS_EVERY_IDLE_MAX)
+    }
+
     /// Reads permissions now; returns false if that is under way already.
     pub(crate) fn read_permits(&mut self) -> bool {
         if !self.reads.permits.is_due(self.now, Duration::ZERO) {
--- a/sapphireslipd/src/lead_run.rs
+++ b/sapphireslipd/src/lead_run.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::AtomicBool;
 
 use sapphireslip_lead::{Event, Identity, State};
-use sapphireslip_platform::{PlatformError, Table, decode_catalog, decode_leads};
+use sapphireslip_platform::{Table, decode_catalog, decode_leads};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinSet;
@@ -16,6 +16,7 @@
 use crate::run::listen;
 use crate::store_client::StoreClient;
 use crate::store_edge::StoreEdge;
+use crate::store_watch::Watch;
 use crate::{BootClock, Error, LeadSettings, new_incarnation, readiness_page, store_watch};
 
 /// The most events that wait for the reducer.
@@ -50,12 +51,23 @@
     ));
     let is_ready = Arc::new(AtomicBool::new(false));
     tokio::spawn(readiness_page::serve(readiness, Arc::clone(&is_ready)));
-    watch(&store, Table::Operator, |body| {
-        decode_catalog(body).map(Event::Catalog)
-    });
-    watch(&store, Table::Leads, |body| {
-        decode_leads(body).map(Event::Leads)
-    });
+    let needs_leads = Arc::new(AtomicBool::new(false));
+    let configuration = Watch {
+        table: Table::Operator,
+        decode: |body| decode_catalog(body).map(Event::Catalog),
+        is_one_row: true,
+        is_needed: Arc::new(AtomicBool::new(true)),
+    };
+    let leads = Watch {
+        table: Table::Leads,
+        decode: |body| decode_leads(body).map(Event::Leads),
+        is_one_row: false,
+        is_needed: Arc::clone(&needs_leads),
+    };
+    for watch in [configuration, leads] {
+        let (client, events) = (store.store.clone(), store.events.clone());
+        tokio::spawn(store_watch::watch(client, watch, events));
+    }
     tokio::spawn(stop_on_signals(settings.drain_bound, events_tx.clone())?);
     let incarnation = new_incarnation();
     let identity = Identity {
@@ -75,6 +87,7 @@
         backends: Backends::default(),
         store,
         is_ready,
+        needs_leads,
         metrics,
         sessions: 0,
         shown: tokio::time::Instant::now(),
@@ -92,11 +105,6 @@
     rx
 }
 
-fn watch(store: &StoreEdge, table: Table, decode: fn(&[u8]) -> Result<Event, PlatformError>) {
-    let (client, events) = (store.store.clone(), store.events.clone());
-    tokio::spawn(store_watch::watch(client, table, events, decode));
-}
-
 /// Returns a task that turns signals into events: a stop, or a change of the settings file, of
 /// which nothing is taken over while the daemon runs.
 fn stop_on_signals(
--- a/sapphireslipd/src/lead_runner.rs
+++ b/sapphireslipd/src/lead_runner.rs
@@ -42,6 +42,8 @@
     pub(crate) backends: Backends,
     pub(crate) store: StoreEdge,
     pub(crate) is_ready: Arc<AtomicBool>,
+    /// Whether the leads have to be watched.
+    pub(crate) needs_leads: Arc<AtomicBool>,
     pub(crate) metrics: Arc<LeadMetrics>,
     pub(crate) sessions: u64,
     pub(crate) shown: Instant,
@@ -109,6 +111,8 @@
         }
         self.is_ready
             .store(self.state.is_ready(), Ordering::Relaxed);
+        let needs_leads = self.state.needs_leads();
+        self.needs_leads.store(needs_leads, Ordering::Relaxed);
         leaves
     }
 
--- a/sapphireslipd/src/store_watch.rs
+++ b/sapphireslipd/src/store_watch.rs
@@ -1,7 +1,10 @@
 //! Watches a table of the store and hands over each state of it.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
 use sapphireslip_lead::{Event, RowVersion};
 use sapphireslip_platform::{
     PlatformError, Table, Watched, decode_version, decode_watch, read_table, watch_table,
@@ -12,30 +15,69 @@
 /// How long the store may wait for a change before it answers: the longer, the fewer calls.
 const WATCH_WAIT: Duration = Duration::from_secs(15);
 
+/// How often it is seen whether a table has come to be of use.
+const NEED_PAUSE: Duration = Duration::from_millis(100);
+
 /// The pause after a call without an answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
-/// Watches a table until the receiver of events is gone; `decode` makes an event of its state.
-pub(crate) async fn watch(
-    client: StoreClient,
-    table: Table,
-    events: flume::Sender<Event>,
-    decode: fn(&[u8]) -> Result<Event, PlatformError>,
-) {
+/// A table to be watched.
+#[derive(Debug)]
+pub(crate) struct Watch {
+    pub(crate) table: Table,
+    /// Makes an event of the table's state.
+    pub(crate) decode: fn(&[u8]) -> Result<Event, PlatformError>,
+    /// Whether one changed row is the whole state.
+    pub(crate) is_one_row: bool,
+    /// Whether the table is of use at the moment.
+    pub(crate) is_needed: Arc<AtomicBool>,
+}
+
+/// Watches a table until the receiver of events is gone.
+pub(crate) async fn watch(client: StoreClient, watch: Watch, events: flume::Sender<Event>) {
+    let Watch { table, decode, .. } = watch;
     let mut is_away = false;
     while !events.is_disconnected() {
+        if !watch.is_needed.load(Ordering::Relaxed) {
+            tokio::time::sleep(NEED_PAUSE).await;
+            continue;
+        }
         let version = read(&client, table, &events, decode).await;
         note(&mut is_away, table, version.is_some());
         let Some(mut version) = version else {
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         };
-        while let Some(next) = wait(&client, table, version).await {
-            version = next;
+        while watch.is_needed.load(Ordering::Relaxed) {
+            match wait(&client, table, version).await {
+                Waited::Unchanged(next) => version = next,
+                Waited::Changed(next, body) if watch.is_one_row => {
+                    version = next;
+                    tell(&events, decode(&body)).await;
+                }
+                Waited::Changed(..) | Waited::Lost => break,
+            }
         }
     }
 }
 
+/// What came of waiting for a change.
+enum Waited {
+    Unchanged(RowVersion),
+    /// The version up to which the answer goes, and the answer.
+    Changed(RowVersion, Bytes),
+    Lost,
+}
+
+async fn tell(events: &flume::Sender<Event>, event: Result<Event, PlatformError>) {
+    match event {
+        // Fails only when the daemon is stopping already.
+        Ok(event) => drop(events.send_async(event).await),
+        // The rest of the store is of use all the same: the watch goes on.
+        Err(err) => log::warn!("{err}"),
+    }
+}
+
 /// Logs only the changes: an outage may last for many attempts.
 fn note(is_away: &mut bool, table: Table, answers: bool) {
     if *is_away == answers {
@@ -64,32 +106,31 @@
         log::debug!("reading {table:?}: status {}", answer.status);
         return None;
     }
-    match decode(&answer.body) {
-        Ok(event) => events.send_async(event).await.ok()?,
-        // The rest of the store is of use all the same: the watch goes on.
-        Err(err) => log::warn!("{err}"),
-    }
+    tell(events, decode(&answer.body)).await;
     decode_version(&answer.body)
         .inspect_err(|err| log::warn!("{err}"))
         .ok()
 }
 
-/// Waits for a change; returns the version to go on from while there is none.
-async fn wait(client: &StoreClient, table: Table, after: RowVersion) -> Option<RowVersion> {
+/// Waits for a change.
+async fn wait(client: &StoreClient, table: Table, after: RowVersion) -> Waited {
     let call = watch_table(table, after, WATCH_WAIT);
-    let answer = client.call(call, WATCH_WAIT).await;
-    let answer = answer.inspect_err(|err| log::debug!("watching {table:?}: {err}"));
-    let Ok(answer) = answer else {
-        tokio::time::sleep(RETRY_PAUSE).await;
-        return None;
+    let answer = match client.call(call, WATCH_WAIT).await {
+        Ok(answer) => answer,
+        Err(err) => {
+            log::debug!("watching {table:?}: {err}");
+            tokio::time::sleep(RETRY_PAUSE).await;
+            return Waited::Lost;
+        }
     };
     match decode_watch(answer.status, &answer.body) {
-        Ok(Watched::Unchanged(version)) => Some(version),
-        Ok(Watched::Changed(_) | Watched::Forgotten) => None,
+        Ok(Watched::Unchanged(version)) => Waited::Unchanged(version),
+        Ok(Watched::Changed(version)) => Waited::Changed(version, answer.body),
+        Ok(Watched::Forgotten) => Waited::Lost,
         Err(err) => {
             log::debug!("watching {table:?}: {err}");
             tokio::time::sleep(RETRY_PAUSE).await;
-            None
+            Waited::Lost
         }
     }
 }
--- a/standins/src/line_store.rs
+++ b/standins/src/line_store.rs
@@ -168,8 +168,18 @@
             .copied()
             .unwrap_or_default();
         if last > after {
-            let changed = json!({"table": table, "part": "", "key": "", "row_version": last});
-            return shared.answer(StatusCode::OK, vec![changed]);
+            let changed: Vec<Value> = {
+                let rows = shared.rows();
+                let is_new = |(key, (_, version)): &(&Key, &(String, u64))| {
+                    key.0 == table && *version > after
+                };
+                rows.rows
+                    .iter()
+                    .filter(is_new)
+                    .map(|(key, value)| row(key, value))
+                    .collect()
+            };
+            return shared.answer(StatusCode::OK, changed);
         }
         let left = until.saturating_duration_since(Instant::now());
         if left.is_zero() || tokio::time::timeout(left, changed).await.is_err() {
