--- a/sapphireslip-lead/src/duty.rs
+++ b/sapphireslip-lead/src/duty.rs
@@ -343,7 +343,7 @@
             .is_none_or(|server| server.is_unreachable(self.now));
         let (mut accusers, mut witnesses) = if is_unreachable { (1, 0) } else { (0, 1) };
         for (record, _) in &table.permits {
-            if record.vm == self.local.vm || record.alive <= table.now {
+            if record.vm == self.local.vm || record.until <= table.now {
                 continue;
             }
             accusers += usize::from(record.unreachable.contains(leader));
--- a/sapphireslip-lead/src/event.rs
+++ b/sapphireslip-lead/src/event.rs
@@ -83,7 +83,7 @@
         RelayFailed {
             /// The session.
             session: SessionId,
-            /// Whether that daemon answered at all.
+            /// Whether its machine answered at all.
             is_refused: bool,
         },
         /// The other daemon ended a session that was passed on.
--- a/sapphireslip-lead/src/permit.rs
+++ b/sapphireslip-lead/src/permit.rs
@@ -26,7 +26,8 @@
 /// How often a daemon without work at servers says that it lives.
 const PRESENCE_EVERY: Duration = Duration::from_secs(6);
 
-/// How long it counts as alive then.
+/// How long a daemon counts as alive after its row was written: daemons that all lose power agree on
+/// their homes when they are back, and one that died is noticed by those that call it.
 const PRESENCE_LENGTH: Duration = Duration::from_secs(14);
 
 /// How recent a leader's answer must be to be reported.
@@ -134,10 +135,10 @@
             // The new row will count as an acknowledgement of every change of a lead.
             self.permit.until = None;
         }
-        let (length, alive) = match needs {
-            true if self.holds_duty() => (HOLD_LENGTH, PERMIT_LENGTH),
-            true => (PERMIT_LENGTH, PERMIT_LENGTH),
-            false => (Duration::ZERO, PRESENCE_LENGTH),
+        let length = match needs {
+            true if self.holds_duty() => HOLD_LENGTH,
+            true => PERMIT_LENGTH,
+            false => Duration::ZERO,
         };
         let took = if needs {
             self.permit.took
@@ -149,7 +150,7 @@
             incarnation: self.local.incarnation,
             zone: self.local.zone.clone(),
             peers: self.local.peers,
-            alive: StoreTime(latest.0 + alive + took),
+            alive: StoreTime(latest.0 + PRESENCE_LENGTH),
             until: StoreTime(latest.0 + length + took),
             unreachable,
             reached: self.reached_leaders(),
--- a/sapphireslip-lead/src/timeouts.rs
+++ b/sapphireslip-lead/src/timeouts.rs
@@ -262,7 +262,7 @@
             .filter(|(id, server)| {
                 server.is_staying()
                     && self.pool.count(id) == 0
-                    && self.works_with(&server.record.service)
+                    && (self.is_home(&server.record.service) || self.holds_duty())
             })
             .map(|(id, _)| id.clone())
             .collect();
--- a/sapphireslip-lead/tests/relays.rs
+++ b/sapphireslip-lead/tests/relays.rs
@@ -9,11 +9,12 @@
 use sapphireslip_lead::{
     ClientEvent, Effect, ErrorCode, Event, PermitRecord, RowVersion, StoreTime, StoreWrite,
 };
-use support::{Daemon, PAYMENTS, vm, zone};
+use support::{Daemon, PAYMENTS, server, vm, zone};
 
 /// Adds a live daemon of the same zone, and returns whether it is the home.
 fn with_other(name: &str, other_zone: &str) -> (Daemon, bool) {
     let mut daemon = Daemon::ready();
+    let reached = vec![server("s-a")];
     let record = PermitRecord {
         vm: vm(name),
         incarnation: Incarnation(1),
@@ -22,7 +23,7 @@
         alive: StoreTime(Duration::from_secs(600)),
         until: StoreTime::default(),
         unreachable: Vec::new(),
-        reached: Vec::new(),
+        reached,
     };
     let generation = None;
     let permit = RowVersion(0);
@@ -135,3 +136,13 @@
     assert_eq!(daemon.closed, [session]);
     assert_eq!(daemon.answers.len(), 0);
 }
+
+/// The word of a daemon whose permission has ended says nothing of the primary any more.
+#[rstest]
+fn lost_primary_is_replaced_against_an_old_witness() {
+    let (mut daemon, _) = with_other("other", "b");
+    daemon.group.get_mut(&server("s-a")).is_dark = true;
+    daemon.break_connections(&server("s-a"));
+    daemon.advance(3_000);
+    assert!(daemon.group.servers.iter().any(|server| server.term.0 == 2));
+}
--- a/sapphireslipd/src/lead_callers.rs
+++ b/sapphireslipd/src/lead_callers.rs
@@ -317,7 +317,7 @@
             Ok(None) => true,
             Err(err) => {
                 log::debug!("passing a session on to `{to}`: {err}");
-                false
+                err.kind() == io::ErrorKind::ConnectionRefused
             }
         };
         self.tell(ClientEvent::RelayFailed {
