Store: a watch ends after 3.5 s, so that a configuration comes past a silent connection

Ruled out: a stale answer overtaking a newer one (versions rose). Test: configuration_comes_past_a_silent_connection.

--- a/sapphireslipd/src/store_watch.rs
+++ b/sapphireslipd/src/store_watch.rs
@@ -12,8 +12,9 @@
 
 use crate::store_client::StoreClient;
 
-/// How long the store may wait for a change before it answers: the longer, the fewer calls.
-const WATCH_WAIT: Duration = Duration::from_secs(15);
+/// How long the store may wait for a change before it answers: a watch that hangs on a connection which
+/// has gone silent is over by then, soon enough for a configuration to be in force in time.
+const WATCH_WAIT: Duration = Duration::from_millis(3_500);
 
 /// How often it is seen whether a table has come to be of use.
 const NEED_PAUSE: Duration = Duration::from_millis(100);
--- a/sapphireslipd/tests/lead_daemon.rs
+++ b/sapphireslipd/tests/lead_daemon.rs
@@ -18,6 +18,10 @@
 /// How long daemons that start together take to know each other: two reads of the permissions.
 const MEETING_TIME: Duration = Duration::from_millis(4_200);
 
+/// Within this time after connections went silent a configuration has to be in force: the settling
+/// time of 4 s counts before the 3 s for the configuration.
+const SILENCE_BOUND: Duration = Duration::from_secs(7);
+
 const SERVICE: &str = "ledger";
 
 /// A site with one daemon a name, each in zone a.
@@ -275,6 +279,29 @@
     assert!(caller.run("old", "READ x").await.starts_with("ERROR NODB"));
 }
 
+/// A watch that hangs on a connection which has gone silent ends in time.
+#[tokio::test]
+async fn configuration_comes_past_a_silent_connection() {
+    let site = Site::start(&["vm-1"]).await;
+    let mut caller = site.caller(0).await;
+    site.store.hang_watches(true);
+    let without = config(2).replace("\"fees\"", "\"other\"");
+    site.store.put("op", "config", without.as_bytes());
+    site.store.hang_watches(false);
+    let until = Instant::now() + SILENCE_BOUND;
+    for n in 0.. {
+        if caller
+            .run(&n.to_string(), "READ x")
+            .await
+            .starts_with("ERROR NODB")
+        {
+            break;
+        }
+        assert!(Instant::now() < until, "in force within {SILENCE_BOUND:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 #[tokio::test]
 async fn bad_input_is_refused_and_the_daemon_lives() {
     let site = Site::start(&["vm-1"]).await;
--- a/standins/src/line_store.rs
+++ b/standins/src/line_store.rs
@@ -42,6 +42,7 @@
     /// The version of the last change of each table.
     tables: BTreeMap<String, u64>,
     is_down: bool,
+    hangs_watches: bool,
     promotions: u64,
 }
 
@@ -92,6 +93,13 @@
         self.shared.rows().is_down = is_down;
     }
 
+    /// Has watches that are open or come never answer, as on connections that have gone silent, or
+    /// answer again those that come.
+    pub fn hang_watches(&self, hangs: bool) {
+        self.shared.rows().hangs_watches = hangs;
+        self.shared.changed.notify_waiters();
+    }
+
     /// Returns how many promotions were asked for.
     #[must_use]
     pub fn promotions(&self) -> u64 {
@@ -158,6 +166,10 @@
     let until = Instant::now() + wait;
     loop {
         let changed = shared.changed.notified();
+        let hangs = shared.rows().hangs_watches;
+        if hangs {
+            return std::future::pending().await;
+        }
         if shared.is_down() {
             return unavailable();
         }
