Permissions: a daemon relies on no row that is longer than the one in the store

Cut off with two primaries it acknowledged writes after others had been promoted. The permission now ends with the earliest row that may be in the store, by the store's clock. Test first: permission_is_no_longer_than_its_row printed `it believes in 5.3s, its row lasts 2s`.

--- a/sapphireslip-lead/src/lib.rs
+++ b/sapphireslip-lead/src/lib.rs
@@ -34,6 +34,7 @@
 mod store_clock;
 mod store_events;
 mod timeouts;
+mod transaction;
 
 pub use sapphireslip_core::{Position, Term, TermPosition};
 
--- a/sapphireslip-lead/src/permit.rs
+++ b/sapphireslip-lead/src/permit.rs
@@ -10,6 +10,7 @@
 
 use crate::connection::Purpose;
 use crate::grant::HOLD_LENGTH;
+use crate::server::KnownServer;
 use crate::state::State;
 use crate::{
     Effect, PermitRecord, PermitTable, Record, RecordKind, RowVersion, StoreClock, StoreTime,
@@ -49,8 +50,12 @@
     pub(crate) struct Permit {
         /// The present row's version; none until the permissions were read.
         pub(crate) row: Option<RowVersion>,
-        /// Until when it is valid, by this daemon's clock.
-        until: Option<Instant>,
+        /// Until when the present row is valid, by the store's clock.
+        until: Option<StoreTime>,
+        /// The earliest end of a row that may have been written since: it may be shorter.
+        unsettled: Option<StoreTime>,
+        /// Until when the word of the holder of the duty is good.
+        granted: Option<Instant>,
         is_pending: bool,
         is_unknown: bool,
         next: Instant,
@@ -71,12 +76,18 @@
 impl Permit {
     /// Returns whether the daemon may rely on the leads that it knows.
     pub(crate) fn is_valid(&self, now: Instant) -> bool {
-        self.until.is_some_and(|until| now < until)
+        !self.left(now).is_zero()
     }
 
-    /// Returns how long the permission lasts.
+    /// Returns how long the permission lasts: no longer than any row that may be in the store.
     pub(crate) fn left(&self, now: Instant) -> Duration {
-        self.until.map_or(Duration::ZERO, |until| until.since(now))
+        let until = self
+            .until
+            .map(|until| self.unsettled.map_or(until, |end| end.min(until)));
+        let by_row = until.zip(self.clock.latest(now));
+        let by_row = by_row.map_or(Duration::ZERO, |(end, now)| end.0.saturating_sub(now.0));
+        let by_grant = self.granted.map_or(Duration::ZERO, |end| end.since(now));
+        by_row.max(by_grant)
     }
 
     /// Returns whether the last renewal has had no answer yet, or got none.
@@ -86,7 +97,7 @@
 
     /// Prolongs the permission by another daemon's word.
     pub(crate) fn extend(&mut self, until: Instant) {
-        self.until = self.until.max(Some(until));
+        self.granted = self.granted.max(Some(until));
     }
 
     /// Returns for how long the daemon has needed the permission and lacked it.
@@ -133,7 +144,7 @@
         self.permit.reported.clone_from(&unreachable);
         if !needs {
             // The new row will count as an acknowledgement of every change of a lead.
-            self.permit.until = None;
+            self.permit.granted = None;
         }
         let length = match needs {
             true if self.holds_duty() => HOLD_LENGTH,
@@ -155,6 +166,9 @@
             unreachable,
             reached: self.reached_leaders(),
         };
+        let end = record.until;
+        let earliest = self.permit.unsettled.map_or(end, |other| other.min(end));
+        self.permit.unsettled = Some(earliest);
         self.effects.push(Effect::Write(StoreWrite::Permit {
             record,
             permit: row,
@@ -181,8 +195,8 @@
                 self.permit.row = Some(version);
                 self.permit.acknowledged =
                     self.permit.acknowledged.max(generation.unwrap_or_default());
-                let length = record.until.0.saturating_sub(now.0);
-                self.permit.until = self.permit.until.max(Some(sent + length));
+                self.permit.until = Some(record.until);
+                self.permit.unsettled = None;
             }
             WriteOutcome::Conflict { permit, now } => {
                 self.permit.clock.learn(sent, now);
@@ -229,23 +243,19 @@
 
     /// Returns the leaders that can't be reached.
     fn unreachable_leaders(&self) -> Vec<ServerId> {
-        let leaders = self
-            .leads
-            .table
-            .leads
-            .values()
-            .map(|(record, _)| &record.leader);
-        leaders
-            .filter(|leader| {
-                let server = self.servers.get(leader);
-                server.is_some_and(|server| server.is_unreachable(self.now))
-            })
-            .cloned()
-            .collect()
+        self.leaders_that(|server| server.is_unreachable(self.now))
     }
 
     /// Returns the leaders that have lately answered.
     fn reached_leaders(&self) -> Vec<ServerId> {
+        self.leaders_that(|server| {
+            let answered = server.answered;
+            !server.is_unreachable(self.now)
+                && answered.is_some_and(|at| self.now.since(at) <= REACHED_MAX)
+        })
+    }
+
+    fn leaders_that(&self, is_meant: impl Fn(&KnownServer) -> bool) -> Vec<ServerId> {
         let leaders = self
             .leads
             .table
@@ -253,14 +263,7 @@
             .values()
             .map(|(record, _)| &record.leader);
         leaders
-            .filter(|leader| {
-                let server = self.servers.get(leader);
-                server.is_some_and(|server| {
-                    let answered = server.answered;
-                    !server.is_unreachable(self.now)
-                        && answered.is_some_and(|at| self.now.since(at) <= REACHED_MAX)
-                })
-            })
+            .filter(|leader| self.servers.get(leader).is_some_and(&is_meant))
             .cloned()
             .collect()
     }
--- /dev/null
+++ b/sapphireslip-lead/src/transaction.rs
@@ -0,0 +1,187 @@
+//! Transactions at their servers: begun late, bound to one connection, ended or rolled back.
+
+use sapphireslip_core::{ConnectionId, SessionId, TransactionStatus};
+
+use crate::completion::BUSY_PAUSE;
+use crate::connection::{Answer, Purpose};
+use crate::job::{JobId, Work};
+use crate::session::Transaction;
+use crate::state::State;
+use crate::{ErrorCode, Failure, Reply, ServerRequest};
+
+impl State {
+    /// Returns the open transaction of a session.
+    pub(crate) fn transaction_mut(&mut self, session: SessionId) -> Option<&mut Transaction> {
+        self.sessions.get_mut(&session)?.transaction.as_mut()
+    }
+
+    /// Goes on with a transaction's first statement, or looks for another place for it.
+    pub(crate) fn on_begun(&mut self, connection: ConnectionId, id: JobId, reply: Reply) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return self.free_after(connection, reply.transaction);
+        };
+        if reply.failure().is_none() && reply.transaction == TransactionStatus::Open {
+            job.begins = None;
+            return self.send_statement(id, connection, None);
+        }
+        let session = job.session;
+        if let Some(transaction) = self.transaction_mut(session) {
+            transaction.connection = None;
+        }
+        self.free_after(connection, reply.transaction);
+        let failure = reply.failure().cloned();
+        let failure = failure.unwrap_or_else(|| Failure::new(ErrorCode::Aborted, "no begin"));
+        self.resend_or_refuse(id, connection, &failure);
+    }
+
+    pub(crate) fn on_transaction_statement(
+        &mut self,
+        connection: ConnectionId,
+        id: JobId,
+        reply: Reply,
+    ) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let (session, is_commit) = (job.session, job.work == Work::Commit);
+        let is_busy = reply
+            .failure()
+            .is_some_and(|failure| failure.code == ErrorCode::Busy);
+        if is_busy && reply.transaction == TransactionStatus::Open && self.has_time(id) {
+            return self.send_again(id, "the server was busy", BUSY_PAUSE);
+        }
+        let status = reply.transaction;
+        if let Some(transaction) = self.transaction_mut(session) {
+            transaction.status = status;
+        }
+        if is_commit && reply.failure().is_none() {
+            self.leave_connection(session, connection, status);
+            return self.complete(id, session, reply);
+        }
+        if status == TransactionStatus::Idle {
+            self.leave_connection(session, connection, status);
+        }
+        self.deliver(id, reply);
+        self.run_lane_of(connection);
+    }
+
+    /// Ends a transaction that is over at its server.
+    pub(crate) fn leave_connection(
+        &mut self,
+        session: SessionId,
+        connection: ConnectionId,
+        status: TransactionStatus,
+    ) {
+        let session = self.sessions.get_mut(&session);
+        let transaction = session.and_then(|session| session.transaction.take());
+        if transaction.is_some_and(|transaction| transaction.has_set)
+            && let Some(at) = self.pool.get_mut(connection)
+        {
+            at.forget_values();
+        }
+        self.free_after(connection, status);
+    }
+
+    /// Makes a connection free once its server says that no transaction is open on it.
+    pub(crate) fn free_after(&mut self, id: ConnectionId, status: TransactionStatus) {
+        let Some(connection) = self.pool.get_mut(id) else {
+            return;
+        };
+        if let Purpose::Transaction(session) = connection.purpose
+            && self.is_bound(session, id)
+        {
+            return;
+        }
+        let Some(connection) = self.pool.get_mut(id) else {
+            return;
+        };
+        connection.purpose = Purpose::Busy;
+        if !connection.awaited.is_empty() {
+            return;
+        }
+        if status == TransactionStatus::Idle {
+            self.pool.release(id);
+        } else {
+            connection.forget_values();
+            self.request(id, ServerRequest::Rollback, Answer::Rollback);
+        }
+    }
+
+    /// Returns whether a session's open transaction is bound to a connection.
+    pub(crate) fn is_bound(&self, session: SessionId, connection: ConnectionId) -> bool {
+        let session = self.sessions.get(&session);
+        session
+            .and_then(|s| s.transaction.as_ref())
+            .is_some_and(|t| t.connection == Some(connection))
+    }
+
+    /// Ends a session's transaction: what it has done at its server is rolled back.
+    pub(crate) fn end_transaction(&mut self, id: SessionId) {
+        let session = self.sessions.get_mut(&id);
+        let Some(transaction) = session.and_then(|session| session.transaction.take()) else {
+            return;
+        };
+        self.roll_back(transaction.connection);
+    }
+
+    /// Fails a session's transaction. Statements that were sent ahead must not run outside it, so
+    /// that then the caller has to end it itself.
+    pub(crate) fn fail_transaction(&mut self, id: SessionId, is_over: bool) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        if is_over || session.ahead.is_empty() {
+            return self.end_transaction(id);
+        }
+        if let Some(transaction) = session.transaction.as_mut() {
+            transaction.status = TransactionStatus::Failed;
+            let connection = transaction.connection.take();
+            self.roll_back(connection);
+        }
+    }
+
+    /// Fails a session's transaction because its server can't go on with it.
+    pub(crate) fn abort_transaction(&mut self, id: SessionId, cause: &str) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let running = session.running;
+        if let Some(job) = running {
+            let is_commit = self
+                .jobs
+                .get(&job)
+                .is_some_and(|job| job.work == Work::Commit);
+            if is_commit && self.wrote(id) {
+                return self.give_up_unknown(job, cause);
+            }
+            return self.fail(job, Failure::new(ErrorCode::Aborted, cause));
+        }
+        if let Some(transaction) = session.transaction.as_mut() {
+            transaction.status = TransactionStatus::Failed;
+            let connection = transaction.connection.take();
+            self.roll_back(connection);
+        }
+    }
+
+    /// Returns whether a session's transaction has sent a write.
+    pub(crate) fn wrote(&self, id: SessionId) -> bool {
+        let session = self.sessions.get(&id);
+        session
+            .and_then(|s| s.transaction.as_ref())
+            .is_some_and(|t| t.has_written)
+    }
+
+    pub(crate) fn roll_back(&mut self, connection: Option<ConnectionId>) {
+        let Some(id) = connection else {
+            return;
+        };
+        let Some(connection) = self.pool.get_mut(id) else {
+            return;
+        };
+        connection.purpose = Purpose::Busy;
+        connection.forget_values();
+        if connection.awaited.is_empty() {
+            self.request(id, ServerRequest::Rollback, Answer::Rollback);
+        }
+    }
+}
--- a/sapphireslip-lead/tests/permits.rs
+++ b/sapphireslip-lead/tests/permits.rs
@@ -2,9 +2,12 @@
 
 mod support;
 
+use std::time::Duration;
+
 use rstest::rstest;
-use sapphireslip_lead::{Event, StoreTime};
-use support::{Daemon, PAYMENTS, catalog};
+use sapphireslip_core::Incarnation;
+use sapphireslip_lead::{DutyRecord, Event, PermitRecord, RowVersion, StoreTime, StoreWrite};
+use support::{Daemon, PAYMENTS, catalog, vm, zone};
 
 #[rstest]
 fn daemon_without_work_permits_itself_nothing() {
@@ -36,7 +39,7 @@
     let mut daemon = Daemon::new("a");
     daemon.event(Event::Catalog(catalog(1)));
     daemon.advance(2_000);
-    assert!(daemon.state.snapshot().permission_left > std::time::Duration::ZERO);
+    assert!(daemon.state.snapshot().permission_left > Duration::ZERO);
     let mut without = catalog(2);
     without.services.clear();
     without.routes.clear();
@@ -52,12 +55,56 @@
         }
     }
     if is_given_up(&daemon) {
-        assert_eq!(
-            daemon.state.snapshot().permission_left,
-            std::time::Duration::ZERO
-        );
+        assert_eq!(daemon.state.snapshot().permission_left, Duration::ZERO);
     } else {
         // Alone, it holds the duty and goes on needing the permission.
         assert!(daemon.state.needs_leads());
     }
 }
+
+/// A holder of the duty has a longer permission; once another daemon holds it, the next row is
+/// shorter, and the daemon must not rely on the longer one before.
+#[rstest]
+fn permission_is_no_longer_than_its_row() {
+    let mut daemon = Daemon::ready();
+    assert!(daemon.state.snapshot().permission_left > Duration::from_secs(3));
+    let long = StoreTime(Duration::from_secs(600));
+    let record = PermitRecord {
+        vm: vm("vm-0"),
+        incarnation: Incarnation(1),
+        zone: zone("b"),
+        peers: "10.1.0.9:7000".parse().expect("an address"),
+        alive: long,
+        until: long,
+        unreachable: Vec::new(),
+        reached: Vec::new(),
+    };
+    let write = StoreWrite::Permit {
+        record,
+        permit: RowVersion(0),
+        generation: None,
+    };
+    daemon.store.write(daemon.millis, &write);
+    daemon.advance(2_500);
+    let other = DutyRecord {
+        holder: vm("vm-0"),
+        incarnation: Incarnation(1),
+    };
+    daemon.store.leads.duty = Some((other, RowVersion(1_000)));
+    let leads = daemon.store.leads.clone();
+    daemon.event(Event::Leads(leads));
+    for _ in 0..300 {
+        daemon.advance(10);
+        let table = daemon.store.permits(daemon.millis);
+        let own = table
+            .permits
+            .iter()
+            .find(|(record, _)| record.vm == vm("vm-1"));
+        let left = own.expect("a row").0.until.0.saturating_sub(table.now.0);
+        let believed = daemon.state.snapshot().permission_left;
+        assert!(
+            believed <= left,
+            "it believes in {believed:?}, its row lasts {left:?}"
+        );
+    }
+}
--- a/sapphireslipd/src/store_client.rs
+++ b/sapphireslipd/src/store_client.rs
@@ -13,7 +13,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use quick_error::quick_error;
-use sapphireslip_platform::Call;
+use sapphireslip_platform::{Call, Table, read_table};
 
 use crate::lead_metrics::LeadMetrics;
 
@@ -136,6 +136,19 @@
         self.usual_micros.store(micros, Ordering::Relaxed);
     }
 
+    /// Reads a whole table; none if the store does not answer.
+    pub(crate) async fn read(&self, table: Table) -> Option<Bytes> {
+        let answer = self.call(read_table(table), Duration::ZERO).await;
+        let answer = answer
+            .inspect_err(|err| log::debug!("reading {table:?}: {err}"))
+            .ok()?;
+        if answer.status != 200 {
+            log::debug!("reading {table:?}: status {}", answer.status);
+            return None;
+        }
+        Some(answer.body)
+    }
+
     async fn send(&self, call: Call) -> Result<CallAnswer, CallError> {
         let to = self.address;
         let uri = format!("http://{to}{}", call.path);
--- a/sapphireslipd/src/store_edge.rs
+++ b/sapphireslipd/src/store_edge.rs
@@ -10,7 +10,7 @@
 };
 use sapphireslip_platform::{
     Call, PlatformError, Table, decode_grant, decode_leads, decode_permits, decode_promote,
-    decode_servers, decode_write, encode_ask, read_table, write,
+    decode_servers, decode_write, encode_ask, write,
 };
 
 use tokio::io::AsyncWriteExt;
@@ -62,15 +62,9 @@
         table: Table,
         decode: fn(&[u8]) -> Result<T, PlatformError>,
     ) -> Option<T> {
-        let answer = self.store.call(read_table(table), Duration::ZERO).await;
-        let answer = answer
-            .inspect_err(|err| log::debug!("reading {table:?}: {err}"))
-            .ok()?;
-        if answer.status != 200 {
-            log::debug!("reading {table:?}: status {}", answer.status);
-            return None;
-        }
-        decode(&answer.body)
+        let body = self.store.read(table).await?;
+        let decoded = decode(&body);
+        decoded
             .inspect_err(|err| log::warn!("reading {table:?}: {err}"))
             .ok()
     }
--- a/sapphireslipd/src/store_watch.rs
+++ b/sapphireslipd/src/store_watch.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use sapphireslip_lead::{Event, RowVersion};
 use sapphireslip_platform::{
-    PlatformError, Table, Watched, decode_version, decode_watch, read_table, watch_table,
+    PlatformError, Table, Watched, decode_version, decode_watch, watch_table,
 };
 
 use crate::store_client::StoreClient;
@@ -99,16 +99,9 @@
     events: &flume::Sender<Event>,
     decode: fn(&[u8]) -> Result<Event, PlatformError>,
 ) -> Option<RowVersion> {
-    let answer = client.call(read_table(table), Duration::ZERO).await;
-    let answer = answer
-        .inspect_err(|err| log::debug!("reading {table:?}: {err}"))
-        .ok()?;
-    if answer.status != 200 {
-        log::debug!("reading {table:?}: status {}", answer.status);
-        return None;
-    }
-    tell(events, decode(&answer.body)).await;
-    decode_version(&answer.body)
+    let body = client.read(table).await?;
+    tell(events, decode(&body)).await;
+    decode_version(&body)
         .inspect_err(|err| log::warn!("{err}"))
         .ok()
 }
