--- a/sapphireslip-lead/src/homes.rs
+++ b/sapphireslip-lead/src/homes.rs
@@ -9,6 +9,7 @@
 
 use sapphireslip_core::{ServiceName, SessionId, VmId, data};
 
+use crate::session::Session;
 use crate::state::State;
 use crate::{PermitRecord, Record, RecordKind};
 
@@ -109,7 +110,7 @@
         if self.relays.moved + MOVE_SPACING > self.now {
             return;
         }
-        let is_elsewhere = |session: &crate::session::Session| {
+        let is_elsewhere = |session: &Session| {
             let route = self
                 .catalog
                 .as_ref()
@@ -127,19 +128,16 @@
         }
     }
 
-    /// Closes the sessions of a kind that have nothing at work.
-    fn send_away(&mut self, is_meant: impl Fn(&crate::session::Session) -> bool) {
-        let quiet: Vec<SessionId> = self
+    /// Closes the sessions of a kind that have nothing at work, also between two statements: here
+    /// their callers would be refused.
+    fn send_away(&mut self, is_meant: impl Fn(&Session) -> bool) {
+        let idle: Vec<SessionId> = self
             .sessions
             .iter()
-            .filter(|(_, session)| {
-                session.is_idle()
-                    && self.now.since(session.heard) >= UNABLE_PASSED_ON_MAX
-                    && is_meant(session)
-            })
+            .filter(|(_, session)| session.is_idle() && is_meant(session))
             .map(|(id, _)| *id)
             .collect();
-        for id in quiet {
+        for id in idle {
             self.close_quietly(id);
         }
     }
--- a/sapphireslip-lead/tests/stops.rs
+++ b/sapphireslip-lead/tests/stops.rs
@@ -66,6 +66,22 @@
     assert!(!daemon.state.is_ready());
 }
 
+/// Pattern: a caller that asks again and again at a daemon that has lost the store.
+#[rstest]
+fn busy_caller_is_sent_away_too() {
+    let mut daemon = Daemon::ready();
+    let session = daemon.open(PAYMENTS);
+    daemon.store_answers = false;
+    for n in 0..1_000 {
+        if daemon.closed.contains(&session) {
+            break;
+        }
+        daemon.ask(session, &n.to_string(), "READ x");
+        daemon.advance(10);
+    }
+    assert_eq!(daemon.closed, [session]);
+}
+
 #[rstest]
 #[case::with_an_older_configuration(2, true)]
 #[case::with_the_same_configuration(1, false)]
