--- /dev/null
+++ b/sapphireslipd/examples/line_site.rs
@@ -0,0 +1,123 @@
+//! Shows the platform's path: two daemons of a zone, a store, three servers of the line protocol, and
+//! a primary that is killed. Ends with 0 only if every acknowledged write is there.
+
+use std::error::Error;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use log::LevelFilter;
+use sapphireslip_core::{VmId, ZoneName};
+use sapphireslipd::{LeadSettings, serve_lead};
+use standins::{LineGroup, LineStore, line_configuration};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+
+const SERVICE: &str = "ledger";
+const DATABASE: &str = "fees";
+
+/// The longest that writes may be refused after the primary is lost.
+const FAILOVER_LIMIT: Duration = Duration::from_secs(10);
+
+/// The wait of a caller between two attempts.
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    match show().await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            println!("FAILED: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn show() -> Result<(), Box<dyn Error>> {
+    let group = LineGroup::start(SERVICE).await?;
+    let store = LineStore::start(group.clone()).await?;
+    store.put(
+        "op",
+        "config",
+        line_configuration(1, DATABASE, SERVICE).as_bytes(),
+    );
+    for (id, entry) in group.entries(SERVICE) {
+        store.put("servers", &id, entry.as_bytes());
+    }
+    let mut callers = Vec::new();
+    for n in 1..=2 {
+        let settings = settings(n, store.address())?;
+        callers.push(settings.callers);
+        tokio::spawn(serve_lead(settings));
+    }
+    println!("a store, three servers and two daemons");
+    write_until_done(callers[0], "reservation 1").await?;
+    println!("a write landed through vm-1");
+    group.kill_primary();
+    let killed = Instant::now();
+    write_until_done(callers[1], "reservation 2").await?;
+    println!(
+        "the primary was killed; a write landed through vm-2 after {:?}",
+        killed.elapsed()
+    );
+    let written: Vec<_> = group.written().into_iter().map(|(_, data)| data).collect();
+    if written != ["1", "2"] {
+        return Err(format!("the new primary holds {written:?}").into());
+    }
+    println!("held: every acknowledged write is there, once");
+    Ok(())
+}
+
+fn settings(n: u8, platform: SocketAddr) -> Result<LeadSettings, Box<dyn Error>> {
+    let ip = Ipv4Addr::new(127, 78, 0, n);
+    Ok(LeadSettings {
+        vm: VmId::try_from(format!("vm-{n}").as_str())?,
+        zone: ZoneName::try_from("a")?,
+        callers: (ip, 5432).into(),
+        peers: (ip, 7000).into(),
+        readiness: (ip, 9000).into(),
+        metrics: (ip, 9001).into(),
+        log_level: LevelFilter::Info,
+        drain_bound: Duration::from_secs(6),
+        store: platform,
+        promotion: platform,
+    })
+}
+
+/// Writes as a caller that comes back as it is told, until the write is acknowledged.
+async fn write_until_done(address: SocketAddr, what: &str) -> Result<(), Box<dyn Error>> {
+    let until = Instant::now() + FAILOVER_LIMIT;
+    for attempt in 1.. {
+        match write(address, &format!("{}-{attempt}", what.len()), what).await {
+            Ok(answer) if answer.starts_with("COMPLETE") => return Ok(()),
+            // Only a promise that nothing was kept allows another attempt.
+            Ok(answer) if !answer.starts_with("ERROR BUSY") => return Err(answer.into()),
+            _ if Instant::now() >= until => return Err(format!("`{what}` did not land").into()),
+            _ => tokio::time::sleep(RETRY_INTERVAL).await,
+        }
+    }
+    Ok(())
+}
+
+async fn write(address: SocketAddr, id: &str, what: &str) -> Result<String, Box<dyn Error>> {
+    let (read, mut writer) = TcpStream::connect(address).await?.into_split();
+    let mut lines = BufReader::new(read).lines();
+    let greeting = ask(&mut lines, &mut writer, &format!("START {DATABASE} till")).await?;
+    if !greeting.starts_with("READY") {
+        return Ok(greeting);
+    }
+    ask(&mut lines, &mut writer, &format!("QUERY {id} WRITE {what}")).await
+}
+
+async fn ask(
+    lines: &mut Lines<BufReader<OwnedReadHalf>>,
+    writer: &mut OwnedWriteHalf,
+    line: &str,
+) -> Result<String, Box<dyn Error>> {
+    writer.write_all(format!("{line}\r\n").as_bytes()).await?;
+    Ok(lines
+        .next_line()
+        .await?
+        .ok_or("the daemon closed the connection")?)
+}
--- a/sapphireslipd/tests/lead_daemon.rs
+++ b/sapphireslipd/tests/lead_daemon.rs
@@ -7,7 +7,7 @@
 use log::LevelFilter;
 use sapphireslip_core::{VmId, ZoneName};
 use sapphireslipd::{LeadSettings, serve_lead};
-use standins::{LineGroup, LineStore};
+use standins::{LineGroup, LineStore, line_configuration};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Lines};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -39,16 +39,7 @@
 }
 
 fn config(version: u64) -> String {
-    serde_json::json!({
-        "version": version,
-        "routes": [{
-            "name": "r", "database_name": "fees", "prefix": "/", "type": "primary",
-            "timeout_ms": 800, "target_latency_ms": 200, "priority": 1, "service": SERVICE,
-        }],
-        "services": [{"name": SERVICE, "max_connections": 16, "sync_replicas": 0}],
-        "limits": {"tx_idle_ms": 3000},
-    })
-    .to_string()
+    line_configuration(version, "fees", SERVICE)
 }
 
 impl Site {
--- a/standins/src/line_store.rs
+++ b/standins/src/line_store.rs
@@ -259,3 +259,22 @@
         false => StatusCode::CONFLICT,
     }
 }
+
+/// Returns the operator's configuration with one route to a service, whose reads go to the primary.
+///
+/// ```
+/// assert!(standins::line_configuration(1, "fees", "ledger").contains("fees"));
+/// ```
+#[must_use]
+pub fn line_configuration(version: u64, database: &str, service: &str) -> String {
+    json!({
+        "version": version,
+        "routes": [{
+            "name": "r", "database_name": database, "prefix": "/", "type": "primary",
+            "timeout_ms": 800, "target_latency_ms": 200, "priority": 1, "service": service,
+        }],
+        "services": [{"name": service, "max_connections": 16, "sync_replicas": 0}],
+        "limits": {"tx_idle_ms": 3000},
+    })
+    .to_string()
+}
