Duty: a daemon that has given the duty back no longer acts as its holder

Cause, found in review: between giving the duty back and hearing of it a daemon gave its word and wrote the row again at each answer; a new holder waits 2 s for earlier words, a watch may hang for longer. The row that was given back, or may be, no longer counts as held; the daemon can take the duty anew under another version, which voids a late write. Test first: word_ends_with_the_duty overflowed the stack with the repeated writes.

--- a/sapphireslip-lead/src/drain.rs
+++ b/sapphireslip-lead/src/drain.rs
@@ -81,6 +81,7 @@
 
     fn give_duty_back(&mut self) {
         if let Some(duty) = self.token() {
+            self.duty.given_back = Some(duty);
             let write = StoreWrite::Duty {
                 record: None,
                 duty,
--- a/sapphireslip-lead/src/duty.rs
+++ b/sapphireslip-lead/src/duty.rs
@@ -38,6 +38,8 @@
         was_held: bool,
         /// Since when this daemon has held the duty and replaced no primary.
         quiet_since: Instant,
+        /// The row that this daemon has given back, or tried to: that may still be done later.
+        pub(crate) given_back: Option<RowVersion>,
         pub(crate) handovers: BTreeMap<ServiceName, Handover>,
         without_primary: BTreeMap<ServiceName, Instant>,
         /// When the promotion of a server was last asked for, here or by an earlier holder.
@@ -60,16 +62,17 @@
 impl State {
     /// Returns the fencing token, if this daemon holds the duty.
     pub(crate) fn token(&self) -> Option<RowVersion> {
-        let (record, version) = self.leads.table.duty.as_ref()?;
-        let is_own = record.holder == self.local.vm && record.incarnation == self.local.incarnation;
-        (is_own && self.permit.is_valid(self.now)).then_some(*version)
+        let (_, version) = self.leads.table.duty.as_ref()?;
+        (self.holds_duty() && self.permit.is_valid(self.now)).then_some(*version)
     }
 
     /// Returns whether this daemon holds the duty as far as the store's rows say.
     pub(crate) fn holds_duty(&self) -> bool {
         let duty = self.leads.table.duty.as_ref();
-        duty.is_some_and(|(record, _)| {
-            record.holder == self.local.vm && record.incarnation == self.local.incarnation
+        duty.is_some_and(|(record, version)| {
+            record.holder == self.local.vm
+                && record.incarnation == self.local.incarnation
+                && self.duty.given_back != Some(*version)
         })
     }
 
@@ -159,7 +162,8 @@
             return Some(None);
         };
         if record.holder == self.local.vm {
-            return (record.incarnation != self.local.incarnation).then_some(None);
+            // A row of an earlier run, or one that was to be given back.
+            return (!self.holds_duty()).then_some(None);
         }
         let table = self.permits.as_ref()?;
         let permit = table
@@ -213,6 +217,7 @@
             && self.now.since(self.duty.quiet_since) >= HAND_ON_AFTER;
         if is_calm && self.permitted().any(is_better) {
             self.duty.is_pending = true;
+            self.duty.given_back = Some(duty);
             self.log(Record::new(
                 RecordKind::DutyChanged,
                 "given to another zone".into(),
--- a/sapphireslip-lead/tests/permits.rs
+++ b/sapphireslip-lead/tests/permits.rs
@@ -5,10 +5,34 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use sapphireslip_core::Incarnation;
-use sapphireslip_lead::{DutyRecord, Event, PermitRecord, RowVersion, StoreTime, StoreWrite};
+use sapphireslip_core::{Incarnation, SessionId};
+use sapphireslip_lead::{
+    DutyRecord, Effect, Event, PermitRecord, RowVersion, StoreTime, StoreWrite,
+};
 use support::{Daemon, PAYMENTS, catalog, vm, zone};
 
+/// Adds a daemon of another zone that could hold the duty.
+fn add_other(daemon: &mut Daemon) {
+    let long = StoreTime(Duration::from_secs(600));
+    let record = PermitRecord {
+        vm: vm("vm-0"),
+        incarnation: Incarnation(1),
+        zone: zone("b"),
+        peers: "10.1.0.9:7000".parse().expect("an address"),
+        alive: long,
+        until: long,
+        unreachable: Vec::new(),
+        reached: Vec::new(),
+    };
+    let write = StoreWrite::Permit {
+        record,
+        permit: RowVersion(0),
+        generation: None,
+    };
+    daemon.store.write(daemon.millis, &write);
+    daemon.advance(2_500);
+}
+
 #[rstest]
 fn daemon_without_work_permits_itself_nothing() {
     let mut daemon = Daemon::new("a");
@@ -62,30 +86,37 @@
     }
 }
 
+/// The daemon that has given the duty back gives nobody its word any more, also while it has not
+/// heard that the store took it.
+#[rstest]
+fn word_ends_with_the_duty() {
+    let mut daemon = Daemon::ready();
+    add_other(&mut daemon);
+    daemon.leads_hang = true;
+    daemon.advance(12_000);
+    assert_eq!(
+        daemon.store.leads.duty, None,
+        "it was given to the other zone"
+    );
+    daemon.event(Event::GrantAsked {
+        session: SessionId(77),
+        vm: vm("vm-0"),
+        generation: daemon.store.leads.generation,
+    });
+    let given = daemon.effects.iter().find_map(|effect| match effect {
+        Effect::Grant { length, .. } => Some(*length),
+        _ => None,
+    });
+    assert_eq!(given, Some(Duration::ZERO));
+}
+
 /// A holder of the duty has a longer permission; once another daemon holds it, the next row is
 /// shorter, and the daemon must not rely on the longer one before.
 #[rstest]
 fn permission_is_no_longer_than_its_row() {
     let mut daemon = Daemon::ready();
     assert!(daemon.state.snapshot().permission_left > Duration::from_secs(3));
-    let long = StoreTime(Duration::from_secs(600));
-    let record = PermitRecord {
-        vm: vm("vm-0"),
-        incarnation: Incarnation(1),
-        zone: zone("b"),
-        peers: "10.1.0.9:7000".parse().expect("an address"),
-        alive: long,
-        until: long,
-        unreachable: Vec::new(),
-        reached: Vec::new(),
-    };
-    let write = StoreWrite::Permit {
-        record,
-        permit: RowVersion(0),
-        generation: None,
-    };
-    daemon.store.write(daemon.millis, &write);
-    daemon.advance(2_500);
+    add_other(&mut daemon);
     let other = DutyRecord {
         holder: vm("vm-0"),
         incarnation: Incarnation(1),
--- a/sapphireslip-lead/tests/support/daemon.rs
+++ b/sapphireslip-lead/tests/support/daemon.rs
@@ -16,6 +16,8 @@
     pub group: FakeGroup,
     pub millis: u64,
     pub store_answers: bool,
+    /// Whether changes of the leads stay untold, as by a watch that hangs.
+    pub leads_hang: bool,
     /// Whether statements of callers wait until `answer_all`.
     pub holds_back: bool,
     pub answers: Vec<(SessionId, Reply)>,
@@ -59,6 +61,7 @@
             group: FakeGroup::new(),
             millis: 0,
             store_answers: true,
+            leads_hang: false,
             holds_back: false,
             answers: Vec::new(),
             closed: Vec::new(),
@@ -209,7 +212,7 @@
             sent,
             outcome,
         }));
-        if changes_leads {
+        if changes_leads && !self.leads_hang {
             let leads = self.store.leads.clone();
             self.event(Event::Leads(leads));
         }
