--- a/sapphireslip-lead/src/event.rs
+++ b/sapphireslip-lead/src/event.rs
@@ -51,11 +51,11 @@
             /// The version of the last change of a lead that it knows.
             generation: RowVersion,
         },
-        /// The holder of the duty gives its word to name no other leader for a while.
+        /// The holder of the duty grants that it names no other leader for a while.
         Granted {
             /// The version of the last change of a lead that this daemon asked with.
             generation: RowVersion,
-            /// For how long; zero if it gives no word.
+            /// For how long; zero if it refuses.
             length: Duration,
             /// When it was asked.
             sent: Instant,
--- a/sapphireslip-lead/src/grant.rs
+++ b/sapphireslip-lead/src/grant.rs
@@ -1,8 +1,8 @@
-//! Permissions while the store is away: the holder of the duty gives its word.
+//! Permissions while the store is away: grants by the holder of the duty.
 //!
 //! Only the holder can name another leader, and nobody can take the duty from it before its own
-//! permission has ended in the store. So its word that it names nobody for a while is as good as a
-//! renewal in the store. It keeps the word by not promoting before the last one has run out.
+//! permission has ended in the store. So its grant, a promise to name nobody for a while, is as good
+//! as a renewal in the store. It promotes nobody before its last grant has expired.
 
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
 use crate::state::State;
 use crate::{Effect, Record, RecordKind, RowVersion};
 
-/// How long the holder's word is good.
+/// How long a grant lasts.
 const GRANT_LENGTH: Duration = Duration::from_millis(1_500);
 
 /// How much of a permission must be left for the holder not to be asked.
@@ -29,7 +29,7 @@
 pub(crate) const HOLD_LENGTH: Duration = Duration::from_millis(6_000);
 
 data! {
-    /// The words that this daemon gave and asked for.
+    /// The grants that this daemon gave and asked for.
     #[derive(Default)]
     pub(crate) struct Grants {
         /// Until when this daemon, as the holder, may not promote.
@@ -39,7 +39,7 @@
 }
 
 impl State {
-    /// Asks the holder for its word if the permission runs out and the store does not renew it.
+    /// Asks the holder for a grant if the permission is about to expire and the store does not answer.
     pub(crate) fn ask_for_grant(&mut self) {
         let left = self.permit.left(self.now);
         let is_pressing =
@@ -70,7 +70,7 @@
         });
     }
 
-    /// Takes the holder's word.
+    /// Takes the holder's grant.
     pub(crate) fn on_granted(&mut self, generation: RowVersion, length: Duration, sent: Instant) {
         if generation == self.leads.table.generation && !length.is_zero() {
             self.permit.extend(sent + length);
@@ -78,7 +78,7 @@
         }
     }
 
-    /// Answers a daemon that asks for this one's word.
+    /// Answers a daemon that asks this one for a grant.
     pub(crate) fn on_grant_asked(&mut self, session: SessionId, vm: &VmId, generation: RowVersion) {
         let length = self.grant_length(generation);
         self.grants.given_until = self.grants.given_until.max(self.now + length);
@@ -98,7 +98,7 @@
         }
     }
 
-    /// Takes into account the words that an earlier holder may have given.
+    /// Waits out the grants that an earlier holder may have given.
     pub(crate) fn await_earlier_grants(&mut self) {
         self.grants.given_until = self.now + GRANT_LENGTH.max(PERMIT_LENGTH);
     }
--- a/sapphireslip-lead/src/permit.rs
+++ b/sapphireslip-lead/src/permit.rs
@@ -54,7 +54,7 @@
         until: Option<StoreTime>,
         /// The earliest end of a row that may have been written since: it may be shorter.
         unsettled: Option<StoreTime>,
-        /// Until when the word of the holder of the duty is good.
+        /// Until when the last grant of the holder of the duty lasts.
         granted: Option<Instant>,
         is_pending: bool,
         is_unknown: bool,
@@ -95,7 +95,7 @@
         self.is_pending || self.is_unknown
     }
 
-    /// Prolongs the permission by another daemon's word.
+    /// Prolongs the permission by a grant.
     pub(crate) fn extend(&mut self, until: Instant) {
         self.granted = self.granted.max(Some(until));
     }
--- a/sapphireslip-lead/src/record.rs
+++ b/sapphireslip-lead/src/record.rs
@@ -41,7 +41,7 @@
         LeadChanged,
         /// The permission to rely on the known leads began or ended.
         PermitChanged,
-        /// A word was given to another daemon.
+        /// Another daemon was granted a permission.
         Grant,
         /// The duty of promotions was taken or lost.
         DutyChanged,
--- a/sapphireslip-lead/src/server.rs
+++ b/sapphireslip-lead/src/server.rs
@@ -1,4 +1,4 @@
-//! One backend server as this daemon knows it: its own word, and how it answers.
+//! One backend server as this daemon knows it: what it registered, and how it answers.
 
 use std::time::Duration;
 
--- a/sapphireslip-lead/tests/permits.rs
+++ b/sapphireslip-lead/tests/permits.rs
@@ -86,10 +86,10 @@
     }
 }
 
-/// The daemon that has given the duty back gives nobody its word any more, also while it has not
+/// The daemon that has given the duty back gives no more grants, also while it has not
 /// heard that the store took it.
 #[rstest]
-fn word_ends_with_the_duty() {
+fn grants_end_with_the_duty() {
     let mut daemon = Daemon::ready();
     add_other(&mut daemon);
     daemon.leads_hang = true;
--- a/sapphireslip-lead/tests/relays.rs
+++ b/sapphireslip-lead/tests/relays.rs
@@ -137,7 +137,7 @@
     assert_eq!(daemon.answers.len(), 0);
 }
 
-/// The word of a daemon whose permission has ended says nothing of the primary any more.
+/// The report of a daemon whose permission has ended no longer counts.
 #[rstest]
 fn lost_primary_is_replaced_against_an_old_witness() {
     let (mut daemon, _) = with_other("other", "b");
--- a/sapphireslip-lead/tests/support/fleet.rs
+++ b/sapphireslip-lead/tests/support/fleet.rs
@@ -36,7 +36,7 @@
     /// Events under way: when, to which daemon.
     due: Vec<(u64, usize, Event)>,
     promoting: Vec<(u64, ServerId)>,
-    /// Who waits for the word of the holder, since when and for which generation.
+    /// Who waits for a grant of the holder, since when and for which generation.
     questions: BTreeMap<SessionId, (usize, RowVersion, Instant)>,
     history: History,
 }
--- a/sapphireslipd/src/store_edge.rs
+++ b/sapphireslipd/src/store_edge.rs
@@ -105,7 +105,7 @@
         self.tell(Event::Promoted { service, outcome }).await;
     }
 
-    /// Asks the holder of the duty for its word.
+    /// Asks the holder of the duty for a grant.
     pub(crate) async fn ask_grant(self, address: SocketAddr, generation: RowVersion) {
         let sent = self.clock.now();
         let asked = tokio::time::timeout(GRANT_TIMEOUT, grant(address, &self.vm, generation));
@@ -118,7 +118,7 @@
                 };
                 self.tell(event).await;
             }
-            Err(err) => log::debug!("asking `{address}` for its word: {err}"),
+            Err(err) => log::debug!("asking `{address}` for a grant: {err}"),
         }
     }
 
