--- a/sapphireslip-core/src/placement.rs
+++ b/sapphireslip-core/src/placement.rs
@@ -162,6 +162,19 @@
     Some(&highest.vm)
 }
 
+/// Returns the weight of a candidate for a key in rendezvous hashing: the highest one is chosen. The
+/// same in every build and on every VM.
+///
+/// ```
+/// use sapphireslip_core::placement::rendezvous_weight;
+/// assert_eq!(rendezvous_weight("stock", "vm-1"), rendezvous_weight("stock", "vm-1"));
+/// assert_ne!(rendezvous_weight("stock", "vm-1"), rendezvous_weight("stock", "vm-2"));
+/// ```
+#[must_use]
+pub fn rendezvous_weight(key: &str, candidate: &str) -> u64 {
+    mix(hash_name(candidate) ^ mix(hash_name(key)))
+}
+
 /// Returns the FNV-1a hash of a name: the same in every build and on every VM.
 pub(crate) fn hash_name(name: &str) -> u64 {
     name.bytes().fold(FNV_OFFSET_BASIS, |hash, byte| {
--- a/sapphireslip-lead/src/homes.rs
+++ b/sapphireslip-lead/src/homes.rs
@@ -3,10 +3,10 @@
 //! Connections to servers are scarce, and a transaction keeps one while its caller pauses. With one
 //! home a service in each zone, a few daemons share a server's connections instead of all.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use sapphireslip_core::placement::rendezvous_weight;
 use sapphireslip_core::{ServiceName, SessionId, VmId, data};
 
 use crate::session::Session;
@@ -157,7 +157,6 @@
 
 /// Returns the weight of a daemon for a service: the highest one is the home.
 fn weight(service: &ServiceName, vm: &VmId) -> (u64, VmId) {
-    let mut hasher = DefaultHasher::new();
-    (service.as_str(), vm.as_str()).hash(&mut hasher);
-    (hasher.finish(), vm.clone())
+    let weight = rendezvous_weight(service.as_str(), vm.as_str());
+    (weight, vm.clone())
 }
