--- a/sapphireslip-lead/tests/relays.rs
+++ b/sapphireslip-lead/tests/relays.rs
@@ -45,14 +45,14 @@
 
 /// Returns a daemon whose sessions go to another one, and such a session.
 fn passing_on() -> (Daemon, SessionId) {
-    for n in 0..20 {
+    for n in 0..200 {
         let (mut daemon, is_home) = with_other(&format!("other-{n}"), "a");
         if is_home {
             let session = daemon.open(PAYMENTS);
             return (daemon, session);
         }
     }
-    panic!("one of twenty names should have the higher weight");
+    panic!("one of two hundred names should have the higher weight");
 }
 
 fn tell(daemon: &mut Daemon, event: ClientEvent) {
