Log: the end of the process does not wait for a reader of its output

Found by the test that is new here: with an output that nobody reads the daemon never ended after a stop, as its last write blocked. The test also holds SIGHUP and the checked settings.

--- a/sapphireslipd/src/bounded_log.rs
+++ b/sapphireslipd/src/bounded_log.rs
@@ -19,6 +19,9 @@
 /// How often the thread writes what waits.
 const WRITE_EVERY: Duration = Duration::from_millis(200);
 
+/// How long the last lines may take to be written.
+const LAST_WRITE_MAX: Duration = Duration::from_millis(100);
+
 /// The budget and the lines that wait.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct BoundedLog(Arc<Mutex<Lines>>);
@@ -81,6 +84,19 @@
         io::stdout().write_all(&waiting)
     }
 
+    /// Writes what waits at the end of the process, unless nobody reads it.
+    pub(crate) fn flush_at_end(&self) {
+        let (tx, rx) = flume::bounded(1);
+        let log = self.clone();
+        std::thread::spawn(move || {
+            let written = log.flush();
+            // Fails only when the time is over.
+            let _late = tx.send(written);
+        });
+        // Nobody is left to be told if it could not be written.
+        let _unread = rx.recv_timeout(LAST_WRITE_MAX);
+    }
+
     fn lines(&self) -> std::sync::MutexGuard<'_, Lines> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/sapphireslipd/src/run.rs
+++ b/sapphireslipd/src/run.rs
@@ -100,8 +100,7 @@
         .build()
         .map_err(Error::Runtime)?;
     let served = runtime.block_on(serve_lead(settings));
-    // Nobody is left to be told if the output has been closed.
-    let _closed = log.flush();
+    log.flush_at_end();
     served
 }
 
--- /dev/null
+++ b/sapphireslipd/tests/lead_process.rs
@@ -0,0 +1,134 @@
+//! The daemon of the platform's path as a process of its own: its settings, log and signals.
+
+use std::net::Ipv4Addr;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+use standins::{LineGroup, LineStore, line_configuration};
+use tempfile::TempDir;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+
+/// How long a condition is waited for.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// How long a stop may take: the bound of the settings.
+const DRAIN_BOUND: Duration = Duration::from_secs(6);
+
+/// Lines enough to fill the pipe of an output that nobody reads several times over.
+const STATEMENTS: usize = 1_500;
+
+fn settings(ip: Ipv4Addr, platform: &str) -> String {
+    format!(
+        "vm = \"vm-1\"\nzone = \"a\"\ncallers = \"{ip}:5432\"\npeers = \"{ip}:7000\"\n\
+         readiness = \"{ip}:9000\"\nmetrics = \"{ip}:9001\"\nlog_level = \"trace\"\n\
+         drain_bound = \"6s\"\n[store]\naddress = \"{platform}\"\n[promotion]\n\
+         address = \"{platform}\"\n"
+    )
+}
+
+fn start(folder: &TempDir, text: &str) -> Child {
+    let path = folder.path().join("settings.toml");
+    std::fs::write(&path, text).expect("written");
+    Command::new(env!("CARGO_BIN_EXE_sapphireslipd"))
+        .arg(&path)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("a process")
+}
+
+fn signal(child: &Child, signal: Signal) {
+    let pid = i32::try_from(child.id()).expect("a process identifier");
+    kill_process(Pid::from_raw(pid).expect("not zero"), signal).expect("sent");
+}
+
+/// Runs statements on one session until as many were answered as asked for.
+async fn run(ip: Ipv4Addr, statements: usize) -> std::io::Result<()> {
+    let (read, mut writer) = TcpStream::connect((ip, 5432)).await?.into_split();
+    let mut lines = BufReader::new(read).lines();
+    writer.write_all(b"START fees till\r\n").await?;
+    let mut answered = 0;
+    let mut n = 0;
+    while answered < statements {
+        let line = lines
+            .next_line()
+            .await?
+            .ok_or(std::io::ErrorKind::UnexpectedEof)?;
+        answered += usize::from(line.starts_with("COMPLETE"));
+        if line.starts_with("READY") {
+            n += 1;
+            writer
+                .write_all(format!("QUERY q{n} READ x\r\n").as_bytes())
+                .await?;
+        }
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn log_that_nobody_reads_and_signals() {
+    let group = LineGroup::start("ledger").await.expect("servers");
+    let store = LineStore::start(group.clone()).await.expect("a store");
+    store.put(
+        "op",
+        "config",
+        line_configuration(1, "fees", "ledger").as_bytes(),
+    );
+    for (id, entry) in group.entries("ledger") {
+        store.put("servers", &id, entry.as_bytes());
+    }
+    let [.., low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, 79, low, 1);
+    let folder = TempDir::new().expect("a folder");
+    let mut daemon = start(&folder, &settings(ip, &store.address().to_string()));
+    let until = Instant::now() + PATIENCE;
+    while run(ip, 1).await.is_err() {
+        assert!(Instant::now() < until, "it serves in time");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let ran = tokio::time::timeout(PATIENCE, run(ip, STATEMENTS)).await;
+    ran.expect("the log holds nothing up")
+        .expect("all answered");
+    signal(&daemon, Signal::HUP);
+    run(ip, 1)
+        .await
+        .expect("a changed settings file ends nothing");
+    signal(&daemon, Signal::TERM);
+    let until = Instant::now() + DRAIN_BOUND;
+    let status = loop {
+        if let Some(status) = daemon.try_wait().expect("a process") {
+            break status;
+        }
+        assert!(Instant::now() < until, "it stops in time");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    assert!(status.success(), "{status}");
+}
+
+#[test]
+fn settings_that_are_wrong_are_named_at_once() {
+    let folder = TempDir::new().expect("a folder");
+    let path = folder.path().join("settings.toml");
+    let text = "vm = \"VM 1\"\nzone = \"a\"\ncallers = \"here\"\n[store]\nadress = \"x\"\n";
+    std::fs::write(&path, text).expect("written");
+    let output = Command::new(env!("CARGO_BIN_EXE_sapphireslipd"))
+        .arg("--check")
+        .arg(&path)
+        .output()
+        .expect("a process");
+    assert_eq!(output.status.code(), Some(2));
+    let faults = String::from_utf8(output.stderr).expect("text");
+    for key in [
+        "vm",
+        "callers",
+        "peers",
+        "readiness",
+        "metrics",
+        "store.adress",
+        "promotion",
+    ] {
+        assert!(faults.contains(key), "`{key}` is missing from:\n{faults}");
+    }
+}
