--- a/sapphireslipd/tests/lead_daemon.rs
+++ b/sapphireslipd/tests/lead_daemon.rs
@@ -341,6 +341,31 @@
     assert_eq!(caller.run("4", "WRITE x 1").await, "COMPLETE 4 I");
 }
 
+#[tokio::test]
+async fn store_that_answers_rubbish_ends_nothing() {
+    let site = Site::start(&["vm-1"]).await;
+    let mut caller = site.caller(0).await;
+    site.store.answer_rubbish(true);
+    // The permission lasts; a configuration that can't be read changes nothing.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(caller.run("1", "WRITE x 1").await, "COMPLETE 1 I");
+    site.store.answer_rubbish(false);
+    let without = config(2).replace("\"fees\"", "\"other\"");
+    site.store.put("op", "config", without.as_bytes());
+    let until = Instant::now() + SILENCE_BOUND;
+    for n in 2.. {
+        if caller
+            .run(&n.to_string(), "READ x")
+            .await
+            .starts_with("ERROR NODB")
+        {
+            break;
+        }
+        assert!(Instant::now() < until, "it reads the store again in time");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 #[tokio::test]
 async fn outage_of_the_store_stops_nothing_for_seconds() {
     let site = Site::start(&["vm-1", "vm-2"]).await;
--- a/standins/src/line_store.rs
+++ b/standins/src/line_store.rs
@@ -43,6 +43,7 @@
     tables: BTreeMap<String, u64>,
     is_down: bool,
     hangs_watches: bool,
+    answers_rubbish: bool,
     promotions: u64,
 }
 
@@ -93,6 +94,12 @@
         self.shared.rows().is_down = is_down;
     }
 
+    /// Has the store answer everything with what can't be understood, or serve again.
+    pub fn answer_rubbish(&self, rubbish: bool) {
+        self.shared.rows().answers_rubbish = rubbish;
+        self.shared.changed.notify_waiters();
+    }
+
     /// Has watches that are open or come never answer, as on connections that have gone silent, or
     /// answer again those that come.
     pub fn hang_watches(&self, hangs: bool) {
@@ -113,6 +120,9 @@
     }
 
     fn answer(&self, status: StatusCode, rows: Vec<Value>) -> Response {
+        if self.rows().answers_rubbish {
+            return (StatusCode::OK, "{\"rows\": 7").into_response();
+        }
         let version = self.rows().version;
         let now = u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX);
         let body = json!({
