Lead: drop the request to demote, which nothing sends

The request stayed in the adapter and the effects without a caller. No behaviour changes: no path constructed it.

--- a/sapphireslip-lead/src/effect.rs
+++ b/sapphireslip-lead/src/effect.rs
@@ -6,8 +6,7 @@
 use sapphireslip_core::{ConnectionId, ServerId, ServiceName, SessionId, Text, VmId, data};
 
 use crate::{
-    DutyRecord, Failure, LeadRecord, PermitRecord, Record, Reply, RowVersion, Shape, Term,
-    TermPosition,
+    DutyRecord, Failure, LeadRecord, PermitRecord, Record, Reply, RowVersion, Shape, TermPosition,
 };
 
 data! {
@@ -163,11 +162,6 @@
             /// The rest of the text.
             arguments: Text,
         },
-        /// Has a primary of a lower term step down.
-        Demote {
-            /// The term.
-            term: Term,
-        },
     }
 
     /// A write to the store, done only if all rows named as conditions have the given versions.
