Keyed writes: the server ends the transactions of a home that was cut off

A home that is cut off in the middle of keyed writes leaves their transactions open at the server until SERVER_TRANSACTION_IDLE, 6 s, and each that waits for the locks of another begins its own 6 s when it gets them: two of them are the 12.6 s. The 6 s are for callers that think between statements; the steps of a keyed write are sent by the home and follow one another at once.

Change: the claim of a keyed write sets, for its own transaction, idle_in_transaction_session_timeout = 1 s and statement_timeout = what is left of the deadline plus 500 ms. The stand-in servers keep both.

A failed scenario now keeps the daemons' logs, and says which attempt was left in doubt.

--- a/sapphireslip-core/src/dispatch.rs
+++ b/sapphireslip-core/src/dispatch.rs
@@ -346,7 +346,8 @@
         };
         job.stage = Stage::Running(connection);
         job.could_write = primary.is_none_or(|p| Some(&p.server) == server.as_ref());
-        let first = job.keyed.as_mut().map(|keyed| keyed.start());
+        let left = job.deadline.since(cx.now.instant);
+        let first = job.keyed.as_mut().map(|keyed| keyed.start(left));
         self.record(cx, TimelineKind::RequestSent, id, server.as_ref(), "");
         match first {
             Some(KeyedNext::Sql(sql)) => self.send_step(cx, ids, id, connection, sql),
--- a/sapphireslip-core/src/keyed_write.rs
+++ b/sapphireslip-core/src/keyed_write.rs
@@ -7,6 +7,8 @@
 //! An existing key is read back by an update that changes nothing: it commits a record after the
 //! one that wrote the key, so once a majority holds that record it holds the key too.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 
 use crate::derives::data;
@@ -20,6 +22,13 @@
 /// The longest answer to a keyed write, all of which is held until it is acknowledged.
 pub const KEYED_ANSWER_MAX_BYTES: usize = 1024 * 1024;
 
+/// How long a server keeps the transaction of a keyed write open that hears nothing from its home,
+/// which sends each step as soon as the one before is answered.
+pub const KEYED_IDLE_MAX: Duration = Duration::from_secs(1);
+
+/// How long after a request's deadline a server ends its steps, so that the home does so first.
+pub const KEYED_GRACE: Duration = Duration::from_millis(500);
+
 const CREATE_TABLE: &str = "CREATE TABLE IF NOT EXISTS sapphireslip_request \
     (request_key TEXT PRIMARY KEY, born_s BIGINT, state TEXT, answer TEXT)";
 const ROLLBACK: &str = "ROLLBACK";
@@ -35,6 +44,8 @@
         scope: KeyedScope,
         phase: Phase,
         answer: Vec<u8>,
+        /// How long the server may work on one step.
+        step_max: Duration,
     }
 
     /// What a keyed write brings along of transactions.
@@ -111,10 +122,11 @@
     ///
     /// ```
     /// use sapphireslip_core::{KeyedNext, KeyedScope, KeyedWrite, RequestKey};
+    /// use std::time::Duration;
     /// let key = RequestKey::try_from("1000.repair-42")?;
     /// let mut write = KeyedWrite::new(key, KeyedScope::Alone);
-    /// let KeyedNext::Sql(sql) = write.start() else { panic!() };
-    /// assert!(sql.starts_with("BEGIN; INSERT INTO sapphireslip_request"));
+    /// let KeyedNext::Sql(sql) = write.start(Duration::from_secs(2)) else { panic!() };
+    /// assert!(sql.contains("INSERT INTO sapphireslip_request"));
     /// # Ok::<(), sapphireslip_core::RequestKeyError>(())
     /// ```
     #[must_use]
@@ -124,6 +136,7 @@
             scope,
             phase: Phase::Start,
             answer: Vec::new(),
+            step_max: Duration::ZERO,
         }
     }
 
@@ -150,8 +163,9 @@
         &self.answer
     }
 
-    /// Returns the first step on a connection.
-    pub fn start(&mut self) -> KeyedNext {
+    /// Returns the first step on a connection, with `left` until the request's deadline.
+    pub fn start(&mut self, left: Duration) -> KeyedNext {
+        self.step_max = left + KEYED_GRACE;
         if self.is_resolving() {
             return self.send(Phase::Resolve);
         }
@@ -344,7 +358,14 @@
         let key = self.key.as_str();
         match phase {
             Phase::Claim if self.scope == KeyedScope::Alone => {
-                format!("BEGIN; {}", self.insert(DONE))
+                // A home that was cut off can't end what it began, and what waits behind that.
+                format!(
+                    "BEGIN; SET LOCAL idle_in_transaction_session_timeout = {}; \
+                     SET LOCAL statement_timeout = {}; {}",
+                    KEYED_IDLE_MAX.as_millis(),
+                    self.step_max.as_millis(),
+                    self.insert(DONE)
+                )
             }
             Phase::Claim => self.insert(DONE),
             Phase::Resolve => self.insert(REFUSED),
--- a/sapphireslip-core/tests/home_key.rs
+++ b/sapphireslip-core/tests/home_key.rs
@@ -28,13 +28,21 @@
     }
 }
 
+/// A claim bounds how long it may hold its locks and wait for those of others.
+fn assert_claim(sql: &str) {
+    let bounds = "BEGIN; SET LOCAL idle_in_transaction_session_timeout = 1000; \
+        SET LOCAL statement_timeout = ";
+    let rest = sql.strip_prefix(bounds).expect("the bounds come first");
+    let (timeout, insert) = rest.split_once("; ").expect("the insert comes last");
+    let millis: u64 = timeout.parse().expect("milliseconds");
+    assert!((500..=5500).contains(&millis), "{sql}");
+    assert!(insert.starts_with("INSERT INTO sapphireslip_request"));
+}
+
 /// Sends a keyed write and answers its claim, so that the request itself is at the server.
 fn claimed(fake: &mut Fake) -> u64 {
     let write = fake.ask(keyed(fake));
-    assert!(
-        fake.sql()
-            .starts_with("BEGIN; INSERT INTO sapphireslip_request")
-    );
+    assert_claim(&fake.sql());
     fake.reply_only(b"", open());
     assert_eq!(fake.sql(), "messages");
     write
@@ -72,7 +80,7 @@
     fake.reply_only(b"", ok());
     assert!(fake.sql().starts_with("CREATE TABLE IF NOT EXISTS"));
     fake.reply_only(b"", ok());
-    assert!(fake.sql().starts_with("BEGIN; INSERT"));
+    assert_claim(&fake.sql());
 }
 
 #[test]
--- a/sapphireslipd/tests/scenario.rs
+++ b/sapphireslipd/tests/scenario.rs
@@ -27,7 +27,23 @@
 fn run_script(path: &Path) {
     let _permit = futures::executor::block_on(SCRIPTS_AT_ONCE.acquire());
     let expected = std::fs::read_to_string(path).expect("the script can be read");
-    let said = goldenscript::generate(&mut Scenario::default(), &expected)
-        .unwrap_or_else(|err| panic!("{}: {err}", path.display()));
+    let mut scenario = Scenario::default();
+    let said = goldenscript::generate(&mut scenario, &expected);
+    if !said.as_ref().is_ok_and(|said| *said == expected) {
+        keep_logs(&scenario, path);
+    }
+    let said = said.unwrap_or_else(|err| panic!("{}: {err}", path.display()));
     assert_eq!(said, expected, "{}", path.display());
 }
+
+/// Keeps the daemons' logs of a script that failed, and says where.
+fn keep_logs(scenario: &Scenario, path: &Path) {
+    let name = path.file_stem().unwrap_or_default();
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"))
+        .join(name)
+        .join(std::process::id().to_string());
+    match scenario.copy_logs(&folder) {
+        Ok(()) => eprintln!("the daemons' logs are in {}", folder.display()),
+        Err(err) => eprintln!("the daemons' logs are lost: {err}"),
+    }
+}
--- a/sapphireslipd/tests/support/scenario.rs
+++ b/sapphireslipd/tests/support/scenario.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::error::Error;
+use std::io;
+use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -93,6 +95,13 @@
 }
 
 impl Scenario {
+    /// Copies the daemons' logs to a folder, if there is a fleet.
+    pub fn copy_logs(&self, folder: &Path) -> io::Result<()> {
+        self.fleet
+            .as_ref()
+            .map_or(Ok(()), |fleet| fleet.copy_logs(folder))
+    }
+
     async fn step(&mut self, name: &str, args: &mut ScriptArgs<'_>) -> Said {
         match name {
             "fleet" => self.start(args).await,
--- a/sapphireslipd/tests/support/script_session.rs
+++ b/sapphireslipd/tests/support/script_session.rs
@@ -213,6 +213,11 @@
                 Err(Attempt::Unknown { message }) => {
                     may_have_run = true;
                     self.doubts.fetch_add(1, Ordering::Relaxed);
+                    eprintln!(
+                        "{:.6}: in doubt: {}, {message}, {sql}",
+                        unix_time().as_secs_f64(),
+                        self.name
+                    );
                     last = message;
                     self.roam();
                     tokio::time::sleep(DEFAULT_RETRY_AFTER).await;
@@ -258,10 +263,13 @@
 }
 
 pub fn unix_seconds() -> u64 {
+    unix_time().as_secs()
+}
+
+fn unix_time() -> Duration {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default()
-        .as_secs()
 }
 
 pub fn first_value(rows: &[SimpleQueryMessage]) -> Option<String> {
--- a/standins/src/backend_session.rs
+++ b/standins/src/backend_session.rs
@@ -24,7 +24,7 @@
 use crate::backend_wire::{Wire, other, put_description, put_row};
 
 /// The setting by which a caller bounds how long its transactions may wait for it.
-const IDLE_SETTING: &str = "idle_in_transaction_session_timeout=";
+pub(crate) const IDLE_SETTING: &str = "idle_in_transaction_session_timeout";
 
 /// Has a connection beside the limit, as a server keeps one back for its operators.
 pub(crate) const RESERVED_USER: &str = "standins";
@@ -44,6 +44,7 @@
         output: BytesMut::new(),
         cx,
         idle_limit: None,
+        local_idle_limit: None,
         in_transaction: false,
     };
     let silent = server.until(|faults| faults.silent_until > number);
@@ -95,7 +96,7 @@
 fn idle_limit(options: &str) -> Option<Duration> {
     let set = options
         .split_whitespace()
-        .find_map(|word| word.strip_prefix(IDLE_SETTING));
+        .find_map(|word| word.strip_prefix(IDLE_SETTING)?.strip_prefix('='));
     set.and_then(|millis| millis.parse().ok())
         .map(Duration::from_millis)
 }
--- a/standins/src/backend_sql.rs
+++ b/standins/src/backend_sql.rs
@@ -1,5 +1,7 @@
 //! SQL texts as callers write them, made fit for SQLite.
 
+use std::time::Duration;
+
 /// A statement refused with a SQLSTATE.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct SqlError {
@@ -82,6 +84,14 @@
     }
 }
 
+/// Returns the setting and the milliseconds of a `SET LOCAL`; none of any other statement.
+pub(crate) fn set_local(sql: &str) -> Option<(&str, Duration)> {
+    let rest = sql.trim().strip_prefix("SET LOCAL ")?;
+    let (name, value) = rest.split_once('=')?;
+    let millis = value.trim().parse().ok()?;
+    Some((name.trim(), Duration::from_millis(millis)))
+}
+
 /// Returns the argument of `pg_sleep` in seconds.
 pub(crate) fn sleep_seconds(sql: &str) -> f64 {
     let lower = sql.to_ascii_lowercase();
--- a/standins/src/backend_statements.rs
+++ b/standins/src/backend_statements.rs
@@ -123,6 +123,7 @@
             Block::Failed => TransactionStatus::Error,
         };
         wire.in_transaction = self.transaction.block != Block::Idle;
+        wire.local_idle_limit = self.transaction.idle_limit();
         wire.put(Out::ReadyForQuery(ReadyForQuery::new(status)))?;
         wire.flush().await?;
         Ok(true)
--- a/standins/src/backend_transaction.rs
+++ b/standins/src/backend_transaction.rs
@@ -1,16 +1,21 @@
 //! One session's statements and transaction on a server.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use rusqlite::types::Value;
 use sapphireslip_core::TermPosition;
 use tokio::sync::{OwnedMutexGuard, Semaphore};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::backend_log::{Log, Statement};
 use crate::backend_query::{Description, ResultSet, describe, run};
 use crate::backend_server::{Server, lock};
-use crate::backend_sql::{Kind, SqlError, Translated, classify, sleep_seconds};
+use crate::backend_session::IDLE_SETTING;
+use crate::backend_sql::{Kind, SqlError, Translated, classify, set_local, sleep_seconds};
+
+/// The setting that bounds a statement, its wait for other writers included.
+const STATEMENT_SETTING: &str = "statement_timeout";
 
 /// Whether a session is in a transaction block.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -38,6 +43,13 @@
     }
 }
 
+/// What `SET LOCAL` bounds until the end of the block.
+#[derive(Clone, Copy, Debug, Default)]
+struct LocalLimits {
+    idle: Option<Duration>,
+    statement: Option<Duration>,
+}
+
 /// A session's transaction state.
 #[derive(Debug)]
 pub(crate) struct Transaction {
@@ -47,6 +59,7 @@
     pub(crate) block: Block,
     read_only: bool,
     write: Option<WriteTransaction>,
+    limits: LocalLimits,
     /// The record committed since the last look.
     pub(crate) committed: Option<TermPosition>,
 }
@@ -60,6 +73,7 @@
             block: Block::Idle,
             read_only: false,
             write: None,
+            limits: LocalLimits::default(),
             committed: None,
         }
     }
@@ -99,14 +113,14 @@
             Kind::Begin => self.begin(false),
             Kind::BeginReadOnly => self.begin(true),
             Kind::Commit => {
-                self.block = Block::Idle;
+                self.end_block();
                 self.commit()?;
             }
             Kind::Rollback => {
-                self.block = Block::Idle;
+                self.end_block();
                 self.write = None;
             }
-            Kind::Set => {}
+            Kind::Set => self.set(&translated.sql),
             Kind::Show => {
                 return Ok(ResultSet {
                     rows: vec![vec![Value::Text(String::new())]],
@@ -125,6 +139,36 @@
         self.read_only = read_only;
     }
 
+    fn end_block(&mut self) {
+        self.block = Block::Idle;
+        self.limits = LocalLimits::default();
+    }
+
+    fn set(&mut self, sql: &str) {
+        match set_local(sql) {
+            Some((IDLE_SETTING, limit)) => self.limits.idle = Some(limit),
+            Some((STATEMENT_SETTING, limit)) => self.limits.statement = Some(limit),
+            _ => {}
+        }
+    }
+
+    /// Returns how long the open block may wait for its caller, if the block itself says so.
+    pub(crate) fn idle_limit(&self) -> Option<Duration> {
+        self.limits.idle
+    }
+
+    /// Begins to write, once no other session does.
+    async fn wait_write(&self) -> Result<WriteTransaction, SqlError> {
+        let begun = begin_write(&self.server);
+        let Some(limit) = self.limits.statement else {
+            return begun.await;
+        };
+        timeout(limit, begun).await.unwrap_or_else(|_elapsed| {
+            let message = "canceling statement due to statement timeout";
+            Err(SqlError::new("57014", message))
+        })
+    }
+
     /// Commits what is open outside a block.
     pub(crate) fn end_implicit(&mut self) -> Result<(), SqlError> {
         match self.block {
@@ -191,7 +235,7 @@
             return Err(SqlError::new("25006", message));
         }
         if self.write.is_none() {
-            self.write = Some(begin_write(&self.server).await?);
+            self.write = Some(self.wait_write().await?);
         }
         let _slot = self.execute().await?;
         let Some(write) = &mut self.write else {
--- a/standins/src/backend_wire.rs
+++ b/standins/src/backend_wire.rs
@@ -36,6 +36,8 @@
     pub(crate) cx: DecodeContext,
     /// How long a transaction may wait for its caller.
     pub(crate) idle_limit: Option<Duration>,
+    /// The same, as the open block itself says.
+    pub(crate) local_idle_limit: Option<Duration>,
     pub(crate) in_transaction: bool,
 }
 
@@ -68,7 +70,8 @@
 
     /// Waits for the caller, but with a transaction open no longer than the caller asked for.
     async fn unless_idle<T>(&self, wait: impl Future<Output = T>) -> io::Result<T> {
-        let Some(limit) = self.idle_limit.filter(|_| self.in_transaction) else {
+        let limit = self.local_idle_limit.or(self.idle_limit);
+        let Some(limit) = limit.filter(|_| self.in_transaction) else {
             return Ok(wait.await);
         };
         let waited = tokio::time::timeout(limit, wait).await;
--- a/standins/src/daemon_process.rs
+++ b/standins/src/daemon_process.rs
@@ -23,7 +23,7 @@
 }
 
 impl DaemonProcess {
-    /// Starts a daemon whose log goes to the end of a file.
+    /// Starts a daemon whose standard output and standard error go to the end of a file.
     ///
     /// # Errors
     ///
@@ -34,7 +34,7 @@
             .args(&program.arguments)
             .arg(settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
         Ok(Self { child })
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -404,6 +404,19 @@
         self.addresses.platform()
     }
 
+    /// Copies the daemons' logs to a folder, which is made if there is none.
+    ///
+    /// # Errors
+    ///
+    /// The folder can't be made, or a log can't be read or copied.
+    pub fn copy_logs(&self, folder: &Path) -> io::Result<()> {
+        std::fs::create_dir_all(folder)?;
+        for daemon in &self.daemons {
+            std::fs::copy(&daemon.log, folder.join(format!("{}.log", daemon.number)))?;
+        }
+        Ok(())
+    }
+
     /// Returns a daemon's log.
     #[must_use]
     pub fn log(&self, number: usize) -> &Path {
--- a/standins/tests/backend_sessions.rs
+++ b/standins/tests/backend_sessions.rs
@@ -161,6 +161,40 @@
         .expect("the other one is gone");
 }
 
+#[tokio::test]
+async fn session_block_bounds_its_idle_time() {
+    let group = group().await;
+    let client = connect(&group, 0).await;
+    let other = connect(&group, 0).await;
+    create(&client).await;
+    let bound = "SET LOCAL idle_in_transaction_session_timeout = 50";
+    let sql = format!("BEGIN; {bound}; INSERT INTO t VALUES (1)");
+    client.batch_execute(&sql).await.expect("inserts");
+    other
+        .batch_execute("INSERT INTO t VALUES (1)")
+        .await
+        .expect("the idle block has ended");
+    client.batch_execute("COMMIT").await.expect_err("closed");
+}
+
+#[tokio::test]
+async fn session_block_bounds_its_wait() {
+    let group = group().await;
+    let client = connect(&group, 0).await;
+    let other = connect(&group, 0).await;
+    create(&client).await;
+    let holds = "BEGIN; INSERT INTO t VALUES (1)";
+    client.batch_execute(holds).await.expect("inserts");
+    let waits = "BEGIN; SET LOCAL statement_timeout = 50; INSERT INTO t VALUES (2)";
+    let error = other.batch_execute(waits).await.expect_err("held back");
+    assert_eq!(code(&error), "57014");
+    other.batch_execute("ROLLBACK").await.expect("rolls back");
+    client.batch_execute("COMMIT").await.expect("commits");
+    let unbound = "BEGIN; INSERT INTO t VALUES (2); COMMIT";
+    other.batch_execute(unbound).await.expect("of its own");
+    assert_eq!(count(&client).await, 2);
+}
+
 #[tokio::test]
 async fn session_replica() {
     let group = group().await;
