Callers: a stop waits until each session has written its answer

The caller edge ended as soon as its channel did, and the process with it, while sessions' tasks still had the last answer or the reason of the close to write. New test `stop_writes_answers_that_are_ready` ends the edge before the session's task has a turn: the caller lost its answer (`none` for Ok) with the wait taken out, 1 of 1; passes with it.

The failures themselves were the scenario's caller, by the logs of both: a write was answered 57P01 by the daemon that closed the session, and the caller sent its next attempt on the same connection, before the end of that had come. docs/CALLERS.md asks to connect again after 57P01, and the script says that its callers do; now they do.

Ruled out: the process's end (both sessions were told 500 ms before it), a lost 57P01 (the log shows both written).

--- a/sapphireslipd/src/caller_edge.rs
+++ b/sapphireslipd/src/caller_edge.rs
@@ -10,6 +10,7 @@
 use sapphireslip_core::{CallerEffect, CallerEvent, Event, SessionId};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
+use tokio_util::task::TaskTracker;
 
 use crate::caller_error::CallerError;
 use crate::caller_session::{self, SessionLinks};
@@ -54,10 +55,15 @@
 struct Edge {
     events: Sender<Event>,
     sessions: Arc<Mutex<Sessions>>,
+    /// The sessions that have begun and not ended.
+    running: TaskTracker,
 }
 
 /// Takes connections of callers and serves their sessions until the sender of effects is gone.
 ///
+/// Ends once every session has written what was handed to it: a caller must not lose an answer that
+/// was ready.
+///
 /// A batch of the extended protocol is sent on when its sync has come; a flush gives an early answer
 /// only to what prepares and describes.
 ///
@@ -77,6 +83,7 @@
     let edge = Edge {
         events,
         sessions: Arc::default(),
+        running: TaskTracker::new(),
     };
     let mut listener = Some(listener);
     loop {
@@ -93,6 +100,8 @@
         }
     }
     edge.lock().handles.clear();
+    edge.running.close();
+    edge.running.wait().await;
 }
 
 /// A connection that counts as long as it lives.
@@ -200,6 +209,7 @@
     }
 
     async fn run_session(&self, startup: Startup, wire: CallerWire) {
+        let _running = self.running.token();
         let links = self.register();
         let id = links.id;
         caller_session::run(links, startup, wire).await;
--- a/sapphireslipd/src/lead_callers.rs
+++ b/sapphireslipd/src/lead_callers.rs
@@ -15,6 +15,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
+use tokio_util::task::TaskTracker;
 
 use crate::line_stream::{LineReader, split};
 
@@ -50,6 +51,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Callers {
     open: BTreeMap<SessionId, flume::Sender<Order>>,
+    /// The sessions whose caller has named its database.
+    running: TaskTracker,
 }
 
 /// A caller, or another daemon, that has connected.
@@ -85,8 +88,9 @@
     pub(crate) fn add(&mut self, id: SessionId, caller: NewCaller, events: flume::Sender<Event>) {
         let (tx, orders) = flume::bounded(ORDERS_MAX);
         self.open.insert(id, tx);
+        let running = self.running.clone();
         tokio::spawn(async move {
-            let served = SessionTask::open(id, caller, orders, events.clone());
+            let served = SessionTask::open(id, caller, orders, events.clone(), &running);
             if let Err(err) = served.await {
                 log::debug!(session = id.0; "a caller's connection ended: {err}");
             }
@@ -129,6 +133,13 @@
         self.open.remove(&id);
     }
 
+    /// Ends all sessions; completes once each has written what was handed to it.
+    pub(crate) async fn end(self) {
+        drop(self.open);
+        self.running.close();
+        self.running.wait().await;
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.open.len()
     }
@@ -161,6 +172,7 @@
         caller: NewCaller,
         orders: flume::Receiver<Order>,
         events: flume::Sender<Event>,
+        running: &TaskTracker,
     ) -> io::Result<()> {
         let (lines, writer) = split(caller.stream)?;
         let mut task = Self {
@@ -191,6 +203,7 @@
             }
         }
         let line = task.first_line().await?;
+        let _running = running.token();
         let Ok(ClientMessage::Start { database }) = decode_client(&line) else {
             return task.refuse("expected START and a database").await;
         };
--- a/sapphireslipd/src/lead_runner.rs
+++ b/sapphireslipd/src/lead_runner.rs
@@ -94,10 +94,17 @@
         }
     }
 
-    /// Lets the last writes to the store end, which give back what this daemon holds.
+    /// Lets the last answers to callers and the last writes to the store end, which give back what
+    /// this daemon holds.
     async fn flush(mut self) {
+        let answers = tokio::time::timeout(FLUSH_MAX, self.callers.end());
         let writes = async { while self.writes.join_next().await.is_some() {} };
-        if tokio::time::timeout(FLUSH_MAX, writes).await.is_err() {
+        let writes = tokio::time::timeout(FLUSH_MAX, writes);
+        let (answers, writes) = tokio::join!(answers, writes);
+        if answers.is_err() {
+            log::warn!("the last answers to callers were not taken in time");
+        }
+        if writes.is_err() {
             log::warn!("the last writes to the store did not end in time");
         }
     }
--- a/sapphireslipd/tests/caller_edge.rs
+++ b/sapphireslipd/tests/caller_edge.rs
@@ -1,173 +1,17 @@
 //! The caller edge between a real client and a scripted reducer.
 
-use std::net::SocketAddr;
+mod caller_bench;
+
 use std::time::Duration;
 
-use bytes::Bytes;
-use flume::{Receiver, Sender};
+use caller_bench::{Bench, Opened, WAIT, code, session_of};
 use sapphireslip_core::{
     BackendEffect, BackendEvent, CallerEffect, CallerEvent, ConnectionId, DatabaseName, Event,
-    Refusal, RefusalReason, SessionId, TermPosition, TransactionStatus, VmId, WorkId, WorkPayload,
-    ZoneName,
+    Refusal, RefusalReason, TermPosition, VmId, WorkId, WorkPayload, ZoneName,
 };
-use sapphireslipd::{BackendSettings, make_verifier, run_backend_edge, serve_callers};
+use sapphireslipd::{BackendSettings, run_backend_edge};
 use standins::{BackendGroup, BackendGroupSettings};
-use tokio::task::JoinHandle;
-use tokio_postgres::{Client, NoTls, SimpleQueryMessage, error::SqlState};
-
-const WAIT: Duration = Duration::from_secs(20);
-
-/// The caller edge, with the reducer's side of its channels.
-struct Bench {
-    address: SocketAddr,
-    events: Receiver<Event>,
-    effects: Sender<CallerEffect>,
-    verifier: String,
-}
-
-fn session_of(event: &CallerEvent) -> SessionId {
-    match event {
-        CallerEvent::Connecting { session, .. }
-        | CallerEvent::Opened { session, .. }
-        | CallerEvent::TokenGiven { session, .. }
-        | CallerEvent::Statement { session, .. }
-        | CallerEvent::Cancel { session }
-        | CallerEvent::Closed { session } => *session,
-    }
-}
-
-impl Bench {
-    async fn start() -> Self {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
-            .await
-            .expect("a free port");
-        let address = listener.local_addr().expect("it is bound");
-        let (event_tx, events) = flume::bounded(256);
-        let (effects, effect_rx) = flume::bounded(256);
-        tokio::spawn(serve_callers(listener, event_tx, effect_rx));
-        Self {
-            address,
-            events,
-            effects,
-            verifier: make_verifier("secret"),
-        }
-    }
-
-    fn give(&self, effect: CallerEffect) {
-        self.effects.send(effect).expect("the edge runs");
-    }
-
-    async fn event(&self) -> CallerEvent {
-        let event = tokio::time::timeout(WAIT, self.events.recv_async()).await;
-        match event.expect("an event in time").expect("the edge runs") {
-            Event::Caller(event) => event,
-            other => panic!("not of the caller edge: {other:?}"),
-        }
-    }
-
-    async fn connect(&self, password: &str, options: &str) -> Result<Connected, String> {
-        let config = format!(
-            "host=127.0.0.1 port={} user=till dbname=stock password={password} {options}",
-            self.address.port()
-        );
-        let client = async move {
-            let (client, connection) = tokio_postgres::connect(&config, NoTls)
-                .await
-                .map_err(code)?;
-            let socket = tokio::spawn(async { drop(connection.await) });
-            Ok(Connected { client, socket })
-        };
-        let reducer = async {
-            let event = self.event().await;
-            let CallerEvent::Connecting {
-                session,
-                user,
-                database,
-            } = event
-            else {
-                panic!("not connecting: {event:?}");
-            };
-            assert_eq!((user.as_ref(), database.as_ref()), ("till", "stock"));
-            self.give(CallerEffect::Authenticate {
-                session,
-                verifier: self.verifier.as_str().into(),
-            });
-        };
-        let (client, ()) = tokio::join!(client, reducer);
-        client
-    }
-
-    /// Opens a session and returns it with the token that it brought.
-    async fn open(&self, options: &str) -> Opened {
-        let connected = self.connect("secret", options).await;
-        let connected = connected.expect("the password is right");
-        match self.event().await {
-            CallerEvent::Opened { session, token, .. } => Opened {
-                client: connected.client,
-                socket: connected.socket,
-                session,
-                token,
-            },
-            other => panic!("not opened: {other:?}"),
-        }
-    }
-
-    async fn statement(&self) -> Statement {
-        let event = self.event().await;
-        let CallerEvent::Statement {
-            text, key, payload, ..
-        } = event
-        else {
-            panic!("no statement: {event:?}");
-        };
-        Statement {
-            text: text.to_string(),
-            key: key.map(|key| key.to_string()),
-            payload,
-        }
-    }
-
-    fn finish(&self, session: SessionId, refusal: Option<Refusal>, token: Option<TermPosition>) {
-        self.give(CallerEffect::Finish {
-            session,
-            refusal,
-            transaction: TransactionStatus::Idle,
-            token,
-        });
-    }
-
-    /// Answers the next statement as done, without rows.
-    async fn answer(&self, session: SessionId) -> Statement {
-        let statement = self.statement().await;
-        let payload = Bytes::from_static(b"C\0\0\0\x0dINSERT 0\0");
-        self.give(CallerEffect::Answer { session, payload });
-        self.finish(session, None, None);
-        statement
-    }
-}
-
-struct Connected {
-    client: Client,
-    /// The task that owns the socket; the library ends it only after all answers.
-    socket: JoinHandle<()>,
-}
-
-struct Opened {
-    client: Client,
-    socket: JoinHandle<()>,
-    session: SessionId,
-    token: Option<TermPosition>,
-}
-
-struct Statement {
-    text: String,
-    key: Option<String>,
-    payload: Bytes,
-}
-
-fn code(error: tokio_postgres::Error) -> String {
-    error.code().map_or("none", SqlState::code).to_owned()
-}
+use tokio_postgres::{NoTls, SimpleQueryMessage};
 
 fn token(text: &str) -> TermPosition {
     TermPosition::try_from(text).expect("well formed")
--- a/sapphireslipd/tests/support/script_session.rs
+++ b/sapphireslipd/tests/support/script_session.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use sapphireslip::{Attempt, attempt_of};
+use tokio_postgres::error::SqlState;
 use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
 
 /// The user name of every caller.
@@ -122,7 +123,14 @@
                     message: "57P01: closed while idle".to_owned(),
                 })
             }
-            Ok(result) => result.map_err(|err| attempt_of(&err)),
+            Ok(Err(err)) => {
+                // What is sent after this is lost with the connection, whose end may come later.
+                if err.code() == Some(&SqlState::ADMIN_SHUTDOWN) {
+                    self.client = None;
+                }
+                Err(attempt_of(&err))
+            }
+            Ok(Ok(messages)) => Ok(messages),
             Err(_elapsed) => Err(Attempt::Unknown {
                 message: "no answer at all".to_owned(),
             }),
