Log: a lost daemon's sessions name the statement that was at work

Cause: the line `request_unknown` of a session that was passed on had no request, so a caller's failed statement could not be found in the log of the daemon that had answered it, and no line named the daemon that was lost. The event of a statement that is passed on now has its identifier; the test `lost_home` fails without it.

--- a/sapphireslip-lead/src/client.rs
+++ b/sapphireslip-lead/src/client.rs
@@ -25,7 +25,9 @@
                 is_refused,
             } => self.on_relay_failed(session, is_refused),
             ClientEvent::RelayLost { session } => self.close_relay(session),
-            ClientEvent::RelayAsked { session } => self.on_relay_asked(session),
+            ClientEvent::RelayAsked { session, request } => {
+                self.on_relay_asked(session, request);
+            }
             ClientEvent::RelayAnswered { session, status } => {
                 self.on_relay_answered(session, status);
             }
--- a/sapphireslip-lead/src/event.rs
+++ b/sapphireslip-lead/src/event.rs
@@ -95,6 +95,8 @@
         RelayAsked {
             /// The session.
             session: SessionId,
+            /// The caller's identifier of the statement, the first of several.
+            request: Text,
         },
         /// The other daemon answered a session that was passed on.
         RelayAnswered {
--- a/sapphireslip-lead/src/relays.rs
+++ b/sapphireslip-lead/src/relays.rs
@@ -36,6 +36,8 @@
         database: Text,
         /// Since when a statement is unanswered.
         asked: Option<Instant>,
+        /// The caller's identifier of that statement; none for the opening of the session.
+        request: Option<Text>,
         status: TransactionStatus,
         heard: Instant,
         /// Whether it is to end.
@@ -120,6 +122,7 @@
             vm: home.vm.clone(),
             database: Text::clone(&database),
             asked: Some(self.now),
+            request: None,
             status: TransactionStatus::Idle,
             heard: self.now,
             is_closing: false,
@@ -155,15 +158,17 @@
         self.log(Record::new(RecordKind::DaemonAvoided, detail.into()));
     }
 
-    pub(crate) fn on_relay_asked(&mut self, id: SessionId) {
+    pub(crate) fn on_relay_asked(&mut self, id: SessionId, request: Text) {
         if let Some(relay) = self.relays.sessions.get_mut(&id) {
             relay.asked.get_or_insert(self.now);
+            relay.request.get_or_insert(request);
         }
     }
 
     pub(crate) fn on_relay_answered(&mut self, id: SessionId, status: TransactionStatus) {
         if let Some(relay) = self.relays.sessions.get_mut(&id) {
             relay.asked = None;
+            relay.request = None;
             relay.status = status;
             relay.heard = self.now;
             self.relays.heard.insert(relay.vm.clone(), self.now);
@@ -185,11 +190,13 @@
     /// Ends a session that was passed on; a statement at work is answered as unknown.
     pub(crate) fn close_relay(&mut self, id: SessionId) {
         let relay = self.relays.sessions.remove(&id);
-        if relay.is_some_and(|relay| relay.asked.is_some()) {
+        if let Some(relay) = relay.filter(|relay| relay.asked.is_some()) {
             let cause = "the daemon that served the session was lost";
-            let line = Record::new(RecordKind::RequestUnknown, cause.into());
+            let detail = format!("{cause}: `{}`", relay.vm);
+            let line = Record::new(RecordKind::RequestUnknown, detail.into());
             self.log(Record {
                 session: Some(id),
+                request: relay.request,
                 ..line
             });
             let failure = Failure::new(ErrorCode::InDoubt, cause);
--- a/sapphireslip-lead/tests/relays.rs
+++ b/sapphireslip-lead/tests/relays.rs
@@ -7,7 +7,8 @@
 use rstest::rstest;
 use sapphireslip_core::{Incarnation, SessionId, TransactionStatus};
 use sapphireslip_lead::{
-    ClientEvent, Effect, ErrorCode, Event, PermitRecord, RowVersion, StoreTime, StoreWrite,
+    ClientEvent, Effect, ErrorCode, Event, PermitRecord, Record, RecordKind, RowVersion, StoreTime,
+    StoreWrite,
 };
 use support::{Daemon, PAYMENTS, server, vm, zone};
 
@@ -80,6 +81,11 @@
     assert_eq!(daemon.run(session, "1", "READ x").failure(), None);
 }
 
+fn asked(session: SessionId) -> ClientEvent {
+    let request = "q1".into();
+    ClientEvent::RelayAsked { session, request }
+}
+
 #[rstest]
 #[case::with_a_statement_at_work(true, 1)]
 #[case::at_rest(false, 0)]
@@ -88,11 +94,15 @@
     let status = TransactionStatus::Idle;
     tell(&mut daemon, ClientEvent::RelayAnswered { session, status });
     if asks {
-        tell(&mut daemon, ClientEvent::RelayAsked { session });
+        tell(&mut daemon, asked(session));
     }
     tell(&mut daemon, ClientEvent::RelayLost { session });
     assert_eq!(daemon.closed, [session]);
     assert_eq!(daemon.answers.len(), answers);
+    let unknown = |line: &&Record| line.kind == RecordKind::RequestUnknown;
+    let line = daemon.records.iter().find(unknown);
+    let request = line.and_then(|line| line.request.as_deref());
+    assert_eq!(request, asks.then_some("q1"));
     for (_, reply) in &daemon.answers {
         let code = reply.failure().map(|failure| failure.code.clone());
         assert_eq!(code, Some(ErrorCode::InDoubt));
@@ -105,7 +115,7 @@
     let (mut daemon, session) = passing_on();
     let status = TransactionStatus::Idle;
     tell(&mut daemon, ClientEvent::RelayAnswered { session, status });
-    tell(&mut daemon, ClientEvent::RelayAsked { session });
+    tell(&mut daemon, asked(session));
     daemon.advance(500);
     assert_eq!(daemon.closed, []);
     daemon.advance(200);
@@ -124,7 +134,7 @@
 #[rstest]
 fn stop_waits_for_a_statement_that_was_passed_on() {
     let (mut daemon, session) = passing_on();
-    tell(&mut daemon, ClientEvent::RelayAsked { session });
+    tell(&mut daemon, asked(session));
     daemon.event(Event::Drain {
         grace: Duration::from_secs(6),
     });
--- a/sapphireslipd/src/lead_callers.rs
+++ b/sapphireslipd/src/lead_callers.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use sapphireslip_core::{SessionId, TransactionStatus};
+use sapphireslip_core::{SessionId, Text, TransactionStatus};
 use sapphireslip_lead::{ClientEvent, ErrorCode, Event, Failure};
 use sapphireslip_platform::{
     ClientMessage, LINE_END, PeerOpening, answers, asks, decode_client, decode_peer,
@@ -386,13 +386,17 @@
                     let Some(line) = line? else {
                         return Ok(());
                     };
-                    let mut asked = 0;
+                    let mut first = None;
+                    let unanswered = &mut self.unanswered;
                     let bytes = join(line, &mut self.lines, |line| {
-                        asked += usize::from(asks(line));
+                        if let Some(request) = asks(line) {
+                            *unanswered += 1;
+                            first.get_or_insert_with(|| Text::from(request));
+                        }
                     });
-                    self.unanswered += asked;
-                    if asked > 0 {
-                        self.tell(ClientEvent::RelayAsked { session: self.id }).await;
+                    if let Some(request) = first {
+                        let session = self.id;
+                        self.tell(ClientEvent::RelayAsked { session, request }).await;
                     }
                     // A peer that does not take it has broken off, which its lines tell.
                     if let Some((_, writer)) = &mut peer
