--- a/sapphireslip/src/arguments.rs
+++ b/sapphireslip/src/arguments.rs
@@ -89,6 +89,16 @@
         #[bpaf(argument("FILE"))]
         html: Option<PathBuf>,
     },
+    /// Print the cause of a request's outcome, from the logs of all daemons
+    #[bpaf(command)]
+    Explain {
+        /// A daemon's log file of JSON lines; standard input if there is none
+        #[bpaf(argument("FILE"))]
+        log: Vec<PathBuf>,
+        /// The caller's identifier of the request
+        #[bpaf(positional("REQUEST"))]
+        request: String,
+    },
     /// Offer a workload to running daemons and check every promise
     #[bpaf(command)]
     Bench {
--- a/sapphireslip/src/error.rs
+++ b/sapphireslip/src/error.rs
@@ -19,6 +19,10 @@
             display("write `{}`: {err}", path.display())
             source(err)
         }
+        /// No line of the logs names a request.
+        NoRequest(request: String, lines: usize) {
+            display("no line names request `{request}` among the {lines} lines read: give the logs of all daemons")
+        }
         /// A file has faults.
         Faults(path: PathBuf, faults: String) {
             display("check `{}`:\n{faults}", path.display())
--- /dev/null
+++ b/sapphireslip/src/explain.rs
@@ -0,0 +1,222 @@
+//! `explain`: the cause of a request's outcome, from the logs of all daemons.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::explain_cause::{Look, cause_of};
+use crate::{Decision, DecisionLog, Error, Output};
+
+/// How far before a request's last line its causes are looked for: longer than a permission and the
+/// notice of a silent server together.
+const BEFORE: Duration = Duration::from_secs(15);
+
+/// How far after it: what decided it may be noticed later, by another daemon or a slower clock.
+const AFTER: Duration = Duration::from_secs(3);
+
+/// The most lines that are shown for one kind of cause.
+const LINES_A_CAUSE: usize = 3;
+
+/// How long a daemon's log must be silent, with others going on, for the daemon to count as gone.
+const GONE: Duration = Duration::from_secs(2);
+
+/// What `explain` is asked.
+#[derive(Clone, Debug)]
+pub struct ExplainArguments {
+    /// The caller's identifier of the request.
+    pub request: String,
+    /// Log files of daemons; standard input if there are none.
+    pub log: Vec<PathBuf>,
+}
+
+/// Why a request ended as it did.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Explanation {
+    /// The request.
+    pub request: String,
+    /// How it ended.
+    pub outcome: String,
+    /// What its daemon gave as the cause.
+    pub cause: String,
+    /// What stood behind that.
+    pub because: Vec<Decision>,
+    /// All lines of the request.
+    pub lines: Vec<Decision>,
+}
+
+/// Explains a request.
+///
+/// # Errors
+///
+/// A log can't be read, or no line names the request.
+pub fn explain(arguments: &ExplainArguments) -> Result<Output, Error> {
+    let log = DecisionLog::read(&arguments.log)?;
+    let found = explanation(&log.decisions, &arguments.request);
+    let found = found.ok_or_else(|| {
+        let lines = log.decisions.len() + log.passed_over;
+        Error::NoRequest(arguments.request.clone(), lines)
+    })?;
+    Ok(Output::new(found.text(), &found))
+}
+
+/// Explains a request by decisions in the order of their times; none if no line names it.
+///
+/// ```
+/// assert_eq!(sapphireslip::explanation(&[], "5c0e"), None);
+/// ```
+#[must_use]
+pub fn explanation(decisions: &[Decision], request: &str) -> Option<Explanation> {
+    let of_request = |line: &&Decision| line.request.as_deref() == Some(request);
+    let lines: Vec<Decision> = decisions.iter().filter(of_request).cloned().collect();
+    let last = lines.last()?;
+    let decided = lines.iter().rev().find(|line| decides(line));
+    let (outcome, cause) = match decided {
+        Some(line) => (outcome(line, last), cause(decisions, line)),
+        None => unanswered(decisions, last),
+    };
+    let decided = decided.unwrap_or(last);
+    let looks = cause_of(&cause).iter();
+    let because = looks.flat_map(|look| evidence(decisions, *look, decided, &lines));
+    Some(Explanation {
+        request: request.to_owned(),
+        outcome,
+        cause,
+        because: because.collect(),
+        lines,
+    })
+}
+
+/// Returns whether a line tells why the request ended.
+fn decides(line: &Decision) -> bool {
+    let is_failure = |line: &Decision| !line.message.starts_with("complete");
+    match line.event.as_str() {
+        "request_refused" | "request_unknown" => true,
+        // The line before has the cause of a failure by this daemon, but not of one by a server.
+        "request_answered" => !is_failure(line) || own_failure(line).is_some(),
+        _ => false,
+    }
+}
+
+/// Returns the text of a failure that this daemon, and no server, gave without another line.
+fn own_failure(line: &Decision) -> Option<&str> {
+    let aborted = line.message.starts_with("Aborted");
+    let text = line.message.split_once(": ").map(|(_, text)| text);
+    text.or_else(|| aborted.then_some("the transaction was aborted"))
+}
+
+fn outcome(decided: &Decision, last: &Decision) -> String {
+    let how = match decided.event.as_str() {
+        "request_refused" => "refused, not run",
+        "request_unknown" => "it is unknown whether it ran",
+        _ => "answered",
+    };
+    let at = &decided.vm;
+    let said = if last.event == "request_answered" {
+        &last.message
+    } else {
+        &decided.message
+    };
+    format!("{how}, by `{at}`: {said}")
+}
+
+fn cause(decisions: &[Decision], decided: &Decision) -> String {
+    if decided.event == "request_answered" {
+        return match own_failure(decided) {
+            None => decided.message.clone(),
+            Some(text) => aborted_for(decisions, decided).unwrap_or_else(|| text.to_owned()),
+        };
+    }
+    let (cause, _) = decided
+        .message
+        .split_once(';')
+        .unwrap_or((&decided.message, ""));
+    cause.to_owned()
+}
+
+/// Returns why the transaction of an aborted statement's session was rolled back.
+fn aborted_for(decisions: &[Decision], decided: &Decision) -> Option<String> {
+    let of_session = |line: &&Decision| {
+        line.event == "transaction_aborted"
+            && (&line.vm, line.session) == (&decided.vm, decided.session)
+            && line.unix_micros <= decided.unix_micros
+    };
+    let line = decisions.iter().rev().find(of_session)?;
+    Some(line.message.clone())
+}
+
+/// Returns outcome and cause of a request whose daemon never wrote that it answered.
+fn unanswered(decisions: &[Decision], last: &Decision) -> (String, String) {
+    let end = decisions.iter().rev().find(|line| line.vm == last.vm);
+    let silent_since = end.map_or(last.unix_micros, |line| line.unix_micros);
+    let newest = decisions.last().map_or(0, |line| line.unix_micros);
+    let outcome = format!(
+        "no answer is in the log; last seen at `{}`: {}",
+        last.vm, last.event
+    );
+    let is_gone = newest.saturating_sub(silent_since) >= micros(GONE);
+    let cause = if is_gone {
+        format!("`{}` wrote nothing more: it stopped or was lost", last.vm)
+    } else {
+        "its caller left, or the line was left out: see `lines_left_out`".to_owned()
+    };
+    (outcome, cause)
+}
+
+/// Returns the last lines of a kind that concern the same daemon, service or server.
+fn evidence(
+    decisions: &[Decision],
+    look: Look,
+    decided: &Decision,
+    lines: &[Decision],
+) -> Vec<Decision> {
+    let from = decided.unix_micros.saturating_sub(micros(BEFORE));
+    let until = decided.unix_micros + micros(AFTER);
+    let service = lines.iter().rev().find_map(|line| line.service.as_ref());
+    let server = lines.iter().rev().find_map(|line| line.server.as_ref());
+    let concerns = |line: &&Decision| {
+        line.event == look.event
+            && (from..=until).contains(&line.unix_micros)
+            && look.of.concerns(line, &decided.vm, service, server)
+    };
+    let found: Vec<Decision> = decisions.iter().filter(concerns).cloned().collect();
+    let before = found.partition_point(|line| line.unix_micros <= decided.unix_micros);
+    let end = (before + 1).min(found.len());
+    let start = end.saturating_sub(LINES_A_CAUSE);
+    found[start..end].to_vec()
+}
+
+#[expect(clippy::cast_possible_truncation, reason = "some seconds")]
+const fn micros(time: Duration) -> u64 {
+    time.as_micros() as u64
+}
+
+impl Explanation {
+    fn text(&self) -> String {
+        let mut text = vec![
+            format!("request  {}", self.request),
+            format!("outcome  {}", self.outcome),
+            format!("cause    {}", self.cause),
+        ];
+        let ended = self.lines.last().map_or(0, |line| line.unix_micros);
+        let shown = |line: &Decision| {
+            let server = line.server.as_deref().unwrap_or_default();
+            let after = (i128::from(line.unix_micros) - i128::from(ended)) / 1_000;
+            let subject = [line.service.as_deref().unwrap_or_default(), server].join(" ");
+            format!(
+                "{after:>+7} ms  {}  {}  {}  {}",
+                line.vm,
+                line.event,
+                subject.trim(),
+                line.message
+            )
+        };
+        if !self.because.is_empty() {
+            text.push("because".to_owned());
+            text.extend(self.because.iter().map(shown));
+        }
+        text.push("lines of the request".to_owned());
+        text.extend(self.lines.iter().map(shown));
+        text.join("\n")
+    }
+}
--- a/sapphireslip/src/lib.rs
+++ b/sapphireslip/src/lib.rs
@@ -9,7 +9,10 @@
 mod bench_session;
 mod bench_settings;
 mod check;
+mod decision;
 mod error;
+mod explain;
+mod explain_cause;
 mod html_page;
 mod http;
 mod latency;
@@ -31,9 +34,9 @@
 
 pub use self::{
     apply::*, arguments::*, attempt::*, bench_report::*, bench_run::*, bench_session::*,
-    bench_settings::*, check::*, error::*, html_page::*, latency::*, ledger::*, output::*,
-    read_share::*, run::*, show::*, statement_latencies::*, status::*, timeline::*,
-    timeline_page::*, timeline_view::*, verifier::*, workload::*,
+    bench_settings::*, check::*, decision::*, error::*, explain::*, html_page::*, latency::*,
+    ledger::*, output::*, read_share::*, run::*, show::*, statement_latencies::*, status::*,
+    timeline::*, timeline_page::*, timeline_view::*, verifier::*, workload::*,
 };
 
 pub use sapphireslipd::{TimelineOrder, TimelinePage, TimelineRecord as TimelineLine};
--- a/sapphireslip/src/run.rs
+++ b/sapphireslip/src/run.rs
@@ -10,8 +10,9 @@
 
 use crate::{
     ApplyArguments, Arguments, BenchSettings, CheckArguments, Command, DrainArguments, Error,
-    Output, RawBenchSettings, ShowArguments, StatusArguments, TimelineArguments, apply, bench_html,
-    bench_text, check, drain, parser, run_bench, show, status, timeline, verifier,
+    ExplainArguments, Output, RawBenchSettings, ShowArguments, StatusArguments, TimelineArguments,
+    apply, bench_html, bench_text, check, drain, explain, parser, run_bench, show, status,
+    timeline, verifier,
 };
 
 /// The program's name.
@@ -91,6 +92,7 @@
             })
             .await
         }
+        Command::Explain { log, request } => explain(&ExplainArguments { request, log }),
         Command::Bench {
             daemon: daemons,
             admin,
--- a/sapphireslip/tests/command_line.rs
+++ b/sapphireslip/tests/command_line.rs
@@ -14,6 +14,7 @@
 #[case::status("status")]
 #[case::drain("drain")]
 #[case::timeline("timeline")]
+#[case::explain("explain")]
 #[case::bench("bench")]
 fn help_of(#[case] subcommand: &str) {
     let ran = Sapphireslip::new(subcommand)
--- a/sapphireslipd/src/bounded_log.rs
+++ b/sapphireslipd/src/bounded_log.rs
@@ -7,6 +7,8 @@
 
 use log::Level;
 
+use crate::whole_lines;
+
 /// The most lines below warnings in a second: about four a statement at 75 statements a second.
 const LINES_A_SECOND: u32 = 300;
 
@@ -81,7 +83,12 @@
     /// Writes what waits; a reader that does not read blocks only the calling thread.
     pub(crate) fn flush(&self) -> io::Result<()> {
         let waiting = std::mem::take(&mut self.lines().waiting);
-        io::stdout().write_all(&waiting)
+        let mut output = io::stdout().lock();
+        for lines in whole_lines(&waiting) {
+            output.write_all(lines)?;
+            output.flush()?;
+        }
+        Ok(())
     }
 
     /// Writes what waits at the end of the process, unless nobody reads it.
--- a/sapphireslipd/src/lib.rs
+++ b/sapphireslipd/src/lib.rs
@@ -52,6 +52,7 @@
 mod timeline_order;
 mod timeline_ring;
 mod timers;
+mod whole_lines;
 
 pub use self::admin::*;
 pub use self::backend_connection::{BackendSettings, CONNECT_TIMEOUT, SERVER_TRANSACTION_IDLE};
@@ -93,3 +94,4 @@
 pub use self::timeline_order::*;
 pub use self::timeline_ring::*;
 pub use self::timers::*;
+pub use self::whole_lines::*;
