--- a/sapphireslip-lead/src/record.rs
+++ b/sapphireslip-lead/src/record.rs
@@ -112,6 +112,49 @@
 }
 
 impl RecordKind {
+    /// All kinds.
+    pub const ALL: [Self; 19] = [
+        Self::RequestSent,
+        Self::RequestAnswered,
+        Self::RequestRetried,
+        Self::RequestRefused,
+        Self::RequestUnknown,
+        Self::SessionMoved,
+        Self::TransactionAborted,
+        Self::ConnectionClosed,
+        Self::ServerListed,
+        Self::ServerReachable,
+        Self::LeadChanged,
+        Self::PermitChanged,
+        Self::Grant,
+        Self::DutyChanged,
+        Self::Promotion,
+        Self::CatalogTaken,
+        Self::StoreReachable,
+        Self::DaemonAvoided,
+        Self::Drain,
+    ];
+
+    /// Returns whether the lines of this kind are about single statements: there are many.
+    ///
+    /// ```
+    /// use sapphireslip_lead::RecordKind;
+    /// assert!(RecordKind::RequestSent.concerns_statement());
+    /// assert!(!RecordKind::StoreReachable.concerns_statement());
+    /// ```
+    #[must_use]
+    pub const fn concerns_statement(self) -> bool {
+        matches!(
+            self,
+            Self::RequestSent
+                | Self::RequestAnswered
+                | Self::RequestRetried
+                | Self::RequestRefused
+                | Self::RequestUnknown
+                | Self::SessionMoved
+        )
+    }
+
     /// Returns the name of the kind in the log.
     ///
     /// ```
--- a/sapphireslipd/src/bounded_log.rs
+++ b/sapphireslipd/src/bounded_log.rs
@@ -5,15 +5,12 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use log::Level;
+use log::Metadata;
+use sapphireslip_core::{Text, VmId};
+use serde_json::json;
 
-use crate::whole_lines;
-
-/// The most lines below warnings in a second: about four a statement at 75 statements a second.
-const LINES_A_SECOND: u32 = 300;
-
-/// The most lines in a second, warnings included.
-const LINES_A_SECOND_MAX: u32 = 500;
+use crate::clock::unix_now;
+use crate::{LogBudget, whole_lines};
 
 /// The most bytes that wait for a reader of the output.
 const BUFFER_MAX_BYTES: usize = 1 << 20;
@@ -25,15 +22,16 @@
 const LAST_WRITE_MAX: Duration = Duration::from_millis(100);
 
 /// The budget and the lines that wait.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct BoundedLog(Arc<Mutex<Lines>>);
+#[derive(Clone, Debug)]
+pub(crate) struct BoundedLog {
+    lines: Arc<Mutex<Lines>>,
+    vm: Text,
+}
 
 #[derive(Debug, Default)]
 struct Lines {
     waiting: Vec<u8>,
-    second: Option<Instant>,
-    taken: u32,
-    left_out: u64,
+    budget: LogBudget,
 }
 
 impl BoundedLog {
@@ -42,8 +40,11 @@
     /// # Errors
     ///
     /// The thread can't be started.
-    pub(crate) fn start() -> io::Result<Self> {
-        let log = Self::default();
+    pub(crate) fn start(vm: &VmId) -> io::Result<Self> {
+        let log = Self {
+            lines: Arc::default(),
+            vm: vm.as_str().into(),
+        };
         let lines = log.clone();
         std::thread::Builder::new()
             .name("log".to_owned())
@@ -55,29 +56,13 @@
         Ok(log)
     }
 
-    /// Returns whether a line of this level fits the budget.
-    pub(crate) fn admits(&self, level: Level, now: Instant) -> bool {
+    /// Returns whether a line fits the budget.
+    pub(crate) fn admits(&self, line: &Metadata<'_>, now: Instant) -> bool {
         let mut lines = self.lines();
-        let begins = lines
-            .second
-            .is_none_or(|second| now - second >= Duration::from_secs(1));
-        if begins {
-            lines.second = Some(now);
-            lines.taken = 0;
-            lines.tell_left_out();
-        }
-        let most = if level <= Level::Warn {
-            LINES_A_SECOND_MAX
-        } else {
-            LINES_A_SECOND
-        };
-        let fits = lines.taken < most && lines.waiting.len() < BUFFER_MAX_BYTES;
-        if fits {
-            lines.taken += 1;
-        } else {
-            lines.left_out += 1;
-        }
-        fits
+        let left_out = lines.budget.begin_second(now);
+        lines.tell_left_out(&self.vm, left_out);
+        let has_room = lines.waiting.len() < BUFFER_MAX_BYTES;
+        lines.budget.admits(line, has_room)
     }
 
     /// Writes what waits; a reader that does not read blocks only the calling thread.
@@ -105,19 +90,22 @@
     }
 
     fn lines(&self) -> std::sync::MutexGuard<'_, Lines> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Lines {
-    fn tell_left_out(&mut self) {
-        if self.left_out > 0 {
-            let line = format!(
-                "{{\"event\":\"lines_left_out\",\"level\":\"WARN\",\"count\":{}}}\n",
-                self.left_out
-            );
-            self.waiting.extend_from_slice(line.as_bytes());
-            self.left_out = 0;
+    fn tell_left_out(&mut self, vm: &str, count: u64) {
+        if count > 0 {
+            let line = json!({
+                "time": unix_now().as_secs_f64(),
+                "level": "WARN",
+                "vm": vm,
+                "event": "lines_left_out",
+                "count": count,
+            });
+            self.waiting
+                .extend_from_slice(format!("{line}\n").as_bytes());
         }
     }
 }
--- a/sapphireslipd/src/clock.rs
+++ b/sapphireslipd/src/clock.rs
@@ -52,7 +52,8 @@
     Incarnation(u64::try_from(unix_now().as_micros()).unwrap_or(u64::MAX))
 }
 
-fn unix_now() -> Duration {
+/// Returns the time since the Unix epoch.
+pub(crate) fn unix_now() -> Duration {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default()
--- a/sapphireslipd/src/lead_log.rs
+++ b/sapphireslipd/src/lead_log.rs
@@ -2,6 +2,8 @@
 
 use sapphireslip_lead::{Record, RecordKind};
 
+use crate::STATEMENT_TARGET;
+
 /// Writes a record: changes of what the daemon believes as warnings or infos, and each decision
 /// about a request as an info.
 pub(crate) fn log_record(record: &Record) {
@@ -28,8 +30,13 @@
         .as_ref()
         .map(ToString::to_string)
         .unwrap_or_default();
+    let target = if record.kind.concerns_statement() {
+        STATEMENT_TARGET
+    } else {
+        "sapphireslipd::decision"
+    };
     log::log!(
-        target: "sapphireslipd::decision", level,
+        target: target, level,
         event = record.kind.name(), request:% = request, session, service:% = service,
         server:% = server;
         "{}", record.detail
--- a/sapphireslipd/src/lib.rs
+++ b/sapphireslipd/src/lib.rs
@@ -29,6 +29,7 @@
 mod lead_servers;
 mod lead_settings;
 mod line_stream;
+mod log_budget;
 mod logging;
 mod metrics;
 mod peer_edge;
@@ -74,6 +75,7 @@
 pub use self::hybrid_clock::*;
 pub use self::lead_run::*;
 pub use self::lead_settings::*;
+pub use self::log_budget::*;
 pub use self::logging::*;
 pub use self::metrics::*;
 pub use self::peer_edge::*;
--- a/sapphireslipd/src/logging.rs
+++ b/sapphireslipd/src/logging.rs
@@ -1,7 +1,7 @@
 //! Logs as JSON lines on the standard error stream.
 
 use std::io;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::Instant;
 
 use log::kv::{Error as KeyValueError, Key, Value, VisitSource};
 use log::{LevelFilter, Record};
@@ -10,6 +10,7 @@
 
 use crate::Error;
 use crate::bounded_log::BoundedLog;
+use crate::clock::unix_now;
 
 /// Sets the process's logger.
 ///
@@ -29,11 +30,11 @@
 ///
 /// The process has a logger already, or can't start the thread that writes.
 pub(crate) fn start_bounded_logging(vm: &VmId, level: LevelFilter) -> Result<BoundedLog, Error> {
-    let bounded = BoundedLog::start().map_err(Error::LogThread)?;
+    let bounded = BoundedLog::start(vm).map_err(Error::LogThread)?;
     let budget = bounded.clone();
     let output: Box<dyn io::Write + Send> = Box::new(bounded.clone());
     dispatch(vm, level)
-        .filter(move |line| budget.admits(line.level(), Instant::now()))
+        .filter(move |line| budget.admits(line, Instant::now()))
         .chain(output)
         .apply()
         .map_err(Error::Logger)?;
@@ -52,9 +53,7 @@
 }
 
 fn line(vm: &VmId, message: &str, record: &Record<'_>) -> Json {
-    let now = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let now = unix_now();
     let mut fields = Map::new();
     fields.insert("time".to_owned(), now.as_secs_f64().into());
     fields.insert("level".to_owned(), record.level().as_str().into());
