--- a/sapphireslipd/tests/support/mod.rs
+++ b/sapphireslipd/tests/support/mod.rs
@@ -6,6 +6,8 @@
 mod planned;
 mod scenario;
 mod scenario_checks;
+mod scenario_load;
+mod scenario_sessions;
 mod script_args;
 mod script_session;
 mod transfers;
--- a/sapphireslipd/tests/support/scenario.rs
+++ b/sapphireslipd/tests/support/scenario.rs
@@ -10,17 +10,16 @@
 use goldenscript::{Command, Context, Runner};
 use sapphireslip::{Attempt, Ledger};
 use sapphireslipd::make_verifier;
-use standins::{
-    DaemonProgram, Fleet, FleetPlan, SERVERS_A_GROUP, accept_document, http_get, wait_for,
-};
+use standins::{DaemonProgram, Fleet, FleetPlan, SERVERS_A_GROUP, accept_document, wait_for};
 use tokio::runtime::Runtime;
 use tokio::task::JoinHandle;
 use tokio_postgres::SimpleQueryMessage;
 
 use super::faults::{fault, primary};
-use super::load::{Load, told};
+use super::load::Load;
+use super::scenario_sessions::target;
 use super::script_args::ScriptArgs;
-use super::script_session::{PASSWORD, ScriptSession, Target, unix_seconds, values};
+use super::script_session::{PASSWORD, ScriptSession, unix_seconds};
 use super::transfers::Transfers;
 use super::values::Values;
 
@@ -34,7 +33,7 @@
 pub(super) const PROGRESS_WRITES: u64 = 20;
 
 /// What is said of an acknowledged write.
-const DONE: &str = "done";
+pub(super) const DONE: &str = "done";
 
 /// A scenario in progress: a fleet, its callers, and what they were told.
 #[derive(Debug)]
@@ -52,13 +51,13 @@
     pub(super) ledger: Arc<Mutex<Ledger>>,
     pub(super) generation: u64,
     /// The second at which the scenario began, for request keys that are used again.
-    began: u64,
+    pub(super) began: u64,
     pub(super) started: BTreeMap<String, JoinHandle<StartedSql>>,
     pub(super) killed: BTreeSet<usize>,
 }
 
 /// A session and the answer to the statement that it was given.
-type StartedSql = (ScriptSession, Result<Vec<SimpleQueryMessage>, Attempt>);
+pub(super) type StartedSql = (ScriptSession, Result<Vec<SimpleQueryMessage>, Attempt>);
 
 pub(super) type Said = Result<String, Box<dyn Error>>;
 
@@ -206,227 +205,6 @@
         Ok(String::new())
     }
 
-    async fn session(&mut self, args: &mut ScriptArgs<'_>) -> Said {
-        let name = args.next("the session")?.to_owned();
-        let daemon = args.parse("daemon")?.unwrap_or(0);
-        let database = args.text("database").unwrap_or("stock").to_owned();
-        let from = args.text("token-of");
-        let token = match from {
-            Some(from) => self.session_mut(from)?.token().await,
-            None => args.text("token").map(str::to_owned),
-        };
-        let mut target = target(self.fleet()?, daemon, &database, token);
-        if let Some(password) = args.text("password") {
-            target.password = password.to_owned();
-        }
-        let acknowledged = self
-            .sessions
-            .get(&name)
-            .map_or(0, |session| session.acknowledged);
-        let mut session = ScriptSession::new(&name, target);
-        session.acknowledged = acknowledged;
-        let connected = session.connect().await;
-        self.sessions.insert(name, session);
-        Ok(connected.map_or_else(
-            |err| format!("refused: {}", code_of(&err)),
-            |()| String::new(),
-        ))
-    }
-
-    pub(super) fn session_mut(&mut self, name: &str) -> Result<&mut ScriptSession, String> {
-        self.sessions
-            .get_mut(name)
-            .ok_or_else(|| format!("no session `{name}`"))
-    }
-
-    async fn sql(&mut self, args: &mut ScriptArgs<'_>) -> Said {
-        let name = args.next("the session")?.to_owned();
-        let text = args.next("the statement")?.to_owned();
-        let text = self.with_times(&text);
-        let answer = self.session_mut(&name)?.query(&text).await;
-        Ok(describe_answer(&answer))
-    }
-
-    /// Puts the second at which the scenario began, and hours from it, in place of `NOW`.
-    fn with_times(&self, text: &str) -> String {
-        let hour = 60 * 60;
-        text.replace("NOW-25H", &(self.began - 25 * hour).to_string())
-            .replace("NOW-22H", &(self.began - 22 * hour).to_string())
-            .replace("NOW+1H", &(self.began + hour).to_string())
-            .replace("NOW", &self.began.to_string())
-    }
-
-    /// Sends a statement, and again while it is told that it was not run and when to come back.
-    async fn sql_retry(&mut self, args: &mut ScriptArgs<'_>) -> Said {
-        let name = args.next("the session")?.to_owned();
-        let text = self.with_times(args.next("the statement")?);
-        let until = Instant::now() + PROGRESS_LIMIT;
-        let session = self.session_mut(&name)?;
-        loop {
-            let answer = session.query(&text).await;
-            match &answer {
-                Err(Attempt::NotRun {
-                    retry_after: Some(wait),
-                    ..
-                }) if Instant::now() < until => tokio::time::sleep(*wait).await,
-                _ => return Ok(describe_answer(&answer)),
-            }
-        }
-    }
-
-    /// Sends a statement and returns once its daemon has it.
-    async fn sql_start(&mut self, args: &mut ScriptArgs<'_>) -> Said {
-        let name = args.next("the session")?.to_owned();
-        let text = args.next("the statement")?.to_owned();
-        let text = self.with_times(&text);
-        let mut session = self.sessions.remove(&name).ok_or("no such session")?;
-        let fleet = self.fleet()?;
-        let daemon = (0..fleet.daemons())
-            .find(|number| fleet.callers(*number) == session.target.daemon)
-            .ok_or("the session's daemon is not of this fleet")?;
-        let before = sent_requests(fleet).await;
-        let sent = async move {
-            let answer = session.query(&text).await;
-            (session, answer)
-        };
-        let handle = tokio::spawn(sent);
-        let is_sent = async || (sent_requests(fleet).await > before).then_some(());
-        wait_for(
-            &format!("statement at daemon {daemon}"),
-            PROGRESS_LIMIT,
-            is_sent,
-        )
-        .await?;
-        self.started.insert(name, handle);
-        Ok(String::new())
-    }
-
-    async fn sql_wait(&mut self, args: &mut ScriptArgs<'_>) -> Said {
-        let name = args.next("the session")?.to_owned();
-        let (session, answer) = self
-            .started
-            .remove(&name)
-            .ok_or("nothing was started")?
-            .await?;
-        self.sessions.insert(name, session);
-        Ok(describe_answer(&answer))
-    }
-
-    async fn kill_primary(&mut self) -> Said {
-        let fleet = self.fleet()?;
-        let server = super::faults::server(fleet, "primary").await?;
-        fleet.group(0).kill(server);
-        self.killed.insert(server);
-        Ok(String::new())
-    }
-
-    async fn restart_killed(&mut self) -> Said {
-        for server in std::mem::take(&mut self.killed) {
-            self.fleet()?.group(0).restart(server).await?;
-        }
-        Ok(String::new())
-    }
-
-    async fn write(&mut self, args: &mut ScriptArgs<'_>) -> Said {
-        let name = args.next("the session")?.to_owned();
-        let request = args.next("the request")?.to_owned();
-        let attempt = self.session_mut(&name)?.write(&request).await;
-        Ok(self.note(&name, &request, &attempt))
-    }
-
-    pub(super) fn note(&mut self, name: &str, request: &str, attempt: &Attempt) -> String {
-        if *attempt == Attempt::Done
-            && let Some(session) = self.sessions.get_mut(name)
-        {
-            session.acknowledged += 1;
-        }
-        self.ledger
-            .lock()
-            .unwrap()
-            .note_write(request, told(attempt), Instant::now());
-        describe(attempt)
-    }
-
-    async fn reads_own(&mut self, args: &mut ScriptArgs<'_>) -> Said {
-        let name = args.next("the session")?.to_owned();
-        let sees = self.session_mut(&name)?.sees_its_writes().await;
-        if let Ok(sees) = sees {
-            self.ledger.lock().unwrap().note_read(!sees);
-        }
-        Ok(match sees {
-            Ok(true) => "sees its writes".to_owned(),
-            Ok(false) => "stale".to_owned(),
-            Err(attempt) => describe(&attempt),
-        })
-    }
-
-    fn close(&mut self, args: &mut ScriptArgs<'_>) -> Said {
-        let name = args.next("the session")?.to_owned();
-        self.session_mut(&name)?.client = None;
-        Ok(String::new())
-    }
-
-    fn load(&mut self, args: &mut ScriptArgs<'_>) -> Said {
-        let name = args.next("the load")?.to_owned();
-        let sessions = args.parse("sessions")?.unwrap_or(6);
-        let database = args.text("database").unwrap_or("stock").to_owned();
-        let daemon: Option<usize> = args.parse("daemon")?;
-        let is_roaming = args.parse("roam")?.unwrap_or(false);
-        let fleet = self.fleet()?;
-        let daemons = fleet.daemons();
-        let all: Vec<_> = (0..daemons).map(|number| fleet.callers(number)).collect();
-        let roams = if is_roaming { all } else { Vec::new() };
-        let targets = (0..sessions)
-            .map(|number| target(fleet, daemon.unwrap_or(number % daemons), &database, None))
-            .collect();
-        let load = Load::start(&name, targets, &roams, &self.ledger);
-        self.loads.insert(name, load);
-        Ok(String::new())
-    }
-
-    /// Waits until the load has had more writes acknowledged from now on.
-    async fn load_progress(&mut self, args: &mut ScriptArgs<'_>) -> Said {
-        let name = args.next("the load")?.to_owned();
-        let load = self.loads.get(&name).ok_or("no such load")?;
-        let goal = load.writes() + PROGRESS_WRITES;
-        let is_reached = async || (load.writes() >= goal).then_some(());
-        wait_for("progress of the load", PROGRESS_LIMIT, is_reached).await?;
-        Ok(String::new())
-    }
-
-    /// Says how many attempts of a load had no outcome that their caller could know.
-    fn load_doubts(&self, args: &mut ScriptArgs<'_>) -> Said {
-        let name = args.next("the load")?;
-        let load = self.loads.get(name).ok_or("no such load")?;
-        Ok(format!("{} in doubt", load.doubts()))
-    }
-
-    async fn load_stop(&mut self, args: &mut ScriptArgs<'_>) -> Said {
-        let name = args.next("the load")?.to_owned();
-        self.loads.remove(&name).ok_or("no such load")?.stop().await;
-        Ok(String::new())
-    }
-
-    /// Writes until one is acknowledged, and says whether that came within a bound.
-    async fn writes_land(&mut self, args: &mut ScriptArgs<'_>) -> Said {
-        let name = args.next("the session")?.to_owned();
-        let bound = Duration::from_millis(args.parse("ms")?.ok_or("give a bound in `ms`")?);
-        let started = Instant::now();
-        let mut said = String::new();
-        while said != DONE && started.elapsed() <= bound {
-            let request = format!("{name}-lands-{}", self.ledger.lock().unwrap().writes());
-            let attempt = self.session_mut(&name)?.write(&request).await;
-            said = self.note(&name, &request, &attempt);
-        }
-        let took = started.elapsed();
-        if took > bound {
-            let servers = super::faults::describe_servers(self.fleet()?);
-            let late = format!("{said}, but after {took:?}, over {bound:?}; {servers}");
-            return Err(late.into());
-        }
-        Ok(said)
-    }
-
     fn platform(&mut self, args: &mut ScriptArgs<'_>) -> Said {
         let lag: Option<u64> = args.parse("lag")?;
         let platform = self.fleet()?.platform();
@@ -508,25 +286,6 @@
     }
 }
 
-pub(super) fn target(
-    fleet: &Fleet,
-    daemon: usize,
-    database: &str,
-    token: Option<String>,
-) -> Target {
-    Target {
-        daemon: fleet.callers(daemon),
-        database: database.to_owned(),
-        token,
-        password: PASSWORD.to_owned(),
-    }
-}
-
-fn code_of(err: &tokio_postgres::Error) -> String {
-    err.code()
-        .map_or_else(|| err.to_string(), |code| code.code().to_owned())
-}
-
 /// Returns the requests that a server holds; while daemons hold all its connections, waits for one
 /// that they close for idleness.
 async fn stored_requests(
@@ -538,43 +297,3 @@
     let stored = async || fleet.stored(database, server, sql).await.ok();
     Ok(wait_for("stored requests", CHECK_LIMIT, stored).await?)
 }
-
-/// Returns how many requests homes have sent to backend servers.
-async fn sent_requests(fleet: &Fleet) -> usize {
-    let mut sent = 0;
-    for number in 0..fleet.daemons() {
-        let Ok(page) = http_get(fleet.admin(number), "/timeline?since=0").await else {
-            continue;
-        };
-        sent += page.body.matches("RequestSent").count();
-    }
-    sent
-}
-
-pub(super) fn describe_answer(answer: &Result<Vec<SimpleQueryMessage>, Attempt>) -> String {
-    match answer {
-        Ok(rows) if values(rows).concat().is_empty() => "ok".to_owned(),
-        Ok(rows) => values(rows).join("\n"),
-        Err(attempt) => describe(attempt),
-    }
-}
-
-fn describe(attempt: &Attempt) -> String {
-    match attempt {
-        Attempt::Done => DONE.to_owned(),
-        Attempt::KeyTaken => "refused: 23505".to_owned(),
-        Attempt::NotRun {
-            message,
-            retry_after,
-        } => {
-            let code = message.split(':').next().unwrap_or_default();
-            let when = if retry_after.is_some() {
-                ", come back"
-            } else {
-                ""
-            };
-            format!("not run: {code}{when}")
-        }
-        Attempt::Unknown { .. } => "unknown".to_owned(),
-    }
-}
--- a/sapphireslipd/tests/support/scenario_checks.rs
+++ b/sapphireslipd/tests/support/scenario_checks.rs
@@ -5,7 +5,8 @@
 use standins::wait_for;
 
 use super::faults::primary;
-use super::scenario::{PROGRESS_LIMIT, PROGRESS_WRITES, Said, Scenario, describe_answer, target};
+use super::scenario::{PROGRESS_LIMIT, PROGRESS_WRITES, Said, Scenario};
+use super::scenario_sessions::{describe_answer, target};
 use super::script_args::ScriptArgs;
 use super::script_session::Target;
 use super::transfers::{Transfers, torn};
--- /dev/null
+++ b/sapphireslipd/tests/support/scenario_load.rs
@@ -0,0 +1,73 @@
+//! The commands of background loads, and of writes that must land.
+
+use std::time::{Duration, Instant};
+
+use standins::wait_for;
+
+use super::load::Load;
+use super::scenario::{DONE, PROGRESS_LIMIT, PROGRESS_WRITES, Said, Scenario};
+use super::scenario_sessions::target;
+use super::script_args::ScriptArgs;
+
+impl Scenario {
+    pub(super) fn load(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let name = args.next("the load")?.to_owned();
+        let sessions = args.parse("sessions")?.unwrap_or(6);
+        let database = args.text("database").unwrap_or("stock").to_owned();
+        let daemon: Option<usize> = args.parse("daemon")?;
+        let is_roaming = args.parse("roam")?.unwrap_or(false);
+        let fleet = self.fleet()?;
+        let daemons = fleet.daemons();
+        let all: Vec<_> = (0..daemons).map(|number| fleet.callers(number)).collect();
+        let roams = if is_roaming { all } else { Vec::new() };
+        let targets = (0..sessions)
+            .map(|number| target(fleet, daemon.unwrap_or(number % daemons), &database, None))
+            .collect();
+        let load = Load::start(&name, targets, &roams, &self.ledger);
+        self.loads.insert(name, load);
+        Ok(String::new())
+    }
+
+    /// Waits until the load has had more writes acknowledged from now on.
+    pub(super) async fn load_progress(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let name = args.next("the load")?.to_owned();
+        let load = self.loads.get(&name).ok_or("no such load")?;
+        let goal = load.writes() + PROGRESS_WRITES;
+        let is_reached = async || (load.writes() >= goal).then_some(());
+        wait_for("progress of the load", PROGRESS_LIMIT, is_reached).await?;
+        Ok(String::new())
+    }
+
+    /// Says how many attempts of a load had no outcome that their caller could know.
+    pub(super) fn load_doubts(&self, args: &mut ScriptArgs<'_>) -> Said {
+        let name = args.next("the load")?;
+        let load = self.loads.get(name).ok_or("no such load")?;
+        Ok(format!("{} in doubt", load.doubts()))
+    }
+
+    pub(super) async fn load_stop(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let name = args.next("the load")?.to_owned();
+        self.loads.remove(&name).ok_or("no such load")?.stop().await;
+        Ok(String::new())
+    }
+
+    /// Writes until one is acknowledged, and says whether that came within a bound.
+    pub(super) async fn writes_land(&mut self, args: &mut ScriptArgs<'_>) -> Said {
+        let name = args.next("the session")?.to_owned();
+        let bound = Duration::from_millis(args.parse("ms")?.ok_or("give a bound in `ms`")?);
+        let started = Instant::now();
+        let mut said = String::new();
+        while said != DONE && started.elapsed() <= bound {
+            let request = format!("{name}-lands-{}", self.ledger.lock().unwrap().writes());
+            let attempt = self.session_mut(&name)?.write(&request).await;
+            said = self.note(&name, &request, &attempt);
+        }
+        let took = started.elapsed();
+        if took > bound {
+            let servers = super::faults::describe_servers(self.fleet()?);
+            let late = format!("{said}, but after {took:?}, over {bound:?}; {servers}");
+            return Err(late.into());
+        }
+        Ok(said)
+    }
+}
