Explain: a statement that its server failed has the server's answer as its cause

It was said to have no answer in the log: only lines with a cause of the daemon's own counted as the end. Case `failed_at_the_server` of the test. The set-up of a transaction that was sent ahead stood twice in tests/refusals.rs.

--- a/sapphireslip-lead/tests/refusals.rs
+++ b/sapphireslip-lead/tests/refusals.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use rstest::rstest;
-use sapphireslip_core::{ServerId, TransactionStatus};
+use sapphireslip_core::{ServerId, SessionId, TransactionStatus};
 use sapphireslip_lead::{ErrorCode, RecordKind, Reply};
 use support::{BALANCES, Daemon, PAYMENTS, server};
 
@@ -105,8 +105,8 @@
     assert_eq!(code(&reply), Some(expected));
 }
 
-#[rstest]
-fn statements_sent_ahead_do_not_run_outside_their_transaction() {
+/// Returns a session with a transaction of which the rest was sent ahead and nothing is answered.
+fn transaction_sent_ahead() -> (Daemon, SessionId) {
     let mut daemon = Daemon::ready();
     let session = daemon.open(PAYMENTS);
     daemon.run(session, "1", "BEGIN");
@@ -115,6 +115,12 @@
     daemon.ask(session, "3", "WRITE y 1");
     daemon.ask(session, "4", "WRITE z 1");
     daemon.ask(session, "5", "COMMIT");
+    (daemon, session)
+}
+
+#[rstest]
+fn statements_sent_ahead_do_not_run_outside_their_transaction() {
+    let (mut daemon, _) = transaction_sent_ahead();
     daemon.statements();
     daemon.break_connections(&primary());
     daemon.advance(200);
@@ -184,14 +190,7 @@
 /// Pattern: a connection breaks under a transaction whose statements were sent ahead.
 #[rstest]
 fn failures_of_a_transaction_are_in_the_log() {
-    let mut daemon = Daemon::ready();
-    let session = daemon.open(PAYMENTS);
-    daemon.run(session, "1", "BEGIN");
-    daemon.run(session, "2", "WRITE x 1");
-    daemon.holds_back = true;
-    daemon.ask(session, "3", "WRITE y 1");
-    daemon.ask(session, "4", "WRITE z 1");
-    daemon.ask(session, "5", "COMMIT");
+    let (mut daemon, session) = transaction_sent_ahead();
     daemon.records.clear();
     daemon.break_connections(&primary());
     let of = |kind| daemon.records.iter().filter(move |line| line.kind == kind);
--- a/sapphireslip/src/explain.rs
+++ b/sapphireslip/src/explain.rs
@@ -21,6 +21,9 @@
 /// How long a daemon's log must be silent, with others going on, for the daemon to count as gone.
 const GONE: Duration = Duration::from_secs(2);
 
+/// The outcome of a statement that ended well.
+const COMPLETE: &str = "complete";
+
 /// What `explain` is asked.
 #[derive(Clone, Debug)]
 pub struct ExplainArguments {
@@ -70,7 +73,7 @@
     let of_request = |line: &&Decision| line.request.as_deref() == Some(request);
     let lines: Vec<Decision> = decisions.iter().filter(of_request).cloned().collect();
     let last = lines.last()?;
-    let decided = lines.iter().rev().find(|line| decides(line));
+    let decided = deciding(&lines);
     let (outcome, cause) = match decided {
         Some(line) => (outcome(line, last), cause(decisions, line)),
         None => unanswered(decisions, last),
@@ -87,15 +90,18 @@
     })
 }
 
-/// Returns whether a line tells why the request ended.
-fn decides(line: &Decision) -> bool {
-    let is_failure = |line: &Decision| !line.message.starts_with("complete");
-    match line.event.as_str() {
+/// Returns the line that tells why the request ended, if one does.
+///
+/// A failure by this daemon has a line of its own before the answer.
+fn deciding(lines: &[Decision]) -> Option<&Decision> {
+    let decides = |line: &&Decision| match line.event.as_str() {
         "request_refused" | "request_unknown" => true,
-        // The line before has the cause of a failure by this daemon, but not of one by a server.
-        "request_answered" => !is_failure(line) || own_failure(line).is_some(),
+        "request_answered" => line.message.starts_with(COMPLETE) || own_failure(line).is_some(),
         _ => false,
-    }
+    };
+    let is_answer = |line: &&Decision| line.event == "request_answered";
+    let decided = lines.iter().rev().find(decides);
+    decided.or_else(|| lines.iter().rev().find(is_answer))
 }
 
 /// Returns the text of a failure that this daemon, and no server, gave without another line.
@@ -122,8 +128,10 @@
 
 fn cause(decisions: &[Decision], decided: &Decision) -> String {
     if decided.event == "request_answered" {
+        let code = decided.message.split(',').next().unwrap_or_default();
         return match own_failure(decided) {
-            None => decided.message.clone(),
+            _ if code == COMPLETE => decided.message.clone(),
+            None => format!("the server answered {code}"),
             Some(text) => aborted_for(decisions, decided).unwrap_or_else(|| text.to_owned()),
         };
     }
--- a/sapphireslip/tests/explain.rs
+++ b/sapphireslip/tests/explain.rs
@@ -126,6 +126,20 @@
             "- 0 - s2",
             "it went silent; 1 answers were due",
         ),
+        line(
+            3_000,
+            "b",
+            "request_sent",
+            "q7 7 fees s2",
+            "Write, floor none, waited 0 ms, sending 1",
+        ),
+        line(
+            3_004,
+            "b",
+            "request_answered",
+            "q7 7 fees -",
+            "Failed, after 4 ms",
+        ),
         line(6_000, "a", "lead_changed", "- 0 other s9", "leads term 3"),
     ]
     .concat()
@@ -160,6 +174,11 @@
     "`c` wrote nothing more"
 )]
 #[case::unknown("q6", "it is unknown whether it ran, by `a`", "no answer came in time")]
+#[case::failed_at_the_server(
+    "q7",
+    "answered, by `b`: Failed, after 4 ms",
+    "the server answered Failed"
+)]
 fn explains(#[case] request: &str, #[case] outcome: &str, #[case] cause: &str) {
     let explained = explained(request);
     assert!(
@@ -217,7 +236,7 @@
         .arg("q9")
         .run();
     assert_eq!(ran.code, 1);
-    let said = "error: no line names request `q9` among the 16 lines read";
+    let said = "error: no line names request `q9` among the 18 lines read";
     assert!(ran.stderr.starts_with(said), "{}", ran.stderr);
 }
 
