Entry: a daemon that stood still past a deadline hears its home before it gives up

Cause: `late_answer.script` (KNOWN-RED.txt) got `unknown` for `not run: 57014`. The kept logs show it: the read had gone to a frozen replica, not to the primary as was thought. The home gives up 110 ms before the entry, but the process, both in one, stood still for longer than that; the tick that came then let the entry give up before the home's refusal was heard.

Test `deadline_noticed_late`: fails in both cases without the change.

--- a/sapphireslip-core/src/entry.rs
+++ b/sapphireslip-core/src/entry.rs
@@ -180,6 +180,7 @@
             key,
             payload,
             deadline: cx.now.instant + spec.deadline,
+            is_overdue: false,
             home: None,
             lost_home: None,
             sends: 0,
--- a/sapphireslip-core/src/entry_loss.rs
+++ b/sapphireslip-core/src/entry_loss.rs
@@ -1,5 +1,7 @@
 //! What an entry daemon does with requests whose home is lost, or whose time is up.
 
+use std::time::Duration;
+
 use crate::entry_refusal::{lost, out_of_sends, past_deadline};
 use crate::session::{Running, Session};
 use crate::{
@@ -7,6 +9,13 @@
     TransactionStatus, VmId, classify,
 };
 
+/// How late a deadline must be noticed for this daemon to have stood still: timers fire within some
+/// milliseconds.
+const STALL_MIN: Duration = Duration::from_millis(10);
+
+/// How long the events that came meanwhile then have: some turns of a busy scheduler.
+const STALL_TURN: Duration = Duration::from_millis(20);
+
 impl Entry {
     pub(crate) fn on_peer_lost(&mut self, cx: &mut Cx<'_>, vm: &VmId) {
         let ran_there = |s: &Session| {
@@ -79,6 +88,9 @@
                 continue;
             };
             let running = running.clone();
+            if self.gives_another_turn(cx, &running, id) {
+                continue;
+            }
             if running.deadline <= cx.now.instant {
                 self.on_cancel(cx, id);
                 self.leave_transaction(cx, id);
@@ -93,6 +105,23 @@
         }
     }
 
+    /// Waits a moment longer, once, if this daemon stood still past a deadline: the answer of the
+    /// home, which gives up sooner, is then among the events that wait.
+    fn gives_another_turn(&mut self, cx: &mut Cx<'_>, running: &Running, id: SessionId) -> bool {
+        let now = cx.now.instant;
+        if running.is_overdue || now < running.deadline + STALL_MIN {
+            return false;
+        }
+        if let Some(session) = self.sessions.get_mut(&id)
+            && let Some(running) = session.running.as_mut()
+        {
+            running.is_overdue = true;
+        }
+        self.due.insert(now + STALL_TURN, id);
+        cx.wake_at(now + STALL_TURN);
+        true
+    }
+
     /// Has the home roll back the transaction of a request that is given up.
     fn leave_transaction(&mut self, cx: &mut Cx<'_>, id: SessionId) {
         let Some(session) = self.sessions.get_mut(&id) else {
--- a/sapphireslip-core/src/session.rs
+++ b/sapphireslip-core/src/session.rs
@@ -52,6 +52,8 @@
         pub payload: Bytes,
         /// When the caller gets its final answer at the latest.
         pub deadline: Instant,
+        /// Whether its deadline was noticed late and its home's answer had one more turn.
+        pub is_overdue: bool,
         /// Where it was sent last.
         pub home: Option<VmId>,
         /// The home that was lost last; another one is preferred.
--- a/sapphireslip-core/tests/entry_fake/mod.rs
+++ b/sapphireslip-core/tests/entry_fake/mod.rs
@@ -127,6 +127,12 @@
         }
     }
 
+    /// Lets time pass with nothing happening, until one tick that comes late.
+    pub fn stand_still_ms(&mut self, time: u64) {
+        self.now += Duration::from_millis(time);
+        self.event(Event::Tick);
+    }
+
     pub fn connect(&mut self, session: u64) {
         self.caller(CallerEvent::Connecting {
             session: SessionId(session),
--- a/sapphireslip-core/tests/entry_request.rs
+++ b/sapphireslip-core/tests/entry_request.rs
@@ -236,6 +236,25 @@
     assert_eq!(refusal.ran, ran);
 }
 
+/// Pattern: the entry daemon stands still past a deadline, with its home's answer among the events
+/// that wait.
+#[rstest]
+#[case::answered(true, Certainty::NotRun)]
+#[case::unanswered(false, Certainty::Unknown)]
+fn deadline_noticed_late(#[case] is_answered: bool, #[case] ran: Certainty) {
+    let mut fake = opened();
+    let (home, request) = fake.send(1, "SELECT 1", None);
+    fake.stand_still_ms(u64::try_from(DEADLINE.as_millis()).unwrap() + 25);
+    assert!(fake.finished(1).is_none());
+    if is_answered {
+        let refusal = Refusal::not_run(RefusalReason::Deadline, None, "the connection was lost");
+        fake.answer(&home, &request, 0, "", Some(refused(refusal)));
+    } else {
+        fake.run_ms(20);
+    }
+    assert_eq!(fake.refusal(1).ran, ran);
+}
+
 #[test]
 fn home_being_stopped_the_request_goes_to_the_next() {
     let mut fake = opened();
