Say once what stood twice: settings checks, sites of the platform's tests, sessions of the reducer's tests

Settings files of both kinds are checked by one function of RawSettings. Four places that set up the stand-ins of the platform's path, and four that wrote a daemon's settings, call standins::start_line_site and line_settings. The reducer's tests have Daemon::with_session and FakeGroup::newest; two waits for a dropped route are one.

Dead: Effect::StopListening, which only logged beside Effect::Exit (the line stays), and Effect::Relay's VM, which nothing read. The time line's scale comes from the clock library (ntp_of beside unix_of) in place of a second formula.

--- a/sapphireslip-lead/src/drain.rs
+++ b/sapphireslip-lead/src/drain.rs
@@ -154,7 +154,6 @@
             };
             self.effects.push(Effect::Write(write));
         }
-        self.effects.push(Effect::StopListening);
         self.effects.push(Effect::Exit);
     }
 }
--- a/sapphireslip-lead/src/effect.rs
+++ b/sapphireslip-lead/src/effect.rs
@@ -21,9 +21,7 @@
         Relay {
             /// The session.
             session: SessionId,
-            /// The other daemon.
-            vm: VmId,
-            /// Where it takes such sessions.
+            /// Where the other daemon takes such sessions.
             address: SocketAddr,
             /// The database.
             database: Text,
@@ -107,8 +105,6 @@
         },
         /// Write a line to the log.
         Log(Record),
-        /// Stop taking connections from callers.
-        StopListening,
         /// End the process.
         Exit,
     }
--- a/sapphireslip-lead/src/relays.rs
+++ b/sapphireslip-lead/src/relays.rs
@@ -119,7 +119,7 @@
         version: u64,
     ) {
         let relay = Relay {
-            vm: home.vm.clone(),
+            vm: home.vm,
             database: Text::clone(&database),
             asked: Some(self.now),
             request: None,
@@ -130,7 +130,6 @@
         self.relays.sessions.insert(session, relay);
         self.effects.push(Effect::Relay {
             session,
-            vm: home.vm,
             address: home.address,
             database,
             version,
--- a/sapphireslip-lead/tests/handover.rs
+++ b/sapphireslip-lead/tests/handover.rs
@@ -8,19 +8,13 @@
 
 #[rstest]
 fn draining_primary_hands_over_all_of_its_log() {
-    let mut daemon = Daemon::ready();
-    let session = daemon.open(PAYMENTS);
+    let (mut daemon, session) = Daemon::with_session();
     daemon.run(session, "1", "WRITE x 1");
     daemon.group.get_mut(&server("s-a")).is_draining = true;
     daemon.advance(1_200);
     daemon.group.replicate();
     daemon.advance(1_000);
-    let leader = daemon
-        .group
-        .servers
-        .iter()
-        .max_by_key(|server| server.term)
-        .expect("a server");
+    let leader = daemon.group.newest();
     assert_ne!(leader.id, server("s-a"));
     assert_eq!(leader.log.len(), 2, "the acknowledged write is there");
     daemon.statements();
@@ -30,8 +24,7 @@
 
 #[rstest]
 fn open_transaction_ends_before_the_primary_is_replaced() {
-    let mut daemon = Daemon::ready();
-    let session = daemon.open(PAYMENTS);
+    let (mut daemon, session) = Daemon::with_session();
     daemon.run(session, "1", "BEGIN");
     daemon.run(session, "2", "WRITE x 1");
     daemon.group.get_mut(&server("s-a")).is_draining = true;
@@ -49,8 +42,7 @@
 
 #[rstest]
 fn transaction_that_rests_is_aborted_for_the_handover() {
-    let mut daemon = Daemon::ready();
-    let session = daemon.open(PAYMENTS);
+    let (mut daemon, session) = Daemon::with_session();
     daemon.run(session, "1", "BEGIN");
     daemon.run(session, "2", "WRITE x 1");
     daemon.group.get_mut(&server("s-a")).is_draining = true;
@@ -68,8 +60,7 @@
 /// Pattern: replication hangs while the primary is asked to leave.
 #[rstest]
 fn replica_that_lacks_much_does_not_take_over() {
-    let mut daemon = Daemon::ready();
-    let session = daemon.open(PAYMENTS);
+    let (mut daemon, session) = Daemon::with_session();
     for n in 0..30 {
         daemon.run(session, &n.to_string(), "WRITE x 1");
     }
@@ -82,12 +73,7 @@
     );
     daemon.group.replicate();
     daemon.advance(1_500);
-    let leader = daemon
-        .group
-        .servers
-        .iter()
-        .max_by_key(|server| server.term)
-        .expect("a server");
+    let leader = daemon.group.newest();
     assert_ne!(leader.id, server("s-a"));
     assert_eq!(leader.log.len(), 32);
 }
@@ -126,8 +112,7 @@
 
 #[rstest]
 fn lost_primary_with_missing_records_is_waited_for() {
-    let mut daemon = Daemon::ready();
-    let session = daemon.open(PAYMENTS);
+    let (mut daemon, session) = Daemon::with_session();
     daemon.run(session, "1", "WRITE x 1");
     daemon.group.get_mut(&server("s-a")).is_dark = true;
     daemon.break_connections(&server("s-a"));
--- a/sapphireslip-lead/tests/read_routing.rs
+++ b/sapphireslip-lead/tests/read_routing.rs
@@ -4,7 +4,7 @@
 
 use rstest::rstest;
 use sapphireslip_lead::{ErrorCode, ServerRequest};
-use support::{BALANCES, Daemon, ORDERS, PAYMENTS, server};
+use support::{BALANCES, Daemon, ORDERS, server};
 
 fn floors(daemon: &mut Daemon) -> Vec<(String, Option<u64>)> {
     let sent = std::mem::take(&mut daemon.sent);
@@ -20,8 +20,7 @@
 
 #[rstest]
 fn payments_are_read_at_the_primary() {
-    let mut daemon = Daemon::ready();
-    let session = daemon.open(PAYMENTS);
+    let (mut daemon, session) = Daemon::with_session();
     daemon.run(session, "1", "READ x");
     assert_eq!(floors(&mut daemon), [("s-a".to_owned(), None)]);
 }
--- a/sapphireslip-lead/tests/refusals.rs
+++ b/sapphireslip-lead/tests/refusals.rs
@@ -17,8 +17,7 @@
 
 #[rstest]
 fn write_without_permission_is_refused_at_once() {
-    let mut daemon = Daemon::ready();
-    let session = daemon.open(PAYMENTS);
+    let (mut daemon, session) = Daemon::with_session();
     daemon.store_answers = false;
     // Alone, it holds the duty, and its permission lasts longer than another's.
     daemon.advance(7_000);
@@ -40,8 +39,7 @@
 
 #[rstest]
 fn write_at_an_unreachable_primary_is_refused_at_once() {
-    let mut daemon = Daemon::ready();
-    let session = daemon.open(PAYMENTS);
+    let (mut daemon, session) = Daemon::with_session();
     daemon.store_answers = false;
     daemon.group.get_mut(&primary()).is_dark = true;
     daemon.break_connections(&primary());
@@ -54,8 +52,7 @@
 
 #[rstest]
 fn lost_write_is_unknown() {
-    let mut daemon = Daemon::ready();
-    let session = daemon.open(PAYMENTS);
+    let (mut daemon, session) = Daemon::with_session();
     daemon.holds_back = true;
     daemon.ask(session, "1", "WRITE x 1");
     daemon.break_connections(&primary());
@@ -65,8 +62,7 @@
 
 #[rstest]
 fn lost_read_is_tried_again() {
-    let mut daemon = Daemon::ready();
-    let session = daemon.open(PAYMENTS);
+    let (mut daemon, session) = Daemon::with_session();
     daemon.holds_back = true;
     daemon.ask(session, "1", "READ x");
     daemon.break_connections(&primary());
@@ -78,8 +74,7 @@
 
 #[rstest]
 fn transaction_that_lost_its_connection_is_aborted() {
-    let mut daemon = Daemon::ready();
-    let session = daemon.open(PAYMENTS);
+    let (mut daemon, session) = Daemon::with_session();
     daemon.run(session, "1", "BEGIN");
     daemon.run(session, "2", "WRITE x 1");
     daemon.holds_back = true;
@@ -94,8 +89,7 @@
 #[case::that_wrote("WRITE x 1", ErrorCode::InDoubt)]
 #[case::that_only_read("READ x", ErrorCode::Aborted)]
 fn lost_commit_of_a_transaction(#[case] statement: &str, #[case] expected: ErrorCode) {
-    let mut daemon = Daemon::ready();
-    let session = daemon.open(PAYMENTS);
+    let (mut daemon, session) = Daemon::with_session();
     daemon.run(session, "1", "BEGIN");
     daemon.run(session, "2", statement);
     daemon.holds_back = true;
@@ -107,8 +101,7 @@
 
 /// Returns a session with a transaction of which the rest was sent ahead and nothing is answered.
 fn transaction_sent_ahead() -> (Daemon, SessionId) {
-    let mut daemon = Daemon::ready();
-    let session = daemon.open(PAYMENTS);
+    let (mut daemon, session) = Daemon::with_session();
     daemon.run(session, "1", "BEGIN");
     daemon.run(session, "2", "WRITE x 1");
     daemon.holds_back = true;
@@ -136,8 +129,7 @@
 
 #[rstest]
 fn write_unanswered_for_the_route_s_time_is_unknown() {
-    let mut daemon = Daemon::ready();
-    let session = daemon.open(PAYMENTS);
+    let (mut daemon, session) = Daemon::with_session();
     daemon.holds_back = true;
     daemon.ask(session, "1", "WRITE x 1");
     daemon.advance(790);
--- a/sapphireslip-lead/tests/stops.rs
+++ b/sapphireslip-lead/tests/stops.rs
@@ -17,8 +17,7 @@
 /// Pattern: a caller that prepares, and sends its statement with the next packet.
 #[rstest]
 fn session_that_was_just_answered_is_not_closed() {
-    let mut daemon = Daemon::ready();
-    let session = daemon.open(PAYMENTS);
+    let (mut daemon, session) = Daemon::with_session();
     daemon.run(session, "1", "PREPARE s1 READ q1");
     daemon.event(Event::Drain { grace: GRACE });
     assert_eq!(daemon.closed, []);
@@ -41,8 +40,7 @@
 
 #[rstest]
 fn open_transaction_has_half_of_the_grace() {
-    let mut daemon = Daemon::ready();
-    let session = daemon.open(PAYMENTS);
+    let (mut daemon, session) = Daemon::with_session();
     daemon.run(session, "1", "BEGIN");
     daemon.run(session, "2", "WRITE x 1");
     daemon.event(Event::Drain { grace: GRACE });
@@ -55,8 +53,7 @@
 
 #[rstest]
 fn permission_lacked_for_long_sends_callers_away() {
-    let mut daemon = Daemon::ready();
-    let session = daemon.open(PAYMENTS);
+    let (mut daemon, session) = Daemon::with_session();
     daemon.store_answers = false;
     // Alone, it holds the duty, and its permission lasts 6 s.
     daemon.advance(7_000);
@@ -69,8 +66,7 @@
 /// Pattern: a caller that asks again and again at a daemon that has lost the store.
 #[rstest]
 fn busy_caller_is_sent_away_too() {
-    let mut daemon = Daemon::ready();
-    let session = daemon.open(PAYMENTS);
+    let (mut daemon, session) = Daemon::with_session();
     daemon.store_answers = false;
     for n in 0..1_000 {
         if daemon.closed.contains(&session) {
--- a/sapphireslip-lead/tests/support/daemon.rs
+++ b/sapphireslip-lead/tests/support/daemon.rs
@@ -6,7 +6,7 @@
     ServerEvent, ServerRequest, State, StoreWrite, WriteOutcome, Written,
 };
 
-use super::{FakeGroup, FakeStore, at, catalog, query, vm, zone};
+use super::{FakeGroup, FakeStore, PAYMENTS, at, catalog, query, vm, zone};
 
 /// One daemon whose store answers at once, while its servers answer only what is not held back.
 #[derive(Debug)]
@@ -37,6 +37,13 @@
         Self::ready_in("a")
     }
 
+    /// Returns such a daemon with a session on the database of payments.
+    pub fn with_session() -> (Self, SessionId) {
+        let mut daemon = Self::ready();
+        let session = daemon.open(PAYMENTS);
+        (daemon, session)
+    }
+
     /// Returns such a daemon in a zone; the first primary is in zone a.
     pub fn ready_in(zone_name: &str) -> Self {
         let mut daemon = Self::new(zone_name);
--- a/sapphireslip-lead/tests/support/group.rs
+++ b/sapphireslip-lead/tests/support/group.rs
@@ -83,6 +83,12 @@
         self.servers.iter().enumerate().map(record).collect()
     }
 
+    /// Returns the server of the highest term.
+    pub fn newest(&self) -> &FakeServer {
+        let newest = self.servers.iter().max_by_key(|server| server.term);
+        newest.expect("a server")
+    }
+
     /// Copies the log of the highest reachable primary to the others that are reachable.
     pub fn replicate(&mut self) {
         let primary = self
--- a/sapphireslip/src/decision.rs
+++ b/sapphireslip/src/decision.rs
@@ -3,7 +3,9 @@
 use std::fs;
 use std::io::Read;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
+use sapphireslipd::ntp_of;
 use serde::{Deserialize, Serialize};
 
 use crate::{Error, TimelineLine};
@@ -121,7 +123,8 @@
     }
 }
 
-fn decision(line: &[u8]) -> Option<Decision> {
+/// Returns the decision that a line tells of, if it does.
+pub(crate) fn decision(line: &[u8]) -> Option<Decision> {
     let start = line.iter().position(|byte| *byte == b'{')?;
     let raw: RawDecision = serde_json::from_slice(&line[start..]).ok()?;
     Some(raw.into())
@@ -131,8 +134,8 @@
     fn from(line: &Decision) -> Self {
         Self {
             number: 0,
-            // The scale of a 64-bit NTP time, so that both kinds of entries can be merged.
-            time: ntp(line.unix_micros).to_string(),
+            // The scale of the time line, so that both kinds of entries can be merged.
+            time: ntp_of(Duration::from_micros(line.unix_micros)).to_string(),
             unix_micros: line.unix_micros,
             vm: line.vm.clone(),
             zone: String::new(),
@@ -148,8 +151,3 @@
         }
     }
 }
-
-fn ntp(unix_micros: u64) -> u64 {
-    let (seconds, micros) = (unix_micros / 1_000_000, unix_micros % 1_000_000);
-    (seconds << 32) | ((micros << 32) / 1_000_000)
-}
--- a/sapphireslip/src/timeline.rs
+++ b/sapphireslip/src/timeline.rs
@@ -6,8 +6,9 @@
 
 use serde::Deserialize;
 
+use crate::decision::decision;
 use crate::http::get;
-use crate::{DecisionLog, Error, Output, TimelineLine, TimelinePage, timeline_html, timeline_text};
+use crate::{Error, Output, TimelineLine, TimelinePage, timeline_html, timeline_text};
 
 /// What `timeline` is asked.
 #[derive(Clone, Debug)]
@@ -71,11 +72,10 @@
 /// Takes the entries of the time line and the decisions out of a log; other lines of the log are passed over.
 fn read_log(path: &Path, lines: &mut Vec<TimelineLine>) -> Result<(), Error> {
     let bytes = fs::read(path).map_err(|err| Error::Read(path.to_path_buf(), err))?;
-    let entries = bytes.split(|byte| *byte == b'\n').filter_map(log_entry);
-    lines.extend(entries);
-    let mut log = DecisionLog::default();
-    log.add(&bytes);
-    lines.extend(log.decisions.iter().map(TimelineLine::from));
+    for line in bytes.split(|byte| *byte == b'\n') {
+        let decided = || decision(line).map(|decision| (&decision).into());
+        lines.extend(log_entry(line).or_else(decided));
+    }
     Ok(())
 }
 
--- a/sapphireslipd/examples/line_site.rs
+++ b/sapphireslipd/examples/line_site.rs
@@ -6,10 +6,8 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-use log::LevelFilter;
-use sapphireslip_core::{VmId, ZoneName};
 use sapphireslipd::{LeadSettings, serve_lead};
-use standins::{LineGroup, LineStore, line_configuration};
+use standins::{line_settings, start_line_site};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -35,19 +33,12 @@
 }
 
 async fn show() -> Result<(), Box<dyn Error>> {
-    let group = LineGroup::start(SERVICE).await?;
-    let store = LineStore::start(group.clone()).await?;
-    store.put(
-        "op",
-        "config",
-        line_configuration(1, DATABASE, SERVICE).as_bytes(),
-    );
-    for (id, entry) in group.entries(SERVICE) {
-        store.put("servers", &id, entry.as_bytes());
-    }
+    let (group, store) = start_line_site(DATABASE, SERVICE).await?;
     let mut callers = Vec::new();
     for n in 1..=2 {
-        let settings = settings(n, store.address())?;
+        let ip = Ipv4Addr::new(127, 78, 0, n);
+        let text = line_settings(&format!("vm-{n}"), ip, store.address());
+        let settings = LeadSettings::try_from(text.as_bytes())?;
         callers.push(settings.callers);
         tokio::spawn(serve_lead(settings));
     }
@@ -69,22 +60,6 @@
     Ok(())
 }
 
-fn settings(n: u8, platform: SocketAddr) -> Result<LeadSettings, Box<dyn Error>> {
-    let ip = Ipv4Addr::new(127, 78, 0, n);
-    Ok(LeadSettings {
-        vm: VmId::try_from(format!("vm-{n}").as_str())?,
-        zone: ZoneName::try_from("a")?,
-        callers: (ip, 5432).into(),
-        peers: (ip, 7000).into(),
-        readiness: (ip, 9000).into(),
-        metrics: (ip, 9001).into(),
-        log_level: LevelFilter::Info,
-        drain_bound: Duration::from_secs(6),
-        store: platform,
-        promotion: platform,
-    })
-}
-
 /// Writes as a caller that comes back as it is told, until the write is acknowledged.
 async fn write_until_done(address: SocketAddr, what: &str) -> Result<(), Box<dyn Error>> {
     let until = Instant::now() + FAILOVER_LIMIT;
--- a/sapphireslipd/src/hybrid_clock.rs
+++ b/sapphireslipd/src/hybrid_clock.rs
@@ -64,3 +64,14 @@
 pub fn unix_of(time: u64) -> Duration {
     NTP64(time).to_duration()
 }
+
+/// Returns a time since the Unix epoch as a 64-bit NTP time.
+///
+/// ```
+/// use std::time::Duration;
+/// assert_eq!(sapphireslipd::ntp_of(Duration::from_secs(5)), 5 << 32);
+/// ```
+#[must_use]
+pub fn ntp_of(unix: Duration) -> u64 {
+    NTP64::from(unix).as_u64()
+}
--- a/sapphireslipd/src/lead_log.rs
+++ b/sapphireslipd/src/lead_log.rs
@@ -1,5 +1,6 @@
 //! Records of the reducer as lines of the log.
 
+use sapphireslip_core::{ServerId, ServiceName};
 use sapphireslip_lead::{Record, RecordKind};
 
 use crate::STATEMENT_TARGET;
@@ -16,20 +17,10 @@
         | RecordKind::LeadChanged => log::Level::Warn,
         _ => log::Level::Info,
     };
-    let text =
-        |value: &Option<sapphireslip_core::Text>| value.as_deref().unwrap_or_default().to_owned();
-    let request = text(&record.request);
+    let request = record.request.as_deref().unwrap_or_default();
     let session = record.session.map_or(0, |session| session.0);
-    let service = record
-        .service
-        .as_ref()
-        .map(ToString::to_string)
-        .unwrap_or_default();
-    let server = record
-        .server
-        .as_ref()
-        .map(ToString::to_string)
-        .unwrap_or_default();
+    let service = record.service.as_ref().map_or("", ServiceName::as_str);
+    let server = record.server.as_ref().map_or("", ServerId::as_str);
     let target = if record.kind.concerns_statement() {
         STATEMENT_TARGET
     } else {
--- a/sapphireslipd/src/lead_runner.rs
+++ b/sapphireslipd/src/lead_runner.rs
@@ -135,7 +135,6 @@
                 address,
                 database,
                 version,
-                ..
             } => {
                 let mut opening = Vec::new();
                 encode_pass_on(version, &database, &mut opening);
@@ -211,8 +210,10 @@
                 self.metrics.record(&record);
                 log_record(&record);
             }
-            Effect::StopListening => log::info!(sessions = self.callers.len(); "stopping"),
-            Effect::Exit => return true,
+            Effect::Exit => {
+                log::info!(sessions = self.callers.len(); "stopping");
+                return true;
+            }
         }
         false
     }
--- a/sapphireslipd/src/lead_settings.rs
+++ b/sapphireslipd/src/lead_settings.rs
@@ -62,14 +62,7 @@
     type Error = SettingsErrors;
 
     fn try_from(bytes: &[u8]) -> Result<Self, SettingsErrors> {
-        let raw = RawSettings::try_from(bytes)?;
-        let (root, mut faults) = raw.open();
-        let settings = check(root, &mut faults);
-        let errors: Vec<_> = faults.into_sorted().into_iter().map(Into::into).collect();
-        match settings {
-            Some(settings) if errors.is_empty() => Ok(settings),
-            _ => Err(SettingsErrors(errors)),
-        }
+        RawSettings::try_from(bytes)?.check(check)
     }
 }
 
--- a/sapphireslipd/src/raw_settings.rs
+++ b/sapphireslipd/src/raw_settings.rs
@@ -44,10 +44,19 @@
 }
 
 impl<'a> RawSettings<'a> {
-    /// Returns the outermost table, and a collector for its faults.
-    pub(crate) fn open(&self) -> (TomlTable<'_>, Faults<'a>) {
+    /// Returns what `check` makes of the outermost table, or all faults that it finds.
+    pub(crate) fn check<T>(
+        &self,
+        check: impl FnOnce(TomlTable<'_>, &mut Faults<'a>) -> Option<T>,
+    ) -> Result<T, SettingsErrors> {
         let table = TomlTable::new(self.table.get_ref(), 0, String::new());
-        (table, TomlFaults::new(self.text))
+        let mut faults = TomlFaults::new(self.text);
+        let settings = check(table, &mut faults);
+        let errors: Vec<_> = faults.into_sorted().into_iter().map(Into::into).collect();
+        match settings {
+            Some(settings) if errors.is_empty() => Ok(settings),
+            _ => Err(SettingsErrors(errors)),
+        }
     }
 }
 
--- a/sapphireslipd/src/settings.rs
+++ b/sapphireslipd/src/settings.rs
@@ -111,13 +111,7 @@
     type Error = SettingsErrors;
 
     fn try_from(raw: RawSettings<'_>) -> Result<Self, SettingsErrors> {
-        let (root, mut faults) = raw.open();
-        let settings = check(root, &mut faults);
-        let errors: Vec<_> = faults.into_sorted().into_iter().map(Into::into).collect();
-        match settings {
-            Some(settings) if errors.is_empty() => Ok(settings),
-            _ => Err(SettingsErrors(errors)),
-        }
+        raw.check(check)
     }
 }
 
--- a/sapphireslipd/tests/lead_daemon.rs
+++ b/sapphireslipd/tests/lead_daemon.rs
@@ -4,10 +4,8 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
-use log::LevelFilter;
-use sapphireslip_core::{VmId, ZoneName};
 use sapphireslipd::{LeadSettings, serve_lead};
-use standins::{LineGroup, LineStore, line_configuration};
+use standins::{LineGroup, LineStore, line_configuration, line_settings, start_line_site};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Lines};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -24,6 +22,8 @@
 
 const SERVICE: &str = "ledger";
 
+const DATABASE: &str = "fees";
+
 /// A site with one daemon a name, each in zone a.
 struct Site {
     store: LineStore,
@@ -39,32 +39,17 @@
 }
 
 fn config(version: u64) -> String {
-    line_configuration(version, "fees", SERVICE)
+    line_configuration(version, DATABASE, SERVICE)
 }
 
 impl Site {
     async fn start(names: &[&str]) -> Self {
-        let group = LineGroup::start(SERVICE).await.expect("servers");
-        let store = LineStore::start(group.clone()).await.expect("a store");
-        store.put("op", "config", config(1).as_bytes());
-        for (id, entry) in group.entries(SERVICE) {
-            store.put("servers", &id, entry.as_bytes());
-        }
+        let site = start_line_site(DATABASE, SERVICE).await;
+        let (group, store) = site.expect("servers and a store");
         let mut daemons = Vec::new();
         for name in names {
-            let ip = own_address();
-            let settings = LeadSettings {
-                vm: VmId::try_from(*name).expect("a name"),
-                zone: ZoneName::try_from("a").expect("a name"),
-                callers: (ip, 5432).into(),
-                peers: (ip, 7000).into(),
-                readiness: (ip, 9000).into(),
-                metrics: (ip, 9001).into(),
-                log_level: LevelFilter::Info,
-                drain_bound: Duration::from_secs(6),
-                store: store.address(),
-                promotion: store.address(),
-            };
+            let text = line_settings(name, own_address(), store.address());
+            let settings = LeadSettings::try_from(text.as_bytes()).expect("without a fault");
             tokio::spawn(serve_lead(settings.clone()));
             daemons.push(settings);
         }
@@ -249,8 +234,7 @@
 async fn configuration_is_in_force_at_once() {
     let site = Site::start(&["vm-1"]).await;
     let mut caller = site.caller(0).await;
-    let without = config(2).replace("\"fees\"", "\"other\"");
-    site.store.put("op", "config", without.as_bytes());
+    drop_route(&site);
     let until = Instant::now() + Duration::from_secs(3);
     for n in 0.. {
         if caller
@@ -270,29 +254,36 @@
     assert!(caller.run("old", "READ x").await.starts_with("ERROR NODB"));
 }
 
-/// A watch that hangs on a connection which has gone silent ends in time.
-#[tokio::test]
-async fn configuration_comes_past_a_silent_connection() {
-    let site = Site::start(&["vm-1"]).await;
-    let mut caller = site.caller(0).await;
-    site.store.hang_watches(true);
+/// Puts a configuration in force that has no route to the callers' database.
+fn drop_route(site: &Site) {
     let without = config(2).replace("\"fees\"", "\"other\"");
     site.store.put("op", "config", without.as_bytes());
-    site.store.hang_watches(false);
+}
+
+/// Waits until the daemon has the configuration without the route.
+async fn wait_until_dropped(caller: &mut Caller) {
     let until = Instant::now() + SILENCE_BOUND;
     for n in 0.. {
-        if caller
-            .run(&n.to_string(), "READ x")
-            .await
-            .starts_with("ERROR NODB")
-        {
-            break;
+        let answer = caller.run(&format!("dropped-{n}"), "READ x").await;
+        if answer.starts_with("ERROR NODB") {
+            return;
         }
         assert!(Instant::now() < until, "in force within {SILENCE_BOUND:?}");
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
 
+/// A watch that hangs on a connection which has gone silent ends in time.
+#[tokio::test]
+async fn configuration_comes_past_a_silent_connection() {
+    let site = Site::start(&["vm-1"]).await;
+    let mut caller = site.caller(0).await;
+    site.store.hang_watches(true);
+    drop_route(&site);
+    site.store.hang_watches(false);
+    wait_until_dropped(&mut caller).await;
+}
+
 #[tokio::test]
 async fn bad_input_is_refused_and_the_daemon_lives() {
     let site = Site::start(&["vm-1"]).await;
@@ -350,20 +341,8 @@
     tokio::time::sleep(Duration::from_secs(2)).await;
     assert_eq!(caller.run("1", "WRITE x 1").await, "COMPLETE 1 I");
     site.store.answer_rubbish(false);
-    let without = config(2).replace("\"fees\"", "\"other\"");
-    site.store.put("op", "config", without.as_bytes());
-    let until = Instant::now() + SILENCE_BOUND;
-    for n in 2.. {
-        if caller
-            .run(&n.to_string(), "READ x")
-            .await
-            .starts_with("ERROR NODB")
-        {
-            break;
-        }
-        assert!(Instant::now() < until, "it reads the store again in time");
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
+    drop_route(&site);
+    wait_until_dropped(&mut caller).await;
 }
 
 #[tokio::test]
--- a/sapphireslipd/tests/lead_process.rs
+++ b/sapphireslipd/tests/lead_process.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
-use standins::{LineGroup, LineStore, line_configuration};
+use standins::{line_settings, start_line_site};
 use tempfile::TempDir;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
@@ -19,15 +19,6 @@
 /// Lines enough to fill the pipe of an output that nobody reads several times over.
 const STATEMENTS: usize = 1_500;
 
-fn settings(ip: Ipv4Addr, platform: &str) -> String {
-    format!(
-        "vm = \"vm-1\"\nzone = \"a\"\ncallers = \"{ip}:5432\"\npeers = \"{ip}:7000\"\n\
-         readiness = \"{ip}:9000\"\nmetrics = \"{ip}:9001\"\nlog_level = \"trace\"\n\
-         drain_bound = \"6s\"\n[store]\naddress = \"{platform}\"\n[promotion]\n\
-         address = \"{platform}\"\n"
-    )
-}
-
 fn start(folder: &TempDir, text: &str) -> Child {
     let path = folder.path().join("settings.toml");
     std::fs::write(&path, text).expect("written");
@@ -69,20 +60,13 @@
 
 #[tokio::test]
 async fn log_that_nobody_reads_and_signals() {
-    let group = LineGroup::start("ledger").await.expect("servers");
-    let store = LineStore::start(group.clone()).await.expect("a store");
-    store.put(
-        "op",
-        "config",
-        line_configuration(1, "fees", "ledger").as_bytes(),
-    );
-    for (id, entry) in group.entries("ledger") {
-        store.put("servers", &id, entry.as_bytes());
-    }
+    let site = start_line_site("fees", "ledger").await;
+    let (_group, store) = site.expect("servers and a store");
     let [.., low] = std::process::id().to_be_bytes();
     let ip = Ipv4Addr::new(127, 79, low, 1);
     let folder = TempDir::new().expect("a folder");
-    let mut daemon = start(&folder, &settings(ip, &store.address().to_string()));
+    let settings = line_settings("vm-1", ip, store.address());
+    let mut daemon = start(&folder, &format!("log_level = \"trace\"\n{settings}"));
     let until = Instant::now() + PATIENCE;
     while run(ip, 1).await.is_err() {
         assert!(Instant::now() < until, "it serves in time");
--- a/sapphireslipd/tests/log_schema.rs
+++ b/sapphireslipd/tests/log_schema.rs
@@ -9,7 +9,7 @@
 use sapphireslip_lead::RecordKind;
 use sapphireslipd::STATEMENT_TARGET;
 use serde_json::Value;
-use standins::{LineGroup, LineStore, line_configuration, wait_for};
+use standins::{line_settings, start_line_site, wait_for};
 use tempfile::TempDir;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
@@ -104,21 +104,11 @@
 
 #[tokio::test]
 async fn written_lines_have_the_fields() {
-    let group = LineGroup::start("ledger").await.expect("servers");
-    let store = LineStore::start(group.clone()).await.expect("a store");
-    let configuration = line_configuration(1, "fees", "ledger");
-    store.put("op", "config", configuration.as_bytes());
-    for (id, entry) in group.entries("ledger") {
-        store.put("servers", &id, entry.as_bytes());
-    }
+    let site = start_line_site("fees", "ledger").await;
+    let (_group, store) = site.expect("servers and a store");
     let [.., low] = std::process::id().to_be_bytes();
     let ip = Ipv4Addr::new(127, 81, low, 1);
-    let address = store.address();
-    let settings = format!(
-        "vm = \"vm-1\"\nzone = \"a\"\ncallers = \"{ip}:5432\"\npeers = \"{ip}:7000\"\n\
-         readiness = \"{ip}:9000\"\nmetrics = \"{ip}:9001\"\n[store]\naddress = \"{address}\"\n\
-         [promotion]\naddress = \"{address}\"\n"
-    );
+    let settings = line_settings("vm-1", ip, store.address());
     let folder = TempDir::new().expect("a folder");
     let path = folder.path().join("settings.toml");
     std::fs::write(&path, settings).expect("written");
