Many services: one write names up to 48 leaders; tables are read in pages

Beyond 500 rows (167 services) the list of servers was cut off as well: only the first answer of a read was taken.

A table of several answers is as old as its first one. A replacement therefore takes only tables as new as the naming as acknowledgements (handover::table_older_than_the_naming_acknowledges_nothing fails without).

--- a/sapphireslip-lead/src/duty.rs
+++ b/sapphireslip-lead/src/duty.rs
@@ -8,8 +8,8 @@
 use crate::handover::{Handover, Reason};
 use crate::state::State;
 use crate::{
-    DutyRecord, Effect, LeadRecord, PermitRecord, Record, RecordKind, Role, RowVersion, StoreWrite,
-    Term, WriteOutcome,
+    DutyRecord, Effect, LeadRecord, NamedLead, PermitRecord, Record, RecordKind, Role, RowVersion,
+    StoreWrite, Term, WriteOutcome,
 };
 
 /// The pause between two daemons' attempts to take a vacant duty.
@@ -28,11 +28,17 @@
 /// How long a named leader may take to lead before its promotion is taken up anew.
 const OPENING_MAX: Duration = Duration::from_millis(300);
 
+/// The most leaders that one write names: the store takes 100 rows a transaction, each leader is a
+/// condition and a row to write, and the duty and the generation come on top.
+const NAMED_MAX: usize = 48;
+
 data! {
     /// The duty, as this daemon sees it.
     #[derive(Default)]
     pub(crate) struct Duty {
         is_pending: bool,
+        /// The leaders that the next write names.
+        named: Vec<NamedLead>,
         next_write: Instant,
         vacant: Option<Instant>,
         was_held: bool,
@@ -50,7 +56,7 @@
 impl Duty {
     /// Returns whether another leader is being named or promoted.
     pub(crate) fn is_naming(&self) -> bool {
-        self.is_pending || self.handovers.values().any(Handover::is_named)
+        self.is_pending || !self.named.is_empty() || self.handovers.values().any(Handover::is_named)
     }
 
     /// Returns whether a primary is being replaced.
@@ -84,6 +90,7 @@
         self.note_duty_change();
         if self.token().is_none() {
             self.duty.handovers.clear();
+            self.duty.named.clear();
             if !self.is_leaving() {
                 self.take_duty();
             }
@@ -101,6 +108,7 @@
         for service in services {
             self.oversee(&service);
         }
+        self.write_leads();
     }
 
     fn note_duty_change(&mut self) {
@@ -213,6 +221,7 @@
         let own = self.leaders_in(&self.local.zone);
         let is_better = |record: &PermitRecord| self.leaders_in(&record.zone) < own;
         let is_calm = self.duty.handovers.is_empty()
+            && self.duty.named.is_empty()
             && !self.duty.is_pending
             && self.now.since(self.duty.quiet_since) >= HAND_ON_AFTER;
         if is_calm && self.permitted().any(is_better) {
@@ -357,48 +366,64 @@
         accusers > witnesses
     }
 
-    /// Writes who is to lead a service; returns false if another write has to end first.
+    /// Has the next write name who is to lead a service; returns false if another write has to end
+    /// first.
     pub(crate) fn name_leader(
         &mut self,
         service: &ServiceName,
         leader: &ServerId,
         above: Term,
     ) -> bool {
-        if self.duty.is_pending || self.now < self.duty.next_write {
+        let is_full = self.duty.named.len() >= NAMED_MAX;
+        if is_full || self.duty.is_pending || self.now < self.duty.next_write {
             return false;
         }
-        let Some(duty) = self.token() else {
-            return false;
-        };
-        self.duty.is_pending = true;
-        let table = &self.leads.table;
-        let lead = table
-            .leads
-            .get(service)
-            .map_or(RowVersion(0), |(_, version)| *version);
-        self.effects.push(Effect::Write(StoreWrite::Lead {
+        let present = self.leads.table.leads.get(service);
+        let lead = present.map_or(RowVersion(0), |(_, version)| *version);
+        self.duty.named.retain(|other| other.service != *service);
+        self.duty.named.push(NamedLead {
             service: service.clone(),
             record: LeadRecord {
                 leader: leader.clone(),
                 above,
             },
             lead,
+        });
+        true
+    }
+
+    /// Writes the leaders that are to be named.
+    ///
+    /// One write names all of them: each one has every daemon read the leads and renew its
+    /// permission.
+    fn write_leads(&mut self) {
+        let Some(duty) = self.token() else {
+            return;
+        };
+        if self.duty.is_pending || self.duty.named.is_empty() {
+            return;
+        }
+        self.duty.is_pending = true;
+        let named = std::mem::take(&mut self.duty.named);
+        self.effects.push(Effect::Write(StoreWrite::Leads {
+            named,
             duty,
-            generation: table.generation,
+            generation: self.leads.table.generation,
         }));
-        true
     }
 
-    /// Takes the outcome of a write of a lead.
-    pub(crate) fn on_lead_written(&mut self, service: &ServiceName, outcome: WriteOutcome) {
+    /// Takes the outcome of a write of leads.
+    pub(crate) fn on_leads_written(&mut self, named: &[NamedLead], outcome: &WriteOutcome) {
         self.duty.is_pending = false;
         let version = match outcome {
-            WriteOutcome::Done { version, .. } => Some(version),
+            WriteOutcome::Done { version, .. } => Some(*version),
             WriteOutcome::Conflict { .. } | WriteOutcome::Unknown => {
                 self.duty.next_write = self.now + WRITE_RETRY;
                 None
             }
         };
-        self.on_named(service, version);
+        for lead in named {
+            self.on_named(&lead.service, version);
+        }
     }
 }
--- a/sapphireslip-lead/src/effect.rs
+++ b/sapphireslip-lead/src/effect.rs
@@ -160,6 +160,16 @@
         },
     }
 
+    /// A leader that is to be named in the store.
+    pub struct NamedLead {
+        /// The service.
+        pub service: ServiceName,
+        /// Who is to lead.
+        pub record: LeadRecord,
+        /// The version of the present row; 0 if there is none.
+        pub lead: RowVersion,
+    }
+
     /// A write to the store, done only if all rows named as conditions have the given versions.
     pub enum StoreWrite {
         /// Prolongs this daemon's permission, if no lead has changed.
@@ -188,14 +198,10 @@
             /// version 0 if it has none.
             ended: Option<(VmId, RowVersion)>,
         },
-        /// Names a leader.
-        Lead {
-            /// The service.
-            service: ServiceName,
-            /// Who is to lead.
-            record: LeadRecord,
-            /// The version of the present row; 0 if there is none.
-            lead: RowVersion,
+        /// Names leaders, all of them or none.
+        Leads {
+            /// The leaders.
+            named: Vec<NamedLead>,
             /// The version of the duty's row.
             duty: RowVersion,
             /// The version of the last change of a lead.
--- a/sapphireslip-lead/src/handover.rs
+++ b/sapphireslip-lead/src/handover.rs
@@ -354,7 +354,8 @@
             let has_left = |(record, row): &(crate::PermitRecord, RowVersion)| {
                 record.until <= table.now || *row > version
             };
-            table.permits.iter().all(has_left)
+            // An older table may lack the row of a daemon that has only just written its first.
+            table.version >= version && table.permits.iter().all(has_left)
         };
         let done: Vec<ServiceName> = self
             .duty
--- a/sapphireslip-lead/src/lead_record.rs
+++ b/sapphireslip-lead/src/lead_record.rs
@@ -70,6 +70,8 @@
     pub struct PermitTable {
         /// The permissions, each with its row's version.
         pub permits: Vec<(PermitRecord, RowVersion)>,
+        /// The version of the store at that moment.
+        pub version: RowVersion,
         /// The store's clock at that moment.
         pub now: StoreTime,
     }
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -189,7 +189,7 @@
             }
             StoreWrite::DropPermit { .. } => {}
             StoreWrite::Duty { .. } => self.on_duty_written(&outcome),
-            StoreWrite::Lead { service, .. } => self.on_lead_written(&service, outcome),
+            StoreWrite::Leads { named, .. } => self.on_leads_written(&named, &outcome),
         }
         self.do_duty();
     }
--- a/sapphireslip-lead/tests/handover.rs
+++ b/sapphireslip-lead/tests/handover.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use rstest::rstest;
-use sapphireslip_lead::{Effect, ErrorCode, Record, RecordKind};
-use support::{Daemon, PAYMENTS, server, service};
+use sapphireslip_lead::{Effect, ErrorCode, Event, Record, RecordKind};
+use support::{Daemon, PAYMENTS, at, server, service};
 
 #[rstest]
 fn draining_primary_hands_over_all_of_its_log() {
@@ -22,6 +22,37 @@
     assert_ne!(daemon.statements()[0].0, "s-a");
 }
 
+/// The first part of a long table may have been read before the leader was named, the row of this
+/// daemon after it.
+#[rstest]
+fn table_older_than_the_naming_acknowledges_nothing() {
+    let (mut daemon, _) = Daemon::with_session();
+    daemon.group.get_mut(&server("s-a")).is_draining = true;
+    let older = daemon.store.permits(daemon.millis).version;
+    while daemon.store.leads.leads[&service()].0.leader == server("s-a") {
+        daemon.advance(10);
+    }
+    let is_promoted = |daemon: &Daemon| daemon.group.servers.iter().any(|s| s.term.0 > 1);
+    assert!(!is_promoted(&daemon), "no table was read since");
+    let mut table = daemon.store.permits(daemon.millis);
+    table.version = older;
+    for (_, row) in &mut table.permits {
+        row.0 += 1_000;
+    }
+    let sent = at(daemon.millis);
+    daemon.event(Event::Permits {
+        table: Some(table),
+        sent,
+    });
+    daemon.store_answers = false;
+    daemon.advance(300);
+    let is_early = is_promoted(&daemon);
+    assert!(!is_early, "an older table is no acknowledgement");
+    daemon.store_answers = true;
+    daemon.advance(1_000);
+    assert!(is_promoted(&daemon));
+}
+
 #[rstest]
 fn open_transaction_ends_before_the_primary_is_replaced() {
     let (mut daemon, session) = Daemon::with_session();
--- /dev/null
+++ b/sapphireslip-lead/tests/naming.rs
@@ -0,0 +1,33 @@
+//! Leaders are named in the store for many services at once.
+
+mod support;
+
+use rstest::rstest;
+use sapphireslip_core::ServiceName;
+use sapphireslip_lead::{Event, ServiceSpec};
+use support::{Daemon, catalog};
+
+/// Adds services with a primary each, of which nothing stands in the store.
+fn add_services(daemon: &mut Daemon, count: usize) {
+    let mut catalog = catalog(2);
+    for n in 0..count {
+        let name = ServiceName::try_from(format!("ledger-{n}").as_str()).expect("a name");
+        daemon.group.add_service(&name);
+        catalog
+            .services
+            .insert(name, ServiceSpec { connections: 16 });
+    }
+    daemon.event(Event::Catalog(catalog));
+}
+
+/// Load pattern: a whole fleet starts in front of many databases, and callers come seconds later.
+#[rstest]
+fn fleet_start_names_the_leaders_of_many_services_in_few_writes() {
+    let mut daemon = Daemon::ready();
+    let before = daemon.store.namings;
+    add_services(&mut daemon, 100);
+    daemon.advance(2_000);
+    assert_eq!(daemon.store.leads.leads.len(), 101);
+    let writes = daemon.store.namings - before;
+    assert!(writes <= 3, "{writes} writes");
+}
--- a/sapphireslip-lead/tests/support/group.rs
+++ b/sapphireslip-lead/tests/support/group.rs
@@ -1,4 +1,4 @@
-use sapphireslip_core::{ServerId, Text, TransactionStatus};
+use sapphireslip_core::{ServerId, ServiceName, Text, TransactionStatus};
 use sapphireslip_lead::{
     ErrorCode, Failure, Position, Reply, ReplyEnd, Role, ServerRecord, ServerRequest, ServerStatus,
     Term, TermPosition,
@@ -17,6 +17,7 @@
     pub is_draining: bool,
     /// Whether nobody reaches it.
     pub is_dark: bool,
+    service: ServiceName,
     zone: &'static str,
 }
 
@@ -44,6 +45,7 @@
             log: vec![(Term(1), "first".into())],
             is_draining: false,
             is_dark: false,
+            service: service(),
             zone,
         };
         let servers = [
@@ -70,8 +72,8 @@
     pub fn records(&self) -> Vec<ServerRecord> {
         let record = |(n, server): (usize, &FakeServer)| ServerRecord {
             id: server.id.clone(),
-            service: service(),
-            address: format!("10.0.0.{}:5000", n + 1)
+            service: server.service.clone(),
+            address: format!("10.0.{}.{}:5000", n / 200, n % 200 + 1)
                 .parse()
                 .expect("an address"),
             zone: zone(server.zone),
@@ -83,6 +85,20 @@
         self.servers.iter().enumerate().map(record).collect()
     }
 
+    /// Adds a service with one server, its primary.
+    pub fn add_service(&mut self, name: &ServiceName) {
+        self.servers.push(FakeServer {
+            id: server(&format!("{name}-a")),
+            role: Role::Primary,
+            term: Term(1),
+            log: Vec::new(),
+            is_draining: false,
+            is_dark: false,
+            service: name.clone(),
+            zone: "a",
+        });
+    }
+
     /// Returns the server of the highest term.
     pub fn newest(&self) -> &FakeServer {
         let newest = self.servers.iter().max_by_key(|server| server.term);
--- a/sapphireslip-lead/tests/support/store.rs
+++ b/sapphireslip-lead/tests/support/store.rs
@@ -2,7 +2,8 @@
 
 use sapphireslip_core::VmId;
 use sapphireslip_lead::{
-    LeadTable, PermitRecord, PermitTable, RowVersion, StoreTime, StoreWrite, WriteOutcome,
+    LeadTable, NamedLead, PermitRecord, PermitTable, RowVersion, StoreTime, StoreWrite,
+    WriteOutcome,
 };
 
 use super::at;
@@ -12,6 +13,8 @@
 pub struct FakeStore {
     version: u64,
     pub leads: LeadTable,
+    /// How many writes have named leaders.
+    pub namings: usize,
     permits: BTreeMap<VmId, (PermitRecord, RowVersion)>,
 }
 
@@ -24,6 +27,7 @@
     pub fn permits(&self, millis: u64) -> PermitTable {
         PermitTable {
             permits: self.permits.values().cloned().collect(),
+            version: RowVersion(self.version),
             now: self.now(millis),
         }
     }
@@ -56,11 +60,12 @@
             StoreWrite::Duty { record, .. } => {
                 self.leads.duty = record.clone().map(|record| (record, version));
             }
-            StoreWrite::Lead {
-                service, record, ..
-            } => {
-                let row = (record.clone(), version);
-                self.leads.leads.insert(service.clone(), row);
+            StoreWrite::Leads { named, .. } => {
+                self.namings += 1;
+                for lead in named {
+                    let row = (lead.record.clone(), version);
+                    self.leads.leads.insert(lead.service.clone(), row);
+                }
                 self.leads.generation = version;
             }
         }
@@ -88,16 +93,18 @@
                     |(vm, version): &(VmId, RowVersion)| self.permit_version(vm) == *version;
                 duty_version == *duty && ended.as_ref().is_none_or(has_ended)
             }
-            StoreWrite::Lead {
-                service,
-                lead,
+            StoreWrite::Leads {
+                named,
                 duty,
                 generation,
-                ..
             } => {
-                let present = self.leads.leads.get(service);
-                let version = present.map_or(RowVersion(0), |(_, version)| *version);
-                version == *lead && duty_version == *duty && self.leads.generation == *generation
+                let is_present = |lead: &NamedLead| {
+                    let present = self.leads.leads.get(&lead.service);
+                    present.map_or(RowVersion(0), |(_, version)| *version) == lead.lead
+                };
+                named.iter().all(is_present)
+                    && duty_version == *duty
+                    && self.leads.generation == *generation
             }
         }
     }
--- a/sapphireslipd/src/lead_run.rs
+++ b/sapphireslipd/src/lead_run.rs
@@ -54,13 +54,13 @@
     let needs_leads = Arc::new(AtomicBool::new(false));
     let configuration = Watch {
         table: Table::Operator,
-        decode: |body| decode_catalog(body).map(Event::Catalog),
+        decode: |rows| decode_catalog(rows).map(Event::Catalog),
         is_one_row: true,
         is_needed: Arc::new(AtomicBool::new(true)),
     };
     let leads = Watch {
         table: Table::Leads,
-        decode: |body| decode_leads(body).map(Event::Leads),
+        decode: |rows| decode_leads(rows).map(Event::Leads),
         is_one_row: false,
         is_needed: Arc::clone(&needs_leads),
     };
--- a/sapphireslipd/src/store_client.rs
+++ b/sapphireslipd/src/store_client.rs
@@ -13,7 +13,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use quick_error::quick_error;
-use sapphireslip_platform::{Call, Table, read_table};
+use sapphireslip_platform::{Call, Rows, Table, decode_rows, read_table};
 
 use crate::lead_metrics::LeadMetrics;
 
@@ -136,9 +136,18 @@
         self.usual_micros.store(micros, Ordering::Relaxed);
     }
 
-    /// Reads a whole table; none if the store does not answer.
-    pub(crate) async fn read(&self, table: Table) -> Option<Bytes> {
-        let answer = self.call(read_table(table), Duration::ZERO).await;
+    /// Reads a whole table, in as many calls as it takes; none if the store does not answer all.
+    pub(crate) async fn read(&self, table: Table) -> Option<Rows> {
+        let mut rows = self.read_from(table, None).await?;
+        while let Some(from) = rows.next_from() {
+            let next = self.read_from(table, Some(from)).await?;
+            rows.join(next);
+        }
+        Some(rows)
+    }
+
+    async fn read_from(&self, table: Table, from: Option<&str>) -> Option<Rows> {
+        let answer = self.call(read_table(table, from), Duration::ZERO).await;
         let answer = answer
             .inspect_err(|err| log::debug!("reading {table:?}: {err}"))
             .ok()?;
@@ -146,7 +155,9 @@
             log::debug!("reading {table:?}: status {}", answer.status);
             return None;
         }
-        Some(answer.body)
+        decode_rows(&answer.body)
+            .inspect_err(|err| log::warn!("reading {table:?}: {err}"))
+            .ok()
     }
 
     async fn send(&self, call: Call) -> Result<CallAnswer, CallError> {
--- a/sapphireslipd/src/store_edge.rs
+++ b/sapphireslipd/src/store_edge.rs
@@ -9,7 +9,7 @@
     Event, PermitTable, PromoteOutcome, RowVersion, ServerRecord, StoreWrite, WriteOutcome, Written,
 };
 use sapphireslip_platform::{
-    Call, PlatformError, Table, decode_grant, decode_leads, decode_permits, decode_promote,
+    Call, PlatformError, Rows, Table, decode_grant, decode_leads, decode_permits, decode_promote,
     decode_servers, decode_write, encode_ask, write,
 };
 
@@ -35,8 +35,9 @@
 
 impl StoreEdge {
     pub(crate) async fn read_servers(self) {
-        let list = self.read(Table::Servers, decode_servers).await;
-        let list: Option<Vec<ServerRecord>> = list.map(|(records, faults)| {
+        let rows = self.store.read(Table::Servers).await;
+        let list: Option<Vec<ServerRecord>> = rows.map(|rows| {
+            let (records, faults) = decode_servers(&rows);
             for (key, err) in faults {
                 log::debug!("server `{key}` is left out: {err}");
             }
@@ -60,10 +61,10 @@
     async fn read<T>(
         &self,
         table: Table,
-        decode: fn(&[u8]) -> Result<T, PlatformError>,
+        decode: fn(&Rows) -> Result<T, PlatformError>,
     ) -> Option<T> {
-        let body = self.store.read(table).await?;
-        let decoded = decode(&body);
+        let rows = self.store.read(table).await?;
+        let decoded = decode(&rows);
         decoded
             .inspect_err(|err| log::warn!("reading {table:?}: {err}"))
             .ok()
--- a/sapphireslipd/src/store_watch.rs
+++ b/sapphireslipd/src/store_watch.rs
@@ -4,11 +4,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
 use sapphireslip_lead::{Event, RowVersion};
-use sapphireslip_platform::{
-    PlatformError, Table, Watched, decode_version, decode_watch, watch_table,
-};
+use sapphireslip_platform::{PlatformError, Rows, Table, Watched, decode_watch, watch_table};
 
 use crate::store_client::StoreClient;
 
@@ -27,7 +24,7 @@
 pub(crate) struct Watch {
     pub(crate) table: Table,
     /// Makes an event of the table's state.
-    pub(crate) decode: fn(&[u8]) -> Result<Event, PlatformError>,
+    pub(crate) decode: fn(&Rows) -> Result<Event, PlatformError>,
     /// Whether one changed row is the whole state.
     pub(crate) is_one_row: bool,
     /// Whether the table is of use at the moment.
@@ -52,11 +49,11 @@
         while watch.is_needed.load(Ordering::Relaxed) {
             match wait(&client, table, version).await {
                 Waited::Unchanged(next) => version = next,
-                Waited::Changed(next, body) if watch.is_one_row => {
-                    version = next;
-                    tell(&events, decode(&body)).await;
+                Waited::Changed(rows) if watch.is_one_row => {
+                    version = rows.version();
+                    tell(&events, decode(&rows)).await;
                 }
-                Waited::Changed(..) | Waited::Lost => break,
+                Waited::Changed(_) | Waited::Lost => break,
             }
         }
     }
@@ -65,8 +62,8 @@
 /// What came of waiting for a change.
 enum Waited {
     Unchanged(RowVersion),
-    /// The version up to which the answer goes, and the answer.
-    Changed(RowVersion, Bytes),
+    /// The rows that changed.
+    Changed(Rows),
     Lost,
 }
 
@@ -97,13 +94,11 @@
     client: &StoreClient,
     table: Table,
     events: &flume::Sender<Event>,
-    decode: fn(&[u8]) -> Result<Event, PlatformError>,
+    decode: fn(&Rows) -> Result<Event, PlatformError>,
 ) -> Option<RowVersion> {
-    let body = client.read(table).await?;
-    tell(events, decode(&body)).await;
-    decode_version(&body)
-        .inspect_err(|err| log::warn!("{err}"))
-        .ok()
+    let rows = client.read(table).await?;
+    tell(events, decode(&rows)).await;
+    Some(rows.version())
 }
 
 /// Waits for a change.
@@ -119,7 +114,7 @@
     };
     match decode_watch(answer.status, &answer.body) {
         Ok(Watched::Unchanged(version)) => Waited::Unchanged(version),
-        Ok(Watched::Changed(version)) => Waited::Changed(version, answer.body),
+        Ok(Watched::Changed(rows)) => Waited::Changed(rows),
         Ok(Watched::Forgotten) => Waited::Lost,
         Err(err) => {
             log::debug!("watching {table:?}: {err}");
--- a/standins/src/line_store.rs
+++ b/standins/src/line_store.rs
@@ -18,6 +18,9 @@
 
 use crate::LineGroup;
 
+/// The most rows in one answer, as in the platform's store.
+const ROWS_MAX: usize = 500;
+
 type Key = (String, String, String);
 
 /// The store, with a switch for outages.
@@ -120,13 +123,17 @@
     }
 
     fn answer(&self, status: StatusCode, rows: Vec<Value>) -> Response {
+        self.answer_page(status, rows, false)
+    }
+
+    fn answer_page(&self, status: StatusCode, rows: Vec<Value>, has_more: bool) -> Response {
         if self.rows().answers_rubbish {
             return (StatusCode::OK, "{\"rows\": 7").into_response();
         }
         let version = self.rows().version;
         let now = u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX);
         let body = json!({
-            "rows": rows, "has_more": false, "row_version": version, "now_ms": now,
+            "rows": rows, "has_more": has_more, "row_version": version, "now_ms": now,
         });
         (status, axum::Json(body)).into_response()
     }
@@ -154,15 +161,18 @@
     let is_meant = |(table, part, _): &Key| {
         query.get("table") == Some(table) && query.get("part").is_none_or(|wanted| wanted == part)
     };
-    let rows: Vec<Value> = {
+    let from = query.get("from").map_or("", String::as_str);
+    let limit = query.get("limit").and_then(|limit| limit.parse().ok());
+    let limit = limit.unwrap_or(ROWS_MAX).min(ROWS_MAX);
+    let mut rows: Vec<Value> = {
         let rows = shared.rows();
-        rows.rows
-            .iter()
-            .filter(|(key, _)| is_meant(key))
-            .map(|(k, v)| row(k, v))
-            .collect()
+        let meant = rows.rows.iter().filter(|(key, _)| is_meant(key));
+        let meant = meant.filter(|((_, _, key), _)| key.as_str() >= from);
+        meant.take(limit + 1).map(|(k, v)| row(k, v)).collect()
     };
-    shared.answer(StatusCode::OK, rows)
+    let has_more = rows.len() > limit;
+    rows.truncate(limit);
+    shared.answer_page(StatusCode::OK, rows, has_more)
 }
 
 async fn rows_feed(
