Fleet restart and lost homes: few daemons open connections

A service's 27 connections were then held by daemons without work, and the homes refused until 3.2 s after the start.

- A daemon is a home only once it knows who else lives: after 0.8 s, or from the rows that its fleet left before a restart.
- A session that opens before that waits up to 0.3 s for it; what its caller sends ahead stays unread until then.
- A session that a home does not take goes to the next in rank, as on all other daemons, and is served here after four refusals.
- A home that refuses again is left alone for twice as long, up to 4 s.
- Daemons without work renew their rows over 3 s after a restart: the store writes 250 a second of one part, one after the other.
- Ranks of homes and the reports on leaders are worked out once a table, no longer with each event.

--- a/sapphireslip-lead/src/client.rs
+++ b/sapphireslip-lead/src/client.rs
@@ -3,6 +3,7 @@
 use sapphireslip_core::{SessionId, Text, TransactionStatus};
 
 use crate::job::{Begin, Job, JobId, Stage, Work};
+use crate::opening::Opening;
 use crate::own_statement::Step;
 use crate::refusal::{RETRY_ELSEWHERE, busy};
 use crate::session::{STATEMENTS_AHEAD_MAX, Session};
@@ -36,31 +37,49 @@
     }
 
     fn open_session(&mut self, session: SessionId, database: Text, passed_on: Option<u64>) {
-        let Some(catalog) = &self.catalog else {
-            let failure = busy("the configuration is not known yet", RETRY_ELSEWHERE);
-            return self.refuse_session(session, failure);
-        };
-        let version = catalog.version;
-        let Some(route) = catalog.routes.get(&database) else {
-            let text =
-                format!("no route leads to database `{database}` in configuration {version}");
-            return self.refuse_session(session, Failure::new(ErrorCode::NoDatabase, &text));
-        };
-        let service = route.service.clone();
         match passed_on {
-            Some(theirs) if version < theirs || !self.may_take_sessions() => {
-                let failure = busy("another daemon should serve this session", RETRY_ELSEWHERE);
-                self.refuse_session(session, failure);
+            None if self.can_place_sessions() => self.place_session(session, database),
+            None => self.openings.push(Opening {
+                session,
+                database,
+                since: self.now,
+            }),
+            Some(theirs) => {
+                let version = self.catalog.as_ref().map(|catalog| catalog.version);
+                if version < Some(theirs) || !self.may_take_sessions() {
+                    let failure = busy("another daemon should serve this session", RETRY_ELSEWHERE);
+                    self.refuse_session(session, failure);
+                } else if self.route_to(&database).is_some() {
+                    self.serve_session(session, database, true);
+                } else {
+                    self.refuse_database(session, &database);
+                }
             }
-            Some(_) => self.serve_session(session, database, true),
-            None => match self.other_home(&service) {
-                Some(home) => self.pass_on(session, database, home, version),
-                None => self.serve_session(session, database, false),
-            },
         }
     }
 
-    fn refuse_session(&mut self, session: SessionId, failure: Failure) {
+    /// Passes a session of a caller on to its home, or serves it here.
+    pub(crate) fn place_session(&mut self, session: SessionId, database: Text) {
+        let Some(service) = self.route_to(&database).map(|route| route.service.clone()) else {
+            return self.refuse_database(session, &database);
+        };
+        match self.other_home(&service) {
+            Some(home) => self.pass_on(session, database, home, 0),
+            None => self.serve_session(session, database, false),
+        }
+    }
+
+    fn route_to(&self, database: &Text) -> Option<&Route> {
+        self.catalog.as_ref()?.routes.get(database)
+    }
+
+    fn refuse_database(&mut self, session: SessionId, database: &Text) {
+        let version = self.catalog.as_ref().map_or(0, |catalog| catalog.version);
+        let text = format!("no route leads to database `{database}` in configuration {version}");
+        self.refuse_session(session, Failure::new(ErrorCode::NoDatabase, &text));
+    }
+
+    pub(crate) fn refuse_session(&mut self, session: SessionId, failure: Failure) {
         let line = Record::new(RecordKind::RequestRefused, Text::clone(&failure.text));
         self.log(Record {
             session: Some(session),
@@ -213,6 +232,7 @@
     /// Forgets a session whose caller is gone.
     fn on_closed(&mut self, id: SessionId) {
         self.relays.remove(id);
+        self.openings.retain(|opening| opening.session != id);
         let Some(session) = self.sessions.get(&id) else {
             return;
         };
--- a/sapphireslip-lead/src/duty.rs
+++ b/sapphireslip-lead/src/duty.rs
@@ -348,22 +348,14 @@
 
     /// Returns whether most of the live daemons that work with a leader can't reach it.
     fn is_lost(&self, leader: &ServerId) -> bool {
-        let Some(table) = &self.permits else {
-            return false;
-        };
-        let is_unreachable = self
-            .servers
-            .get(leader)
-            .is_none_or(|server| server.is_unreachable(self.now));
-        let (mut accusers, mut witnesses) = if is_unreachable { (1, 0) } else { (0, 1) };
-        for (record, _) in &table.permits {
-            if record.vm == self.local.vm || record.until <= table.now {
-                continue;
-            }
-            accusers += usize::from(record.unreachable.contains(leader));
-            witnesses += usize::from(record.reached.contains(leader));
+        let server = self.servers.get(leader);
+        let mut vote = self.votes.on(leader);
+        if server.is_none_or(|server| server.is_unreachable(self.now)) {
+            vote.accusers += 1;
+        } else {
+            vote.witnesses += 1;
         }
-        accusers > witnesses
+        self.permits.is_some() && vote.accusers > vote.witnesses
     }
 
     /// Has the next write name who is to lead a service; returns false if another write has to end
--- /dev/null
+++ b/sapphireslip-lead/src/home_ranks.rs
@@ -0,0 +1,76 @@
+//! The order in which the daemons of this zone come to be the home of each service.
+//!
+//! It changes only with the daemons and the services, and is asked for with every event.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use sapphireslip_core::placement::rendezvous_weight;
+use sapphireslip_core::{ServiceName, VmId, data};
+
+use crate::PermitTable;
+use crate::state::{Identity, State};
+
+data! {
+    /// The orders of all services of the configuration.
+    #[derive(Default)]
+    pub(crate) struct HomeRanks {
+        /// The daemons for which they were worked out, as they stand in the table of permissions.
+        vms: Vec<VmId>,
+        of: BTreeMap<ServiceName, HomeRank>,
+    }
+
+    /// The order for one service.
+    pub(crate) struct HomeRank {
+        /// Where the other daemons of the zone stand in the table of permissions, the first in rank
+        /// first.
+        pub(crate) others: Vec<usize>,
+        /// How many of them come before this daemon.
+        pub(crate) before_own: usize,
+    }
+}
+
+impl HomeRank {
+    pub(crate) fn new(service: &ServiceName, local: &Identity, table: &PermitTable) -> Self {
+        let weight = |vm: &VmId| (rendezvous_weight(service.as_str(), vm.as_str()), vm.clone());
+        let own = weight(&local.vm);
+        let permits = table.permits.iter().enumerate();
+        let mut others: Vec<((u64, VmId), usize)> = permits
+            .filter(|(_, (record, _))| record.zone == local.zone && record.vm != local.vm)
+            .map(|(place, (record, _))| (weight(&record.vm), place))
+            .collect();
+        others.sort_unstable_by_key(|(weight, _)| Reverse(weight.clone()));
+        Self {
+            before_own: others.partition_point(|(weight, _)| *weight > own),
+            others: others.into_iter().map(|(_, place)| place).collect(),
+        }
+    }
+}
+
+impl HomeRanks {
+    pub(crate) fn get(&self, service: &ServiceName) -> Option<&HomeRank> {
+        self.of.get(service)
+    }
+}
+
+impl State {
+    /// Works the orders out anew if daemons or services have changed.
+    pub(crate) fn rank_homes(&mut self) {
+        let (Some(table), Some(catalog)) = (&self.permits, &self.catalog) else {
+            return;
+        };
+        let vms = table.permits.iter().map(|(record, _)| &record.vm);
+        let has_services = self.home_ranks.of.keys().eq(catalog.services.keys());
+        if has_services && vms.clone().eq(&self.home_ranks.vms) {
+            return;
+        }
+        let rank = |service: &ServiceName| HomeRank::new(service, &self.local, table);
+        let services = catalog.services.keys();
+        self.home_ranks = HomeRanks {
+            vms: vms.cloned().collect(),
+            of: services
+                .map(|service| (service.clone(), rank(service)))
+                .collect(),
+        };
+    }
+}
--- a/sapphireslip-lead/src/homes.rs
+++ b/sapphireslip-lead/src/homes.rs
@@ -6,9 +6,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use sapphireslip_core::placement::rendezvous_weight;
 use sapphireslip_core::{ServiceName, SessionId, VmId, data};
 
+use crate::home_ranks::HomeRank;
 use crate::session::Session;
 use crate::state::State;
 use crate::{PermitRecord, Record, RecordKind};
@@ -41,22 +41,23 @@
     /// Returns the home of a service in this zone if that is another daemon.
     pub(crate) fn other_home(&self, service: &ServiceName) -> Option<HomeOf> {
         let table = self.permits.as_ref()?;
+        let computed;
+        let rank = if let Some(rank) = self.home_ranks.get(service) {
+            rank
+        } else {
+            computed = HomeRank::new(service, &self.local, table);
+            &computed
+        };
         let leader = self.leads.named(service);
-        let is_able = |record: &&PermitRecord| {
-            record.zone == self.local.zone
-                && table.now < record.alive
-                && record.vm != self.local.vm
+        let is_able = |record: &PermitRecord| {
+            table.now < record.alive
                 && !self.relays.is_avoided(&record.vm, self.now)
                 && leader.is_none_or(|leader| !record.unreachable.contains(leader))
         };
-        let others = table
-            .permits
-            .iter()
-            .map(|(record, _)| record)
-            .filter(is_able);
-        let best = others.max_by_key(|record| weight(service, &record.vm))?;
-        let is_own = self.is_able_home(service)
-            && weight(service, &best.vm) < weight(service, &self.local.vm);
+        let others = rank.others.iter().enumerate();
+        let records = others.filter_map(|(n, place)| Some((n, &table.permits.get(*place)?.0)));
+        let (n, best) = records.into_iter().find(|(_, record)| is_able(record))?;
+        let is_own = n >= rank.before_own && self.is_able_home(service);
         (!is_own).then(|| HomeOf {
             vm: best.vm.clone(),
             address: best.peers,
@@ -80,7 +81,16 @@
 
     /// Returns whether this daemon is the home of a service in its zone.
     pub(crate) fn is_home(&self, service: &ServiceName) -> bool {
-        self.other_home(service).is_none()
+        self.knows_others() && self.other_home(service).is_none()
+    }
+
+    /// Returns whether this daemon knows who else lives in its zone.
+    ///
+    /// Daemons that start together have to say so, and to read it of each other. Where this VM has a
+    /// row of an earlier run, the others have theirs.
+    fn knows_others(&self) -> bool {
+        let has_met = self.permit.had_row || self.now.since_start >= MEETING_TIME;
+        has_met && self.permits.is_some()
     }
 
     /// Returns whether this daemon works with servers, so that it needs a permission.
@@ -88,13 +98,11 @@
         if !self.sessions.is_empty() || self.holds_duty() {
             return true;
         }
-        // Daemons that start together have to know each other to tell who is a home.
-        let knows_others = self.now.since_start >= MEETING_TIME && self.permits.is_some();
         let services = self
             .catalog
             .iter()
             .flat_map(|catalog| catalog.services.keys());
-        knows_others && services.into_iter().any(|service| self.is_home(service))
+        services.into_iter().any(|service| self.is_home(service))
     }
 
     /// Sends callers to where their sessions are better served.
@@ -115,7 +123,8 @@
                 .catalog
                 .as_ref()
                 .and_then(|c| c.routes.get(&session.database));
-            !session.is_passed_on && route.is_some_and(|route| !self.is_home(&route.service))
+            let home = route.and_then(|route| self.other_home(&route.service));
+            !session.is_passed_on && home.is_some()
         };
         let quiet = self.sessions.iter().find(|(_, session)| {
             session.is_idle()
@@ -154,9 +163,3 @@
         self.close_when_idle(id);
     }
 }
-
-/// Returns the weight of a daemon for a service: the highest one is the home.
-fn weight(service: &ServiceName, vm: &VmId) -> (u64, VmId) {
-    let weight = rendezvous_weight(service.as_str(), vm.as_str());
-    (weight, vm.clone())
-}
--- a/sapphireslip-lead/src/lib.rs
+++ b/sapphireslip-lead/src/lib.rs
@@ -14,10 +14,12 @@
 mod floors;
 mod grant;
 mod handover;
+mod home_ranks;
 mod homes;
 mod job;
 mod lead_record;
 mod leads;
+mod opening;
 mod own_statement;
 mod permit;
 mod pool;
@@ -36,6 +38,7 @@
 mod store_events;
 mod timeouts;
 mod transaction;
+mod votes;
 
 pub use sapphireslip_core::{Position, Term, TermPosition};
 
--- a/sapphireslip-lead/src/permit.rs
+++ b/sapphireslip-lead/src/permit.rs
@@ -12,6 +12,7 @@
 use crate::grant::HOLD_LENGTH;
 use crate::server::KnownServer;
 use crate::state::State;
+use crate::votes::Votes;
 use crate::{
     Effect, PermitRecord, PermitTable, Record, RecordKind, RowVersion, StoreClock, StoreTime,
     StoreWrite, WriteOutcome,
@@ -31,6 +32,10 @@
 /// their homes when they are back, and one that died is noticed by those that call it.
 const PRESENCE_LENGTH: Duration = Duration::from_secs(14);
 
+/// The time over which the daemons of a fleet that restarts renew their rows: the store writes the
+/// rows of one part one after the other, and those that permit something come first.
+const START_SPREAD: Duration = Duration::from_secs(3);
+
 /// How recent a leader's answer must be to be reported.
 const REACHED_MAX: Duration = Duration::from_millis(1_500);
 
@@ -50,6 +55,8 @@
     pub(crate) struct Permit {
         /// The present row's version; none until the permissions were read.
         pub(crate) row: Option<RowVersion>,
+        /// Whether an earlier run on this VM had left one.
+        pub(crate) had_row: bool,
         /// Until when the present row is valid, by the store's clock.
         until: Option<StoreTime>,
         /// The earliest end of a row that may have been written since: it may be shorter.
@@ -226,8 +233,16 @@
         let version = own.map_or(RowVersion(0), |(_, version)| *version);
         if self.permit.row.is_none() {
             self.permit.row = Some(version);
+            self.permit.had_row = own.is_some();
+            if let Some((record, _)) = own {
+                let alive = record.alive.0.saturating_sub(table.now.0);
+                self.permit.next = self.now + self.random.jitter(alive.min(START_SPREAD) / 2);
+            }
         }
+        self.votes = Votes::count(&table, &self.local.vm);
         self.permits = Some(table);
+        self.rank_homes();
+        self.open_waiting();
         self.renew_permit();
     }
 
--- a/sapphireslip-lead/src/relays.rs
+++ b/sapphireslip-lead/src/relays.rs
@@ -16,9 +16,16 @@
 /// How long no session is passed on to a daemon that could not be reached.
 const AVOID_SILENT: Duration = Duration::from_secs(3);
 
-/// How long no session is passed on to a daemon that refused one.
+/// How long no session is passed on to a daemon that refused one; twice as long each time that it
+/// refuses the next one too.
 const AVOID_REFUSING: Duration = Duration::from_millis(500);
 
+/// The longest of these pauses: a daemon that is back has its sessions again within it.
+const AVOID_MAX: Duration = Duration::from_secs(4);
+
+/// How many daemons may refuse a session before it is served here: a caller waits meanwhile.
+const REFUSALS_MAX: u8 = 4;
+
 data! {
     /// The sessions that were passed on.
     #[derive(Default)]
@@ -26,11 +33,17 @@
         sessions: BTreeMap<SessionId, Relay>,
         /// When each daemon last answered.
         heard: BTreeMap<VmId, Instant>,
-        avoided: BTreeMap<VmId, Instant>,
+        avoided: BTreeMap<VmId, Avoided>,
         /// When a session was last moved to its home.
         pub(crate) moved: Instant,
     }
 
+    /// A daemon to which no session is passed on.
+    struct Avoided {
+        until: Instant,
+        pause: Duration,
+    }
+
     struct Relay {
         vm: VmId,
         database: Text,
@@ -40,6 +53,10 @@
         request: Option<Text>,
         status: TransactionStatus,
         heard: Instant,
+        /// Whether the other daemon has taken it.
+        is_open: bool,
+        /// How many daemons did not take it.
+        refusals: u8,
         /// Whether it is to end.
         is_closing: bool,
     }
@@ -65,7 +82,9 @@
     }
 
     pub(crate) fn is_avoided(&self, vm: &VmId, now: Instant) -> bool {
-        self.avoided.get(vm).is_some_and(|until| now < *until)
+        self.avoided
+            .get(vm)
+            .is_some_and(|avoided| now < avoided.until)
     }
 
     /// Returns the sessions without work whose callers have paused for a while.
@@ -110,14 +129,15 @@
 }
 
 impl State {
-    /// Passes a session on to its home.
+    /// Passes a session on to its home, after some daemons that did not take it.
     pub(crate) fn pass_on(
         &mut self,
         session: SessionId,
         database: Text,
         home: HomeOf,
-        version: u64,
+        refusals: u8,
     ) {
+        let version = self.catalog.as_ref().map_or(0, |catalog| catalog.version);
         let relay = Relay {
             vm: home.vm,
             database: Text::clone(&database),
@@ -125,6 +145,8 @@
             request: None,
             status: TransactionStatus::Idle,
             heard: self.now,
+            is_open: false,
+            refusals,
             is_closing: false,
         };
         self.relays.sessions.insert(session, relay);
@@ -136,7 +158,8 @@
         });
     }
 
-    /// Serves a session here that its home does not take.
+    /// Passes a session that its home does not take on to the next one in rank, which all daemons of
+    /// the zone choose alike, or serves it here.
     pub(crate) fn on_relay_failed(&mut self, id: SessionId, is_refused: bool) {
         let Some(relay) = self.relays.sessions.remove(&id) else {
             return;
@@ -147,12 +170,27 @@
             AVOID_SILENT
         };
         self.avoid(&relay.vm, pause);
-        self.serve_session(id, relay.database, false);
+        let refusals = relay.refusals + 1;
+        let routes = self.catalog.as_ref().map(|catalog| &catalog.routes);
+        let route = routes.and_then(|routes| routes.get(&relay.database));
+        let next = route.and_then(|route| self.other_home(&route.service));
+        match next.filter(|_| refusals < REFUSALS_MAX) {
+            Some(home) => self.pass_on(id, relay.database, home, refusals),
+            None => self.serve_session(id, relay.database, false),
+        }
     }
 
     fn avoid(&mut self, vm: &VmId, pause: Duration) {
+        let before = self.relays.avoided.get(vm);
+        let pause = match before {
+            // Sessions that were on their way at the same time count once.
+            Some(before) if self.now < before.until => before.pause.max(pause),
+            Some(before) => (before.pause * 2).max(pause).min(AVOID_MAX),
+            None => pause,
+        };
         let until = self.now + pause;
-        self.relays.avoided.insert(vm.clone(), until);
+        let avoided = Avoided { until, pause };
+        self.relays.avoided.insert(vm.clone(), avoided);
         let detail = format!("no session goes to `{vm}` for {} ms", pause.as_millis());
         self.log(Record::new(RecordKind::DaemonAvoided, detail.into()));
     }
@@ -170,6 +208,10 @@
             relay.request = None;
             relay.status = status;
             relay.heard = self.now;
+            if !relay.is_open {
+                relay.is_open = true;
+                self.relays.avoided.remove(&relay.vm);
+            }
             self.relays.heard.insert(relay.vm.clone(), self.now);
         }
     }
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -11,8 +11,10 @@
 use crate::drain::Drain;
 use crate::duty::Duty;
 use crate::grant::Grants;
+use crate::home_ranks::HomeRanks;
 use crate::job::{Job, JobId};
 use crate::leads::Leads;
+use crate::opening::Opening;
 use crate::permit::Permit;
 use crate::pool::Pool;
 use crate::probes::Shapes;
@@ -20,6 +22,7 @@
 use crate::servers::Servers;
 use crate::session::Session;
 use crate::store_events::Reads;
+use crate::votes::Votes;
 use crate::{Catalog, Effect, Event, Floors, PermitTable, Record};
 
 data! {
@@ -68,10 +71,14 @@
         pub(crate) leads: Leads,
         pub(crate) permit: Permit,
         pub(crate) permits: Option<PermitTable>,
+        pub(crate) home_ranks: HomeRanks,
+        pub(crate) votes: Votes,
         pub(crate) grants: Grants,
         pub(crate) duty: Duty,
         pub(crate) reads: Reads,
         pub(crate) sessions: BTreeMap<SessionId, Session>,
+        /// The sessions that can't be placed yet.
+        pub(crate) openings: Vec<Opening>,
         pub(crate) relays: Relays,
         pub(crate) jobs: BTreeMap<JobId, Job>,
         pub(crate) next_job: u64,
@@ -100,10 +107,13 @@
             leads: Leads::default(),
             permit: Permit::default(),
             permits: None,
+            home_ranks: HomeRanks::default(),
+            votes: Votes::default(),
             grants: Grants::default(),
             duty: Duty::default(),
             reads: Reads::default(),
             sessions: BTreeMap::new(),
+            openings: Vec::new(),
             relays: Relays::default(),
             jobs: BTreeMap::new(),
             next_job: 0,
@@ -147,6 +157,7 @@
 
     fn on_tick(&mut self) {
         self.expire();
+        self.open_waiting();
         self.renew_permit();
         self.ask_for_grant();
         self.read_store();
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -27,6 +27,9 @@
 /// The daemons for which that pause is meant; twice as many read half as often.
 const IDLE_FLEET: usize = 30;
 
+/// How soon they are read again while none were read yet: callers may wait for it.
+const PERMITS_EVERY_UNKNOWN: Duration = Duration::from_millis(200);
+
 /// How often permissions are read right after the start, when other daemons may start too.
 const PERMITS_EVERY_START: Duration = Duration::from_millis(600);
 
@@ -92,6 +95,7 @@
         let every = match (self.token().is_some(), doubts_leader) {
             (true, true) => PERMITS_EVERY_DOUBT,
             (true, false) => PERMITS_EVERY_HOLDER,
+            (false, _) if self.permits.is_none() => PERMITS_EVERY_UNKNOWN,
             (false, _) if self.now.since_start < START_TIME => PERMITS_EVERY_START,
             (false, _) if is_idle => self.idle_pause(),
             (false, _) => PERMITS_EVERY,
@@ -173,6 +177,8 @@
         );
         self.log(Record::new(RecordKind::CatalogTaken, detail.into()));
         self.catalog = Some(catalog);
+        self.rank_homes();
+        self.open_waiting();
     }
 
     pub(crate) fn on_written(&mut self, written: Written) {
--- /dev/null
+++ b/sapphireslip-lead/tests/fleet_restart.rs
@@ -0,0 +1,164 @@
+//! Load pattern: all daemons of a fleet lose power and start again together, and callers come at once.
+
+mod support;
+
+use std::time::Duration;
+
+use rstest::rstest;
+use sapphireslip_core::{Incarnation, SessionId};
+use sapphireslip_lead::{
+    ClientEvent, Effect, Event, PermitRecord, RowVersion, StoreTime, StoreWrite,
+};
+use support::{Daemon, PAYMENTS, catalog, vm, zone};
+
+/// Returns a daemon that knows the configuration and the servers, and nothing of other daemons.
+fn just_started() -> Daemon {
+    let mut daemon = Daemon::new("a");
+    daemon.store_answers = false;
+    daemon.event(Event::Catalog(catalog(1)));
+    daemon.event(Event::Servers(Some(daemon.group.records())));
+    daemon
+}
+
+/// Leaves the row of a daemon's earlier run in the store.
+fn add_row(daemon: &mut Daemon, name: &str) {
+    let alive = StoreTime(Duration::from_secs(600));
+    let record = PermitRecord {
+        vm: vm(name),
+        incarnation: Incarnation(0),
+        zone: zone("a"),
+        peers: "10.1.0.9:7000".parse().expect("an address"),
+        alive,
+        until: StoreTime::default(),
+        unreachable: Vec::new(),
+        reached: Vec::new(),
+    };
+    let write = StoreWrite::Permit {
+        record,
+        permit: RowVersion(0),
+        generation: None,
+    };
+    daemon.store.write(daemon.millis, &write);
+}
+
+/// Adds so many daemons of the zone that at least three come before this one in rank.
+fn add_others(daemon: &mut Daemon) {
+    for n in 0..200 {
+        add_row(daemon, &format!("other-{n}"));
+    }
+}
+
+/// Returns the sessions that were passed on, in order.
+fn passed_on(daemon: &Daemon) -> Vec<SessionId> {
+    let relayed = |effect: &Effect| match effect {
+        Effect::Relay { session, .. } => Some(*session),
+        _ => None,
+    };
+    daemon.effects.iter().filter_map(relayed).collect()
+}
+
+/// The store writes the rows of one part one after the other: those of daemons that have no work yet
+/// would hold up the permissions of those that have.
+#[rstest]
+#[case::without_work(false, 0)]
+#[case::with_a_session(true, 1)]
+fn row_of_a_restarted_daemon(#[case] has_session: bool, #[case] incarnation: u64) {
+    let mut daemon = just_started();
+    add_others(&mut daemon);
+    add_row(&mut daemon, "vm-1");
+    daemon.store_answers = true;
+    daemon.advance(250);
+    if has_session {
+        let session = daemon.open(PAYMENTS);
+        for _ in 0..4 {
+            daemon.event(Event::Client(ClientEvent::RelayFailed {
+                session,
+                is_refused: true,
+            }));
+        }
+    }
+    daemon.advance(100);
+    let table = daemon.store.permits(daemon.millis);
+    let own = table.permits.iter().find(|(row, _)| row.vm == vm("vm-1"));
+    let (own, _) = own.expect("its row");
+    assert_eq!(own.incarnation, Incarnation(incarnation));
+    assert_eq!(own.until > table.now, has_session);
+    daemon.advance(3_000);
+    let table = daemon.store.permits(daemon.millis);
+    let own = table.permits.iter().find(|(row, _)| row.vm == vm("vm-1"));
+    assert_eq!(own.expect("its row").0.incarnation, Incarnation(1));
+}
+
+/// Each daemon that opened connections before it knew the homes would take up one of the few that a
+/// server has.
+#[rstest]
+fn no_connection_is_opened_before_the_homes_are_known() {
+    let mut daemon = just_started();
+    daemon.advance(500);
+    assert_eq!(daemon.state.snapshot().connections, 0);
+    daemon.store_answers = true;
+    daemon.advance(2_000);
+    assert_eq!(daemon.state.snapshot().connections, 3);
+}
+
+#[rstest]
+fn row_of_an_earlier_run_says_that_the_others_are_known() {
+    let mut daemon = just_started();
+    add_row(&mut daemon, "vm-1");
+    daemon.store_answers = true;
+    daemon.advance(250);
+    assert_eq!(daemon.state.snapshot().connections, 3);
+}
+
+#[rstest]
+fn session_waits_until_its_home_is_known() {
+    let mut daemon = just_started();
+    add_others(&mut daemon);
+    let session = daemon.open(PAYMENTS);
+    daemon.advance(100);
+    assert_eq!(daemon.state.snapshot().sessions, 0);
+    daemon.store_answers = true;
+    daemon.advance(190);
+    assert_eq!(passed_on(&daemon), [session]);
+}
+
+#[rstest]
+fn session_waits_no_longer_than_its_bound() {
+    let mut daemon = just_started();
+    daemon.open(PAYMENTS);
+    daemon.advance(310);
+    assert_eq!(daemon.state.snapshot().sessions, 1, "it is served here");
+    let mut daemon = Daemon::new("a");
+    daemon.store_answers = false;
+    let session = daemon.open(PAYMENTS);
+    daemon.advance(310);
+    assert_eq!(daemon.closed, [session], "nobody knows where it belongs");
+}
+
+#[rstest]
+fn session_of_a_caller_that_left_is_not_opened() {
+    let mut daemon = just_started();
+    let session = daemon.open(PAYMENTS);
+    daemon.event(Event::Client(ClientEvent::Closed { session }));
+    daemon.advance(400);
+    assert_eq!(daemon.state.snapshot().sessions, 0);
+}
+
+/// If each daemon served the sessions of a lost home by itself, all of them would need connections.
+#[rstest]
+fn session_that_its_home_does_not_take_goes_to_the_next_in_rank() {
+    let mut daemon = just_started();
+    add_others(&mut daemon);
+    daemon.store_answers = true;
+    daemon.advance(250);
+    let session = daemon.open(PAYMENTS);
+    let is_refused = true;
+    for expected in [2, 3, 4, 4] {
+        daemon.event(Event::Client(ClientEvent::RelayFailed {
+            session,
+            is_refused,
+        }));
+        assert_eq!(passed_on(&daemon).len(), expected);
+    }
+    assert_eq!(daemon.state.snapshot().sessions, 1, "served here at last");
+}
--- a/sapphireslip-lead/tests/relays.rs
+++ b/sapphireslip-lead/tests/relays.rs
@@ -131,6 +131,41 @@
     assert_eq!(daemon.run(next, "1", "READ x").failure(), None);
 }
 
+/// Load pattern: a third of the daemons are cut off from the store and refuse what is passed on to
+/// them, while their rows say that they live.
+#[rstest]
+fn home_that_goes_on_refusing_is_asked_more_and_more_rarely() {
+    let (mut daemon, mut session) = passing_on();
+    let mut pauses = Vec::new();
+    for _ in 0..5 {
+        let is_refused = true;
+        let refused = ClientEvent::RelayFailed {
+            session,
+            is_refused,
+        };
+        tell(&mut daemon, refused);
+        let since = daemon.millis;
+        while !is_passed_on(&mut daemon, &mut session) {
+            daemon.advance(100);
+        }
+        pauses.push(daemon.millis - since);
+    }
+    assert_eq!(pauses, [500, 1_000, 2_000, 4_000, 4_000]);
+    let status = TransactionStatus::Idle;
+    tell(&mut daemon, ClientEvent::RelayAnswered { session, status });
+    assert!(is_passed_on(&mut daemon, &mut session), "it took one again");
+}
+
+/// Opens a session and returns whether it is passed on.
+fn is_passed_on(daemon: &mut Daemon, session: &mut SessionId) -> bool {
+    daemon.effects.clear();
+    *session = daemon.open(PAYMENTS);
+    daemon
+        .effects
+        .iter()
+        .any(|effect| matches!(effect, Effect::Relay { .. }))
+}
+
 #[rstest]
 fn stop_waits_for_a_statement_that_was_passed_on() {
     let (mut daemon, session) = passing_on();
--- a/sapphireslipd/src/lead_callers.rs
+++ b/sapphireslipd/src/lead_callers.rs
@@ -152,6 +152,8 @@
     writer: OwnedWriteHalf,
     orders: flume::Receiver<Order>,
     events: flume::Sender<Event>,
+    /// Whether the session is served here; until then statements that were sent ahead stay unread.
+    is_open: bool,
     /// How many statements were read and are not answered.
     unanswered: usize,
     is_closing: bool,
@@ -181,6 +183,7 @@
             writer,
             orders,
             events,
+            is_open: false,
             unanswered: 0,
             is_closing: false,
         };
@@ -246,9 +249,12 @@
                         return Ok(Next::End);
                     }
                     Ok(Order::PassOn(to, opening)) => return Ok(Next::PassOn(to, opening)),
-                    Ok(order) => self.obey(order).await?,
+                    Ok(order) => {
+                        self.is_open = true;
+                        self.obey(order).await?;
+                    }
                 },
-                line = self.lines.next() => {
+                line = self.lines.next(), if self.is_open => {
                     let Some(line) = line? else {
                         return Ok(Next::End);
                     };
--- a/standins/src/wait.rs
+++ b/standins/src/wait.rs
@@ -28,7 +28,8 @@
 ) -> io::Result<T> {
     let started = Instant::now();
     loop {
-        if let Some(value) = look().await {
+        // A look that hangs must not hang the test.
+        if let Ok(Some(value)) = tokio::time::timeout(limit, look()).await {
             return Ok(value);
         }
         if started.elapsed() > limit {
