Out of work: a daemon that has long lacked its permission gives its connections back

After 2.3 s, when they send their callers away, they now close them, and open and probe nothing until the permission is back (permits::daemon_without_permission_gives_its_connections_back, 3 connections for 0 before).

--- a/sapphireslip-lead/src/dispatch.rs
+++ b/sapphireslip-lead/src/dispatch.rs
@@ -306,12 +306,13 @@
         self.connect(server)
     }
 
-    /// Opens a connection; returns false if the server has lately refused one.
+    /// Opens a connection; returns false if the server has lately refused one, or this daemon has no
+    /// use for it.
     pub(crate) fn connect(&mut self, server: &ServerId) -> bool {
         let Some(known) = self.servers.get(server) else {
             return false;
         };
-        if !known.may_connect(self.now) {
+        if !known.may_connect(self.now) || self.is_out_of_work() {
             return false;
         }
         let (address, service) = (known.record.address, known.record.service.clone());
--- a/sapphireslip-lead/src/homes.rs
+++ b/sapphireslip-lead/src/homes.rs
@@ -73,6 +73,12 @@
         reaches && self.may_take_sessions()
     }
 
+    /// Returns whether this daemon has lacked its permission for so long that its callers are sent
+    /// away: connections are of no use to it, and other daemons need them.
+    pub(crate) fn is_out_of_work(&self) -> bool {
+        self.permit.lacked_for(self.now) >= UNABLE_MAX
+    }
+
     /// Returns whether sessions of other daemons may come here.
     pub(crate) fn may_take_sessions(&self) -> bool {
         let is_unable = self.permit.lacked_for(self.now) >= UNABLE_PASSED_ON_MAX;
@@ -112,7 +118,7 @@
         }
         let lacked = self.permit.lacked_for(self.now);
         if lacked >= UNABLE_PASSED_ON_MAX {
-            let all = lacked >= UNABLE_MAX;
+            let all = self.is_out_of_work();
             return self.send_away(|session| all || session.is_passed_on);
         }
         if self.relays.moved + MOVE_SPACING > self.now {
--- a/sapphireslip-lead/src/probes.rs
+++ b/sapphireslip-lead/src/probes.rs
@@ -82,7 +82,8 @@
 
     /// Returns whether this daemon works with the servers of a service.
     pub(crate) fn works_with(&self, service: &ServiceName) -> bool {
-        self.is_home(service) || self.holds_duty() || self.serves(service)
+        let is_meant = self.is_home(service) || self.holds_duty() || self.serves(service);
+        is_meant && !self.is_out_of_work()
     }
 
     /// Returns whether sessions of a service are served here.
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -56,6 +56,8 @@
         pub servers_age: Duration,
         /// The version of the configuration, 0 if none is known.
         pub configuration: u64,
+        /// How long ago that version was taken; zero if none is known.
+        pub configuration_age: Duration,
         /// Whether callers should come.
         pub is_ready: bool,
     }
@@ -67,6 +69,8 @@
         pub(crate) random: Random,
         pub(crate) effects: Vec<Effect>,
         pub(crate) catalog: Option<Catalog>,
+        /// When the configuration was taken.
+        pub(crate) catalog_taken: Instant,
         pub(crate) servers: Servers,
         pub(crate) leads: Leads,
         pub(crate) permit: Permit,
@@ -103,6 +107,7 @@
             random: Random::new(seed),
             effects: Vec::new(),
             catalog: None,
+            catalog_taken: Instant::default(),
             servers: Servers::default(),
             leads: Leads::default(),
             permit: Permit::default(),
@@ -206,6 +211,10 @@
             permission_left: self.permit.left(self.now),
             servers_age: read.map_or(Duration::ZERO, |read| self.now.since(read)),
             configuration: self.catalog.as_ref().map_or(0, |catalog| catalog.version),
+            configuration_age: match &self.catalog {
+                Some(_) => self.now.since(self.catalog_taken),
+                None => Duration::ZERO,
+            },
             is_ready: self.is_ready(),
         }
     }
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -177,6 +177,7 @@
         );
         self.log(Record::new(RecordKind::CatalogTaken, detail.into()));
         self.catalog = Some(catalog);
+        self.catalog_taken = self.now;
         self.rank_homes();
         self.open_waiting();
     }
--- a/sapphireslip-lead/tests/permits.rs
+++ b/sapphireslip-lead/tests/permits.rs
@@ -56,6 +56,21 @@
     assert!(table.permits[0].0.until > table.now);
 }
 
+/// Load pattern: a third of the daemons are cut off from the store for long, and servers have fewer
+/// connections than there are daemons.
+#[rstest]
+fn daemon_without_permission_gives_its_connections_back() {
+    let mut daemon = Daemon::ready();
+    assert_eq!(daemon.state.snapshot().connections, 3);
+    daemon.store_answers = false;
+    // The holder's permission of 6 s, 2.3 s without one, and the pause of an unused connection.
+    daemon.advance(11_000);
+    assert_eq!(daemon.state.snapshot().connections, 0);
+    daemon.store_answers = true;
+    daemon.advance(1_000);
+    assert_eq!(daemon.state.snapshot().connections, 3);
+}
+
 /// The row of a daemon that goes idle counts as an acknowledgement, so that it must not rely on an
 /// earlier row any more.
 #[rstest]
--- a/sapphireslipd/src/lead_metrics.rs
+++ b/sapphireslipd/src/lead_metrics.rs
@@ -51,6 +51,7 @@
     permission: Gauge<f64, AtomicU64>,
     servers_age: Gauge<f64, AtomicU64>,
     configuration: Gauge<u64, AtomicU64>,
+    configuration_age: Gauge<f64, AtomicU64>,
     ready: Gauge,
 }
 
@@ -71,6 +72,7 @@
             permission: Gauge::default(),
             servers_age: Gauge::default(),
             configuration: Gauge::default(),
+            configuration_age: Gauge::default(),
             ready: Gauge::default(),
         };
         metrics.register();
@@ -108,6 +110,9 @@
         registry.register_with_unit("servers_age", help, Unit::Seconds, self.servers_age.clone());
         let help = "Version of the configuration in force";
         registry.register("configuration_version", help, self.configuration.clone());
+        let help = "Time since that version was taken";
+        let age = self.configuration_age.clone();
+        registry.register_with_unit("configuration_age", help, Unit::Seconds, age);
         registry.register("ready", "Whether callers should come", self.ready.clone());
     }
 
@@ -154,6 +159,8 @@
         self.permission.set(snapshot.permission_left.as_secs_f64());
         self.servers_age.set(snapshot.servers_age.as_secs_f64());
         self.configuration.set(snapshot.configuration);
+        let age = snapshot.configuration_age.as_secs_f64();
+        self.configuration_age.set(age);
         self.ready.set(i64::from(snapshot.is_ready));
     }
 
