Soak: randomized faults around real daemon processes

The plan follows from a seed; faults overlap. Callers use connections until they break and check what they read; what they were told is judged against the log of the last primary: LOST, REFUSED, TWICE, STALE, MIXED, torn transactions, answers over 10 s, daemons that end by themselves, do not stop in time, or do not serve after the last fault.

The stand-in servers apply late, answer LAGGING, and a primary that was replaced goes on for 3 s and is rolled back, so that what is acknowledged by a superseded primary is lost there.

One seed of 8 s is part of the tests.

--- /dev/null
+++ b/soak/src/run.rs
@@ -0,0 +1,178 @@
+//! One run: load, faults that overlap, a calm end, and the verdict.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rustix::process::Signal;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::caller::Caller;
+use crate::path::Mode;
+use crate::site::{GRACE, SERVERS, Site, count};
+use crate::{Attempt, Fault, Outcome, Step, Verdict, judge, plan};
+
+/// How long a fleet that starts takes to serve.
+const START_TIME: Duration = Duration::from_secs(4);
+
+/// Within this time after the last fault each daemon serves again: the longest fault still lasts
+/// for 4 s, a holder of the duty that was lost is succeeded after 6 s, and a promotion takes 2 s.
+const CALM_TIME: Duration = Duration::from_secs(14);
+
+/// The end of a run in which each daemon has to do a write.
+const PROBE_TIME: Duration = Duration::from_secs(6);
+
+/// How long a replaced primary goes on, with some margin.
+const SETTLE_TIME: Duration = Duration::from_millis(3_500);
+
+/// How late a delayed path delivers.
+const DELAY: Duration = Duration::from_millis(120);
+
+/// How much longer than its grace a daemon may take to stop, if it stands still meanwhile.
+const STOP_SLACK: Duration = Duration::from_secs(6);
+
+/// What a run is made of.
+#[derive(Clone, Copy, Debug)]
+pub struct SoakOptions {
+    /// What faults and callers follow from.
+    pub seed: u64,
+    /// How long faults begin.
+    pub length: Duration,
+    /// How many daemons there are.
+    pub daemons: usize,
+    /// How many callers there are.
+    pub callers: usize,
+}
+
+/// Runs the soak once and returns what it showed; the logs of a run that broke a promise are kept.
+///
+/// # Errors
+///
+/// A process can't be started, or a port can't be listened on.
+pub async fn soak(options: SoakOptions) -> io::Result<Verdict> {
+    let SoakOptions { seed, length, .. } = options;
+    let site = Arc::new(Site::start(options.daemons, seed).await?);
+    sleep(START_TIME).await;
+    let began = Instant::now();
+    let until = began + length + CALM_TIME;
+    let mut callers = JoinSet::new();
+    for n in 0..options.callers {
+        callers.spawn(Caller::new(n, seed).work(site.addresses(), until));
+    }
+    let mut faults = JoinSet::new();
+    for step in plan(seed, length, options.daemons, SERVERS + options.daemons) {
+        faults.spawn(inject(Arc::clone(&site), step, began));
+    }
+    let mut broken = Vec::new();
+    while let Some(injected) = faults.join_next().await {
+        broken.extend(injected.map_err(io::Error::other)??);
+    }
+    let mut attempts = Vec::new();
+    while let Some(caller) = callers.join_next().await {
+        let caller = caller.map_err(io::Error::other)?;
+        broken.extend(caller.faults);
+        attempts.extend(caller.attempts);
+    }
+    let mut probes = JoinSet::new();
+    let until = Instant::now() + PROBE_TIME;
+    for (n, address) in site.addresses().into_iter().enumerate() {
+        if !site.runs(n)? {
+            broken.push(format!("daemon {n} has ended by itself"));
+        }
+        let probe = Caller::new(1_000 + n, seed).work(vec![address], until);
+        probes.spawn(async move { (n, probe.await) });
+    }
+    while let Some(probe) = probes.join_next().await {
+        let (n, probe) = probe.map_err(io::Error::other)?;
+        let is_done = |attempt: &Attempt| matches!(attempt.outcome, Outcome::Done(_));
+        if !probe.attempts.iter().any(is_done) {
+            broken.push(format!("daemon {n} does not serve after the last fault"));
+        }
+        broken.extend(probe.faults);
+        attempts.extend(probe.attempts);
+    }
+    sleep(SETTLE_TIME).await;
+    let mut verdict = judge(&attempts, &site.group.written());
+    verdict.broken.extend(broken);
+    if !verdict.broken.is_empty() {
+        let logs = site.keep_logs();
+        println!(
+            "seed {seed}: {:?}, logs in {logs:?}",
+            count(&verdict.broken)
+        );
+    }
+    Ok(verdict)
+}
+
+/// Injects a fault and ends it; returns what the daemons did wrong meanwhile.
+async fn inject(site: Arc<Site>, step: Step, began: Instant) -> io::Result<Vec<String>> {
+    sleep_until(began + step.at).await;
+    match step.fault {
+        Fault::Kill(n) => {
+            site.kill_daemon(n);
+            sleep(step.length).await;
+            site.start_daemon(n)?;
+        }
+        Fault::Stop(n) => return stop(&site, n).await,
+        Fault::Pause(n) => {
+            site.signal(n, Signal::STOP)?;
+            sleep(step.length).await;
+            site.signal(n, Signal::CONT)?;
+        }
+        Fault::HangUp(n) => {
+            site.signal(n, Signal::HUP)?;
+        }
+        Fault::Silence(n) => hold(&site, n, step.length, silent(true)).await,
+        Fault::OneWay(n) => hold(&site, n, step.length, silent(false)).await,
+        Fault::Delay(n) => {
+            let delay = DELAY;
+            let late = Mode {
+                delay,
+                ..Mode::default()
+            };
+            hold(&site, n, step.length, late).await;
+        }
+        Fault::Reset(n) => site.paths[n].reset(),
+        Fault::StoreDown => {
+            site.store.set_down(true);
+            sleep(step.length).await;
+            site.store.set_down(false);
+        }
+        Fault::Configuration => site.configure(),
+        Fault::KillPrimary => site.kill_primary(),
+    }
+    Ok(Vec::new())
+}
+
+const fn silent(both_ways: bool) -> Mode {
+    Mode {
+        delay: Duration::ZERO,
+        holds_requests: both_ways,
+        holds_answers: true,
+    }
+}
+
+async fn hold(site: &Site, path: usize, length: Duration, mode: Mode) {
+    site.paths[path].set(mode);
+    sleep(length).await;
+    site.paths[path].set(Mode::default());
+}
+
+/// Asks a daemon to stop, and starts it again once it has.
+async fn stop(site: &Site, n: usize) -> io::Result<Vec<String>> {
+    let Some(pid) = site.signal(n, Signal::TERM)? else {
+        return Ok(Vec::new());
+    };
+    let until = Instant::now() + GRACE + STOP_SLACK;
+    let mut broken = Vec::new();
+    while !site.has_ended(n, pid)? {
+        if Instant::now() >= until {
+            broken.push(format!("daemon {n} did not stop in time"));
+            site.kill_daemon(n);
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    site.start_daemon(n)?;
+    Ok(broken)
+}
--- /dev/null
+++ b/soak/tests/short.rs
@@ -0,0 +1,21 @@
+//! A short run with fixed seeds, and the seeds that have ever failed.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use soak::{SoakOptions, Verdict, soak};
+
+#[rstest]
+#[case::first(1)]
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_seed(#[case] seed: u64) {
+    let options = SoakOptions {
+        seed,
+        length: Duration::from_secs(8),
+        daemons: 4,
+        callers: 6,
+    };
+    let verdict: Verdict = soak(options).await.expect("it runs");
+    assert_eq!(verdict.broken, Vec::<String>::new(), "{verdict:?}");
+    assert!(verdict.done > 100, "{verdict:?}");
+}
--- a/standins/src/line_group.rs
+++ b/standins/src/line_group.rs
@@ -3,11 +3,15 @@
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 
+/// How long a primary that was replaced goes on before it follows the new one.
+const OLD_PRIMARY_GOES_ON: Duration = Duration::from_secs(3);
+
 /// The servers of one service, in three zones; the first one leads at first.
 #[derive(Clone, Debug)]
 pub struct LineGroup {
@@ -17,6 +21,8 @@
 #[derive(Debug, Default)]
 struct Group {
     servers: Vec<Server>,
+    /// How long replicas take to apply what they have received.
+    apply_lag: Duration,
 }
 
 #[derive(Debug)]
@@ -26,8 +32,10 @@
     is_primary: bool,
     is_dead: bool,
     term: u64,
-    /// The items written, in order; replicas hold the primary's at once.
+    /// The items received, in order; replicas receive the primary's at once.
     log: Vec<(String, String)>,
+    /// How many of them are applied, so that reads see them.
+    applied: usize,
     connections: Vec<AbortHandle>,
 }
 
@@ -58,6 +66,7 @@
                 is_dead: false,
                 term: 1,
                 log: Vec::new(),
+                applied: 0,
                 connections: Vec::new(),
             };
             group.lock().servers.push(server);
@@ -106,17 +115,41 @@
         };
         if !group.servers[chosen].is_primary {
             for (n, server) in group.servers.iter_mut().enumerate() {
-                server.is_primary = n == chosen;
-                server.term = next;
+                if n == chosen || !server.is_primary {
+                    server.term = next;
+                    server.applied = server.log.len();
+                }
             }
+            group.servers[chosen].is_primary = true;
+            tokio::spawn(follow_later(self.clone(), chosen));
         }
         true
     }
 
+    /// Sets how long replicas take to apply what they have received.
+    pub fn set_apply_lag(&self, lag: Duration) {
+        self.lock().apply_lag = lag;
+    }
+
+    /// Has all servers of earlier terms follow a primary, which rolls back what only they hold.
+    fn follow(&self, leader: usize) {
+        let mut group = self.lock();
+        let (term, log) = (
+            group.servers[leader].term,
+            group.servers[leader].log.clone(),
+        );
+        for server in group.servers.iter_mut().filter(|s| s.term < term) {
+            server.is_primary = false;
+            server.term = term;
+            server.applied = log.len();
+            server.log.clone_from(&log);
+        }
+    }
+
     /// Kills the server that leads: its connections break, and no new ones are taken.
     pub fn kill_primary(&self) {
         let mut group = self.lock();
-        if let Some(server) = group.servers.iter_mut().find(|server| server.is_primary) {
+        if let Some(server) = newest_primary(&mut group) {
             server.is_dead = true;
             for connection in server.connections.drain(..) {
                 connection.abort();
@@ -127,9 +160,10 @@
     /// Returns the items that the present primary holds, in the order of the writes.
     #[must_use]
     pub fn written(&self) -> Vec<(String, String)> {
-        let group = self.lock();
-        let primary = group.servers.iter().find(|server| server.is_primary);
-        primary.map(|server| server.log.clone()).unwrap_or_default()
+        let mut group = self.lock();
+        newest_primary(&mut group)
+            .map(|server| server.log.clone())
+            .unwrap_or_default()
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Group> {
@@ -137,6 +171,21 @@
     }
 }
 
+fn newest_primary(group: &mut Group) -> Option<&mut Server> {
+    let primaries = group.servers.iter_mut().filter(|server| server.is_primary);
+    primaries.max_by_key(|server| server.term)
+}
+
+async fn follow_later(group: LineGroup, leader: usize) {
+    tokio::time::sleep(OLD_PRIMARY_GOES_ON).await;
+    group.follow(leader);
+}
+
+async fn apply_later(group: LineGroup, n: usize, (term, position): (u64, usize), lag: Duration) {
+    tokio::time::sleep(lag).await;
+    group.apply(n, term, position);
+}
+
 async fn accept(group: LineGroup, n: usize, service: &'static str, listener: TcpListener) {
     while let Ok((stream, _)) = listener.accept().await {
         if group.lock().servers[n].is_dead {
@@ -181,7 +230,7 @@
     fn position(&self, n: usize) -> String {
         let group = self.lock();
         let server = &group.servers[n];
-        format!("{}.{}", server.term, server.log.len())
+        format!("{}.{}", server.term, server.applied)
     }
 
     fn answer(&self, n: usize, connection: &mut Connection, line: &str) -> String {
@@ -190,10 +239,13 @@
         let ["QUERY", id, text] = fields.as_slice() else {
             return "ERROR MALFORMED line\r\n".to_owned();
         };
-        let text = match text.strip_prefix("AFTER ") {
-            Some(rest) => rest.split_once(' ').map_or("", |(_, text)| text),
-            None => text,
+        let (floor, text) = match text.strip_prefix("AFTER ") {
+            Some(rest) => rest.split_once(' ').unwrap_or((rest, "")),
+            None => ("0.0", *text),
         };
+        if !self.has(n, floor) {
+            return "ERROR LAGGING\r\n".to_owned();
+        }
         let (verb, rest) = text.split_once(' ').unwrap_or((text, ""));
         match verb {
             "STATUS" => self.status(n),
@@ -226,6 +278,19 @@
         }
     }
 
+    /// Returns whether a server has applied a position, written as TERM.NUMBER.
+    fn has(&self, n: usize, floor: &str) -> bool {
+        let number = |text: &str| text.parse::<usize>().unwrap_or(usize::MAX);
+        let (term, position) = floor.split_once('.').unwrap_or((floor, ""));
+        let group = self.lock();
+        let server = &group.servers[n];
+        let present = (
+            usize::try_from(server.term).unwrap_or(usize::MAX),
+            server.applied,
+        );
+        (number(term), number(position)) <= present
+    }
+
     fn execute(&self, n: usize, connection: &mut Connection, id: &str, rest: &str) -> String {
         let (name, arguments) = rest.split_once(' ').unwrap_or((rest, ""));
         match connection.prepared.get(name).cloned() {
@@ -248,8 +313,11 @@
 
     fn read(&self, n: usize, item: &str) -> String {
         let group = self.lock();
-        let log = &group.servers[n].log;
-        let found = log.iter().rev().find(|(name, _)| name == item);
+        let server = &group.servers[n];
+        let found = server.log[..server.applied]
+            .iter()
+            .rev()
+            .find(|(name, _)| name == item);
         let row = found
             .map(|(_, data)| format!("ROW {data}\r\n"))
             .unwrap_or_default();
@@ -270,9 +338,27 @@
         if !self.leads(n) {
             return "ERROR READONLY\r\n".to_owned();
         }
-        for server in &mut self.lock().servers {
+        let mut group = self.lock();
+        let (term, lag) = (group.servers[n].term, group.apply_lag);
+        for (other, server) in group.servers.iter_mut().enumerate() {
+            if server.term != term {
+                continue;
+            }
             server.log.extend(writes.clone());
+            if other == n || lag.is_zero() {
+                server.applied = server.log.len();
+            } else {
+                let position = server.log.len();
+                tokio::spawn(apply_later(self.clone(), other, (term, position), lag));
+            }
         }
         format!("COMPLETE {id}\r\n")
     }
+
+    fn apply(&self, n: usize, term: u64, position: usize) {
+        let server = &mut self.lock().servers[n];
+        if server.term == term {
+            server.applied = server.applied.max(position);
+        }
+    }
 }
