--- a/sapphireslip-lead/tests/fleet_restart.rs
+++ b/sapphireslip-lead/tests/fleet_restart.rs
@@ -2,14 +2,10 @@
 
 mod support;
 
-use std::time::Duration;
-
 use rstest::rstest;
 use sapphireslip_core::{Incarnation, SessionId};
-use sapphireslip_lead::{
-    ClientEvent, Effect, Event, PermitRecord, RowVersion, StoreTime, StoreWrite,
-};
-use support::{Daemon, PAYMENTS, catalog, vm, zone};
+use sapphireslip_lead::{ClientEvent, Effect, Event, PermitRecord};
+use support::{Daemon, PAYMENTS, catalog, presence, vm};
 
 /// Returns a daemon that knows the configuration and the servers, and nothing of other daemons.
 fn just_started() -> Daemon {
@@ -22,23 +18,10 @@
 
 /// Leaves the row of a daemon's earlier run in the store.
 fn add_row(daemon: &mut Daemon, name: &str) {
-    let alive = StoreTime(Duration::from_secs(600));
-    let record = PermitRecord {
-        vm: vm(name),
+    daemon.store.add_permit(PermitRecord {
         incarnation: Incarnation(0),
-        zone: zone("a"),
-        peers: "10.1.0.9:7000".parse().expect("an address"),
-        alive,
-        until: StoreTime::default(),
-        unreachable: Vec::new(),
-        reached: Vec::new(),
-    };
-    let write = StoreWrite::Permit {
-        record,
-        permit: RowVersion(0),
-        generation: None,
-    };
-    daemon.store.write(daemon.millis, &write);
+        ..presence(name, "a")
+    });
 }
 
 /// Adds so many daemons of the zone that at least three come before this one in rank.
--- a/sapphireslip-lead/tests/permits.rs
+++ b/sapphireslip-lead/tests/permits.rs
@@ -6,30 +6,14 @@
 
 use rstest::rstest;
 use sapphireslip_core::{Incarnation, SessionId};
-use sapphireslip_lead::{
-    DutyRecord, Effect, Event, PermitRecord, RowVersion, StoreTime, StoreWrite,
-};
-use support::{Daemon, PAYMENTS, catalog, vm, zone};
+use sapphireslip_lead::{DutyRecord, Effect, Event, PermitRecord, RowVersion, StoreTime};
+use support::{Daemon, PAYMENTS, catalog, presence, vm};
 
 /// Adds a daemon of another zone that could hold the duty.
 fn add_other(daemon: &mut Daemon) {
-    let long = StoreTime(Duration::from_secs(600));
-    let record = PermitRecord {
-        vm: vm("vm-0"),
-        incarnation: Incarnation(1),
-        zone: zone("b"),
-        peers: "10.1.0.9:7000".parse().expect("an address"),
-        alive: long,
-        until: long,
-        unreachable: Vec::new(),
-        reached: Vec::new(),
-    };
-    let write = StoreWrite::Permit {
-        record,
-        permit: RowVersion(0),
-        generation: None,
-    };
-    daemon.store.write(daemon.millis, &write);
+    let record = presence("vm-0", "b");
+    let until = record.alive;
+    daemon.store.add_permit(PermitRecord { until, ..record });
     daemon.advance(2_500);
 }
 
--- a/sapphireslip-lead/tests/relays.rs
+++ b/sapphireslip-lead/tests/relays.rs
@@ -5,35 +5,17 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use sapphireslip_core::{Incarnation, SessionId, TransactionStatus};
-use sapphireslip_lead::{
-    ClientEvent, Effect, ErrorCode, Event, PermitRecord, Record, RecordKind, RowVersion, StoreTime,
-    StoreWrite,
-};
-use support::{Daemon, PAYMENTS, server, vm, zone};
+use sapphireslip_core::{SessionId, TransactionStatus};
+use sapphireslip_lead::{ClientEvent, Effect, ErrorCode, Event, PermitRecord, Record, RecordKind};
+use support::{Daemon, PAYMENTS, presence, server};
 
 /// Adds a live daemon of the same zone, and returns whether it is the home.
 fn with_other(name: &str, other_zone: &str) -> (Daemon, bool) {
     let mut daemon = Daemon::ready();
-    let reached = vec![server("s-a")];
-    let record = PermitRecord {
-        vm: vm(name),
-        incarnation: Incarnation(1),
-        zone: zone(other_zone),
-        peers: "10.1.0.9:7000".parse().expect("an address"),
-        alive: StoreTime(Duration::from_secs(600)),
-        until: StoreTime::default(),
-        unreachable: Vec::new(),
-        reached,
-    };
-    let generation = None;
-    let permit = RowVersion(0);
-    let write = StoreWrite::Permit {
-        record,
-        permit,
-        generation,
-    };
-    daemon.store.write(daemon.millis, &write);
+    daemon.store.add_permit(PermitRecord {
+        reached: vec![server("s-a")],
+        ..presence(name, other_zone)
+    });
     daemon.advance(2_500);
     let session = daemon.open(PAYMENTS);
     let is_home = daemon.effects.iter().any(
--- a/sapphireslip-lead/tests/support/store.rs
+++ b/sapphireslip-lead/tests/support/store.rs
@@ -1,12 +1,27 @@
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-use sapphireslip_core::VmId;
+use sapphireslip_core::{Incarnation, VmId};
 use sapphireslip_lead::{
     LeadTable, NamedLead, PermitRecord, PermitTable, RowVersion, StoreTime, StoreWrite,
     WriteOutcome,
 };
 
-use super::at;
+use super::{at, vm, zone};
+
+/// Returns the row of a daemon that lives for long and has no permission.
+pub fn presence(name: &str, zone_name: &str) -> PermitRecord {
+    PermitRecord {
+        vm: vm(name),
+        incarnation: Incarnation(1),
+        zone: zone(zone_name),
+        peers: "10.1.0.9:7000".parse().expect("an address"),
+        alive: StoreTime(Duration::from_secs(600)),
+        until: StoreTime::default(),
+        unreachable: Vec::new(),
+        reached: Vec::new(),
+    }
+}
 
 /// A store that does a write only if its conditions hold.
 #[derive(Debug, Default)]
@@ -32,6 +47,13 @@
         }
     }
 
+    /// Writes the row of another daemon, over any earlier one.
+    pub fn add_permit(&mut self, record: PermitRecord) {
+        self.version += 1;
+        let version = RowVersion(self.version);
+        self.permits.insert(record.vm.clone(), (record, version));
+    }
+
     fn permit_version(&self, vm: &VmId) -> RowVersion {
         self.permits
             .get(vm)
