Duty: the next run of its holder takes it again at once, though it is no home

Cause, by the log: all daemons are killed while five services have a leader named and not promoted yet. Since a restarted daemon takes itself for a home only if it is one, the earlier holder of the duty had no work, asked for no permission and left the duty vacant until its old permission ended: taken at 44.2 s after a restart at 41.7 s. A VM that the duty's row names now needs a permission, and each daemon reads the leads once at its start.

Test: fleet_restart::holder_of_the_duty_takes_it_again_though_it_is_no_home (fails without).

--- a/sapphireslip-lead/src/duty.rs
+++ b/sapphireslip-lead/src/duty.rs
@@ -82,6 +82,14 @@
         })
     }
 
+    /// Returns whether an earlier run on this VM held the duty: only this one can take it at once.
+    pub(crate) fn has_duty_of_earlier_run(&self) -> bool {
+        let duty = self.leads.table.duty.as_ref();
+        duty.is_some_and(|(record, _)| {
+            record.holder == self.local.vm && record.incarnation != self.local.incarnation
+        })
+    }
+
     /// Does what the duty asks for, or takes it if nobody holds it.
     pub(crate) fn do_duty(&mut self) {
         if !self.leads.is_known || !self.permit.is_valid(self.now) || self.has_left() {
--- a/sapphireslip-lead/src/homes.rs
+++ b/sapphireslip-lead/src/homes.rs
@@ -101,7 +101,7 @@
 
     /// Returns whether this daemon works with servers, so that it needs a permission.
     pub(crate) fn needs_permission(&self) -> bool {
-        if !self.sessions.is_empty() || self.holds_duty() {
+        if !self.sessions.is_empty() || self.holds_duty() || self.has_duty_of_earlier_run() {
             return true;
         }
         let services = self
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -195,7 +195,8 @@
     /// Returns whether the leads are of use to this daemon.
     #[must_use]
     pub fn needs_leads(&self) -> bool {
-        self.needs_permission()
+        // Once at the start: an earlier run may have held the duty.
+        self.needs_permission() || !self.leads.is_known
     }
 
     /// Returns what metrics show of the state.
--- a/sapphireslip-lead/tests/fleet_restart.rs
+++ b/sapphireslip-lead/tests/fleet_restart.rs
@@ -4,7 +4,7 @@
 
 use rstest::rstest;
 use sapphireslip_core::{Incarnation, SessionId};
-use sapphireslip_lead::{ClientEvent, Effect, Event, PermitRecord};
+use sapphireslip_lead::{ClientEvent, DutyRecord, Effect, Event, PermitRecord, RowVersion};
 use support::{Daemon, PAYMENTS, catalog, presence, vm};
 
 /// Returns a daemon that knows the configuration and the servers, and nothing of other daemons.
@@ -72,6 +72,24 @@
     assert_eq!(own.expect("its row").0.incarnation, Incarnation(1));
 }
 
+/// All others wait until the permission of the earlier run has ended, for up to 6 s.
+#[rstest]
+fn holder_of_the_duty_takes_it_again_though_it_is_no_home() {
+    let mut daemon = just_started();
+    add_others(&mut daemon);
+    add_row(&mut daemon, "vm-1");
+    let earlier = DutyRecord {
+        holder: vm("vm-1"),
+        incarnation: Incarnation(0),
+    };
+    daemon.store.leads.duty = Some((earlier, RowVersion(1)));
+    daemon.event(Event::Leads(daemon.store.leads.clone()));
+    daemon.store_answers = true;
+    daemon.advance(300);
+    let (duty, _) = daemon.store.leads.duty.as_ref().expect("a holder");
+    assert_eq!(duty.incarnation, Incarnation(1));
+}
+
 /// Each daemon that opened connections before it knew the homes would take up one of the few that a
 /// server has.
 #[rstest]
