--- a/sapphireslip-lead/src/duty.rs
+++ b/sapphireslip-lead/src/duty.rs
@@ -145,7 +145,9 @@
         };
         let vacant = *self.duty.vacant.get_or_insert(self.now);
         let rank = u32::try_from(self.rank()).unwrap_or(u32::MAX);
-        let is_due = self.now.since(vacant) >= TAKE_SPACING.saturating_mul(rank);
+        // Nobody else can take what an earlier run on this VM held.
+        let is_due = self.has_duty_of_earlier_run()
+            || self.now.since(vacant) >= TAKE_SPACING.saturating_mul(rank);
         if !is_due || self.duty.is_pending || self.now < self.duty.next_write {
             return;
         }
--- a/sapphireslip-lead/tests/fleet_restart.rs
+++ b/sapphireslip-lead/tests/fleet_restart.rs
@@ -78,6 +78,12 @@
     let mut daemon = just_started();
     add_others(&mut daemon);
     add_row(&mut daemon, "vm-1");
+    // So many others with a permission would come before it.
+    for n in 0..20 {
+        let record = presence(&format!("a-home-{n}"), "a");
+        let until = record.alive;
+        daemon.store.add_permit(PermitRecord { until, ..record });
+    }
     let earlier = DutyRecord {
         holder: vm("vm-1"),
         incarnation: Incarnation(0),
