Lead: one look-up of a database's route; the rank for the duty only where it is waited for

Found on reading the change again. The route of a database was looked up in five places, each through the configuration by hand: route_to serves all now. take_duty worked its rank out on each tick of a vacancy, also while a write was under way or no rank was waited for. A daemon without work asked for the homes first and for its permission last. Behaviour stays as it is.

--- a/sapphireslip-lead/src/client.rs
+++ b/sapphireslip-lead/src/client.rs
@@ -69,7 +69,8 @@
         }
     }
 
-    fn route_to(&self, database: &Text) -> Option<&Route> {
+    /// Returns the present route of a database.
+    pub(crate) fn route_to(&self, database: &Text) -> Option<&Route> {
         self.catalog.as_ref()?.routes.get(database)
     }
 
@@ -131,11 +132,7 @@
     /// Returns the present route of a session's database.
     pub(crate) fn route_of(&self, id: SessionId) -> Option<Route> {
         let session = self.sessions.get(&id)?;
-        self.catalog
-            .as_ref()?
-            .routes
-            .get(&session.database)
-            .cloned()
+        self.route_to(&session.database).cloned()
     }
 
     /// Takes a statement that needs a backend server.
--- a/sapphireslip-lead/src/duty.rs
+++ b/sapphireslip-lead/src/duty.rs
@@ -144,11 +144,11 @@
             return;
         };
         let vacant = *self.duty.vacant.get_or_insert(self.now);
-        let rank = u32::try_from(self.rank()).unwrap_or(u32::MAX);
+        if self.duty.is_pending || self.now < self.duty.next_write {
+            return;
+        }
         // Nobody else can take what an earlier run on this VM held.
-        let is_due = self.has_duty_of_earlier_run()
-            || self.now.since(vacant) >= TAKE_SPACING.saturating_mul(rank);
-        if !is_due || self.duty.is_pending || self.now < self.duty.next_write {
+        if !self.has_duty_of_earlier_run() && self.now.since(vacant) < self.take_pause() {
             return;
         }
         self.duty.is_pending = true;
@@ -169,6 +169,11 @@
         }));
     }
 
+    /// Returns how long the duty has to be vacant before this daemon tries to take it.
+    fn take_pause(&self) -> Duration {
+        TAKE_SPACING.saturating_mul(u32::try_from(self.rank()).unwrap_or(u32::MAX))
+    }
+
     /// Returns the ended permission of the last holder if the duty is vacant; the inner value is
     /// none if there was no other holder.
     #[expect(
--- a/sapphireslip-lead/src/home_ranks.rs
+++ b/sapphireslip-lead/src/home_ranks.rs
@@ -2,7 +2,6 @@
 //!
 //! It changes only with the daemons and the services, and is asked for with every event.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use sapphireslip_core::placement::rendezvous_weight;
@@ -39,7 +38,7 @@
             .filter(|(_, (record, _))| record.zone == local.zone && record.vm != local.vm)
             .map(|(place, (record, _))| (weight(&record.vm), place))
             .collect();
-        others.sort_unstable_by_key(|(weight, _)| Reverse(weight.clone()));
+        others.sort_unstable_by(|one, other| other.cmp(one));
         Self {
             before_own: others.partition_point(|(weight, _)| *weight > own),
             others: others.into_iter().map(|(_, place)| place).collect(),
--- a/sapphireslip-lead/src/homes.rs
+++ b/sapphireslip-lead/src/homes.rs
@@ -55,8 +55,8 @@
                 && leader.is_none_or(|leader| !record.unreachable.contains(leader))
         };
         let others = rank.others.iter().enumerate();
-        let records = others.filter_map(|(n, place)| Some((n, &table.permits.get(*place)?.0)));
-        let (n, best) = records.into_iter().find(|(_, record)| is_able(record))?;
+        let mut records = others.filter_map(|(n, place)| Some((n, &table.permits.get(*place)?.0)));
+        let (n, best) = records.find(|(_, record)| is_able(record))?;
         let is_own = n >= rank.before_own && self.is_able_home(service);
         (!is_own).then(|| HomeOf {
             vm: best.vm.clone(),
@@ -125,10 +125,7 @@
             return;
         }
         let is_elsewhere = |session: &Session| {
-            let route = self
-                .catalog
-                .as_ref()
-                .and_then(|c| c.routes.get(&session.database));
+            let route = self.route_to(&session.database);
             let home = route.and_then(|route| self.other_home(&route.service));
             !session.is_passed_on && home.is_some()
         };
--- a/sapphireslip-lead/src/probes.rs
+++ b/sapphireslip-lead/src/probes.rs
@@ -82,19 +82,14 @@
 
     /// Returns whether this daemon works with the servers of a service.
     pub(crate) fn works_with(&self, service: &ServiceName) -> bool {
-        let is_meant = self.is_home(service) || self.holds_duty() || self.serves(service);
-        is_meant && !self.is_out_of_work()
+        !self.is_out_of_work()
+            && (self.is_home(service) || self.holds_duty() || self.serves(service))
     }
 
     /// Returns whether sessions of a service are served here.
     fn serves(&self, service: &ServiceName) -> bool {
-        let Some(catalog) = &self.catalog else {
-            return false;
-        };
         let leads_there = |session: &Session| {
-            catalog
-                .routes
-                .get(&session.database)
+            self.route_to(&session.database)
                 .is_some_and(|route| route.service == *service)
         };
         self.sessions.values().any(leads_there)
--- a/sapphireslip-lead/src/relays.rs
+++ b/sapphireslip-lead/src/relays.rs
@@ -171,8 +171,7 @@
         };
         self.avoid(&relay.vm, pause);
         let refusals = relay.refusals + 1;
-        let routes = self.catalog.as_ref().map(|catalog| &catalog.routes);
-        let route = routes.and_then(|routes| routes.get(&relay.database));
+        let route = self.route_to(&relay.database);
         let next = route.and_then(|route| self.other_home(&route.service));
         match next.filter(|_| refusals < REFUSALS_MAX) {
             Some(home) => self.pass_on(id, relay.database, home, refusals),
