Stand-ins: one relay, one line session, one configuration for the soak and the tests

Found on reading the change again: the soak had brought a second proxy beside Link, a fifth client of the line protocol beside those of lead_daemon, lead_process, log_schema and the example line_site, a second configuration beside line_configuration, and a second way to write the servers' entries. lead_daemon had an HTTP GET of its own beside http_get.

Link can hold back one way or both, delay and reset for all peers as well as cut single ones; soak/src/path.rs is gone. LineSession serves all five callers. One difference: an ordinary end of a connection over a soak's path is now a FIN and not a reset, as at the peers; only the fault resets.

--- a/sapphireslipd/examples/line_site.rs
+++ b/sapphireslipd/examples/line_site.rs
@@ -7,10 +7,7 @@
 use std::time::{Duration, Instant};
 
 use sapphireslipd::{LeadSettings, serve_lead};
-use standins::{line_settings, start_line_site};
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
-use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use standins::{LineSession, line_settings, start_line_site};
 
 const SERVICE: &str = "ledger";
 const DATABASE: &str = "fees";
@@ -76,23 +73,12 @@
 }
 
 async fn write(address: SocketAddr, id: &str, what: &str) -> Result<String, Box<dyn Error>> {
-    let (read, mut writer) = TcpStream::connect(address).await?.into_split();
-    let mut lines = BufReader::new(read).lines();
-    let greeting = ask(&mut lines, &mut writer, &format!("START {DATABASE} till")).await?;
+    let mut session = LineSession::connect(address).await?;
+    session.send(&format!("START {DATABASE} till")).await?;
+    let greeting = session.line().await?;
     if !greeting.starts_with("READY") {
         return Ok(greeting);
     }
-    ask(&mut lines, &mut writer, &format!("QUERY {id} WRITE {what}")).await
-}
-
-async fn ask(
-    lines: &mut Lines<BufReader<OwnedReadHalf>>,
-    writer: &mut OwnedWriteHalf,
-    line: &str,
-) -> Result<String, Box<dyn Error>> {
-    writer.write_all(format!("{line}\r\n").as_bytes()).await?;
-    Ok(lines
-        .next_line()
-        .await?
-        .ok_or("the daemon closed the connection")?)
+    session.send(&format!("QUERY {id} WRITE {what}")).await?;
+    Ok(session.line().await?)
 }
--- a/sapphireslipd/tests/lead_daemon.rs
+++ b/sapphireslipd/tests/lead_daemon.rs
@@ -1,14 +1,14 @@
 //! The daemon of the platform's path, over real connections to stand-ins.
 
+use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use sapphireslipd::{LeadSettings, serve_lead};
-use standins::{LineGroup, LineStore, line_configuration, line_settings, start_line_site};
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Lines};
-use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use standins::{
+    LineGroup, LineSession, LineStore, http_get, line_configuration, line_settings, start_line_site,
+};
 
 /// How long a condition is waited for.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -67,11 +67,8 @@
 
     async fn wait_until_ready(&self, n: usize) {
         let until = Instant::now() + PATIENCE;
-        while !self
-            .get(self.daemons[n].readiness, "/-/readyz")
-            .await
-            .starts_with("HTTP/1.1 200")
-        {
+        let ready = async || http_get(self.daemons[n].readiness, "/-/readyz").await;
+        while !ready().await.is_ok_and(|page| page.status == 200) {
             assert!(Instant::now() < until, "daemon {n} is ready in time");
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
@@ -95,7 +92,8 @@
     async fn passed_on(&self) -> u32 {
         let mut passed_on = 0;
         for daemon in &self.daemons {
-            let metrics = self.get(daemon.metrics, "/metrics").await;
+            let page = http_get(daemon.metrics, "/metrics").await;
+            let metrics = page.expect("a page").body;
             let prefix = "sapphireslip_open{what=\"sessions_passed_on\"} ";
             let value = metrics.lines().find_map(|line| line.strip_prefix(prefix));
             passed_on += value.map_or(0, |value| value.parse::<u32>().expect("a number"));
@@ -103,17 +101,6 @@
         passed_on
     }
 
-    async fn get(&self, address: SocketAddr, path: &str) -> String {
-        let Ok(mut stream) = TcpStream::connect(address).await else {
-            return String::new();
-        };
-        let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
-        stream.write_all(request.as_bytes()).await.expect("sent");
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).await.expect("an answer");
-        answer
-    }
-
     async fn caller(&self, n: usize) -> Caller {
         let mut caller = Caller::connect(self.daemons[n].callers).await;
         assert_eq!(caller.send("START fees till").await, "READY I -");
@@ -122,31 +109,26 @@
 }
 
 struct Caller {
-    lines: Lines<BufReader<OwnedReadHalf>>,
-    writer: OwnedWriteHalf,
+    session: LineSession,
 }
 
 impl Caller {
     async fn connect(address: SocketAddr) -> Self {
-        let stream = TcpStream::connect(address).await.expect("a connection");
-        let (read, writer) = stream.into_split();
-        let lines = BufReader::new(read).lines();
-        Self { lines, writer }
+        let session = LineSession::connect(address).await.expect("a connection");
+        Self { session }
     }
 
     async fn line(&mut self) -> String {
-        let line = tokio::time::timeout(PATIENCE, self.lines.next_line()).await;
-        line.expect("in time")
-            .expect("a line")
-            .unwrap_or_else(|| "closed".to_owned())
+        let line = tokio::time::timeout(PATIENCE, self.session.line()).await;
+        match line.expect("in time") {
+            Err(err) if err.kind() == ErrorKind::UnexpectedEof => "closed".to_owned(),
+            line => line.expect("a line"),
+        }
     }
 
     /// Sends a line and returns the first one that comes.
     async fn send(&mut self, line: &str) -> String {
-        self.writer
-            .write_all(format!("{line}\r\n").as_bytes())
-            .await
-            .expect("sent");
+        self.session.send(line).await.expect("sent");
         self.line().await
     }
 
@@ -315,11 +297,11 @@
     let mut long = Caller::connect(site.daemons[0].callers).await;
     let line = vec![b'x'; (1 << 20) + 8_192];
     // The daemon may close before all of it is sent.
-    let _closed_early = long.writer.write_all(&line).await;
-    let read = tokio::time::timeout(PATIENCE, long.lines.next_line())
+    let _closed_early = long.session.send_bytes(&line).await;
+    let read = tokio::time::timeout(PATIENCE, long.session.line())
         .await
         .expect("in time");
-    assert!(!matches!(read, Ok(Some(_))), "{read:?}");
+    assert!(read.is_err(), "{read:?}");
 
     let mut nowhere = Caller::connect(site.daemons[0].callers).await;
     assert!(
--- a/sapphireslipd/tests/lead_process.rs
+++ b/sapphireslipd/tests/lead_process.rs
@@ -5,10 +5,8 @@
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
-use standins::{line_settings, start_line_site};
+use standins::{LineSession, line_settings, start_line_site};
 use tempfile::TempDir;
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
-use tokio::net::TcpStream;
 
 /// How long a condition is waited for.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -37,22 +35,16 @@
 
 /// Runs statements on one session until as many were answered as asked for.
 async fn run(ip: Ipv4Addr, statements: usize) -> std::io::Result<()> {
-    let (read, mut writer) = TcpStream::connect((ip, 5432)).await?.into_split();
-    let mut lines = BufReader::new(read).lines();
-    writer.write_all(b"START fees till\r\n").await?;
+    let mut session = LineSession::connect((ip, 5432).into()).await?;
+    session.send("START fees till").await?;
     let mut answered = 0;
     let mut n = 0;
     while answered < statements {
-        let line = lines
-            .next_line()
-            .await?
-            .ok_or(std::io::ErrorKind::UnexpectedEof)?;
+        let line = session.line().await?;
         answered += usize::from(line.starts_with("COMPLETE"));
         if line.starts_with("READY") {
             n += 1;
-            writer
-                .write_all(format!("QUERY q{n} READ x\r\n").as_bytes())
-                .await?;
+            session.send(&format!("QUERY q{n} READ x")).await?;
         }
     }
     Ok(())
--- a/sapphireslipd/tests/log_schema.rs
+++ b/sapphireslipd/tests/log_schema.rs
@@ -9,10 +9,8 @@
 use sapphireslip_lead::RecordKind;
 use sapphireslipd::STATEMENT_TARGET;
 use serde_json::Value;
-use standins::{line_settings, start_line_site, wait_for};
+use standins::{LineSession, line_settings, start_line_site, wait_for};
 use tempfile::TempDir;
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
-use tokio::net::TcpStream;
 
 const LOG_PAGE: &str = include_str!("../../docs/LOG.md");
 
@@ -87,12 +85,11 @@
 
 /// Runs one statement on a session of its own; none if it fails.
 async fn run(ip: Ipv4Addr) -> Option<()> {
-    let (read, mut writer) = TcpStream::connect((ip, 5432)).await.ok()?.into_split();
-    let mut lines = BufReader::new(read).lines();
+    let mut session = LineSession::connect((ip, 5432).into()).await.ok()?;
     let opening = b"START fees till\r\nQUERY q1 READ x\r\n";
-    writer.write_all(opening).await.ok()?;
+    session.send_bytes(opening).await.ok()?;
     loop {
-        let line = lines.next_line().await.ok()??;
+        let line = session.line().await.ok()?;
         if line.starts_with("COMPLETE") {
             return Some(());
         }
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -6,9 +6,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
-use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use standins::{LineAnswer, LineSession};
 use tokio::time::{Instant, timeout};
 
 use crate::site::{DATABASES, Database};
@@ -53,19 +51,12 @@
     pub(crate) faults: Vec<String>,
 }
 
+/// A session and what its reads promise.
 struct Session {
-    lines: Lines<BufReader<OwnedReadHalf>>,
-    writer: OwnedWriteHalf,
+    line: LineSession,
     database: &'static Database,
 }
 
-/// The answer to one statement.
-struct Answer {
-    rows: Vec<String>,
-    /// The code of the failure.
-    failure: Option<String>,
-}
-
 impl Caller {
     pub(crate) fn new(number: usize, seed: u64) -> Self {
         Self {
@@ -85,8 +76,10 @@
         while Instant::now() < until {
             let daemon = daemons[self.random.random_range(0..daemons.len())];
             let database = &DATABASES[self.random.random_range(0..DATABASES.len())];
-            if let Ok(Ok(session)) = timeout(ANSWER_MAX, Session::open(daemon, database)).await {
+            let opened = timeout(ANSWER_MAX, LineSession::open(daemon, database.name)).await;
+            if let Ok(Ok(line)) = opened {
                 self.sessions += 1;
+                let session = Session { line, database };
                 // A broken connection ends the session; what it means for the attempt is recorded.
                 let _broken = self.use_session(session, until).await;
             }
@@ -106,7 +99,7 @@
             let pause = self.random.random_range(0..PAUSE_MAX_MS);
             tokio::time::sleep(Duration::from_millis(pause)).await;
         }
-        session.writer.write_all(b"TERMINATE\r\n").await
+        session.line.send("TERMINATE").await
     }
 
     fn item(&self) -> String {
@@ -177,7 +170,7 @@
         due.map(|(.., number)| *number).max().unwrap_or_default()
     }
 
-    fn note_write(&mut self, (first, last): (u64, u64), answer: &io::Result<Answer>) {
+    fn note_write(&mut self, (first, last): (u64, u64), answer: &io::Result<LineAnswer>) {
         let outcome = outcome(answer);
         let kind = Kind::Write { first, last };
         let item = self.item();
@@ -199,7 +192,7 @@
         });
     }
 
-    fn note_read(&mut self, at_least: u64, answer: &io::Result<Answer>) {
+    fn note_read(&mut self, at_least: u64, answer: &io::Result<LineAnswer>) {
         self.attempts.push(Attempt {
             item: self.item(),
             kind: Kind::Read { at_least },
@@ -207,9 +200,9 @@
         });
     }
 
-    async fn ask(&mut self, session: &mut Session, text: &str) -> io::Result<Answer> {
+    async fn ask(&mut self, session: &mut Session, text: &str) -> io::Result<LineAnswer> {
         let id = format!("{}{:x}", self.name, self.random.random::<u64>());
-        let asked = timeout(ANSWER_MAX, session.ask(&id, text)).await;
+        let asked = timeout(ANSWER_MAX, session.line.ask(&id, text)).await;
         asked.unwrap_or_else(|_| {
             let fault = format!("no answer to `{text}` ({id}) within {ANSWER_MAX:?}");
             self.faults.push(fault);
@@ -218,7 +211,7 @@
     }
 }
 
-fn outcome(answer: &io::Result<Answer>) -> Outcome {
+fn outcome(answer: &io::Result<LineAnswer>) -> Outcome {
     match answer {
         Ok(answer) => match &answer.failure {
             None => Outcome::Done(answer.rows.first().cloned()),
@@ -228,44 +221,3 @@
         Err(_) => Outcome::Unknown,
     }
 }
-
-impl Session {
-    async fn open(daemon: SocketAddr, database: &'static Database) -> io::Result<Self> {
-        let (read, mut writer) = TcpStream::connect(daemon).await?.into_split();
-        let opening = format!("START {} soak\r\n", database.name);
-        writer.write_all(opening.as_bytes()).await?;
-        let mut lines = BufReader::new(read).lines();
-        let line = lines.next_line().await?.unwrap_or_default();
-        match line.starts_with("READY") {
-            true => Ok(Self {
-                lines,
-                writer,
-                database,
-            }),
-            false => Err(io::Error::other(line)),
-        }
-    }
-
-    async fn ask(&mut self, id: &str, text: &str) -> io::Result<Answer> {
-        let query = format!("QUERY {id} {text}\r\n");
-        self.writer.write_all(query.as_bytes()).await?;
-        let mut answer = Answer {
-            rows: Vec::new(),
-            failure: None,
-        };
-        loop {
-            let line = self.lines.next_line().await?;
-            let line = line.ok_or(io::ErrorKind::UnexpectedEof)?;
-            let (word, rest) = line.split_once(' ').unwrap_or((&line, ""));
-            match word {
-                "ROW" => answer.rows.push(rest.to_owned()),
-                "ERROR" => {
-                    let code = rest.split(' ').next().unwrap_or_default();
-                    answer.failure = Some(code.to_owned());
-                }
-                "READY" => return Ok(answer),
-                _ => {}
-            }
-        }
-    }
-}
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -3,7 +3,6 @@
 
 mod caller;
 mod fault;
-mod path;
 mod run;
 mod site;
 mod verdict;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use rustix::process::Signal;
+use standins::Hold;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::caller::Caller;
-use crate::path::Mode;
 use crate::site::{GRACE, SERVERS, Site, count};
 use crate::{Attempt, Fault, Outcome, Step, Verdict, judge, plan};
 
@@ -126,10 +126,9 @@
         Fault::Silence(n) => hold(&site, n, step.length, silent(true)).await,
         Fault::OneWay(n) => hold(&site, n, step.length, silent(false)).await,
         Fault::Delay(n) => {
-            let delay = DELAY;
-            let late = Mode {
-                delay,
-                ..Mode::default()
+            let late = Hold {
+                delay: DELAY,
+                ..Hold::default()
             };
             hold(&site, n, step.length, late).await;
         }
@@ -145,18 +144,18 @@
     Ok(Vec::new())
 }
 
-const fn silent(both_ways: bool) -> Mode {
-    Mode {
+const fn silent(both_ways: bool) -> Hold {
+    Hold {
         delay: Duration::ZERO,
-        holds_requests: both_ways,
-        holds_answers: true,
+        requests: both_ways,
+        answers: true,
     }
 }
 
-async fn hold(site: &Site, path: usize, length: Duration, mode: Mode) {
-    site.paths[path].set(mode);
+async fn hold(site: &Site, path: usize, length: Duration, present: Hold) {
+    site.paths[path].hold(present);
     sleep(length).await;
-    site.paths[path].set(Mode::default());
+    site.paths[path].hold(Hold::default());
 }
 
 /// Asks a daemon to stop, and starts it again once it has.
--- a/soak/src/site.rs
+++ b/soak/src/site.rs
@@ -2,21 +2,24 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use rustix::process::Signal;
-use serde_json::{Value, json};
-use standins::{DaemonProcess, DaemonProgram, LineGroup, LineStore, line_settings};
+use standins::{
+    DaemonProcess, DaemonProgram, LineGroup, LineRoute, LineStore, Link, line_configuration_with,
+    line_settings,
+};
 use tempfile::TempDir;
 
-use crate::path::Path;
-
 const SERVICE: &str = "ledger";
 
+/// A free port of the loopback interface.
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
 /// How many servers the group of the stand-ins has.
 pub(crate) const SERVERS: usize = 3;
 
@@ -27,10 +30,10 @@
 pub(crate) const GRACE: Duration = Duration::from_secs(6);
 
 /// A database and what its reads promise.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct Database {
     pub(crate) name: &'static str,
-    route: &'static str,
+    kind: &'static str,
     pub(crate) max_staleness: Duration,
     pub(crate) reads_own_writes: bool,
 }
@@ -39,19 +42,19 @@
 pub(crate) const DATABASES: [Database; 3] = [
     Database {
         name: "fees",
-        route: "primary",
+        kind: "primary",
         max_staleness: Duration::ZERO,
         reads_own_writes: true,
     },
     Database {
         name: "balances",
-        route: "bounded_staleness",
+        kind: "bounded_staleness",
         max_staleness: Duration::from_millis(1_500),
         reads_own_writes: false,
     },
     Database {
         name: "invoices",
-        route: "read_your_writes",
+        kind: "read_your_writes",
         max_staleness: Duration::from_millis(2_500),
         reads_own_writes: true,
     },
@@ -72,7 +75,7 @@
     pub(crate) group: LineGroup,
     pub(crate) store: LineStore,
     /// The paths to the servers, then those of the daemons to the store.
-    pub(crate) paths: Vec<Path>,
+    pub(crate) paths: Vec<Link>,
     daemons: Vec<Mutex<Daemon>>,
     has_killed_primary: AtomicBool,
     program: DaemonProgram,
@@ -87,19 +90,18 @@
         group.set_apply_lag(APPLY_LAG);
         let store = LineStore::start(group.clone()).await?;
         let mut paths = Vec::new();
-        for (id, entry) in group.entries(SERVICE) {
-            let mut entry: Value = serde_json::from_str(&entry)?;
-            let address = entry["address"].as_str().unwrap_or_default().parse();
-            let path = Path::start(address.map_err(io::Error::other)?).await?;
-            entry["address"] = json!(path.address());
-            store.put("servers", &id, entry.to_string().as_bytes());
-            paths.push(path);
+        for address in group.addresses() {
+            paths.push(Link::start(ANY_PORT, address).await?);
+        }
+        let addresses: Vec<SocketAddr> = paths.iter().map(Link::address).collect();
+        for (id, entry) in group.entries_at(SERVICE, &addresses) {
+            store.put("servers", &id, entry.as_bytes());
         }
         let folder = TempDir::new()?;
         let mut daemons = Vec::new();
         let [.., low] = std::process::id().to_be_bytes();
         for n in 0..count {
-            let path = Path::start(store.address()).await?;
+            let path = Link::start(ANY_PORT, store.address()).await?;
             let last = u8::try_from(n + 1).map_err(io::Error::other)?;
             let ip = Ipv4Addr::new(127, 90 + (seed % 100) as u8, low, last);
             let zone = ["a", "b", "c"][n % 3];
@@ -135,20 +137,13 @@
     /// Writes the next version of the configuration.
     pub(crate) fn configure(&self) {
         let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
-        let route = |database: &Database| {
-            json!({
-                "name": database.name, "database_name": database.name, "prefix": "/",
-                "type": database.route, "timeout_ms": 800, "target_latency_ms": 200, "priority": 2,
-                "service": SERVICE, "max_staleness_ms": database.max_staleness.as_millis(),
-            })
-        };
-        let routes: Vec<Value> = DATABASES.iter().map(route).collect();
-        let configuration = json!({
-            "version": version, "routes": routes, "limits": {"tx_idle_ms": 3000},
-            "services": [{"name": SERVICE, "max_connections": 16, "sync_replicas": 0}],
+        let routes = DATABASES.map(|database| LineRoute {
+            database: database.name,
+            kind: database.kind,
+            max_staleness: database.max_staleness,
         });
-        self.store
-            .put("op", "config", configuration.to_string().as_bytes());
+        let configuration = line_configuration_with(version, SERVICE, &routes);
+        self.store.put("op", "config", configuration.as_bytes());
     }
 
     /// Ends the primary for good, once.
--- a/standins/src/line_group.rs
+++ b/standins/src/line_group.rs
@@ -75,18 +75,30 @@
         Ok(group)
     }
 
+    /// Returns where the servers listen.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.lock().servers.iter().map(|s| s.address).collect()
+    }
+
     /// Returns the entries that the servers write about themselves, by their identifiers.
     #[must_use]
     pub fn entries(&self, service: &str) -> Vec<(String, String)> {
+        self.entries_at(service, &self.addresses())
+    }
+
+    /// Returns such entries with other addresses, as of relays in front of the servers.
+    #[must_use]
+    pub fn entries_at(&self, service: &str, addresses: &[SocketAddr]) -> Vec<(String, String)> {
         let group = self.lock();
-        let entry = |(server, zone): (&Server, &str)| {
+        let entry = |((server, address), zone): ((&Server, &SocketAddr), &str)| {
             let role = if server.is_primary {
                 "primary"
             } else {
                 "replica"
             };
             let entry = serde_json::json!({
-                "service": service, "address": server.address, "zone": zone, "version": "v1",
+                "service": service, "address": address, "zone": zone, "version": "v1",
                 "capacity": 2, "state": "ready", "warmup_left_ms": 0, "db_role": role,
                 "sequence": 1, "born": 1,
             });
@@ -95,6 +107,7 @@
         group
             .servers
             .iter()
+            .zip(addresses)
             .zip(["a", "b", "c"])
             .map(entry)
             .collect()
--- a/standins/src/line_site.rs
+++ b/standins/src/line_site.rs
@@ -19,7 +19,7 @@
 ///
 /// No port can be listened on.
 pub async fn start_line_site(
-    database: &str,
+    database: &'static str,
     service: &'static str,
 ) -> std::io::Result<(LineGroup, LineStore)> {
     let group = LineGroup::start(service).await?;
--- a/standins/src/line_store.rs
+++ b/standins/src/line_store.rs
@@ -280,19 +280,50 @@
     }
 }
 
+/// A route of the operator's configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct LineRoute {
+    /// The database.
+    pub database: &'static str,
+    /// Which reads it promises, as the platform calls it.
+    pub kind: &'static str,
+    /// How old what is read may be.
+    pub max_staleness: Duration,
+}
+
 /// Returns the operator's configuration with one route to a service, whose reads go to the primary.
 ///
 /// ```
 /// assert!(standins::line_configuration(1, "fees", "ledger").contains("fees"));
 /// ```
 #[must_use]
-pub fn line_configuration(version: u64, database: &str, service: &str) -> String {
+pub fn line_configuration(version: u64, database: &'static str, service: &str) -> String {
+    let route = LineRoute {
+        database,
+        kind: "primary",
+        max_staleness: Duration::ZERO,
+    };
+    line_configuration_with(version, service, &[route])
+}
+
+/// Returns the operator's configuration with some routes to a service.
+///
+/// ```
+/// assert!(standins::line_configuration_with(1, "ledger", &[]).contains("ledger"));
+/// ```
+#[must_use]
+pub fn line_configuration_with(version: u64, service: &str, routes: &[LineRoute]) -> String {
+    let route = |route: &LineRoute| {
+        json!({
+            "name": route.database, "database_name": route.database, "prefix": "/",
+            "type": route.kind, "timeout_ms": 800, "target_latency_ms": 200, "priority": 2,
+            "service": service, "max_staleness_ms": route.max_staleness.as_millis(),
+        })
+    };
+    let routes: Vec<Value> = routes.iter().map(route).collect();
     json!({
         "version": version,
-        "routes": [{
-            "name": "r", "database_name": database, "prefix": "/", "type": "primary",
-            "timeout_ms": 800, "target_latency_ms": 200, "priority": 1, "service": service,
-        }],
+        "routes": routes,
         "services": [{"name": service, "max_connections": 16, "sync_replicas": 0}],
         "limits": {"tx_idle_ms": 3000},
     })
