Logs and metrics for leaders that leave: age of the list, missing replacements, a gauge

- request_sent says how long ago the read was sent that last listed the server.
The event of the list carries that time.
- promotion logs once when a draining primary can't be replaced.
- sapphireslip_open{what="leaving_leaders"} counts leaders that are draining or missing.

No decision is changed.

--- a/sapphireslip-lead/src/coordinator.rs
+++ b/sapphireslip-lead/src/coordinator.rs
@@ -1,7 +1,7 @@
 //! The coordinator: the one daemon that names leaders and asks for promotions, so that each service
 //! has a primary.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use sapphireslip_core::{Instant, ServerId, ServiceName, ZoneName, data};
@@ -57,6 +57,8 @@
         pub(crate) resigned_row: Option<RowVersion>,
         /// The replacements of primaries that are under way.
         pub(crate) handovers: BTreeMap<ServiceName, Handover>,
+        /// The services whose leader is draining and can't be replaced, to log each once.
+        without_replacement: BTreeSet<ServiceName>,
         /// Since when a service without a named leader has had no server that is its primary.
         without_primary_since: BTreeMap<ServiceName, Instant>,
         /// When the promotion of a server of each service was last requested by this daemon, or at
@@ -314,6 +316,7 @@
             self.name_leader(service, &newer.0, Term(newer.1.0.saturating_sub(1)));
             return;
         }
+        self.note_missing_replacement(service, &leader);
         if let Some(reason) = self.reason_to_replace(service, &leader) {
             return self.begin_handover(service, Some(leader), reason);
         }
@@ -397,6 +400,19 @@
         self.is_lost(leader).then_some(Reason::Lost)
     }
 
+    /// Logs that a leader is draining and no other server can take over, once until that changes.
+    fn note_missing_replacement(&mut self, service: &ServiceName, leader: &ServerId) {
+        let server = self.servers.get(leader);
+        let is_draining = server.is_some_and(|server| server.draining_since.is_some());
+        if !is_draining || self.has_replacement(service, leader) {
+            self.coordinator.without_replacement.remove(service);
+        } else if self.coordinator.without_replacement.insert(service.clone()) {
+            let detail = "the primary is draining, and no other server can take over";
+            let line = Record::new(RecordKind::Promotion, detail.into());
+            self.log(line.service(service).server(leader));
+        }
+    }
+
     /// Returns whether a service has another reachable server that stays.
     fn has_replacement(&self, service: &ServiceName, leader: &ServerId) -> bool {
         self.servers.of(service).any(|(id, server)| {
--- a/sapphireslip-lead/src/dispatch.rs
+++ b/sapphireslip-lead/src/dispatch.rs
@@ -245,11 +245,13 @@
         at.awaited.push_back(awaited(AnswerTo::Statement(id)));
         requests.push(statement);
         let floor = floor.map_or_else(|| "none".to_owned(), |floor| floor.to_string());
+        let listed_at = self.servers.get(&at.server).map(|server| server.listed_at);
         let detail = format!(
-            "{:?}, floor {floor}, waited {} ms, sending {}",
+            "{:?}, floor {floor}, waited {} ms, sending {}, server listed {} ms ago",
             job.work,
             self.now.since(job.arrived).as_millis(),
             job.send_count,
+            self.now.since(listed_at.unwrap_or_default()).as_millis(),
         );
         let line = Record::new(RecordKind::RequestSent, detail.into())
             .service(&job.service)
--- a/sapphireslip-lead/src/event.rs
+++ b/sapphireslip-lead/src/event.rs
@@ -22,8 +22,13 @@
         Server(ServerEvent),
         /// A version of the operator's configuration was read.
         Catalog(Catalog),
-        /// The list of backend servers was read from the store; none if the store did not answer.
-        Servers(Option<Vec<ServerRecord>>),
+        /// The list of backend servers was read from the store.
+        Servers {
+            /// The list; none if the store did not answer.
+            list: Option<Vec<ServerRecord>>,
+            /// When the read was sent.
+            sent: Instant,
+        },
         /// The leaders that the store names were read, or have changed.
         Leaders(LeaderTable),
         /// The permissions of all daemons were read from the store.
--- a/sapphireslip-lead/src/leaders.rs
+++ b/sapphireslip-lead/src/leaders.rs
@@ -91,6 +91,18 @@
         LeaderView::Confirmed(leader.clone())
     }
 
+    /// Returns the number of leaders that are draining or missing from the list of servers.
+    pub(crate) fn leaving_leaders(&self) -> usize {
+        let leaders = self.leaders.table.leaders.values();
+        let is_leaving = |leader| {
+            let server = self.servers.get(leader);
+            server.is_some_and(|server| !server.is_staying())
+        };
+        leaders
+            .filter(|(record, _)| is_leaving(&record.leader))
+            .count()
+    }
+
     /// Replaces the table of leaders, unless it is older than the known one, and logs each change.
     ///
     /// From then on, a server that is no longer named gets no new work for the primary.
--- a/sapphireslip-lead/src/server.rs
+++ b/sapphireslip-lead/src/server.rs
@@ -38,6 +38,8 @@
     pub(crate) struct KnownServer {
         /// The server's latest row in the list.
         pub(crate) record: ServerRecord,
+        /// When the last read of the list that showed the server was sent.
+        pub(crate) listed_at: Instant,
         /// Since when the server has been missing from the list; none while it is listed or its row
         /// may have lapsed because of a store outage.
         pub(crate) missing_since: Option<Instant>,
@@ -77,6 +79,9 @@
     pub(crate) const fn new(record: ServerRecord) -> Self {
         Self {
             record,
+            listed_at: Instant {
+                since_start: Duration::ZERO,
+            },
             missing_since: None,
             draining_since: None,
             status: None,
--- a/sapphireslip-lead/src/servers.rs
+++ b/sapphireslip-lead/src/servers.rs
@@ -57,10 +57,16 @@
             .filter(move |(_, server)| server.record.service == *service)
     }
 
-    /// Applies a list that was read at `now`, and returns what it changed.
+    /// Applies a list that was read at `now` by a call that was sent at `sent`, and returns what it
+    /// changed.
     ///
     /// Servers that are missing from the list are kept for a while.
-    pub(crate) fn apply_list(&mut self, now: Instant, list: Vec<ServerRecord>) -> ListChange {
+    pub(crate) fn apply_list(
+        &mut self,
+        now: Instant,
+        list: Vec<ServerRecord>,
+        sent: Instant,
+    ) -> ListChange {
         let is_first_after_outage = self
             .last_read
             .is_some_and(|read| now.since(read) >= LIST_OUTAGE_MIN);
@@ -75,7 +81,9 @@
         let mut missing = std::mem::take(&mut self.known);
         for record in list {
             let known = missing.remove(&record.id);
-            self.apply_row(now, record, known, &mut change);
+            let mut server = apply_row(now, record, known, &mut change);
+            server.listed_at = sent;
+            self.known.insert(server.record.id.clone(), server);
         }
         for (id, mut server) in missing {
             let missing_since = *server.missing_since.get_or_insert(now);
@@ -94,44 +102,43 @@
         }
         change
     }
-
-    /// Applies one row of the list to the server that was known under its identifier, if any.
-    fn apply_row(
-        &mut self,
-        now: Instant,
-        record: ServerRecord,
-        known: Option<KnownServer>,
-        change: &mut ListChange,
-    ) {
-        let id = record.id.clone();
-        let mut server = match known {
-            Some(known) if known.record.born == record.born => known,
-            Some(_) => {
-                change.records.push(listed(&record, "started again"));
-                change.gone.push(id.clone());
-                KnownServer::new(record.clone())
-            }
-            None => {
-                change.records.push(listed(&record, "appeared"));
-                KnownServer::new(record.clone())
-            }
-        };
-        if record.is_draining && server.draining_since.is_none() {
-            server.draining_since = Some(now);
-            change.records.push(listed(&record, "is draining"));
-        } else if !record.is_draining {
-            server.draining_since = None;
-        }
-        server.missing_since = None;
-        server.record = record;
-        self.known.insert(id, server);
-    }
 }
 
 /// How long a server that is missing from the list stays known, so that a primary among them can be
 /// replaced in an orderly way.
 const MISSING_KEPT_TIME: Duration = Duration::from_secs(5);
 
+/// Applies one row of the list to the server that was known under its identifier, if any, and
+/// returns the server.
+fn apply_row(
+    now: Instant,
+    record: ServerRecord,
+    known: Option<KnownServer>,
+    change: &mut ListChange,
+) -> KnownServer {
+    let mut server = match known {
+        Some(known) if known.record.born == record.born => known,
+        Some(_) => {
+            change.records.push(listed(&record, "started again"));
+            change.gone.push(record.id.clone());
+            KnownServer::new(record.clone())
+        }
+        None => {
+            change.records.push(listed(&record, "appeared"));
+            KnownServer::new(record.clone())
+        }
+    };
+    if record.is_draining && server.draining_since.is_none() {
+        server.draining_since = Some(now);
+        change.records.push(listed(&record, "is draining"));
+    } else if !record.is_draining {
+        server.draining_since = None;
+    }
+    server.missing_since = None;
+    server.record = record;
+    server
+}
+
 /// Returns a log line about a change of a server's row in the list.
 fn listed(record: &ServerRecord, what: &str) -> Record {
     let detail = format!("{what}; address {}, born {}", record.address, record.born);
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -50,6 +50,8 @@
         pub connections: usize,
         /// The number of known backend servers.
         pub servers: usize,
+        /// The number of leaders that are draining or missing from the list of servers.
+        pub leaving_leaders: usize,
         /// How long the permission still lasts; zero if there is none.
         pub permission_left: Duration,
         /// The time since the list of backend servers was last read; zero if it never was.
@@ -162,7 +164,7 @@
             Event::Client(event) => self.on_client(event),
             Event::Server(event) => self.on_server(event),
             Event::Catalog(catalog) => self.on_catalog(catalog),
-            Event::Servers(list) => self.on_servers(list),
+            Event::Servers { list, sent } => self.on_servers(list, sent),
             Event::Leaders(table) => self.on_leaders(table),
             Event::Permissions { table, sent } => self.on_permission_table(table, sent),
             Event::Written(written) => self.on_written(written),
@@ -233,6 +235,7 @@
             waiting: self.queues.values().map(Vec::len).sum(),
             connections: self.pool.all().count(),
             servers: self.servers.known.len(),
+            leaving_leaders: self.leaving_leaders(),
             permission_left: self.permission.remaining(self.now),
             servers_age: read.map_or(Duration::ZERO, |read| self.now.since(read)),
             configuration: self.catalog.as_ref().map_or(0, |catalog| catalog.version),
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -154,15 +154,15 @@
         self.coordinate();
     }
 
-    /// Records the outcome of a read of the list of backend servers; `list` is none if the store
-    /// did not answer.
-    pub(crate) fn on_servers(&mut self, list: Option<Vec<ServerRecord>>) {
+    /// Records the outcome of a read of the list of backend servers that was sent at `sent`; `list`
+    /// is none if the store did not answer.
+    pub(crate) fn on_servers(&mut self, list: Option<Vec<ServerRecord>>, sent: Instant) {
         self.reads.servers.is_pending = false;
         self.note_store(list.is_some());
         let Some(list) = list else {
             return;
         };
-        let change = self.servers.apply_list(self.now, list);
+        let change = self.servers.apply_list(self.now, list, sent);
         for record in change.records {
             self.log(record);
         }
--- a/sapphireslip-lead/tests/fleet_restart.rs
+++ b/sapphireslip-lead/tests/fleet_restart.rs
@@ -7,14 +7,17 @@
 use sapphireslip_lead::{
     ClientEvent, CoordinatorRecord, Effect, Event, PermissionRecord, RowVersion,
 };
-use support::{Daemon, PAYMENTS, catalog, presence, vm};
+use support::{Daemon, PAYMENTS, at, catalog, presence, vm};
 
 /// Returns a daemon that knows the configuration and the servers, and nothing of other daemons.
 fn just_started() -> Daemon {
     let mut daemon = Daemon::new("a");
     daemon.store_answers = false;
     daemon.event(Event::Catalog(catalog(1)));
-    daemon.event(Event::Servers(Some(daemon.group.records())));
+    daemon.event(Event::Servers {
+        list: Some(daemon.group.records()),
+        sent: at(daemon.millis),
+    });
     daemon
 }
 
--- a/sapphireslip-lead/tests/support/daemon.rs
+++ b/sapphireslip-lead/tests/support/daemon.rs
@@ -193,7 +193,8 @@
             }
             Effect::ReadServers => {
                 let list = self.store_answers.then(|| self.group.records());
-                self.event(Event::Servers(list));
+                let sent = at(self.millis);
+                self.event(Event::Servers { list, sent });
             }
             Effect::ReadLeaders => {
                 let leaders = self.store.leaders.clone();
--- a/sapphireslip-lead/tests/support/fleet.rs
+++ b/sapphireslip-lead/tests/support/fleet.rs
@@ -281,7 +281,8 @@
             }
             Effect::ReadServers => {
                 let list = self.reaches_store(n).then(|| self.group.records());
-                self.schedule(n, 30, Event::Servers(list));
+                let sent = at(self.millis);
+                self.schedule(n, 30, Event::Servers { list, sent });
             }
             Effect::ReadLeaders => {
                 if self.reaches_store(n) {
--- a/sapphireslipd/src/lead_metrics.rs
+++ b/sapphireslipd/src/lead_metrics.rs
@@ -61,7 +61,8 @@
     store_calls: Family<StoreCall, Counter>,
     /// The durations of calls to the store, in seconds.
     store_call_times: Histogram,
-    /// The numbers of open sessions and connections, waiting statements and known servers.
+    /// The numbers of open sessions and connections, waiting statements, known servers and leaving
+    /// leaders.
     open: Family<Open, Gauge<u64, AtomicU64>>,
     /// How long the permission still lasts, in seconds; 0 if there is none.
     permission_left: Gauge<f64, AtomicU64>,
@@ -196,6 +197,7 @@
             ("statements_waiting", snapshot.waiting),
             ("connections", snapshot.connections),
             ("servers", snapshot.servers),
+            ("leaving_leaders", snapshot.leaving_leaders),
         ];
         for (what, count) in counts {
             let count = u64::try_from(count).unwrap_or(u64::MAX);
--- a/sapphireslipd/src/store_edge.rs
+++ b/sapphireslipd/src/store_edge.rs
@@ -43,6 +43,7 @@
 impl StoreEdge {
     /// Reads the list of backend servers. Rows that can't be parsed are left out.
     pub(crate) async fn read_servers(self) {
+        let sent = self.clock.now();
         let rows = self.store.read(Table::Servers).await;
         let list: Option<Vec<ServerRecord>> = rows.map(|rows| {
             let (records, faults) = decode_servers(&rows);
@@ -51,7 +52,7 @@
             }
             records
         });
-        self.send_event(Event::Servers(list)).await;
+        self.send_event(Event::Servers { list, sent }).await;
     }
 
     /// Reads the leaders of all services; reports nothing if that fails.
