--- a/sapphireslip-lead/tests/support/daemon.rs
+++ b/sapphireslip-lead/tests/support/daemon.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use sapphireslip_core::{ConnectionId, Incarnation, ServerId, SessionId, TransactionStatus};
 use sapphireslip_lead::{
@@ -34,10 +34,15 @@
     pub effects: Vec<Effect>,
     /// The requests that were sent to servers, the oldest first.
     pub sent: Vec<(ServerId, ServerRequest)>,
+    /// When servers got single statements or the first ones of transactions, in milliseconds, the
+    /// oldest first.
+    pub new_work: Vec<(u64, ServerId)>,
     /// The log records, the oldest first.
     pub records: Vec<Record>,
     /// The requests that servers have received and not answered, the oldest first.
     held: Vec<(ConnectionId, ServerRequest)>,
+    /// The connections whose transaction has begun and run no statement.
+    begun: BTreeSet<ConnectionId>,
     /// The open connections with their servers and transaction status.
     connections: BTreeMap<ConnectionId, (ServerId, TransactionStatus)>,
     /// The number of the last session that was opened.
@@ -88,8 +93,10 @@
             closed: Vec::new(),
             effects: Vec::new(),
             sent: Vec::new(),
+            new_work: Vec::new(),
             records: Vec::new(),
             held: Vec::new(),
+            begun: BTreeSet::new(),
             connections: BTreeMap::new(),
             sessions: 0,
         };
@@ -108,12 +115,21 @@
 
     /// Opens a session on a database.
     pub fn open(&mut self, database: &str) -> SessionId {
+        self.open_from(database, None)
+    }
+
+    /// Opens a session on a database that another daemon has forwarded.
+    pub fn open_forwarded(&mut self, database: &str) -> SessionId {
+        self.open_from(database, Some(1))
+    }
+
+    fn open_from(&mut self, database: &str, forwarder_version: Option<u64>) -> SessionId {
         self.sessions += 1;
         let session = SessionId(self.sessions);
         self.event(Event::Client(ClientEvent::Opened {
             session,
             database: database.into(),
-            forwarder_version: None,
+            forwarder_version,
         }));
         session
     }
@@ -249,13 +265,20 @@
     }
 
     fn send(&mut self, connection: ConnectionId, request: ServerRequest) {
-        let Some((server, _)) = self.connections.get(&connection).cloned() else {
+        let Some((server, status)) = self.connections.get(&connection).cloned() else {
             return;
         };
         let is_clients = matches!(
             request,
             ServerRequest::Forward { .. } | ServerRequest::Execute { .. }
         );
+        if matches!(request, ServerRequest::Begin { .. }) {
+            self.begun.insert(connection);
+        }
+        let is_first = is_clients && self.begun.remove(&connection);
+        if is_first || (is_clients && status == TransactionStatus::Idle) {
+            self.new_work.push((self.millis, server.clone()));
+        }
         self.sent.push((server.clone(), request.clone()));
         if (is_clients && self.withholds_answers) || self.group.get(&server).is_isolated {
             self.held.push((connection, request));
--- a/sapphireslip-lead/tests/support/fleet.rs
+++ b/sapphireslip-lead/tests/support/fleet.rs
@@ -90,6 +90,10 @@
     promoted: Vec<(u64, Term)>,
     /// The number of statements that were sent.
     statements: u64,
+    /// Since when each server has been listed as draining.
+    draining_since: BTreeMap<ServerId, u64>,
+    /// When servers that are draining got statements, and for how long they had been draining.
+    work_while_draining: Vec<(u64, ServerId, u64)>,
 }
 
 impl Fleet {
@@ -395,6 +399,12 @@
         if !self.reaches(n, &server) {
             return;
         }
+        if let Some(since) = self.history.draining_since.get(&server)
+            && matches!(request, ServerRequest::Forward { .. })
+        {
+            let work = (self.millis, server.clone(), self.millis - since);
+            self.history.work_while_draining.push(work);
+        }
         let (reply, status, deed) = self
             .group
             .get_mut(&server)
@@ -465,6 +475,24 @@
         violations
     }
 
+    /// Has a server be listed as draining from now on, or no longer.
+    pub fn set_draining(&mut self, server: &ServerId, is_draining: bool) {
+        self.group.get_mut(server).is_draining = is_draining;
+        let since = &mut self.history.draining_since;
+        if is_draining {
+            since.entry(server.clone()).or_insert(self.millis);
+        } else {
+            since.remove(server);
+        }
+    }
+
+    /// Returns the first statement that a server got later than `bound` milliseconds after the
+    /// store had listed it as draining: when, which server, and how long after the listing.
+    pub fn first_late_work(&self, bound: u64) -> Option<(u64, ServerId, u64)> {
+        let mut work = self.history.work_while_draining.iter();
+        work.find(|(.., after)| *after > bound).cloned()
+    }
+
     /// Returns the number of writes that were acknowledged.
     pub fn acknowledged(&self) -> usize {
         self.history.acknowledged.len()
--- a/sapphireslip-lead/tests/support/group.rs
+++ b/sapphireslip-lead/tests/support/group.rs
@@ -19,6 +19,8 @@
     pub log: Vec<(Term, Text)>,
     /// Whether the server is listed as about to leave.
     pub is_draining: bool,
+    /// Whether the store has no row of the server.
+    pub is_unlisted: bool,
     /// Whether the server accepts no connection and answers no request.
     pub is_isolated: bool,
     /// The service that the server belongs to.
@@ -52,6 +54,7 @@
             term: Term(1),
             log: vec![(Term(1), "first".into())],
             is_draining: false,
+            is_unlisted: false,
             is_isolated: false,
             service: service(),
             zone,
@@ -96,7 +99,9 @@
             role: server.role,
             born: 1,
         };
-        self.servers.iter().enumerate().map(record).collect()
+        let servers = self.servers.iter().enumerate();
+        let listed = servers.filter(|(_, server)| !server.is_unlisted);
+        listed.map(record).collect()
     }
 
     /// Adds a service with one server, its primary.
@@ -107,6 +112,7 @@
             term: Term(1),
             log: Vec::new(),
             is_draining: false,
+            is_unlisted: false,
             is_isolated: false,
             service: name.clone(),
             zone: "a",
