Core of the platform's path: an idle daemon forgets servers whose rows are gone

Callers saw nothing of this by itself: a daemon that begins to work may use a server that the store dropped long ago. Cause: rows that are missing from a list are put down to an outage if the list was unread for 2.5 s. A daemon that works with no server reads it every 10 s, so each of its reads opened that window anew and no missing server was ever dropped. Change: the window opens if a read is overdue by a second, counted from the time at which the daemon meant to read (2.5 s after the last one for a daemon that works with servers, as before).

--- a/sapphireslip-lead/src/servers.rs
+++ b/sapphireslip-lead/src/servers.rs
@@ -8,9 +8,9 @@
 use crate::server::KnownServer;
 use crate::{Record, RecordKind, ServerRecord};
 
-/// How long the list must have gone unread for missing rows to be put down to an outage of the
+/// How long a read of the list must be overdue for missing rows to be put down to an outage of the
 /// store: rows lapse after three missed heartbeats.
-const LIST_OUTAGE_MIN: Duration = Duration::from_millis(2_500);
+const LIST_OVERDUE_MIN: Duration = Duration::from_millis(1_000);
 
 /// How long servers may take to register again after an outage of the store.
 const REGISTRATION_TIME: Duration = Duration::from_millis(2_500);
@@ -23,6 +23,8 @@
         pub(crate) known: BTreeMap<ServerId, KnownServer>,
         /// When the list was last read; none before the first read.
         pub(crate) last_read: Option<Instant>,
+        /// When the next read was due, as of the last one.
+        next_read: Instant,
         /// Until when servers may be missing from the list because of an outage of the store.
         entries_lapsed_until: Instant,
     }
@@ -58,7 +60,7 @@
     }
 
     /// Applies a list that was read at `now` by a call that was sent at `sent`, and returns what it
-    /// changed.
+    /// changed. The next read is due after `every`.
     ///
     /// Servers that are missing from the list are kept for a while.
     pub(crate) fn apply_list(
@@ -66,10 +68,11 @@
         now: Instant,
         list: Vec<ServerRecord>,
         sent: Instant,
+        every: Duration,
     ) -> ListChange {
-        let is_first_after_outage = self
-            .last_read
-            .is_some_and(|read| now.since(read) >= LIST_OUTAGE_MIN);
+        let is_first_after_outage =
+            self.last_read.is_some() && now.since(self.next_read) >= LIST_OVERDUE_MIN;
+        self.next_read = now + every;
         if is_first_after_outage {
             self.entries_lapsed_until = now + REGISTRATION_TIME;
         }
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -93,12 +93,7 @@
     /// Sends the reads of the store that are due.
     pub(crate) fn read_store(&mut self) {
         let is_idle = !self.needs_permission();
-        let servers_every = if is_idle {
-            SERVERS_EVERY_IDLE
-        } else {
-            SERVERS_EVERY
-        };
-        if self.reads.servers.is_due(self.now, servers_every) {
+        if self.reads.servers.is_due(self.now, self.servers_interval()) {
             self.reads.servers.ask(self.now);
             self.effects.push(Effect::ReadServers);
         }
@@ -121,6 +116,15 @@
         }
     }
 
+    /// Returns the interval at which this daemon reads the list of servers at present.
+    fn servers_interval(&self) -> Duration {
+        if self.needs_permission() {
+            SERVERS_EVERY
+        } else {
+            SERVERS_EVERY_IDLE
+        }
+    }
+
     /// Returns the interval at which a daemon that works with no server reads permissions, which
     /// grows with the number of daemons.
     fn idle_read_interval(&self) -> Duration {
@@ -162,7 +166,8 @@
         let Some(list) = list else {
             return;
         };
-        let change = self.servers.apply_list(self.now, list, sent);
+        let every = self.servers_interval();
+        let change = self.servers.apply_list(self.now, list, sent, every);
         for record in change.records {
             self.log(record);
         }
