Core of the platform's path: new work at a server only while it can't have said long ago that it leaves

The service had no other server left. Cause: nothing but a handover ended new work at a draining leader, and a handover needs another server. The same class stood in more places: a list read up to 10 s ago by a daemon that begins to work, daemons that live on the coordinator's grants or on floors without reading the list, a first statement whose BEGIN is answered late, and hedged or queued statements. Change: a server gets new work (single statements, the first one of a transaction) only until the platform's bound, less 0.5 s, has passed since the sending of the last read that showed that it stays. It can't have left before that read, so this holds whatever the daemon has heard since. One rule in new_work.rs, asked where a leader is looked up, where a server is chosen for a read, where any statement is sent, and before the first statement of a transaction. What can't be served is refused at once with the time to come back; transactions that began in time go on. The bound comes from the platform through the new setting server_drain_bound. Why this works: the time counts from knowledge, not from hearing of a change, so it needs no news to end.

--- a/sapphireslip-lead/src/choice.rs
+++ b/sapphireslip-lead/src/choice.rs
@@ -60,7 +60,7 @@
 impl State {
     /// Returns the servers that may run a statement that does not need the primary.
     ///
-    /// Servers that are leaving, unreachable or already running the statement are left out; only a
+    /// Servers that are leaving or may have left, are unreachable or already run the statement are left out; only a
     /// leader that is leaving may still run a statement that has failed more than once. Replicas
     /// are left out while no floor is known, or if they lagged recently while there is a leader.
     ///
@@ -85,7 +85,11 @@
             } else {
                 floor.is_some() && server.is_staying()
             };
-            if !is_eligible || server.is_unreachable(self.now) || is_sent_to(job, id) {
+            if !is_eligible
+                || !self.may_get_new_work(id)
+                || server.is_unreachable(self.now)
+                || is_sent_to(job, id)
+            {
                 continue;
             }
             // A replica that lagged a moment ago will most likely refuse again; wait for the
--- a/sapphireslip-lead/src/dispatch.rs
+++ b/sapphireslip-lead/src/dispatch.rs
@@ -82,6 +82,9 @@
             return Dispatched::Waiting;
         }
         if let Some(connection) = self.bound_connection(job) {
+            if !self.has_run(job.session) && !self.may_get_new_work_on(connection) {
+                return Dispatched::Refused("the server is leaving", RETRY_HANDOVER);
+            }
             self.send(id, connection, None);
             return Dispatched::Sent;
         }
@@ -159,7 +162,8 @@
 
     /// Sends a statement on a free connection to a server.
     ///
-    /// Returns false if no connection is free or the server has enough outstanding statements.
+    /// Returns false if no connection is free, or if the server has enough outstanding statements
+    /// or may get no new work.
     pub(crate) fn send_to(
         &mut self,
         id: JobId,
@@ -172,7 +176,7 @@
         let Some(session) = self.sessions.get(&job.session) else {
             return false;
         };
-        if self.is_saturated(server) {
+        if self.is_saturated(server) || !self.may_get_new_work(server) {
             return false;
         }
         let shape_number = job.shape.as_ref().map(|shape| self.shapes.number(shape));
@@ -245,13 +249,16 @@
         at.awaited.push_back(awaited(AnswerTo::Statement(id)));
         requests.push(statement);
         let floor = floor.map_or_else(|| "none".to_owned(), |floor| floor.to_string());
-        let listed_at = self.servers.get(&at.server).map(|server| server.listed_at);
+        let last_staying = self
+            .servers
+            .get(&at.server)
+            .map(|server| server.last_staying);
         let detail = format!(
-            "{:?}, floor {floor}, waited {} ms, sending {}, server listed {} ms ago",
+            "{:?}, floor {floor}, waited {} ms, sending {}, server stayed {} ms ago",
             job.work,
             self.now.since(job.arrived).as_millis(),
             job.send_count,
-            self.now.since(listed_at.unwrap_or_default()).as_millis(),
+            self.now.since(last_staying.unwrap_or_default()).as_millis(),
         );
         let line = Record::new(RecordKind::RequestSent, detail.into())
             .service(&job.service)
--- a/sapphireslip-lead/src/leaders.rs
+++ b/sapphireslip-lead/src/leaders.rs
@@ -85,6 +85,13 @@
         if server.is_unreachable(self.now) {
             return LeaderView::Unavailable("the primary can't be reached");
         }
+        if !self.may_get_new_work(leader) {
+            return match server.is_staying() {
+                true if self.is_list_expected() => LeaderView::Pending(leader.clone()),
+                true => LeaderView::Unavailable("the list of servers is too old"),
+                false => LeaderView::Unavailable("the primary is leaving"),
+            };
+        }
         if self.leaders.term(service).is_none() {
             return LeaderView::Pending(leader.clone());
         }
--- a/sapphireslip-lead/src/lib.rs
+++ b/sapphireslip-lead/src/lib.rs
@@ -21,6 +21,7 @@
 mod job;
 mod lead_record;
 mod leaders;
+mod new_work;
 mod permission;
 mod pool;
 mod probes;
--- a/sapphireslip-lead/src/server.rs
+++ b/sapphireslip-lead/src/server.rs
@@ -38,8 +38,9 @@
     pub(crate) struct KnownServer {
         /// The server's latest row in the list.
         pub(crate) record: ServerRecord,
-        /// When the last read of the list that showed the server was sent.
-        pub(crate) listed_at: Instant,
+        /// When the last read of the list was sent that showed that the server stays. It has not
+        /// said before that time that it leaves.
+        pub(crate) last_staying: Instant,
         /// Since when the server has been missing from the list; none while it is listed or its row
         /// may have lapsed because of a store outage.
         pub(crate) missing_since: Option<Instant>,
@@ -79,7 +80,7 @@
     pub(crate) const fn new(record: ServerRecord) -> Self {
         Self {
             record,
-            listed_at: Instant {
+            last_staying: Instant {
                 since_start: Duration::ZERO,
             },
             missing_since: None,
--- a/sapphireslip-lead/src/servers.rs
+++ b/sapphireslip-lead/src/servers.rs
@@ -85,7 +85,9 @@
         for record in list {
             let known = missing.remove(&record.id);
             let mut server = apply_row(now, record, known, &mut change);
-            server.listed_at = sent;
+            if !server.record.is_draining {
+                server.last_staying = sent;
+            }
             self.known.insert(server.record.id.clone(), server);
         }
         for (id, mut server) in missing {
--- a/sapphireslip-lead/src/session.rs
+++ b/sapphireslip-lead/src/session.rs
@@ -50,6 +50,8 @@
         /// The server connection that the transaction is bound to; none before its first statement
         /// is sent, and none once the transaction has failed.
         pub(crate) connection: Option<ConnectionId>,
+        /// Whether a statement of the transaction has run at its server.
+        pub(crate) has_run: bool,
         /// The state that the client is told.
         pub(crate) status: TransactionStatus,
         /// When the transaction's last statement was answered; before its first one, when it began.
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -14,6 +14,7 @@
 use crate::home_ranks::HomeRanks;
 use crate::job::{Job, JobId};
 use crate::leaders::Leaders;
+use crate::new_work::new_work_time;
 use crate::permission::Permission;
 use crate::pool::Pool;
 use crate::probes::Shapes;
@@ -80,6 +81,8 @@
         pub(crate) catalog_applied: Instant,
         /// The known backend servers.
         pub(crate) servers: Servers,
+        /// How long a server may get new work after the last read that showed that it stays.
+        pub(crate) new_work_time: Duration,
         /// The leaders that the store names.
         pub(crate) leaders: Leaders,
         /// This daemon's permission.
@@ -122,9 +125,10 @@
 impl State {
     /// Returns the state of a daemon that has just started.
     ///
-    /// `seed` determines the jitter; it should differ between daemons.
+    /// Servers that the store lists as draining get no new work after `server_drain_bound`. `seed`
+    /// determines the jitter; it should differ between daemons.
     #[must_use]
-    pub fn new(local: Identity, seed: u64) -> Self {
+    pub fn new(local: Identity, server_drain_bound: Duration, seed: u64) -> Self {
         Self {
             local,
             now: Instant::default(),
@@ -133,6 +137,7 @@
             catalog: None,
             catalog_applied: Instant::default(),
             servers: Servers::default(),
+            new_work_time: new_work_time(server_drain_bound),
             leaders: Leaders::default(),
             permission: Permission::default(),
             permissions: None,
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -13,6 +13,10 @@
 /// seconds.
 const SERVERS_EVERY: Duration = Duration::from_millis(1_500);
 
+/// The least number of reads of the list within the time that a server may get new work after the
+/// last one, so that a lost answer stops nothing.
+const LIST_READS_PER_NEW_WORK_TIME: u32 = 4;
+
 /// How often a daemon that works with no server reads the list. It reads the list at once when it
 /// begins to work with servers.
 const SERVERS_EVERY_IDLE: Duration = Duration::from_secs(10);
@@ -70,6 +74,8 @@
         last_request: Option<Instant>,
         /// Whether that read has not ended yet.
         is_pending: bool,
+        /// Whether the last read that ended got no answer.
+        has_failed: bool,
     }
 }
 
@@ -89,6 +95,13 @@
     }
 }
 
+impl Reads {
+    /// Returns whether the last read of the list of backend servers that ended got no answer.
+    pub(crate) const fn has_list_failed(&self) -> bool {
+        self.servers.has_failed
+    }
+}
+
 impl State {
     /// Sends the reads of the store that are due.
     pub(crate) fn read_store(&mut self) {
@@ -119,7 +132,7 @@
     /// Returns the interval at which this daemon reads the list of servers at present.
     fn servers_interval(&self) -> Duration {
         if self.needs_permission() {
-            SERVERS_EVERY
+            SERVERS_EVERY.min(self.new_work_time / LIST_READS_PER_NEW_WORK_TIME)
         } else {
             SERVERS_EVERY_IDLE
         }
@@ -162,6 +175,7 @@
     /// is none if the store did not answer.
     pub(crate) fn on_servers(&mut self, list: Option<Vec<ServerRecord>>, sent: Instant) {
         self.reads.servers.is_pending = false;
+        self.reads.servers.has_failed = list.is_none();
         self.note_store(list.is_some());
         let Some(list) = list else {
             return;
--- a/sapphireslip-lead/src/transaction.rs
+++ b/sapphireslip-lead/src/transaction.rs
@@ -17,27 +17,31 @@
     }
 
     /// Handles the answer to a `BEGIN`: sends the first statement of the transaction, or has it
-    /// sent elsewhere if the `BEGIN` failed.
+    /// sent elsewhere if the `BEGIN` failed or the server may get no new work any more.
     pub(crate) fn on_begun(&mut self, connection: ConnectionId, id: JobId, reply: Reply) {
-        let Some(job) = self.jobs.get_mut(&id) else {
+        let Some(job) = self.jobs.get(&id) else {
             return self.free_when_idle(connection, reply.transaction);
         };
-        if reply.failure().is_none() && reply.transaction == TransactionStatus::Open {
-            job.pending_begin = None;
+        let session = job.session;
+        let has_begun = reply.failure().is_none() && reply.transaction == TransactionStatus::Open;
+        if has_begun && self.may_get_new_work_on(connection) {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.pending_begin = None;
+            }
             return self.send_statement(id, connection, None);
         }
-        let session = job.session;
         if let Some(transaction) = self.transaction_mut(session) {
             transaction.connection = None;
         }
         self.free_when_idle(connection, reply.transaction);
-        let failure = reply.failure().cloned();
-        let failure = failure.unwrap_or_else(|| {
-            Failure::new(
+        let failure = match reply.failure() {
+            Some(failure) => failure.clone(),
+            None if has_begun => Failure::new(ErrorCode::Busy, "the server is leaving"),
+            None => Failure::new(
                 ErrorCode::Aborted,
                 "the server did not open the transaction",
-            )
-        });
+            ),
+        };
         self.resend_or_refuse(id, connection, &failure);
     }
 
@@ -63,6 +67,7 @@
         let status = reply.transaction;
         if let Some(transaction) = self.transaction_mut(session) {
             transaction.status = status;
+            transaction.has_run = true;
         }
         if is_commit && reply.failure().is_none() {
             self.detach_transaction(session, connection, status);
@@ -199,6 +204,13 @@
             .is_some_and(|t| t.has_sent_write)
     }
 
+    /// Returns whether a statement of a session's transaction has run at its server.
+    pub(crate) fn has_run(&self, id: SessionId) -> bool {
+        let session = self.sessions.get(&id);
+        let transaction = session.and_then(|session| session.transaction.as_ref());
+        transaction.is_some_and(|transaction| transaction.has_run)
+    }
+
     /// Rolls back the transaction on a connection; with answers outstanding, the rollback follows
     /// the last of them.
     pub(crate) fn roll_back(&mut self, connection: Option<ConnectionId>) {
--- a/sapphireslip-lead/tests/support/daemon.rs
+++ b/sapphireslip-lead/tests/support/daemon.rs
@@ -6,7 +6,7 @@
     ServerEvent, ServerRequest, State, StoreWrite, WriteOutcome, Written,
 };
 
-use super::{FakeGroup, FakeStore, PAYMENTS, at, catalog, query, vm, zone};
+use super::{FakeGroup, FakeStore, PAYMENTS, SERVER_DRAIN_BOUND, at, catalog, query, vm, zone};
 
 /// One daemon with a fake store and fake servers, both of which answer at once unless told
 /// otherwise.
@@ -82,7 +82,7 @@
             peers: "10.1.0.1:7000".parse().expect("a valid address"),
         };
         let mut daemon = Self {
-            state: State::new(identity, 1),
+            state: State::new(identity, SERVER_DRAIN_BOUND, 1),
             store: FakeStore::default(),
             group: FakeGroup::new(),
             millis: 0,
--- a/sapphireslip-lead/tests/support/fleet.rs
+++ b/sapphireslip-lead/tests/support/fleet.rs
@@ -11,7 +11,9 @@
     ServerEvent, ServerRequest, State, Term, WriteOutcome, Written,
 };
 
-use super::{FakeGroup, FakeStore, PAYMENTS, ServerAction, at, catalog, query, vm, zone};
+use super::{
+    FakeGroup, FakeStore, PAYMENTS, SERVER_DRAIN_BOUND, ServerAction, at, catalog, query, vm, zone,
+};
 
 /// The length of one step of the simulated time, in milliseconds.
 const STEP_MILLIS: u64 = 10;
@@ -108,6 +110,7 @@
                     incarnation: Incarnation(1),
                     peers: member_address(n),
                 },
+                SERVER_DRAIN_BOUND,
                 seed + n as u64,
             ),
             is_frozen: false,
--- a/sapphireslip-lead/tests/support/mod.rs
+++ b/sapphireslip-lead/tests/support/mod.rs
@@ -23,6 +23,9 @@
 pub use self::group::*;
 pub use self::store::*;
 
+/// The time after which servers that are listed as draining must get no new work.
+pub const SERVER_DRAIN_BOUND: Duration = Duration::from_secs(7);
+
 /// A database whose reads go to the primary.
 pub const PAYMENTS: &str = "payments";
 
--- a/sapphireslipd/src/lead_run.rs
+++ b/sapphireslipd/src/lead_run.rs
@@ -82,7 +82,7 @@
     };
     log::info!(callers:% = settings.clients, incarnation = incarnation.0; "started");
     let runner = LeadRunner {
-        state: State::new(identity, incarnation.0),
+        state: State::new(identity, settings.server_drain_bound, incarnation.0),
         clock,
         events,
         events_tx,
--- a/sapphireslipd/src/lead_settings.rs
+++ b/sapphireslipd/src/lead_settings.rs
@@ -9,6 +9,7 @@
 //! metrics = "10.0.0.1:9001"     # serves the metrics
 //! log_level = "info"            # optional
 //! drain_bound = "6s"            # longest time of a graceful stop; optional
+//! server_drain_bound = "7s"     # a server that leaves gets no new work after it; optional
 //!
 //! [store]                       # its presence selects this kind of settings
 //! address = "10.0.9.1:443"
@@ -30,9 +31,16 @@
 /// The longest time of a graceful stop if the settings give none.
 pub const LEAD_DRAIN_BOUND_DEFAULT: Duration = Duration::from_secs(6);
 
-/// The highest `drain_bound` that the settings may give.
+/// The highest `drain_bound` and `server_drain_bound` that the settings may give.
 const LEAD_DRAIN_BOUND_MAX: Duration = Duration::from_secs(60 * 60);
 
+/// The lowest `server_drain_bound` that the settings may give: daemons read the list of servers a few
+/// times within it.
+const SERVER_DRAIN_BOUND_MIN: Duration = Duration::from_secs(1);
+
+/// How long after it has said that it leaves a server may get new work if the settings do not say.
+pub const SERVER_DRAIN_BOUND_DEFAULT: Duration = Duration::from_secs(7);
+
 /// The settings of a daemon, checked.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LeadSettings {
@@ -53,6 +61,8 @@
     pub log_level: LevelFilter,
     /// The longest time from the request to stop until the process ends.
     pub drain_bound: Duration,
+    /// How long after a server has said that it leaves it may get new work.
+    pub server_drain_bound: Duration,
     /// The address of the platform's store.
     pub store: SocketAddr,
     /// The address of the platform's service that promotes servers.
@@ -91,7 +101,18 @@
     let peers = address(&mut root, faults, "peers");
     let metrics = address(&mut root, faults, "metrics");
     let level = log_level(&mut root, faults);
-    let drain_bound = duration(&mut root, faults, "drain_bound", LEAD_DRAIN_BOUND_MAX);
+    let drain_bound = duration(
+        &mut root,
+        faults,
+        "drain_bound",
+        Duration::ZERO..=LEAD_DRAIN_BOUND_MAX,
+    );
+    let server_drain_bound = duration(
+        &mut root,
+        faults,
+        "server_drain_bound",
+        SERVER_DRAIN_BOUND_MIN..=LEAD_DRAIN_BOUND_MAX,
+    );
     let store = service(&mut root, faults, "store");
     let promotion = service(&mut root, faults, "promotion");
     root.finish(faults);
@@ -104,6 +125,7 @@
         metrics: metrics?.value,
         log_level: level.unwrap_or(LevelFilter::Info),
         drain_bound: drain_bound.unwrap_or(LEAD_DRAIN_BOUND_DEFAULT),
+        server_drain_bound: server_drain_bound.unwrap_or(SERVER_DRAIN_BOUND_DEFAULT),
         store: store?.value,
         promotion: promotion?.value,
     })
--- a/sapphireslipd/src/raw_settings.rs
+++ b/sapphireslipd/src/raw_settings.rs
@@ -1,6 +1,7 @@
 //! Parses a settings file as TOML and reads its names, addresses and durations.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use sapphireslip_core::{Located, NameError, TomlFaults, TomlTable, line_of};
@@ -121,12 +122,17 @@
     table: &mut TomlTable<'_>,
     faults: &mut Faults<'_>,
     key: &'static str,
-    max: Duration,
+    range: RangeInclusive<Duration>,
 ) -> Option<Duration> {
     let Located { value, offset } = table.optional_text(faults, key)?;
     let fault = match parse_duration(value) {
         None => SettingsFault::InvalidDuration(value.to_owned()),
-        Some(duration) if duration > max => SettingsFault::DurationTooLong(max, value.to_owned()),
+        Some(duration) if duration > *range.end() => {
+            SettingsFault::DurationTooLong(*range.end(), value.to_owned())
+        }
+        Some(duration) if duration < *range.start() => {
+            SettingsFault::DurationTooShort(*range.start(), value.to_owned())
+        }
         duration => return duration,
     };
     faults.add(offset, &table.path_of(key), fault);
--- a/sapphireslipd/src/settings.rs
+++ b/sapphireslipd/src/settings.rs
@@ -126,7 +126,12 @@
     let admin = address(&mut root, faults, "admin");
     let platform = address(&mut root, faults, "platform");
     let log_level = log_level(&mut root, faults);
-    let drain_bound = duration(&mut root, faults, "drain_bound", DRAIN_BOUND_MAX);
+    let drain_bound = duration(
+        &mut root,
+        faults,
+        "drain_bound",
+        Duration::ZERO..=DRAIN_BOUND_MAX,
+    );
     let backend = backend(&mut root, faults);
     let seeds = seeds(&mut root, faults, vm.as_ref());
     check_listeners(
--- a/sapphireslipd/src/settings_fault.rs
+++ b/sapphireslipd/src/settings_fault.rs
@@ -47,6 +47,10 @@
         DurationTooLong(max: Duration, text: String) {
             display("must be at most {max:?}, is `{text}`")
         }
+        /// A duration is below its minimum.
+        DurationTooShort(min: Duration, text: String) {
+            display("must be at least {min:?}, is `{text}`")
+        }
         /// A VM or an address that must be unique occurs more than once.
         Duplicate(text: String, first_line: usize) {
             display("`{text}` is already given in line {first_line}: keep one of them")
--- /dev/null
+++ b/sapphireslipd/tests/lead_settings.rs
@@ -0,0 +1,33 @@
+//! The settings of a daemon that takes the leaders of its services from the store.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use rstest::rstest;
+use sapphireslipd::{LeadSettings, SERVER_DRAIN_BOUND_DEFAULT};
+use standins::line_settings;
+
+/// Returns valid settings with another line before the first table.
+fn with_line(line: &str) -> String {
+    let platform = SocketAddr::from((Ipv4Addr::LOCALHOST, 443));
+    let text = line_settings("vm-0", Ipv4Addr::LOCALHOST, platform);
+    text.replacen("[store]", &format!("{line}\n[store]"), 1)
+}
+
+#[rstest]
+#[case::left_out("", SERVER_DRAIN_BOUND_DEFAULT)]
+#[case::in_milliseconds("server_drain_bound = \"4500ms\"", Duration::from_millis(4_500))]
+fn server_drain_bound_is_read(#[case] line: &str, #[case] expected: Duration) {
+    let settings = LeadSettings::try_from(with_line(line).as_bytes()).expect("without a fault");
+    assert_eq!(settings.server_drain_bound, expected);
+}
+
+#[rstest]
+#[case::too_short("999ms", "must be at least 1s, is `999ms`")]
+#[case::too_long("61m", "must be at most 3600s, is `61m`")]
+#[case::no_unit("7", "`7` is not a duration")]
+fn server_drain_bound_is_refused(#[case] value: &str, #[case] expected: &str) {
+    let text = with_line(&format!("server_drain_bound = \"{value}\""));
+    let err = LeadSettings::try_from(text.as_bytes()).expect_err("a fault");
+    assert!(err.to_string().contains(expected), "{err}");
+}
