Core of the platform's path: a daemon that starts does not know when a draining server left

Callers could see: a daemon that starts, or starts again, gives a server that leaves work for 6.5 s after its own start, however long ago the server has said that it leaves. Cause: the time at which the server last stayed began as the start of the daemon. Change: it is absent until a list shows that the server stays; without it the server gets no new work. Measured: daemon_that_starts_gives_a_leaving_server_no_work failed before (work at 2 to 6 s) and passes; the package's others pass.

--- a/sapphireslip-lead/src/dispatch.rs
+++ b/sapphireslip-lead/src/dispatch.rs
@@ -249,10 +249,7 @@
         at.awaited.push_back(awaited(AnswerTo::Statement(id)));
         requests.push(statement);
         let floor = floor.map_or_else(|| "none".to_owned(), |floor| floor.to_string());
-        let last_staying = self
-            .servers
-            .get(&at.server)
-            .map(|server| server.last_staying);
+        let last_staying = self.servers.get(&at.server).and_then(|s| s.last_staying);
         let detail = format!(
             "{:?}, floor {floor}, waited {} ms, sending {}, server stayed {} ms ago",
             job.work,
--- a/sapphireslip-lead/src/new_work.rs
+++ b/sapphireslip-lead/src/new_work.rs
@@ -24,8 +24,8 @@
 impl State {
     /// Returns whether a server may get new work.
     pub(crate) fn may_get_new_work(&self, server: &ServerId) -> bool {
-        let server = self.servers.get(server);
-        server.is_some_and(|server| self.now < server.last_staying + self.new_work_time)
+        let last_staying = self.servers.get(server).and_then(|s| s.last_staying);
+        last_staying.is_some_and(|last| self.now < last + self.new_work_time)
     }
 
     /// Returns whether the server at the other end of a connection may get new work.
--- a/sapphireslip-lead/src/server.rs
+++ b/sapphireslip-lead/src/server.rs
@@ -39,8 +39,9 @@
         /// The server's latest row in the list.
         pub(crate) record: ServerRecord,
         /// When the last read of the list was sent that showed that the server stays. It has not
-        /// said before that time that it leaves.
-        pub(crate) last_staying: Instant,
+        /// said before that time that it leaves. None if it has been draining ever since this daemon
+        /// knows it.
+        pub(crate) last_staying: Option<Instant>,
         /// Since when the server has been missing from the list; none while it is listed or its row
         /// may have lapsed because of a store outage.
         pub(crate) missing_since: Option<Instant>,
@@ -80,9 +81,7 @@
     pub(crate) const fn new(record: ServerRecord) -> Self {
         Self {
             record,
-            last_staying: Instant {
-                since_start: Duration::ZERO,
-            },
+            last_staying: None,
             missing_since: None,
             draining_since: None,
             status: None,
--- a/sapphireslip-lead/src/servers.rs
+++ b/sapphireslip-lead/src/servers.rs
@@ -86,7 +86,7 @@
             let known = missing.remove(&record.id);
             let mut server = apply_row(now, record, known, &mut change);
             if !server.record.is_draining {
-                server.last_staying = sent;
+                server.last_staying = Some(sent);
             }
             self.known.insert(server.record.id.clone(), server);
         }
--- a/sapphireslip-lead/tests/leaving_servers.rs
+++ b/sapphireslip-lead/tests/leaving_servers.rs
@@ -225,6 +225,22 @@
     assert_eq!(daemon.state.snapshot().servers, 2);
 }
 
+/// Guards against work by a daemon that starts after a server has said that it leaves, and can't
+/// know when that was.
+#[rstest]
+fn daemon_that_starts_gives_a_leaving_server_no_work() {
+    let mut daemon = Daemon::new("a");
+    daemon.group.servers.truncate(1);
+    daemon.group.get_mut(&primary()).is_draining = true;
+    daemon.event(Event::Catalog(catalog(1)));
+    let session = daemon.open(PAYMENTS);
+    for n in 0..10 {
+        daemon.advance(1_000);
+        daemon.submit(session, &n.to_string(), "WRITE x 1");
+    }
+    assert_eq!(daemon.new_work, []);
+}
+
 /// Starts or ends one random fault, or has a server leave or stay.
 fn toggle_fault_or_leave(fleet: &mut Fleet) {
     let n = fleet.random(3) as usize;
