Grants tell which servers stay, so that daemons without the store go on serving

Cause: a daemon that can't renew its permission can't read the list of servers either, and nobody else told it who leaves. Change: a request for a grant names the servers that the daemon has connections to; the answer says which of them stay, and how old the list is that shows it. The time for new work counts from there. A server that the answer leaves out keeps its end.

--- a/sapphireslip-lead/src/effect.rs
+++ b/sapphireslip-lead/src/effect.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     CoordinatorRecord, Failure, LeaderRecord, PermissionRecord, Record, Reply, RowVersion, Shape,
-    TermPosition,
+    StayingServers, TermPosition,
 };
 
 data! {
@@ -85,6 +85,8 @@
             address: SocketAddr,
             /// The store version of the last change of a leader that this daemon knows.
             generation: RowVersion,
+            /// The servers that this daemon has connections to.
+            servers: Vec<ServerId>,
         },
         /// Answers a daemon that asked for a grant, and closes its connection.
         Grant {
@@ -92,6 +94,8 @@
             session: SessionId,
             /// How long the grant lasts; zero refuses it.
             length: Duration,
+            /// Which of the other daemon's servers stay.
+            staying: StayingServers,
         },
         /// Asks the platform to promote a server.
         Promote {
--- a/sapphireslip-lead/src/event.rs
+++ b/sapphireslip-lead/src/event.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use sapphireslip_core::{
-    ConnectionId, Instant, ServiceName, SessionId, Text, TransactionStatus, VmId, data,
+    ConnectionId, Instant, ServerId, ServiceName, SessionId, Text, TransactionStatus, VmId, data,
 };
 
 use crate::{
     Catalog, LeaderTable, PermissionTable, Query, Reply, RowVersion, ServerRecord, ServerStatus,
-    StoreTime,
+    StayingServers, StoreTime,
 };
 
 data! {
@@ -56,12 +56,16 @@
             vm: VmId,
             /// The store version of the last change of a leader that the other daemon knows.
             generation: RowVersion,
+            /// The servers that the other daemon has connections to.
+            servers: Vec<ServerId>,
         },
         /// The coordinator answered this daemon's request for a grant.
         Granted {
             /// The store version of the last change of a leader that this daemon knew when it
             /// asked.
             generation: RowVersion,
+            /// Which of the servers that this daemon has connections to stay.
+            staying: StayingServers,
             /// How long the grant lasts, counted from `sent`; zero if the coordinator refused.
             length: Duration,
             /// When the request was sent.
--- a/sapphireslip-lead/src/grant.rs
+++ b/sapphireslip-lead/src/grant.rs
@@ -3,15 +3,16 @@
 //! Only the coordinator can name another leader, and no other daemon can take over its role before
 //! its own permission has ended in the store. Its grant is a promise to name no other leader for a
 //! while, so it is as safe as a renewal in the store. The coordinator promotes no server before its
-//! last grant has expired.
+//! last grant has expired. With the grant it tells which servers stay, as a daemon that can't renew
+//! its permission can't read the list of servers either.
 
 use std::time::Duration;
 
-use sapphireslip_core::{Instant, SessionId, VmId, data};
+use sapphireslip_core::{Instant, ServerId, SessionId, VmId, data};
 
 use crate::permission::PERMISSION_LENGTH;
 use crate::state::State;
-use crate::{Effect, Record, RecordKind, RowVersion};
+use crate::{Effect, Record, RecordKind, RowVersion, StayingServers};
 
 /// The longest time that a grant lasts.
 const GRANT_LENGTH: Duration = Duration::from_millis(1_500);
@@ -76,26 +77,62 @@
         self.effects.push(Effect::AskGrant {
             address,
             generation: self.leaders.table.generation,
+            servers: self.pool.servers(),
         });
     }
 
-    /// Extends the permission by a grant of `length` that was asked for at `sent`.
+    /// Extends the permission by a grant of `length` that was asked for at `sent`, and records which
+    /// servers stay.
     ///
-    /// A grant for another generation of the leaders or of length zero changes nothing.
-    pub(crate) fn on_granted(&mut self, generation: RowVersion, length: Duration, sent: Instant) {
+    /// A grant for another generation of the leaders or of length zero extends nothing.
+    pub(crate) fn on_granted(
+        &mut self,
+        generation: RowVersion,
+        staying: &StayingServers,
+        length: Duration,
+        sent: Instant,
+    ) {
+        // None if the list is from before the start of this daemon.
+        let shown = sent.since_start.checked_sub(staying.age);
+        let shown = shown.map(|since_start| Instant { since_start });
+        for server in &staying.servers {
+            if let Some(known) = self.servers.get_mut(server) {
+                known.note_staying(shown);
+            }
+        }
         if generation == self.leaders.table.generation && !length.is_zero() {
             self.permission.extend(sent + length);
-            self.run_all_queues();
         }
+        self.run_all_queues();
     }
 
-    /// Answers a daemon's request for a grant, with length zero if it is refused.
-    pub(crate) fn on_grant_asked(&mut self, session: SessionId, vm: &VmId, generation: RowVersion) {
+    /// Answers a daemon's request for a grant, with length zero if it is refused, and tells it
+    /// which of its servers stay: it may not be able to read the list itself.
+    pub(crate) fn on_grant_asked(
+        &mut self,
+        session: SessionId,
+        vm: &VmId,
+        generation: RowVersion,
+        servers: Vec<ServerId>,
+    ) {
         let length = self.grant_length(generation);
         self.grants.no_promotion_before = self.grants.no_promotion_before.max(self.now + length);
-        let detail = format!("`{vm}` is granted {} ms", length.as_millis());
+        let staying = StayingServers {
+            age: self.now.since(self.servers.list_sent),
+            servers: self.servers.staying_by_list(servers),
+        };
+        let detail = format!(
+            "`{vm}` is granted {} ms; {} of its servers stay by a list of {} ms ago",
+            length.as_millis(),
+            staying.servers.len(),
+            staying.age.as_millis(),
+        );
         self.log(Record::new(RecordKind::Grant, detail.into()));
-        self.effects.push(Effect::Grant { session, length });
+        self.effects.push(Effect::Grant {
+            session,
+            length,
+            staying,
+        });
     }
 
     /// Returns the length of a grant to a daemon that knows `generation` of the leaders; zero if
--- a/sapphireslip-lead/src/server.rs
+++ b/sapphireslip-lead/src/server.rs
@@ -38,9 +38,9 @@
     pub(crate) struct KnownServer {
         /// The server's latest row in the list.
         pub(crate) record: ServerRecord,
-        /// When the last read of the list was sent that showed that the server stays. It has not
-        /// said before that time that it leaves. None if it has been draining ever since this daemon
-        /// knows it.
+        /// When the last read of the list was sent, by this daemon or the coordinator, that showed
+        /// that the server stays. It has not said before that time that it leaves. None if it has
+        /// been draining ever since this daemon knows it.
         pub(crate) last_staying: Option<Instant>,
         /// Since when the server has been missing from the list; none while it is listed or its row
         /// may have lapsed because of a store outage.
@@ -115,6 +115,11 @@
         was_unreachable
     }
 
+    /// Records that a list shows that the server stays, and when that list was asked for.
+    pub(crate) fn note_staying(&mut self, asked: Option<Instant>) {
+        self.last_staying = self.last_staying.max(asked);
+    }
+
     /// Records that a statement took `latency` from its sending to its answer.
     pub(crate) fn note_latency(&mut self, latency: Duration) {
         let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX / LATENCY_WINDOW);
--- a/sapphireslip-lead/src/server_record.rs
+++ b/sapphireslip-lead/src/server_record.rs
@@ -1,6 +1,7 @@
 //! What backend servers register in the store and report of their status.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use sapphireslip_core::{ServerId, ServiceName, ZoneName, data, key};
 
@@ -27,6 +28,15 @@
         pub born: u64,
     }
 
+    /// Servers of which one daemon tells another that they stay.
+    #[derive(Default)]
+    pub struct StayingServers {
+        /// The time since the list that shows it was asked for.
+        pub age: Duration,
+        /// The servers that are in that list and are not draining.
+        pub servers: Vec<ServerId>,
+    }
+
     /// A server's answer to a request for its status.
     pub struct ServerStatus {
         /// The present role of the server.
--- a/sapphireslip-lead/src/servers.rs
+++ b/sapphireslip-lead/src/servers.rs
@@ -23,6 +23,8 @@
         pub(crate) known: BTreeMap<ServerId, KnownServer>,
         /// When the list was last read; none before the first read.
         pub(crate) last_read: Option<Instant>,
+        /// When the read that brought the last list was sent.
+        pub(crate) list_sent: Instant,
         /// When the next read was due, as of the last one.
         next_read: Instant,
         /// Until when servers may be missing from the list because of an outage of the store.
@@ -59,6 +61,15 @@
             .filter(move |(_, server)| server.record.service == *service)
     }
 
+    /// Returns those of the given servers that the last list shows as staying.
+    pub(crate) fn staying_by_list(&self, mut servers: Vec<ServerId>) -> Vec<ServerId> {
+        servers.retain(|id| {
+            let server = self.known.get(id);
+            server.is_some_and(|s| s.is_staying() && s.last_staying >= Some(self.list_sent))
+        });
+        servers
+    }
+
     /// Applies a list that was read at `now` by a call that was sent at `sent`, and returns what it
     /// changed. The next read is due after `every`.
     ///
@@ -77,6 +88,7 @@
             self.entries_lapsed_until = now + REGISTRATION_TIME;
         }
         self.last_read = Some(now);
+        self.list_sent = sent;
         let mut change = ListChange {
             gone: Vec::new(),
             records: Vec::new(),
@@ -86,7 +98,7 @@
             let known = missing.remove(&record.id);
             let mut server = apply_row(now, record, known, &mut change);
             if !server.record.is_draining {
-                server.last_staying = Some(sent);
+                server.note_staying(Some(sent));
             }
             self.known.insert(server.record.id.clone(), server);
         }
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -178,12 +178,14 @@
                 session,
                 vm,
                 generation,
-            } => self.on_grant_asked(session, &vm, generation),
+                servers,
+            } => self.on_grant_asked(session, &vm, generation, servers),
             Event::Granted {
                 generation,
+                staying,
                 length,
                 sent,
-            } => self.on_granted(generation, length, sent),
+            } => self.on_granted(generation, &staying, length, sent),
             Event::Drain { grace } => self.begin_drain(grace),
         }
         std::mem::take(&mut self.effects)
--- a/sapphireslip-lead/tests/leaving_servers.rs
+++ b/sapphireslip-lead/tests/leaving_servers.rs
@@ -278,9 +278,8 @@
     assert_eq!(fleet.violations(), Vec::<String>::new());
 }
 
-/// Guards against a server that leaves while daemons depend on the coordinator's grants.
-#[rstest]
-fn daemons_on_grants_bring_no_late_work() {
+/// Returns three daemons around one server, of which only the coordinator reaches the store.
+fn fleet_on_grants() -> Fleet {
     let mut fleet = Fleet::new(5);
     fleet.group.servers.truncate(1);
     fleet.advance(3_000);
@@ -290,6 +289,27 @@
         fleet.daemons[n].is_cut_from_store = true;
     }
     fleet.advance(300);
+    fleet
+}
+
+/// Guards against refused writes at daemons that the store turns away for longer than the bound:
+/// the coordinator tells them which servers stay.
+#[rstest]
+fn daemons_on_grants_serve_for_longer_than_the_bound() {
+    let mut fleet = fleet_on_grants();
+    fleet.advance(BOUND_MILLIS + 2_000);
+    for n in 0..3 {
+        let before = fleet.acknowledged_by(n);
+        fleet.advance(1_000);
+        let acknowledged = fleet.acknowledged_by(n) - before;
+        assert!(acknowledged >= 5, "daemon {n} acknowledged {acknowledged}");
+    }
+}
+
+/// Guards against a server that leaves while daemons depend on the coordinator's grants.
+#[rstest]
+fn daemons_on_grants_bring_no_late_work() {
+    let mut fleet = fleet_on_grants();
     fleet.set_draining(&primary(), true);
     fleet.advance(14_000);
     assert_eq!(fleet.first_late_work(BOUND_MILLIS), None);
--- a/sapphireslip-lead/tests/permits.rs
+++ b/sapphireslip-lead/tests/permits.rs
@@ -106,6 +106,7 @@
         session: SessionId(77),
         vm: vm("vm-0"),
         generation: daemon.store.leaders.generation,
+        servers: Vec::new(),
     });
     let given = daemon.effects.iter().find_map(|effect| match effect {
         Effect::Grant { length, .. } => Some(*length),
--- a/sapphireslip-lead/tests/support/fleet.rs
+++ b/sapphireslip-lead/tests/support/fleet.rs
@@ -11,6 +11,7 @@
     ServerEvent, ServerRequest, State, Term, WriteOutcome, Written,
 };
 
+use super::fleet_history::History;
 use super::{
     FakeGroup, FakeStore, PAYMENTS, SERVER_DRAIN_BOUND, ServerAction, at, catalog, query, vm, zone,
 };
@@ -53,7 +54,7 @@
     /// asked.
     grant_requests: BTreeMap<SessionId, (usize, RowVersion, Instant)>,
     /// What clients and servers have seen so far.
-    history: History,
+    pub(super) history: History,
 }
 
 /// One daemon, with the faults around it.
@@ -77,27 +78,6 @@
     events_while_frozen: Vec<Event>,
 }
 
-/// What clients and servers have seen. All times are in milliseconds of simulated time.
-#[derive(Debug, Default)]
-struct History {
-    /// When each write was acknowledged.
-    acknowledged: BTreeMap<Text, u64>,
-    /// In which term and when each write was committed.
-    committed: BTreeMap<Text, (Term, u64)>,
-    /// When each statement was sent.
-    asked: BTreeMap<Text, u64>,
-    /// The writes in the log that each read ran on.
-    read: Vec<(Text, BTreeSet<Text>)>,
-    /// When each promotion took effect, and its term.
-    promoted: Vec<(u64, Term)>,
-    /// The number of statements that were sent.
-    statements: u64,
-    /// Since when each server has been listed as draining.
-    draining_since: BTreeMap<ServerId, u64>,
-    /// When servers that are draining got statements, and for how long they had been draining.
-    work_while_draining: Vec<(u64, ServerId, u64)>,
-}
-
 impl Fleet {
     /// Returns three daemons in three zones that know the configuration and the empty table of
     /// leaders.
@@ -339,12 +319,18 @@
             Effect::AskGrant {
                 address,
                 generation,
-            } => self.ask_grant(n, address, generation),
-            Effect::Grant { session, length } => {
+                servers,
+            } => self.ask_grant(n, address, generation, servers),
+            Effect::Grant {
+                session,
+                length,
+                staying,
+            } => {
                 let asked = self.grant_requests.remove(&session);
                 let (asker, generation, sent) = asked.expect("a question");
                 let event = Event::Granted {
                     generation,
+                    staying,
                     length,
                     sent,
                 };
@@ -367,7 +353,13 @@
     }
 
     /// Passes a daemon's request for a grant on to the coordinator at `address`.
-    fn ask_grant(&mut self, n: usize, address: SocketAddr, generation: RowVersion) {
+    fn ask_grant(
+        &mut self,
+        n: usize,
+        address: SocketAddr,
+        generation: RowVersion,
+        servers: Vec<ServerId>,
+    ) {
         let coordinator = (0..self.daemons.len())
             .find(|other| member_address(*other) == address)
             .expect("a daemon");
@@ -379,6 +371,7 @@
             session,
             vm,
             generation,
+            servers,
         };
         self.schedule(coordinator, 30, event);
     }
@@ -435,69 +428,3 @@
         self.schedule(n, 30, Event::Server(event));
     }
 }
-
-impl Fleet {
-    /// Returns a description of each guarantee that was broken: a read that misses an acknowledged
-    /// write, or a write that was acknowledged although it was not committed or was committed under
-    /// a superseded primary.
-    pub fn violations(&self) -> Vec<String> {
-        let mut violations = Vec::new();
-        let last = self
-            .group
-            .servers
-            .iter()
-            .filter(|server| server.role == Role::Primary)
-            .max_by_key(|server| server.term)
-            .expect("a primary");
-        let kept: BTreeSet<_> = last.log.iter().map(|(_, id)| Text::clone(id)).collect();
-        for (id, log) in &self.history.read {
-            let asked = self.history.asked[id];
-            for (write, at) in &self.history.acknowledged {
-                if *at < asked && kept.contains(write) && !log.contains(write) {
-                    violations.push(format!("read {id} at {asked} misses {write} of {at}"));
-                }
-            }
-        }
-        for write in self.history.acknowledged.keys() {
-            let Some((term, at)) = self.history.committed.get(write) else {
-                violations.push(format!("{write} was acknowledged but never committed"));
-                continue;
-            };
-            let newer = self
-                .history
-                .promoted
-                .iter()
-                .find(|(when, new)| when <= at && new > term);
-            if let Some((when, new)) = newer {
-                let (term, new) = (term.0, new.0);
-                violations.push(format!(
-                    "{write} was committed in term {term} at {at}, after term {new} began at {when}"
-                ));
-            }
-        }
-        violations
-    }
-
-    /// Has a server be listed as draining from now on, or no longer.
-    pub fn set_draining(&mut self, server: &ServerId, is_draining: bool) {
-        self.group.get_mut(server).is_draining = is_draining;
-        let since = &mut self.history.draining_since;
-        if is_draining {
-            since.entry(server.clone()).or_insert(self.millis);
-        } else {
-            since.remove(server);
-        }
-    }
-
-    /// Returns the first statement that a server got later than `bound` milliseconds after the
-    /// store had listed it as draining: when, which server, and how long after the listing.
-    pub fn first_late_work(&self, bound: u64) -> Option<(u64, ServerId, u64)> {
-        let mut work = self.history.work_while_draining.iter();
-        work.find(|(.., after)| *after > bound).cloned()
-    }
-
-    /// Returns the number of writes that were acknowledged.
-    pub fn acknowledged(&self) -> usize {
-        self.history.acknowledged.len()
-    }
-}
--- /dev/null
+++ b/sapphireslip-lead/tests/support/fleet_history.rs
@@ -0,0 +1,102 @@
+//! What the clients and servers of a simulated fleet have seen, and the checks of it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use sapphireslip_core::{ServerId, Text};
+use sapphireslip_lead::{Role, Term};
+
+use super::Fleet;
+
+/// What clients and servers have seen. All times are in milliseconds of simulated time.
+#[derive(Debug, Default)]
+pub(super) struct History {
+    /// When each write was acknowledged.
+    pub(super) acknowledged: BTreeMap<Text, u64>,
+    /// In which term and when each write was committed.
+    pub(super) committed: BTreeMap<Text, (Term, u64)>,
+    /// When each statement was sent.
+    pub(super) asked: BTreeMap<Text, u64>,
+    /// The writes in the log that each read ran on.
+    pub(super) read: Vec<(Text, BTreeSet<Text>)>,
+    /// When each promotion took effect, and its term.
+    pub(super) promoted: Vec<(u64, Term)>,
+    /// The number of statements that were sent.
+    pub(super) statements: u64,
+    /// Since when each server has been listed as draining.
+    pub(super) draining_since: BTreeMap<ServerId, u64>,
+    /// When servers that are draining got statements, and for how long they had been draining.
+    pub(super) work_while_draining: Vec<(u64, ServerId, u64)>,
+}
+
+impl Fleet {
+    /// Returns a description of each guarantee that was broken: a read that misses an acknowledged
+    /// write, or a write that was acknowledged although it was not committed or was committed under
+    /// a superseded primary.
+    pub fn violations(&self) -> Vec<String> {
+        let mut violations = Vec::new();
+        let last = self
+            .group
+            .servers
+            .iter()
+            .filter(|server| server.role == Role::Primary)
+            .max_by_key(|server| server.term)
+            .expect("a primary");
+        let kept: BTreeSet<_> = last.log.iter().map(|(_, id)| Text::clone(id)).collect();
+        for (id, log) in &self.history.read {
+            let asked = self.history.asked[id];
+            for (write, at) in &self.history.acknowledged {
+                if *at < asked && kept.contains(write) && !log.contains(write) {
+                    violations.push(format!("read {id} at {asked} misses {write} of {at}"));
+                }
+            }
+        }
+        for write in self.history.acknowledged.keys() {
+            let Some((term, at)) = self.history.committed.get(write) else {
+                violations.push(format!("{write} was acknowledged but never committed"));
+                continue;
+            };
+            let newer = self
+                .history
+                .promoted
+                .iter()
+                .find(|(when, new)| when <= at && new > term);
+            if let Some((when, new)) = newer {
+                let (term, new) = (term.0, new.0);
+                violations.push(format!(
+                    "{write} was committed in term {term} at {at}, after term {new} began at {when}"
+                ));
+            }
+        }
+        violations
+    }
+
+    /// Has a server be listed as draining from now on, or no longer.
+    pub fn set_draining(&mut self, server: &ServerId, is_draining: bool) {
+        self.group.get_mut(server).is_draining = is_draining;
+        let since = &mut self.history.draining_since;
+        if is_draining {
+            since.entry(server.clone()).or_insert(self.millis);
+        } else {
+            since.remove(server);
+        }
+    }
+
+    /// Returns the first statement that a server got later than `bound` milliseconds after the
+    /// store had listed it as draining: when, which server, and how long after the listing.
+    pub fn first_late_work(&self, bound: u64) -> Option<(u64, ServerId, u64)> {
+        let mut work = self.history.work_while_draining.iter();
+        work.find(|(.., after)| *after > bound).cloned()
+    }
+
+    /// Returns the number of writes that one daemon acknowledged.
+    pub fn acknowledged_by(&self, n: usize) -> usize {
+        let own = format!("{n}-");
+        let ids = self.history.acknowledged.keys();
+        ids.filter(|id| id.starts_with(&own)).count()
+    }
+
+    /// Returns the number of writes that were acknowledged.
+    pub fn acknowledged(&self) -> usize {
+        self.history.acknowledged.len()
+    }
+}
--- a/sapphireslip-lead/tests/support/mod.rs
+++ b/sapphireslip-lead/tests/support/mod.rs
@@ -9,6 +9,7 @@
 
 mod daemon;
 mod fleet;
+mod fleet_history;
 mod group;
 mod store;
 
--- a/sapphireslipd/src/lead_clients.rs
+++ b/sapphireslipd/src/lead_clients.rs
@@ -211,12 +211,17 @@
             let line = task.first_line().await?;
             match decode_peer_opening(&line).map_err(io::Error::other)? {
                 PeerOpening::Forward(version) => forwarder_version = Some(version),
-                PeerOpening::GrantRequest { vm, generation } => {
+                PeerOpening::GrantRequest {
+                    vm,
+                    generation,
+                    servers,
+                } => {
                     let session = id;
                     let event = Event::GrantAsked {
                         session,
                         vm,
                         generation,
+                        servers,
                     };
                     // Fails only if the daemon is already stopping.
                     let _stopping = task.events.send_async(event).await;
--- a/sapphireslipd/src/lead_runner.rs
+++ b/sapphireslipd/src/lead_runner.rs
@@ -208,12 +208,18 @@
             Effect::AskGrant {
                 address,
                 generation,
+                servers,
             } => {
-                tokio::spawn(self.store.clone().ask_grant(address, generation));
+                let store = self.store.clone();
+                tokio::spawn(store.ask_grant(address, generation, servers));
             }
-            Effect::Grant { session, length } => {
+            Effect::Grant {
+                session,
+                length,
+                staying,
+            } => {
                 let mut bytes = Vec::new();
-                encode_grant(length, &mut bytes);
+                encode_grant(length, &staying, &mut bytes);
                 self.clients.send(session, bytes);
                 self.clients.close(session);
             }
--- a/sapphireslipd/src/store_edge.rs
+++ b/sapphireslipd/src/store_edge.rs
@@ -5,10 +5,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use sapphireslip_core::{ServiceName, VmId};
+use sapphireslip_core::{ServerId, ServiceName, VmId};
 use sapphireslip_lead::{
-    Event, PermissionTable, PromoteOutcome, RowVersion, ServerRecord, StoreWrite, WriteOutcome,
-    Written,
+    Event, PermissionTable, PromoteOutcome, RowVersion, ServerRecord, StayingServers, StoreWrite,
+    WriteOutcome, Written,
 };
 use sapphireslip_platform::{
     Call, PlatformError, Rows, Table, decode_grant, decode_leaders, decode_permissions,
@@ -120,15 +120,23 @@
         self.send_event(Event::Promoted { service, outcome }).await;
     }
 
-    /// Asks the coordinator for a grant; reports nothing if it does not answer in time.
-    pub(crate) async fn ask_grant(self, address: SocketAddr, generation: RowVersion) {
+    /// Asks the coordinator for a grant, and which of the servers stay; reports nothing if it does
+    /// not answer in time.
+    pub(crate) async fn ask_grant(
+        self,
+        address: SocketAddr,
+        generation: RowVersion,
+        servers: Vec<ServerId>,
+    ) {
         let sent = self.clock.now();
-        let asked =
-            tokio::time::timeout(GRANT_TIMEOUT, request_grant(address, &self.vm, generation));
+        let mut request = Vec::new();
+        encode_grant_request(&self.vm, generation, &servers, &mut request);
+        let asked = tokio::time::timeout(GRANT_TIMEOUT, request_grant(address, &request));
         match asked.await.unwrap_or_else(|err| Err(io::Error::other(err))) {
-            Ok(length) => {
+            Ok((length, staying)) => {
                 let event = Event::Granted {
                     generation,
+                    staying,
                     length,
                     sent,
                 };
@@ -145,18 +153,15 @@
     }
 }
 
-/// Asks the coordinator at the address for a grant and returns how long it lasts; zero is a
-/// refusal.
+/// Sends the coordinator at the address a request for a grant, and returns how long the grant lasts,
+/// where zero is a refusal, and which servers stay.
 async fn request_grant(
     address: SocketAddr,
-    vm: &VmId,
-    generation: RowVersion,
-) -> io::Result<Duration> {
+    request: &[u8],
+) -> io::Result<(Duration, StayingServers)> {
     let stream = TcpStream::connect(address).await?;
     let (mut lines, mut writer) = split(stream)?;
-    let mut bytes = Vec::new();
-    encode_grant_request(vm, generation, &mut bytes);
-    writer.write_all(&bytes).await?;
+    writer.write_all(request).await?;
     let line = lines.next().await?;
     let line = line.ok_or(io::ErrorKind::UnexpectedEof)?;
     decode_grant(&line).map_err(io::Error::other)
