Rows that lapse in an outage of the store stop no work; the list is read again soon after

Change: a server that is missing from a list just after an outage, and had not said that it leaves, may get new work for as long as it may take to register again (REGISTRATION_TIME, which was there). An overdue list is asked for every 0.4 s in place of 1.5 s. The margin of the bound is 0.3 s: three times the longest stall of a throttled VM. What is left is the end of the bound itself, when all daemons lack the store for 7 s.

--- a/sapphireslip-lead/src/new_work.rs
+++ b/sapphireslip-lead/src/new_work.rs
@@ -13,7 +13,7 @@
 
 /// The longest time from the decision to send a statement until the server receives it: a stall of
 /// a throttled VM and the way there.
-const TIME_TO_ARRIVE: Duration = Duration::from_millis(500);
+const TIME_TO_ARRIVE: Duration = Duration::from_millis(300);
 
 /// Returns how long after the last read that showed that a server stays it may get new work, if
 /// servers that leave must get none after `server_drain_bound`.
@@ -24,8 +24,12 @@
 impl State {
     /// Returns whether a server may get new work.
     pub(crate) fn may_get_new_work(&self, server: &ServerId) -> bool {
-        let last_staying = self.servers.get(server).and_then(|s| s.last_staying);
+        let Some(known) = self.servers.get(server) else {
+            return false;
+        };
+        let last_staying = known.last_staying;
         last_staying.is_some_and(|last| self.now < last + self.new_work_time)
+            || self.servers.may_register_again(known, self.now)
     }
 
     /// Returns whether the server at the other end of a connection may get new work.
--- a/sapphireslip-lead/src/servers.rs
+++ b/sapphireslip-lead/src/servers.rs
@@ -61,6 +61,19 @@
             .filter(move |(_, server)| server.record.service == *service)
     }
 
+    /// Returns whether a server is missing from a list that was read just after an outage of the
+    /// store, and had not said before that it leaves: servers whose rows have lapsed meanwhile
+    /// register again within `REGISTRATION_TIME`.
+    pub(crate) fn may_register_again(&self, server: &KnownServer, now: Instant) -> bool {
+        let is_in_list = server.last_staying >= Some(self.list_sent);
+        now < self.entries_lapsed_until && server.is_staying() && !is_in_list
+    }
+
+    /// Returns whether a read of the list has been due for at least `LIST_OVERDUE_MIN`.
+    pub(crate) fn is_list_overdue(&self, now: Instant) -> bool {
+        self.last_read.is_some() && now.since(self.next_read) >= LIST_OVERDUE_MIN
+    }
+
     /// Returns those of the given servers that the last list shows as staying.
     pub(crate) fn staying_by_list(&self, mut servers: Vec<ServerId>) -> Vec<ServerId> {
         servers.retain(|id| {
@@ -81,8 +94,7 @@
         sent: Instant,
         every: Duration,
     ) -> ListChange {
-        let is_first_after_outage =
-            self.last_read.is_some() && now.since(self.next_read) >= LIST_OVERDUE_MIN;
+        let is_first_after_outage = self.is_list_overdue(now);
         self.next_read = now + every;
         if is_first_after_outage {
             self.entries_lapsed_until = now + REGISTRATION_TIME;
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -17,6 +17,9 @@
 /// last one, so that a lost answer stops nothing.
 const LIST_READS_PER_NEW_WORK_TIME: u32 = 4;
 
+/// How often a read of the list is sent while one is overdue: servers get no new work without it.
+const OVERDUE_LIST_EVERY: Duration = Duration::from_millis(400);
+
 /// How often a daemon that works with no server reads the list. It reads the list at once when it
 /// begins to work with servers.
 const SERVERS_EVERY_IDLE: Duration = Duration::from_secs(10);
@@ -88,6 +91,12 @@
             .is_none_or(|asked| now.since(asked) >= wait)
     }
 
+    /// Returns whether a read that is overdue should be sent once more now.
+    fn is_retry_due(&self, now: Instant) -> bool {
+        self.last_request
+            .is_none_or(|asked| now.since(asked) >= OVERDUE_LIST_EVERY)
+    }
+
     /// Records that a read is sent at `now`.
     const fn ask(&mut self, now: Instant) {
         self.last_request = Some(now);
@@ -106,7 +115,12 @@
     /// Sends the reads of the store that are due.
     pub(crate) fn read_store(&mut self) {
         let is_idle = !self.needs_permission();
-        if self.reads.servers.is_due(self.now, self.servers_interval()) {
+        let is_list_due = if self.servers.is_list_overdue(self.now) {
+            self.reads.servers.is_retry_due(self.now)
+        } else {
+            self.reads.servers.is_due(self.now, self.servers_interval())
+        };
+        if is_list_due {
             self.reads.servers.ask(self.now);
             self.effects.push(Effect::ReadServers);
         }
--- a/sapphireslip-lead/tests/leaving_servers.rs
+++ b/sapphireslip-lead/tests/leaving_servers.rs
@@ -241,6 +241,30 @@
     assert_eq!(daemon.new_work, []);
 }
 
+/// Guards against refusals after an outage of the store that was longer than the bound: rows of
+/// servers have lapsed in it and are back only a moment later.
+#[rstest]
+fn rows_that_lapsed_in_an_outage_stop_no_work() {
+    let (mut daemon, _) = Daemon::with_session();
+    daemon.store_answers = false;
+    daemon.advance(BOUND_MILLIS + 2_000);
+    daemon.store_answers = true;
+    for server in &mut daemon.group.servers {
+        server.is_unlisted = true;
+    }
+    daemon.advance(600);
+    for n in 0..15 {
+        let session = daemon.open(PAYMENTS);
+        let reply = daemon.run(session, &n.to_string(), "WRITE x 1");
+        assert_eq!(code(&reply), None, "{reply:?}");
+        daemon.advance(100);
+    }
+    daemon.advance(5_000);
+    let session = daemon.open(PAYMENTS);
+    let reply = daemon.run(session, "last", "WRITE x 1");
+    assert_eq!(code(&reply), Some(ErrorCode::Busy), "the servers are gone");
+}
+
 /// Starts or ends one random fault, or has a server leave or stay.
 fn toggle_fault_or_leave(fleet: &mut Fleet) {
     let n = fleet.random(3) as usize;
