Core of the platform's path: reads go to a leaving primary that no other server can replace

Cause: a read was offered to a leaving leader only after two failures; with no other server there was nobody to fail it, so that it waited for a candidate that could not come. Change: a leaving leader that may still get new work is the last candidate, if there is no other. Measured: read_is_served_by_a_leaving_primary_without_replacement (2 cases) failed before and passes.

--- a/sapphireslip-lead/src/choice.rs
+++ b/sapphireslip-lead/src/choice.rs
@@ -38,6 +38,9 @@
 /// Every daemon may use at least this many connections to a server that has connections left.
 const CONNECTIONS_MIN: usize = 2;
 
+/// How many times servers that stay must have failed a read before it goes to a leader that leaves.
+const FAILURES_BEFORE_LEAVING_LEADER: usize = 2;
+
 data! {
     /// The servers that may run a read.
     pub(crate) struct Candidates {
@@ -60,9 +63,10 @@
 impl State {
     /// Returns the servers that may run a statement that does not need the primary.
     ///
-    /// Servers that are leaving or may have left, are unreachable or already run the statement are left out; only a
-    /// leader that is leaving may still run a statement that has failed more than once. Replicas
-    /// are left out while no floor is known, or if they lagged recently while there is a leader.
+    /// Servers that are leaving or may get no new work, are unreachable or already run the statement
+    /// are left out; only a leader that is leaving may still run a statement that has failed more
+    /// than once or that no other server can run. Replicas are left out while no floor is known, or
+    /// if they lagged recently while there is a leader.
     ///
     /// Servers that have not failed the statement come before those that have; among equals,
     /// servers that have answered since their last failure come first, then replicas that have not
@@ -78,13 +82,10 @@
             LeaderView::Pending(_) | LeaderView::Unavailable(_) => None,
         };
         let mut ranked = Vec::new();
+        let mut leaving_leader = None;
         for (id, server) in self.servers.of(&job.service) {
             let is_leader = leader.as_ref() == Some(id);
-            let is_eligible = if is_leader {
-                server.is_staying() || job.failed_servers.len() > 1
-            } else {
-                floor.is_some() && server.is_staying()
-            };
+            let is_eligible = is_leader || (floor.is_some() && server.is_staying());
             if !is_eligible
                 || !self.may_get_new_work(id)
                 || server.is_unreachable(self.now)
@@ -92,6 +93,13 @@
             {
                 continue;
             }
+            if !server.is_staying() && job.failed_servers.len() < FAILURES_BEFORE_LEAVING_LEADER {
+                leaving_leader = Some(Candidate {
+                    server: id.clone(),
+                    is_leader,
+                });
+                continue;
+            }
             // A replica that lagged a moment ago will most likely refuse again; wait for the
             // primary.
             let is_lagging = server.is_lagging(self.now) && !is_leader;
@@ -113,10 +121,11 @@
             ));
         }
         ranked.sort_by_key(|(rank, _)| *rank);
-        Candidates {
-            servers: ranked.into_iter().map(|(_, candidate)| candidate).collect(),
-            floor,
+        let mut servers: Vec<_> = ranked.into_iter().map(|(_, candidate)| candidate).collect();
+        if servers.is_empty() {
+            servers.extend(leaving_leader);
         }
+        Candidates { servers, floor }
     }
 
     /// Returns the estimated time that a statement takes at a server, from its usual latency and
--- a/sapphireslip-lead/tests/leaving_servers.rs
+++ b/sapphireslip-lead/tests/leaving_servers.rs
@@ -81,6 +81,18 @@
     assert_eq!(work_from(&daemon, &primary(), end), []);
 }
 
+/// Guards against reads that wait and are refused although the leaving primary, which no other
+/// server can replace, still takes work (incident inc1: a third of them from the first second on).
+#[rstest]
+#[case::bounded(BALANCES)]
+#[case::of_own_writes(ORDERS)]
+fn read_is_served_by_a_leaving_primary_without_replacement(#[case] database: &str) {
+    let (mut daemon, session) = with_single_server(database);
+    drain(&mut daemon, &primary());
+    daemon.advance(2_000);
+    assert_eq!(code(&daemon.run(session, "1", "READ x")), None);
+}
+
 /// Guards against statements that wait in a queue while the bound passes.
 #[rstest]
 fn statement_queued_at_a_leaving_primary_is_not_sent_late() {
