--- a/sapphireslip-lead/tests/leaving_servers.rs
+++ b/sapphireslip-lead/tests/leaving_servers.rs
@@ -131,6 +131,32 @@
     assert_eq!(work_from(&daemon, &primary(), end), []);
 }
 
+/// Guards against the first statement of a transaction that a busy server refuses until the bound
+/// has passed.
+#[rstest]
+fn first_statement_that_the_server_was_busy_for_is_not_sent_late() {
+    let (mut daemon, session) = with_single_server(PAYMENTS);
+    let mut patient = catalog(2);
+    let route = patient.routes.get_mut(PAYMENTS).expect("a route");
+    route.target_latency = Duration::from_secs(2);
+    daemon.event(Event::Catalog(patient));
+    let end = drain(&mut daemon, &primary());
+    while daemon.millis < end - 310 {
+        daemon.advance(10);
+    }
+    daemon.run(session, "1", "BEGIN");
+    daemon.group.get_mut(&primary()).is_busy = true;
+    daemon.withholds_answers = true;
+    daemon.submit(session, "2", "WRITE x 1");
+    while daemon.answers.is_empty() {
+        daemon.advance(120);
+        daemon.answer_all();
+        daemon.withholds_answers = true;
+    }
+    assert_eq!(code(&daemon.answers[0].1), Some(ErrorCode::Busy));
+    assert_eq!(work_from(&daemon, &primary(), end), []);
+}
+
 /// Guards against cutting transactions short that began in time: the server still serves them.
 #[rstest]
 fn transaction_at_a_leaving_primary_may_end_late() {
--- a/sapphireslip-lead/tests/support/daemon.rs
+++ b/sapphireslip-lead/tests/support/daemon.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use sapphireslip_core::{ConnectionId, Incarnation, ServerId, SessionId, TransactionStatus};
+use sapphireslip_core::{ConnectionId, Incarnation, ServerId, SessionId, Text, TransactionStatus};
 use sapphireslip_lead::{
     ClientEvent, ConnectFailure, Effect, Event, Identity, PromoteOutcome, Record, Reply,
     ServerEvent, ServerRequest, State, StoreWrite, WriteOutcome, Written,
@@ -41,8 +41,10 @@
     pub records: Vec<Record>,
     /// The requests that servers have received and not answered, the oldest first.
     held: Vec<(ConnectionId, ServerRequest)>,
-    /// The connections whose transaction has begun and run no statement.
+    /// The connections whose transaction has begun and got no statement.
     begun: BTreeSet<ConnectionId>,
+    /// The identifiers of the first statements of transactions.
+    first_statements: BTreeSet<Text>,
     /// The open connections with their servers and transaction status.
     connections: BTreeMap<ConnectionId, (ServerId, TransactionStatus)>,
     /// The number of the last session that was opened.
@@ -97,6 +99,7 @@
             records: Vec::new(),
             held: Vec::new(),
             begun: BTreeSet::new(),
+            first_statements: BTreeSet::new(),
             connections: BTreeMap::new(),
             sessions: 0,
         };
@@ -276,6 +279,13 @@
             self.begun.insert(connection);
         }
         let is_first = is_clients && self.begun.remove(&connection);
+        if let (true, ServerRequest::Forward { id, .. }) = (is_first, &request) {
+            self.first_statements.insert(Text::clone(id));
+        }
+        let is_first = match &request {
+            ServerRequest::Forward { id, .. } => self.first_statements.contains(id),
+            _ => is_first,
+        };
         if is_first || (is_clients && status == TransactionStatus::Idle) {
             self.new_work.push((self.millis, server.clone()));
         }
--- a/sapphireslip-lead/tests/support/group.rs
+++ b/sapphireslip-lead/tests/support/group.rs
@@ -21,6 +21,8 @@
     pub is_draining: bool,
     /// Whether the store has no row of the server.
     pub is_unlisted: bool,
+    /// Whether the server is too busy for any statement.
+    pub is_busy: bool,
     /// Whether the server accepts no connection and answers no request.
     pub is_isolated: bool,
     /// The service that the server belongs to.
@@ -55,6 +57,7 @@
             log: vec![(Term(1), "first".into())],
             is_draining: false,
             is_unlisted: false,
+            is_busy: false,
             is_isolated: false,
             service: service(),
             zone,
@@ -113,6 +116,7 @@
             log: Vec::new(),
             is_draining: false,
             is_unlisted: false,
+            is_busy: false,
             is_isolated: false,
             service: name.clone(),
             zone: "a",
@@ -238,6 +242,9 @@
         transaction: TransactionStatus,
         action: &mut Option<ServerAction>,
     ) -> Option<ErrorCode> {
+        if self.is_busy {
+            return Some(ErrorCode::Busy);
+        }
         let writes = text.starts_with("WRITE") || text == "COMMIT";
         if let Some(code) = self.refusal(floor, writes) {
             return Some(code);
