Soak: servers leave, and no new work reaches them past the bound

Servers say in the store that they leave, go on serving for 8 to 11 s, and start again, in series and overlapping with all other faults. The servers record what they get; a single statement, or the first one of a transaction, later than 7 s after the notice breaks a promise unless its path was held within the last 4 s.

--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -11,6 +11,15 @@
 /// The longest time between the starts of two faults in milliseconds.
 const FAULT_INTERVAL_MAX_MS: u64 = 1_200;
 
+/// The shortest and the longest time between two servers that leave, in milliseconds.
+const LEAVE_INTERVAL_MS: std::ops::Range<u64> = 1_500..6_000;
+
+/// How long a server that leaves still serves, in milliseconds: longer than the platform promises.
+const LEAVE_LENGTH_MS: std::ops::Range<u64> = 8_000..11_000;
+
+/// Set apart from the seed of the other faults, so that servers that leave change none of them.
+const LEAVE_SEED: u64 = 0x1eaf;
+
 /// The longest duration of a fault in milliseconds.
 const FAULT_LENGTH_MAX_MS: u64 = 4_000;
 
@@ -37,6 +46,8 @@
     StoreDown,
     /// The operator writes a new version of the configuration.
     Configuration,
+    /// A backend server says that it leaves, and exits and starts again at the end of the fault.
+    Leave(usize),
     /// The primary is killed for good. Further faults of this kind in the same run do nothing.
     KillPrimary,
 }
@@ -52,7 +63,8 @@
     pub fault: Fault,
 }
 
-/// Returns the faults that start within `length`, ordered by start.
+/// Returns the faults that start within `length`, ordered by start. Each daemon has one of the
+/// `paths`; the others lead to servers.
 ///
 /// The same seed and numbers of daemons and paths always give the same faults.
 ///
@@ -77,7 +89,7 @@
             random.random_range(FAULT_INTERVAL_MIN_MS..FAULT_INTERVAL_MAX_MS),
         );
         if at >= length {
-            return steps;
+            break;
         }
         let daemon = random.random_range(0..daemons);
         let path = random.random_range(0..paths);
@@ -97,4 +109,23 @@
         let length = Duration::from_millis(random.random_range(100..FAULT_LENGTH_MAX_MS));
         steps.push(ScheduledFault { at, length, fault });
     }
+    steps.extend(plan_leaves(seed, length, paths - daemons));
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
+/// Returns when which servers leave.
+fn plan_leaves(seed: u64, length: Duration, servers: usize) -> Vec<ScheduledFault> {
+    let mut random = SmallRng::seed_from_u64(seed ^ LEAVE_SEED);
+    let mut steps = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        at += Duration::from_millis(random.random_range(LEAVE_INTERVAL_MS));
+        if at >= length {
+            return steps;
+        }
+        let fault = Fault::Leave(random.random_range(0..servers));
+        let length = Duration::from_millis(random.random_range(LEAVE_LENGTH_MS));
+        steps.push(ScheduledFault { at, length, fault });
+    }
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -103,6 +103,7 @@
     sleep(SETTLE_TIME).await;
     let mut verdict = check_attempts(&attempts, &site.group.written());
     verdict.violations.extend(violations);
+    verdict.violations.extend(site.late_work());
     if !verdict.violations.is_empty() {
         let logs = site.keep_logs();
         println!(
@@ -151,6 +152,11 @@
             site.store.set_down(false);
         }
         Fault::Configuration => site.write_configuration(),
+        Fault::Leave(n) => {
+            site.leave(n);
+            sleep(step.length).await;
+            site.start_server_again(n);
+        }
         Fault::KillPrimary => site.kill_primary(),
     }
     Ok(Vec::new())
@@ -167,9 +173,11 @@
 
 /// Applies a fault to a path for a time.
 async fn hold(site: &Site, path: usize, length: Duration, path_fault: Hold) {
+    let began = Instant::now().into_std();
     site.paths[path].hold(path_fault);
     sleep(length).await;
     site.paths[path].hold(Hold::default());
+    site.note_hold(path, began);
 }
 
 /// Asks a daemon to stop, and starts it again once it has exited.
--- a/soak/src/site.rs
+++ b/soak/src/site.rs
@@ -6,12 +6,12 @@
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rustix::process::Signal;
 use standins::{
-    DaemonProcess, DaemonProgram, LineGroup, LineRoute, LineStore, Link, line_configuration_with,
-    line_settings,
+    DaemonProcess, DaemonProgram, LeavingWork, LineGroup, LineRoute, LineStore, Link,
+    line_configuration_with, line_settings,
 };
 use tempfile::TempDir;
 
@@ -31,6 +31,13 @@
 /// The time that a daemon has to stop gracefully, as in its settings.
 pub(crate) const STOP_GRACE: Duration = Duration::from_secs(6);
 
+/// The time after which a server that has said that it leaves must get no new work: the default of
+/// the daemons' settings.
+const SERVER_DRAIN_BOUND: Duration = Duration::from_secs(7);
+
+/// How long after a fault of a path statements count as held up on their way.
+const PATH_SETTLE_TIME: Duration = Duration::from_secs(4);
+
 /// A database and the guarantees of its reads.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Database {
@@ -90,6 +97,8 @@
     pub(crate) paths: Vec<Link>,
     /// The daemons, by their index.
     daemons: Vec<Mutex<Daemon>>,
+    /// The faults of paths that have ended: which path, and from when to when.
+    holds: Mutex<Vec<(usize, Instant, Instant)>>,
     /// Whether the primary was killed in this run.
     has_killed_primary: AtomicBool,
     /// The program of the daemons.
@@ -111,10 +120,6 @@
         for address in group.addresses() {
             paths.push(Link::start(ANY_PORT, address).await?);
         }
-        let addresses: Vec<SocketAddr> = paths.iter().map(Link::address).collect();
-        for (id, entry) in group.entries_at(SERVICE, &addresses) {
-            store.put("servers", &id, entry.as_bytes());
-        }
         let folder = TempDir::new()?;
         let mut daemons = Vec::new();
         let [.., low] = std::process::id().to_be_bytes();
@@ -140,11 +145,13 @@
             store,
             paths,
             daemons,
+            holds: Mutex::default(),
             has_killed_primary: AtomicBool::new(false),
             program: program()?,
             version: AtomicU64::new(0),
             folder: Mutex::new(Some(folder)),
         };
+        site.write_entries();
         site.write_configuration();
         for n in 0..count {
             site.start_daemon(n)?;
@@ -164,6 +171,56 @@
         self.store.put("op", "config", configuration.as_bytes());
     }
 
+    /// Writes the entries of all servers to the store.
+    fn write_entries(&self) {
+        let paths = self.paths.iter().take(SERVER_COUNT);
+        let addresses: Vec<SocketAddr> = paths.map(Link::address).collect();
+        for (id, entry) in self.group.entries_at(SERVICE, &addresses) {
+            self.store.put("servers", &id, entry.as_bytes());
+        }
+    }
+
+    /// Has a server say in the store that it leaves.
+    pub(crate) fn leave(&self, n: usize) {
+        self.group.leave(n);
+        self.write_entries();
+    }
+
+    /// Ends a server that leaves and starts it again.
+    pub(crate) fn start_server_again(&self, n: usize) {
+        self.group.start_again(n);
+        self.write_entries();
+    }
+
+    /// Records that a fault of a path that began at `began` has ended.
+    pub(crate) fn note_hold(&self, path: usize, began: Instant) {
+        let mut holds = self.holds.lock().unwrap_or_else(PoisonError::into_inner);
+        holds.push((path, began, Instant::now()));
+    }
+
+    /// Returns a violation for each statement that a server got later than [`SERVER_DRAIN_BOUND`]
+    /// after it had said that it leaves, unless the statement may have been held up on its way.
+    pub(crate) fn late_work(&self) -> Vec<String> {
+        let holds = self.holds.lock().unwrap_or_else(PoisonError::into_inner);
+        let was_held_up = |work: &LeavingWork| {
+            holds.iter().any(|(path, began, ended)| {
+                *path == work.server && *began <= work.at && work.at <= *ended + PATH_SETTLE_TIME
+            })
+        };
+        let work = self.group.work_while_leaving().into_iter();
+        work.filter(|work| work.after > SERVER_DRAIN_BOUND && !was_held_up(work))
+            .map(|work| {
+                let LeavingWork {
+                    server,
+                    statement,
+                    after,
+                    ..
+                } = work;
+                format!("leaving: server {server} got `{statement}` {after:?} after it said so")
+            })
+            .collect()
+    }
+
     /// Kills the primary for good; further calls do nothing.
     pub(crate) fn kill_primary(&self) {
         if !self.has_killed_primary.swap(true, Ordering::Relaxed) {
--- a/standins/src/line_group.rs
+++ b/standins/src/line_group.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
@@ -28,6 +28,21 @@
     servers: Vec<Server>,
     /// The time from a replica's receipt of an item until its reads see it.
     apply_lag: Duration,
+    /// The new work that servers got while they were leaving, in order.
+    work_while_leaving: Vec<LeavingWork>,
+}
+
+/// A single statement, or the first one of a transaction, that a leaving server got.
+#[derive(Clone, Debug)]
+pub struct LeavingWork {
+    /// The index of the server.
+    pub server: usize,
+    /// The client's identifier of the statement.
+    pub statement: String,
+    /// When the server got it.
+    pub at: Instant,
+    /// The time since the server had said that it leaves.
+    pub after: Duration,
 }
 
 /// The state of one server.
@@ -41,6 +56,10 @@
     is_primary: bool,
     /// Whether the server was killed.
     is_dead: bool,
+    /// Since when the server has said that it leaves; none while it stays.
+    leaving_since: Option<Instant>,
+    /// The number of the server's run, which its entry in the store carries.
+    run: u64,
     /// The term of the primary that the server follows or is.
     term: u64,
     /// The items written, as pairs of name and data in order; replicas receive them at once.
@@ -56,6 +75,8 @@
 struct Connection {
     /// Whether a transaction is open.
     is_open: bool,
+    /// Whether the open transaction has got a statement.
+    has_statement: bool,
     /// The items that the open transaction has written, in order.
     writes: Vec<(String, String)>,
     /// The texts of the prepared statements, by name.
@@ -79,6 +100,8 @@
                 address: listener.local_addr()?,
                 is_primary: n == 0,
                 is_dead: false,
+                leaving_since: None,
+                run: 1,
                 term: 1,
                 log: Vec::new(),
                 applied: 0,
@@ -114,10 +137,14 @@
             } else {
                 "replica"
             };
+            let state = match server.leaving_since {
+                Some(_) => "draining",
+                None => "ready",
+            };
             let entry = serde_json::json!({
                 "service": service, "address": address, "zone": zone, "version": "v1",
-                "capacity": 2, "state": "ready", "warmup_left_ms": 0, "db_role": role,
-                "sequence": 1, "born": 1,
+                "capacity": 2, "state": state, "warmup_left_ms": 0, "db_role": role,
+                "sequence": 1, "born": server.run,
             });
             (server.id.clone(), entry.to_string())
         };
@@ -190,6 +217,46 @@
         }
     }
 
+    /// Has a server say in its entries from now on that it leaves.
+    pub fn leave(&self, n: usize) {
+        self.lock().servers[n]
+            .leaving_since
+            .get_or_insert_with(Instant::now);
+    }
+
+    /// Ends a server that leaves, and starts its next run with the same log.
+    pub fn start_again(&self, n: usize) {
+        let server = &mut self.lock().servers[n];
+        server.leaving_since = None;
+        server.run += 1;
+        for connection in server.connections.drain(..) {
+            connection.abort();
+        }
+    }
+
+    /// Returns the new work that servers got while they were leaving, in order.
+    #[must_use]
+    pub fn work_while_leaving(&self) -> Vec<LeavingWork> {
+        self.lock().work_while_leaving.clone()
+    }
+
+    /// Records a statement if its server is leaving and it is no later one of a transaction.
+    fn note_work(&self, n: usize, connection: &mut Connection, statement: &str) {
+        let is_new = !connection.is_open || !connection.has_statement;
+        connection.has_statement = connection.is_open;
+        let mut group = self.lock();
+        if let Some(since) = group.servers[n].leaving_since.filter(|_| is_new) {
+            let at = Instant::now();
+            let work = LeavingWork {
+                server: n,
+                statement: statement.to_owned(),
+                at,
+                after: at - since,
+            };
+            group.work_while_leaving.push(work);
+        }
+    }
+
     /// Returns the items in the current primary's log, as pairs of name and data in the order of
     /// the writes.
     #[must_use]
@@ -281,6 +348,9 @@
         let ["QUERY", id, text] = fields.as_slice() else {
             return "ERROR MALFORMED line\r\n".to_owned();
         };
+        if *id != "-" {
+            self.note_work(n, connection, id);
+        }
         let (floor, text) = match text.strip_prefix("AFTER ") {
             Some(rest) => rest.split_once(' ').unwrap_or((rest, "")),
             None => ("0.0", *text),
@@ -294,6 +364,7 @@
             "BEGIN" if rest != "READ" && !self.leads(n) => "ERROR READONLY\r\n".to_owned(),
             "BEGIN" => {
                 connection.is_open = true;
+                connection.has_statement = false;
                 done
             }
             "ROLLBACK" => {
