Core of the platform's path: an older list of servers that arrives late changes nothing

Callers could see: a server that leaves gets reads again, and a handover is dropped, if the answer to an earlier read of the list overtakes a later one. Change: an answer to a read from before the one that brought the present list is left out. Measured: late_answer_with_an_older_list_changes_nothing failed before (0 leaving leaders for 1) and passes.

--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -186,12 +186,13 @@
     }
 
     /// Records the outcome of a read of the list of backend servers that was sent at `sent`; `list`
-    /// is none if the store did not answer.
+    /// is none if the store did not answer. An answer to a read from before the one that brought the
+    /// present list changes nothing.
     pub(crate) fn on_servers(&mut self, list: Option<Vec<ServerRecord>>, sent: Instant) {
         self.reads.servers.is_pending = false;
         self.reads.servers.has_failed = list.is_none();
         self.note_store(list.is_some());
-        let Some(list) = list else {
+        let Some(list) = list.filter(|_| self.servers.list_sent <= sent) else {
             return;
         };
         let every = self.servers_interval();
--- a/sapphireslip-lead/tests/leaving_servers.rs
+++ b/sapphireslip-lead/tests/leaving_servers.rs
@@ -303,6 +303,21 @@
     assert_eq!(code(&reply), Some(ErrorCode::Busy), "the servers are gone");
 }
 
+/// Guards against an answer to an earlier read of the list that overtakes a later one.
+#[rstest]
+fn late_answer_with_an_older_list_changes_nothing() {
+    let mut daemon = Daemon::ready();
+    daemon.advance(1_000);
+    let (older, sent) = (daemon.group.records(), at(daemon.millis));
+    daemon.advance(20);
+    daemon.group.get_mut(&primary()).is_draining = true;
+    for (list, sent) in [(daemon.group.records(), at(daemon.millis)), (older, sent)] {
+        let list = Some(list);
+        daemon.event(Event::Servers { list, sent });
+    }
+    assert_eq!(daemon.state.snapshot().leaving_leaders, 1);
+}
+
 /// Starts or ends one random fault, or has a server leave or stay.
 fn toggle_fault_or_leave(fleet: &mut Fleet) {
     let n = fleet.random(3) as usize;
