Core of the platform's path: refuse at once while the list of servers can't be read

Callers saw: with the bound on new work, a statement waits for half of its time at a daemon whose reads of the list get no answer at all, as a list that is only old because nobody needed it is awaited. Measured: statement_is_refused_at_once_while_the_list_can_not_be_read failed before (no answer at once) and passes.

--- a/sapphireslip-lead/src/new_work.rs
+++ b/sapphireslip-lead/src/new_work.rs
@@ -40,7 +40,7 @@
 
     /// Returns whether the list of servers is only old because this daemon has not needed it, so
     /// that a read that is under way brings a new one.
-    pub(crate) const fn is_list_expected(&self) -> bool {
-        !self.reads.has_list_failed()
+    pub(crate) fn is_list_expected(&self) -> bool {
+        !self.reads.has_list_failed() && !self.servers.is_list_overdue(self.now)
     }
 }
--- a/sapphireslip-lead/tests/leaving_servers.rs
+++ b/sapphireslip-lead/tests/leaving_servers.rs
@@ -318,6 +318,19 @@
     assert_eq!(daemon.state.snapshot().leaving_leaders, 1);
 }
 
+/// Guards against statements that wait for a list that does not come.
+#[rstest]
+fn statement_is_refused_at_once_while_the_list_can_not_be_read() {
+    let (mut daemon, _) = with_single_server(PAYMENTS);
+    daemon.withholds_lists = true;
+    daemon.advance(BOUND_MILLIS);
+    let session = daemon.open(PAYMENTS);
+    assert_eq!(
+        code(&daemon.run(session, "1", "WRITE x 1")),
+        Some(ErrorCode::Busy)
+    );
+}
+
 /// Starts or ends one random fault, or has a server leave or stay.
 fn toggle_fault_or_leave(fleet: &mut Fleet) {
     let n = fleet.random(3) as usize;
--- a/sapphireslip-lead/tests/support/daemon.rs
+++ b/sapphireslip-lead/tests/support/daemon.rs
@@ -22,6 +22,8 @@
     pub millis: u64,
     /// Whether the store answers reads and writes.
     pub store_answers: bool,
+    /// Whether reads of the list of servers stay unanswered.
+    pub withholds_lists: bool,
     /// Whether the daemon is not told of changes of the leaders, as when its watch hangs.
     pub withholds_lead_changes: bool,
     /// Whether statements of clients stay unanswered until `answer_all`.
@@ -89,6 +91,7 @@
             group: FakeGroup::new(),
             millis: 0,
             store_answers: true,
+            withholds_lists: false,
             withholds_lead_changes: false,
             withholds_answers: false,
             answers: Vec::new(),
@@ -210,6 +213,7 @@
             Effect::Disconnect { connection } => {
                 self.connections.remove(&connection);
             }
+            Effect::ReadServers if self.withholds_lists => {}
             Effect::ReadServers => {
                 let list = self.store_answers.then(|| self.group.records());
                 let sent = at(self.millis);
