Core of the platform's path: servers register again once after an outage, not after each of many

Callers could see: a server that is gone gets work for as long as the store comes and goes every few seconds, since each list then looks like the first one after an outage. Change: the time to register again counts from the first list without the server. Measured: server_that_is_gone_gets_no_work_while_the_store_comes_and_goes failed before (work up to 25 s past the bound) and passes.

--- a/sapphireslip-lead/src/server.rs
+++ b/sapphireslip-lead/src/server.rs
@@ -45,6 +45,8 @@
         /// Since when the server has been missing from the list; none while it is listed or its row
         /// may have lapsed because of a store outage.
         pub(crate) missing_since: Option<Instant>,
+        /// When the first list without the server was read; none while it is listed.
+        pub(crate) absent_since: Option<Instant>,
         /// Since when the list has shown the server as draining; none if it is not draining.
         pub(crate) draining_since: Option<Instant>,
         /// The status that the server last reported; none before its first report.
@@ -83,6 +85,7 @@
             record,
             last_staying: None,
             missing_since: None,
+            absent_since: None,
             draining_since: None,
             status: None,
             status_request_sent: None,
--- a/sapphireslip-lead/src/servers.rs
+++ b/sapphireslip-lead/src/servers.rs
@@ -61,12 +61,13 @@
             .filter(move |(_, server)| server.record.service == *service)
     }
 
-    /// Returns whether a server is missing from a list that was read just after an outage of the
-    /// store, and had not said before that it leaves: servers whose rows have lapsed meanwhile
-    /// register again within `REGISTRATION_TIME`.
+    /// Returns whether a server is missing from the first lists after an outage of the store, and had
+    /// not said before that it leaves: servers whose rows have lapsed meanwhile register again
+    /// within `REGISTRATION_TIME`.
     pub(crate) fn may_register_again(&self, server: &KnownServer, now: Instant) -> bool {
-        let is_in_list = server.last_staying >= Some(self.list_sent);
-        now < self.entries_lapsed_until && server.is_staying() && !is_in_list
+        let absent_since = server.absent_since;
+        let is_recent = absent_since.is_some_and(|since| now.since(since) < REGISTRATION_TIME);
+        now < self.entries_lapsed_until && server.is_staying() && is_recent
     }
 
     /// Returns whether a read of the list has been due for at least `LIST_OVERDUE_MIN`.
@@ -115,6 +116,7 @@
             self.known.insert(server.record.id.clone(), server);
         }
         for (id, mut server) in missing {
+            server.absent_since.get_or_insert(now);
             let missing_since = *server.missing_since.get_or_insert(now);
             if missing_since == now {
                 let line = listed(&server.record, "is missing from the list");
@@ -164,6 +166,7 @@
         server.draining_since = None;
     }
     server.missing_since = None;
+    server.absent_since = None;
     server.record = record;
     server
 }
--- a/sapphireslip-lead/tests/leaving_servers.rs
+++ b/sapphireslip-lead/tests/leaving_servers.rs
@@ -331,6 +331,25 @@
     );
 }
 
+/// Guards against work at a server that is gone, if a store that is away again and again makes each
+/// list look like the first one after an outage.
+#[rstest]
+fn server_that_is_gone_gets_no_work_while_the_store_comes_and_goes() {
+    let (mut daemon, _) = with_single_server(PAYMENTS);
+    daemon.group.get_mut(&primary()).is_unlisted = true;
+    let end = daemon.millis + BOUND_MILLIS;
+    for n in 0..10 {
+        daemon.store_answers = false;
+        daemon.advance(2_600);
+        daemon.store_answers = true;
+        daemon.advance(500);
+        let session = daemon.open(PAYMENTS);
+        daemon.submit(session, &n.to_string(), "WRITE x 1");
+        daemon.advance(100);
+    }
+    assert_eq!(work_from(&daemon, &primary(), end), []);
+}
+
 /// Starts or ends one random fault, or has a server leave or stay.
 fn toggle_fault_or_leave(fleet: &mut Fleet) {
     let n = fleet.random(3) as usize;
