Command: explain names the evidence for refusals at servers that leave

Their three causes had none, or that of a lost primary, which leaves out that the server was listed as draining. because_of_a_server_that_leaves (2 cases) failed before and passes.

--- a/sapphireslip/src/explain_cause.rs
+++ b/sapphireslip/src/explain_cause.rs
@@ -63,6 +63,13 @@
     source("lead_changed", Scope::Service),
 ];
 
+/// Evidence for a server that leaves, or that may have left unnoticed.
+const LEAVING_SOURCES: &[EvidenceSource] = &[
+    source("store_reachable", Scope::Vm),
+    source("server_listed", Scope::Service),
+    source("promotion", Scope::Service),
+];
+
 /// Evidence for a lack of servers that are fresh enough for a read.
 const FRESHNESS_SOURCES: &[EvidenceSource] = &[
     source("store_reachable", Scope::Vm),
@@ -103,6 +110,9 @@
 /// counts.
 const CAUSES: &[(&str, &[EvidenceSource])] = &[
     ("the permission", PERMISSION_SOURCES),
+    ("the primary is leaving", LEAVING_SOURCES),
+    ("the server is leaving", LEAVING_SOURCES),
+    ("the list of servers is too old", LEAVING_SOURCES),
     ("the primary", PRIMARY_SOURCES),
     ("no primary", PRIMARY_SOURCES),
     ("no server is fresh enough", FRESHNESS_SOURCES),
--- a/sapphireslip/tests/explain.rs
+++ b/sapphireslip/tests/explain.rs
@@ -258,3 +258,27 @@
         ran.stdout
     );
 }
+
+#[rstest]
+#[case::leaving_primary("the primary is leaving", &["is draining", "no other server can take over"])]
+#[case::old_list("the list of servers is too old", &["is draining", "no other server can take over"])]
+fn because_of_a_server_that_leaves(#[case] cause: &str, #[case] expected: &[&str]) {
+    let refusal = format!("{cause}; waited 0 ms, sent 0 times, retry after 400 ms");
+    let lines = [
+        line(0, "a", "server_listed", "- 0 fees s1", "is draining"),
+        line(
+            10,
+            "b",
+            "promotion",
+            "- 0 fees s1",
+            "no other server can take over",
+        ),
+        line(7_000, "a", "request_refused", "q1 1 fees -", &refusal),
+    ];
+    let mut log = DecisionLog::default();
+    log.add(lines.concat().as_bytes());
+    let explained = explanation(&log.decisions, "q1").expect("a line names the request");
+    assert!(explained.cause.starts_with(cause), "{}", explained.cause);
+    let messages = explained.because.iter().map(|l| l.message.as_str());
+    assert_eq!(messages.collect::<Vec<_>>(), expected);
+}
