--- a/sapphireslip-lead/tests/lead_safety.rs
+++ b/sapphireslip-lead/tests/lead_safety.rs
@@ -14,12 +14,7 @@
         0 => fleet.store_is_down = !fleet.store_is_down,
         1 => fleet.daemons[n].is_cut_from_store = !fleet.daemons[n].is_cut_from_store,
         2 => fleet.daemons[n].is_frozen = !fleet.daemons[n].is_frozen,
-        3 | 4 => {
-            let cuts = &mut fleet.daemons[n].cut_servers;
-            if !cuts.remove(&id) {
-                cuts.insert(id);
-            }
-        }
+        3 | 4 => fleet.daemons[n].toggle_cut(id),
         _ => {
             let dark = fleet.group.servers.iter().filter(|s| s.is_isolated).count();
             let server = fleet.group.get_mut(&id);
--- a/sapphireslip-lead/tests/leaving_servers.rs
+++ b/sapphireslip-lead/tests/leaving_servers.rs
@@ -358,12 +358,7 @@
         0 => fleet.store_is_down = !fleet.store_is_down,
         1 => fleet.daemons[n].is_cut_from_store = !fleet.daemons[n].is_cut_from_store,
         2 => fleet.daemons[n].is_frozen = !fleet.daemons[n].is_frozen,
-        3 => {
-            let cuts = &mut fleet.daemons[n].cut_servers;
-            if !cuts.remove(&id) {
-                cuts.insert(id);
-            }
-        }
+        3 => fleet.daemons[n].toggle_cut(id),
         _ => {
             let is_draining = fleet.group.get(&id).is_draining;
             fleet.set_draining(&id, !is_draining);
--- a/sapphireslip-lead/tests/support/fleet.rs
+++ b/sapphireslip-lead/tests/support/fleet.rs
@@ -78,6 +78,15 @@
     events_while_frozen: Vec<Event>,
 }
 
+impl Member {
+    /// Cuts the daemon off from a server, or ends such a cut.
+    pub fn toggle_cut(&mut self, server: ServerId) {
+        if !self.cut_servers.remove(&server) {
+            self.cut_servers.insert(server);
+        }
+    }
+}
+
 impl Fleet {
     /// Returns three daemons in three zones that know the configuration and the empty table of
     /// leaders.
