Core of the platform's path: a pipelined statement behind a refused one waits its turn

Cause: run_queue refused a statement while the queue was taken apart. Change: refusals are given after the queue is whole again. Test: queue_order; without the change it sends the pipelined statement first.

--- a/sapphireslip-lead/src/dispatch.rs
+++ b/sapphireslip-lead/src/dispatch.rs
@@ -58,19 +58,25 @@
         }
     }
 
-    /// Sends the waiting statements of a service that can be sent.
+    /// Sends the waiting statements of a service that can be sent, and refuses those that can't be
+    /// served.
     pub(crate) fn run_queue(&mut self, service: &ServiceName) {
         let Some(queue) = self.queues.get_mut(service) else {
             return;
         };
-        let waiting = std::mem::take(queue);
-        for id in waiting {
+        let mut refused = Vec::new();
+        for id in std::mem::take(queue) {
             match self.dispatch(id) {
                 Dispatched::Sent => {}
                 Dispatched::Waiting => self.queues.entry(service.clone()).or_default().push(id),
-                Dispatched::Refused(cause, retry_after) => self.refuse(id, cause, retry_after),
+                Dispatched::Refused(cause, retry_after) => refused.push((id, cause, retry_after)),
             }
         }
+        // A refusal starts the next statement that its client has pipelined, which needs the whole
+        // queue to find its place.
+        for (id, cause, retry_after) in refused {
+            self.refuse(id, cause, retry_after);
+        }
     }
 
     /// Tries to send one statement that has been taken from its queue.
