Core: a session refused at the daemon's limit is told so

Cause: the detail named the service's sessions also where the daemon's own limit of 16,384 was reached, so that an operator would raise the wrong limit. Change: each limit has its own detail. Reason, SQLSTATE and hint are as they were. Test: session_quota_of_the_daemon; before: left "service `shop` has 16384 sessions at this daemon".

--- a/sapphireslip-core/src/client_admission.rs
+++ b/sapphireslip-core/src/client_admission.rs
@@ -56,11 +56,20 @@
         .ok_or_else(bad_credentials)?;
     let count_of_service = sessions.count_of_service(&document.service);
     let limit = usize::try_from(document.limits.sessions).unwrap_or(usize::MAX);
-    if count_of_service >= limit || sessions.len() >= DAEMON_SESSIONS_MAX {
-        let detail = format!(
+    let over_quota = if count_of_service >= limit {
+        Some(format!(
             "service `{}` has {count_of_service} sessions at this daemon, which accepts no more of them",
             document.service
-        );
+        ))
+    } else if sessions.len() >= DAEMON_SESSIONS_MAX {
+        Some(format!(
+            "this daemon has {} sessions of all services and accepts no more",
+            sessions.len()
+        ))
+    } else {
+        None
+    };
+    if let Some(detail) = over_quota {
         return Err(Refusal::not_run(
             RefusalReason::Quota,
             Some(QUOTA_RETRY_AFTER),
--- a/sapphireslip-core/tests/session_quota.rs
+++ b/sapphireslip-core/tests/session_quota.rs
@@ -5,15 +5,16 @@
 use fleet_support::document;
 use rstest::rstest;
 use sapphireslip_core::{
-    ClientEffect, ClientEvent, Effect, Event, Incarnation, Local, Now, PlatformEvent,
-    RefusalReason, SessionId, State, VmId, ZoneName, reduce,
+    ClientEffect, ClientEvent, DAEMON_SESSIONS_MAX, Effect, Event, Incarnation, Local, Now,
+    PlatformEvent, Refusal, RefusalReason, SessionId, State, VmId, ZoneName, reduce,
 };
 
 /// The limit of sessions that the documents set for each service.
 const LIMIT: u64 = 10;
 
-/// Returns a daemon that knows the services `shop` and `store`, each with a database of its name.
-fn daemon() -> State {
+/// Returns a daemon that knows the services `shop` and `store`, each with a database of its name
+/// and `limit` sessions.
+fn daemon(limit: u64) -> State {
     let local = Local {
         vm: VmId::try_from("a-1").unwrap(),
         zone: ZoneName::try_from("a").unwrap(),
@@ -25,7 +26,9 @@
         let mut accepted = document(service, 1, change, &[service]);
         let client = "[[caller]]\nname = \"till\"\n\
             verifier = \"SCRAM-SHA-256$4096:c2FsdA==$c3RvcmVk:c2VydmVy\"\n[[database]]";
-        accepted.text = accepted.text.replacen("[[database]]", client, 1).into();
+        let text = accepted.text.replacen("[[database]]", client, 1);
+        let limit = format!("sessions = {limit}\n");
+        accepted.text = text.replacen("sessions = 10\n", &limit, 1).into();
         accepted
     });
     hand_in(
@@ -39,8 +42,8 @@
     reduce(state, Now::default(), event)
 }
 
-/// Connects a client and returns the reason if it was refused.
-fn connect(state: &mut State, session: u64, database: &str) -> Option<RefusalReason> {
+/// Connects a client and returns the refusal, if it was refused.
+fn connect(state: &mut State, session: u64, database: &str) -> Option<Refusal> {
     let event = ClientEvent::Connecting {
         session: SessionId(session),
         user: "till".into(),
@@ -48,11 +51,16 @@
     };
     let effects = hand_in(state, Event::Client(event));
     effects.into_iter().find_map(|effect| match effect {
-        Effect::Client(ClientEffect::Close { refusal, .. }) => Some(refusal.reason),
+        Effect::Client(ClientEffect::Close { refusal, .. }) => Some(refusal),
         _ => None,
     })
 }
 
+/// Connects a client and returns the reason if it was refused.
+fn reason(state: &mut State, session: u64, database: &str) -> Option<RefusalReason> {
+    connect(state, session, database).map(|refusal| refusal.reason)
+}
+
 fn close(state: &mut State, session: u64) {
     let session = SessionId(session);
     hand_in(state, Event::Client(ClientEvent::Closed { session }));
@@ -62,20 +70,39 @@
 #[case::first_closed(1)]
 #[case::last_closed(LIMIT)]
 fn session_quota_of_each_service(#[case] closed: u64) {
-    let mut state = daemon();
+    let mut state = daemon(LIMIT);
     for session in 1..=LIMIT {
-        assert_eq!(connect(&mut state, session, "shop"), None);
+        assert_eq!(reason(&mut state, session, "shop"), None);
     }
     let refused = Some(RefusalReason::Quota);
-    assert_eq!(connect(&mut state, 100, "shop"), refused);
+    assert_eq!(reason(&mut state, 100, "shop"), refused);
     assert_eq!(
-        connect(&mut state, 200, "store"),
+        reason(&mut state, 200, "store"),
         None,
         "the limit of another service is separate"
     );
     close(&mut state, closed);
     close(&mut state, closed);
     close(&mut state, 100);
-    assert_eq!(connect(&mut state, 101, "shop"), None);
-    assert_eq!(connect(&mut state, 102, "shop"), refused);
+    assert_eq!(reason(&mut state, 101, "shop"), None);
+    assert_eq!(reason(&mut state, 102, "shop"), refused);
+}
+
+/// The refusal names the limit that was reached: an operator who reads of a service's limit would
+/// raise the wrong one.
+#[test]
+fn session_quota_of_the_daemon() {
+    let max = u64::try_from(DAEMON_SESSIONS_MAX).unwrap();
+    let mut state = daemon(max + 1);
+    for session in 1..=max {
+        assert_eq!(connect(&mut state, session, "shop"), None);
+    }
+    for database in ["shop", "store"] {
+        let refusal = connect(&mut state, max + 1, database).unwrap();
+        assert_eq!(refusal.reason, RefusalReason::Quota);
+        assert_eq!(
+            &*refusal.detail,
+            "this daemon has 16384 sessions of all services and accepts no more"
+        );
+    }
 }
