Peer edge: requests to an earlier run of a peer keep no stream to the next one open

Cause: outstanding requests were counted until no stream to the peer was left. Where a stream to the peer's next run was open before that to the earlier run was given up, the count never fell, and the stream was never closed as idle. Ruled out: a count for each stream (a find of an earlier reading): an answer may come on another stream than its request. Change: the loss of a peer, which gives up its requests, resets the count. Test: unused_stream_after_a_request_to_an_earlier_run_is_ended; before: 1 streams after 10 s.

--- a/sapphireslipd/src/peer_links.rs
+++ b/sapphireslipd/src/peer_links.rs
@@ -110,7 +110,7 @@
     /// The number of attempts to open a stream since the last greeting of the peer.
     attempts_since_hello: u32,
     /// The number of requests from this daemon that the peer has not answered completely; reset
-    /// when no stream is left.
+    /// when the peer is reported as lost, which gives up all of them, or when no stream is left.
     outstanding: u32,
 }
 
@@ -227,6 +227,9 @@
             link.incarnation = Some(incarnation);
         }
         let has_earlier_run = !earlier.is_empty();
+        if has_earlier_run {
+            peer.outstanding = 0;
+        }
         self.reported_lost
             .extend(earlier.iter().map(|link| link.number));
         has_earlier_run
@@ -235,13 +238,25 @@
     /// Removes a stream that has not ended yet; the peer must then be reported as lost.
     pub(crate) fn give_up(&mut self, vm: &VmId, number: u64) {
         self.detach(vm, number);
+        self.forget_requests(vm);
         self.reported_lost.insert(number);
     }
 
     /// Removes a stream that has ended; returns whether its loss is still to be reported.
     pub(crate) fn remove_ended(&mut self, vm: &VmId, number: u64) -> bool {
         self.detach(vm, number);
-        !self.reported_lost.remove(&number)
+        let is_unreported = !self.reported_lost.remove(&number);
+        if is_unreported {
+            self.forget_requests(vm);
+        }
+        is_unreported
+    }
+
+    /// Forgets the requests that a peer has not answered, as its loss gives them up.
+    fn forget_requests(&mut self, vm: &VmId) {
+        if let Some(peer) = self.peers.get_mut(vm) {
+            peer.outstanding = 0;
+        }
     }
 
     /// Drops the link of a stream, which closes the stream once its queue is sent.
--- a/sapphireslipd/tests/peer_edge.rs
+++ b/sapphireslipd/tests/peer_edge.rs
@@ -245,6 +245,24 @@
     a.expect_lost(&c.local).await;
 }
 
+/// A request to an earlier run of a peer is given up with that run, and keeps no stream to the next
+/// run open.
+#[tokio::test]
+async fn unused_stream_after_a_request_to_an_earlier_run_is_ended() {
+    let (a, old) = (Peer::start("vm-a", 1).await, Peer::start("vm-b", 1).await);
+    a.edge
+        .send(&old.local.vm, old.local.address, request(&a.local))
+        .expect("the queue has room");
+    let Event::Peer { .. } = old.event().await else {
+        panic!("expected the request first");
+    };
+    let new = Peer::start("vm-b", 2).await;
+    a.send(&new.local, 1);
+    new.expect(&a.local, 1).await;
+    a.expect_lost(&new.local).await;
+    wait_for_streams(&a.edge, 0).await;
+}
+
 fn request(entry: &Local) -> PeerMessage {
     PeerMessage::Request(Request {
         id: RequestId {
