Store: connections that went silent are found by probes within three seconds

Cause: the interval of keepalive probes was 500 ms. The system counts it in whole seconds and refuses 0, so that interval and number of probes kept the system's values: 75 s and 9. A watch on a connection that broke without a reset was only ended by its own wait. Change: an interval of 1 s. Test: idle_connections_to_the_store_are_probed; before: left (75s, 9), right (1s, 2).

--- a/sapphireslipd/src/store_client.rs
+++ b/sapphireslipd/src/store_client.rs
@@ -35,7 +35,11 @@
 
 /// How long a connection may be idle before the first keepalive probe. A watch leaves its
 /// connection idle while it waits for a change.
-const KEEPALIVE_IDLE: Duration = Duration::from_millis(1_000);
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+
+/// The interval between two keepalive probes. The system counts it in whole seconds and refuses 0,
+/// and with it all options of the keepalive.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// How long an unused connection is kept open.
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -94,7 +98,7 @@
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_keepalive(Some(KEEPALIVE_IDLE));
-        connector.set_keepalive_interval(Some(KEEPALIVE_IDLE / 2));
+        connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
         connector.set_keepalive_retries(Some(2));
         connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
         let client = Client::builder(TokioExecutor::new())
--- a/sapphireslipd/tests/lead_daemon.rs
+++ b/sapphireslipd/tests/lead_daemon.rs
@@ -3,10 +3,12 @@
 
 use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::os::fd::{BorrowedFd, RawFd};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use sapphireslipd::{LeadSettings, serve_lead};
+use socket2::Socket;
 use standins::{
     LineGroup, LineSession, LineStore, http_get, line_configuration, line_settings, start_line_site,
 };
@@ -279,6 +281,36 @@
     wait_until_route_is_dropped(&mut client).await;
 }
 
+/// Returns duplicates of the sockets of this process that are connected to an address.
+fn connections_to(address: SocketAddr) -> Vec<Socket> {
+    let listed = std::fs::read_dir("/proc/self/fd").expect("the folder of descriptors");
+    let numbers = listed.filter_map(|entry| entry.ok()?.file_name().to_str()?.parse().ok());
+    let duplicate = |number: RawFd| {
+        // SAFETY: the borrow ends with this call, which fails if the descriptor is closed by now.
+        let descriptor = unsafe { BorrowedFd::borrow_raw(number) };
+        Some(Socket::from(descriptor.try_clone_to_owned().ok()?))
+    };
+    let is_connected = |socket: &Socket| {
+        let peer = socket.peer_addr().ok();
+        peer.and_then(|peer| peer.as_socket()) == Some(address)
+    };
+    numbers.filter_map(duplicate).filter(is_connected).collect()
+}
+
+/// A watch leaves its connection idle for seconds. Only probes show that it broke meanwhile.
+#[tokio::test]
+async fn idle_connections_to_the_store_are_probed() {
+    let site = Site::start(&["vm-1"]).await;
+    let connections = connections_to(site.store.address());
+    assert!(!connections.is_empty());
+    for connection in connections {
+        assert!(connection.keepalive().expect("an option"));
+        let interval = connection.tcp_keepalive_interval().expect("an option");
+        let retries = connection.tcp_keepalive_retries().expect("an option");
+        assert_eq!((interval, retries), (Duration::from_secs(1), 2));
+    }
+}
+
 #[tokio::test]
 async fn malformed_input_is_refused_and_the_daemon_keeps_serving() {
     let site = Site::start(&["vm-1"]).await;
