Settings: settle_time and processor_share

The platform tells both: after which time its bounds hold again, and which share of a processor a VM has.

--- a/sapphireslipd/src/lead_settings.rs
+++ b/sapphireslipd/src/lead_settings.rs
@@ -10,6 +10,8 @@
 //! log_level = "info"            # optional
 //! drain_bound = "6s"            # longest time of a graceful stop; optional
 //! server_drain_bound = "7s"     # a server that leaves gets no new work after it; optional
+//! settle_time = "4s"            # after a fault the platform's bounds hold again; optional
+//! processor_share = "0.25"      # the cores that the VM has for this daemon; optional
 //!
 //! [store]                       # its presence selects this kind of settings
 //! address = "10.0.9.1:443"
@@ -26,7 +28,7 @@
 
 use crate::raw_settings::{Faults, address, duration, name};
 use crate::settings::log_level;
-use crate::{RawSettings, SettingsErrors};
+use crate::{RawSettings, SettingsErrors, SettingsFault};
 
 /// The longest time of a graceful stop if the settings give none.
 pub const LEAD_DRAIN_BOUND_DEFAULT: Duration = Duration::from_secs(6);
@@ -41,6 +43,18 @@
 /// How long after it has said that it leaves a server may get new work if the settings do not say.
 pub const SERVER_DRAIN_BOUND_DEFAULT: Duration = Duration::from_secs(7);
 
+/// How long after a fault the platform's bounds hold again if the settings do not say.
+pub const SETTLE_TIME_DEFAULT: Duration = Duration::from_secs(4);
+
+/// The lowest `settle_time` that the settings may give: a daemon watches the store for less.
+const SETTLE_TIME_MIN: Duration = Duration::from_secs(1);
+
+/// The highest `settle_time` that the settings may give.
+const SETTLE_TIME_MAX: Duration = Duration::from_secs(20);
+
+/// The share of a processor core, in thousandths, that a VM has if the settings do not say.
+pub const MILLICORES_DEFAULT: u32 = 250;
+
 /// The settings of a daemon, checked.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LeadSettings {
@@ -63,6 +77,10 @@
     pub drain_bound: Duration,
     /// How long after a server has said that it leaves it may get new work.
     pub server_drain_bound: Duration,
+    /// How long after a fault around a daemon the platform's bounds hold for it again.
+    pub settle_time: Duration,
+    /// The VM's share of a processor core, in thousandths: the stronger of a zone's VMs become homes.
+    pub millicores: u32,
     /// The address of the platform's store.
     pub store: SocketAddr,
     /// The address of the platform's service that promotes servers.
@@ -113,6 +131,13 @@
         "server_drain_bound",
         SERVER_DRAIN_BOUND_MIN..=LEAD_DRAIN_BOUND_MAX,
     );
+    let settle_time = duration(
+        &mut root,
+        faults,
+        "settle_time",
+        SETTLE_TIME_MIN..=SETTLE_TIME_MAX,
+    );
+    let millicores = processor_share(&mut root, faults);
     let store = service(&mut root, faults, "store");
     let promotion = service(&mut root, faults, "promotion");
     root.finish(faults);
@@ -126,11 +151,32 @@
         log_level: level.unwrap_or(LevelFilter::Info),
         drain_bound: drain_bound.unwrap_or(LEAD_DRAIN_BOUND_DEFAULT),
         server_drain_bound: server_drain_bound.unwrap_or(SERVER_DRAIN_BOUND_DEFAULT),
+        settle_time: settle_time.unwrap_or(SETTLE_TIME_DEFAULT),
+        millicores: millicores.unwrap_or(MILLICORES_DEFAULT),
         store: store?.value,
         promotion: promotion?.value,
     })
 }
 
+/// Reads the optional share of a processor and returns it in thousandths of a core, rounded up.
+fn processor_share(root: &mut TomlTable<'_>, faults: &mut Faults<'_>) -> Option<u32> {
+    let Located { value, offset } = root.optional_text(faults, "processor_share")?;
+    let millicores = value.parse::<f64>().ok().map(|cores| cores * 1_000.0);
+    match millicores.filter(|millicores| (f64::MIN_POSITIVE..1e6).contains(millicores)) {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the number is positive and below a million"
+        )]
+        Some(millicores) => Some(millicores.ceil() as u32),
+        None => {
+            let fault = SettingsFault::InvalidProcessorShare(value.to_owned());
+            faults.add(offset, &root.path_of("processor_share"), fault);
+            None
+        }
+    }
+}
+
 /// Reads the address of one of the platform's services from the table `key`.
 fn service(
     root: &mut TomlTable<'_>,
--- a/sapphireslipd/src/settings_fault.rs
+++ b/sapphireslipd/src/settings_fault.rs
@@ -51,6 +51,10 @@
         DurationTooShort(min: Duration, text: String) {
             display("must be at least {min:?}, is `{text}`")
         }
+        /// A text is not a share of a processor.
+        InvalidProcessorShare(text: String) {
+            display("`{text}` is no share of a processor: write a number of cores above 0, such as `0.25`")
+        }
         /// A VM or an address that must be unique occurs more than once.
         Duplicate(text: String, first_line: usize) {
             display("`{text}` is already given in line {first_line}: keep one of them")
--- a/sapphireslipd/tests/lead_settings.rs
+++ b/sapphireslipd/tests/lead_settings.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use sapphireslipd::{LeadSettings, SERVER_DRAIN_BOUND_DEFAULT};
+use sapphireslipd::{
+    LeadSettings, MILLICORES_DEFAULT, SERVER_DRAIN_BOUND_DEFAULT, SETTLE_TIME_DEFAULT,
+};
 use standins::line_settings;
 
 /// Returns valid settings with another line before the first table.
@@ -31,3 +33,34 @@
     let err = LeadSettings::try_from(text.as_bytes()).expect_err("a fault");
     assert!(err.to_string().contains(expected), "{err}");
 }
+
+#[rstest]
+#[case::left_out("", SETTLE_TIME_DEFAULT)]
+#[case::in_milliseconds("settle_time = \"6000ms\"", Duration::from_secs(6))]
+fn settle_time_is_read(#[case] line: &str, #[case] expected: Duration) {
+    let settings = LeadSettings::try_from(with_line(line).as_bytes()).expect("without a fault");
+    assert_eq!(settings.settle_time, expected);
+}
+
+#[rstest]
+#[case::left_out("", MILLICORES_DEFAULT)]
+#[case::part_of_a_core("processor_share = \"0.12\"", 120)]
+#[case::several_cores("processor_share = \"2\"", 2_000)]
+#[case::least("processor_share = \"0.0001\"", 1)]
+fn processor_share_is_read(#[case] line: &str, #[case] expected: u32) {
+    let settings = LeadSettings::try_from(with_line(line).as_bytes()).expect("without a fault");
+    assert_eq!(settings.millicores, expected);
+}
+
+#[rstest]
+#[case::zero("0")]
+#[case::negative("-0.5")]
+#[case::not_finite("inf")]
+#[case::not_a_number("NaN")]
+#[case::words("half")]
+fn processor_share_is_refused(#[case] value: &str) {
+    let text = with_line(&format!("processor_share = \"{value}\""));
+    let err = LeadSettings::try_from(text.as_bytes()).expect_err("a fault");
+    let expected = format!("`{value}` is no share of a processor");
+    assert!(err.to_string().contains(&expected), "{err}");
+}
