Store: a watch waits as long as the platform's settling time allows

Cause: each watch ended after 3.5 s whatever the platform's bounds are, the limit for a settling time of 4 s. Daemons that serve nothing call the store mostly for this: 0.29 of 0.65 calls a second, worked out. Change: a watch waits for settle_time less 0.6 s, the time in which a silent connection shows and the table is read again: 3.4 s by default, 5.4 s where the settling time is 6 s. Test: configuration_is_in_force_despite_a_silent_watch, unchanged, holds the bound.

--- a/sapphireslipd/src/lead_run.rs
+++ b/sapphireslipd/src/lead_run.rs
@@ -68,9 +68,10 @@
         is_one_row: false,
         is_needed: Arc::clone(&needs_leaders),
     };
+    let wait = store_watch::wait_within(settings.settle_time);
     for watch in [configuration, leaders] {
         let (client, events) = (store.store.clone(), store.events.clone());
-        tokio::spawn(store_watch::watch(client, watch, events));
+        tokio::spawn(store_watch::watch(client, watch, wait, events));
     }
     tokio::spawn(stop_on_signals(settings.drain_bound, events_tx.clone())?);
     let incarnation = new_incarnation();
--- a/sapphireslipd/src/store_watch.rs
+++ b/sapphireslipd/src/store_watch.rs
@@ -9,9 +9,9 @@
 
 use crate::store_client::StoreClient;
 
-/// How long the store may wait for a change before it answers. This also ends a watch on a
-/// connection that has gone silent, early enough for a new configuration to take effect in time.
-const WATCH_WAIT: Duration = Duration::from_millis(3_500);
+/// The time that a watch on a connection that has gone silent takes beyond the time that the store
+/// may wait: the timeout of the call and a read on a new connection.
+const WATCH_MARGIN: Duration = Duration::from_millis(600);
 
 /// How often it is checked whether a table has to be watched, while it need not be.
 const NEED_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -32,8 +32,22 @@
     pub(crate) is_needed: Arc<AtomicBool>,
 }
 
-/// Watches a table until the receiver of `events` is dropped.
-pub(crate) async fn watch(client: StoreClient, watch: Watch, events: flume::Sender<Event>) {
+/// Returns how long the store may wait for a change before it answers a watch.
+///
+/// The end of the wait also ends a watch on a connection that has gone silent, early enough for a new
+/// configuration to be in force when the platform's bounds hold again, `settle_time` later.
+pub(crate) const fn wait_within(settle_time: Duration) -> Duration {
+    settle_time.saturating_sub(WATCH_MARGIN)
+}
+
+/// Watches a table, with calls that may each wait for `wait`, until the receiver of `events` is
+/// dropped.
+pub(crate) async fn watch(
+    client: StoreClient,
+    watch: Watch,
+    wait: Duration,
+    events: flume::Sender<Event>,
+) {
     let Watch { table, decode, .. } = watch;
     let mut is_unreachable = false;
     while !events.is_disconnected() {
@@ -48,7 +62,7 @@
             continue;
         };
         while watch.is_needed.load(Ordering::Relaxed) {
-            match wait_for_change(&client, table, version).await {
+            match wait_for_change(&client, table, version, wait).await {
                 WaitOutcome::Unchanged(next) => version = next,
                 WaitOutcome::Changed(rows) if watch.is_one_row => {
                     version = rows.version();
@@ -108,10 +122,15 @@
     Some(rows.version())
 }
 
-/// Waits until the table changes after a version, at most for `WATCH_WAIT`.
-async fn wait_for_change(client: &StoreClient, table: Table, after: RowVersion) -> WaitOutcome {
-    let call = watch_call(table, after, WATCH_WAIT);
-    let answer = match client.call(call, WATCH_WAIT).await {
+/// Waits until the table changes after a version, at most for `wait`.
+async fn wait_for_change(
+    client: &StoreClient,
+    table: Table,
+    after: RowVersion,
+    wait: Duration,
+) -> WaitOutcome {
+    let call = watch_call(table, after, wait);
+    let answer = match client.call(call, wait).await {
         Ok(answer) => answer,
         Err(err) => {
             log::debug!("watching {table:?}: {err}");
