Core of the platform's path: the homes of a zone share its strongest VMs, and idle daemons call the store rarely

Cause: each home renews a permission and reads the store for itself, some 3 calls a second. Homes were spread over all VMs of a zone by rendezvous hashing, the many of 0.12 cores as likely as the few of 0.5, so that 84 of 295 daemons worked. The others made 0.65 calls a second each, whatever the size of the fleet. Change: of a zone's live daemons the strongest are preferred, at least three and as many as have 60 thousandths of a core for each service; among them homes are ranked by weighted rendezvous hashing. The row of a daemon tells its VM's share of a core. Intervals of daemons that serve nothing grow with the fleet: list of servers, permissions, their own row (its time alive with it). A daemon that a session could not be forwarded to has the permissions read at once. Whether a daemon serves sessions of a service is looked up by database, not by all of its sessions.

--- a/sapphireslip-lead/src/client.rs
+++ b/sapphireslip-lead/src/client.rs
@@ -101,8 +101,7 @@
 
     /// Serves a session on this daemon and renews the permission if that is due.
     pub(crate) fn serve_session(&mut self, id: SessionId, database: Text, is_forwarded: bool) {
-        let session = Session::new(database, self.now, is_forwarded);
-        self.sessions.insert(id, session);
+        self.add_session(id, Session::new(database, self.now, is_forwarded));
         self.effects.push(Effect::Welcome { session: id });
         self.renew_permission();
     }
@@ -257,7 +256,7 @@
             self.abandon(job);
         }
         self.end_transaction(id);
-        self.sessions.remove(&id);
+        self.remove_session(id);
         if let Some(service) = service {
             self.run_queue(&service);
         }
--- a/sapphireslip-lead/src/home_ranks.rs
+++ b/sapphireslip-lead/src/home_ranks.rs
@@ -1,9 +1,12 @@
 //! The order in which the daemons of this zone are considered as the home of each service.
 //!
-//! The order is needed with every event but changes only with the daemons and the services, so it
-//! is cached.
+//! Only a daemon that is a home renews a permission and reads the lists of the store often. The
+//! cost of control therefore grows with the daemons that are homes, so the homes of a zone share
+//! its strongest VMs, as few as can bear them. The order is needed with every event but changes
+//! only with the daemons and the services, so it is cached.
 
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 
 use sapphireslip_core::placement::rendezvous_weight;
 use sapphireslip_core::{ServiceName, VmId, data};
@@ -11,16 +14,33 @@
 use crate::PermissionTable;
 use crate::state::{Identity, State};
 
+/// The least number of VMs of a zone that are preferred as homes, so that the loss of one moves
+/// only a part of the sessions.
+const PREFERRED_VMS_MIN: usize = 3;
+
+/// The share of a processor core, in thousandths, that is set aside for each home.
+const HOME_MILLICORES: u32 = 60;
+
 data! {
     /// The orders for all services of the configuration.
     #[derive(Default)]
     pub(crate) struct HomeRanks {
         /// The daemons for which the orders were computed, in the order of the permission table.
-        vms: Vec<VmId>,
+        basis: Vec<Basis>,
         /// The order for each service.
         by_service: BTreeMap<ServiceName, HomeRank>,
     }
 
+    /// What the orders depend on of one row of the permission table.
+    struct Basis {
+        /// The VM of the daemon.
+        vm: VmId,
+        /// The VM's share of a processor core, in thousandths.
+        millicores: u32,
+        /// Whether the daemon counts as alive.
+        is_alive: bool,
+    }
+
     /// The order of the daemons of this zone for one service.
     pub(crate) struct HomeRank {
         /// The indexes of the zone's other daemons in the permission table, best rank first.
@@ -30,20 +50,100 @@
     }
 }
 
+/// The daemons of this zone, from which the homes of all services are chosen.
+pub(crate) struct ZoneDaemons<'a> {
+    /// This daemon.
+    own: Candidate<'a>,
+    /// The other daemons, each with its index in the permission table.
+    others: Vec<(Candidate<'a>, usize)>,
+}
+
+/// A daemon that may be a home.
+#[derive(Clone, Copy)]
+struct Candidate<'a> {
+    vm: &'a VmId,
+    millicores: u32,
+    is_preferred: bool,
+}
+
+impl<'a> ZoneDaemons<'a> {
+    /// Returns the daemons of the zone of `local`, with those marked that are preferred as homes of
+    /// `services` services.
+    pub(crate) fn new(local: &'a Identity, table: &'a PermissionTable, services: usize) -> Self {
+        let rows = table.permissions.iter().enumerate();
+        let rows = rows
+            .map(|(place, (record, _))| (record, place))
+            .filter(|(record, _)| record.zone == local.zone && record.vm != local.vm);
+        let mut alive = vec![(&local.vm, local.millicores)];
+        alive.extend(
+            rows.clone()
+                .filter(|(record, _)| table.now < record.alive)
+                .map(|(record, _)| (&record.vm, record.millicores)),
+        );
+        let preferred = preferred(alive, services);
+        let candidate = |vm: &'a VmId, millicores| Candidate {
+            vm,
+            millicores,
+            is_preferred: preferred.contains(vm),
+        };
+        Self {
+            own: candidate(&local.vm, local.millicores),
+            others: rows
+                .map(|(record, place)| (candidate(&record.vm, record.millicores), place))
+                .collect(),
+        }
+    }
+}
+
+/// Returns the strongest of the VMs: at least [`PREFERRED_VMS_MIN`], and as many as together have
+/// [`HOME_MILLICORES`] for each service.
+fn preferred<'a>(mut vms: Vec<(&'a VmId, u32)>, services: usize) -> BTreeSet<&'a VmId> {
+    vms.sort_unstable_by_key(|(vm, millicores)| {
+        (Reverse(*millicores), rendezvous_weight("", vm.as_str()))
+    });
+    let needed = u64::from(HOME_MILLICORES) * u64::try_from(services).unwrap_or(u64::MAX);
+    let mut preferred = BTreeSet::new();
+    let mut sum = 0_u64;
+    for (vm, millicores) in vms {
+        if preferred.len() >= PREFERRED_VMS_MIN && sum >= needed {
+            break;
+        }
+        preferred.insert(vm);
+        sum += u64::from(millicores);
+    }
+    preferred
+}
+
+impl Candidate<'_> {
+    /// Returns the sort key for a service; the highest one is the best.
+    ///
+    /// This is weighted rendezvous hashing: a VM draws one lot for each home that it can bear, and
+    /// its best one counts.
+    fn rank(&self, service: &ServiceName) -> (bool, u64, &VmId) {
+        let lots = (self.millicores / HOME_MILLICORES).max(1);
+        let weight = (1..lots)
+            .map(|lot| rendezvous_weight(service.as_str(), &format!("{}#{lot}", self.vm)))
+            .fold(
+                rendezvous_weight(service.as_str(), self.vm.as_str()),
+                u64::max,
+            );
+        (self.is_preferred, weight, self.vm)
+    }
+}
+
 impl HomeRank {
-    /// Computes the order for a service by rendezvous hashing, so that it changes little when
-    /// daemons come and go.
-    pub(crate) fn new(service: &ServiceName, local: &Identity, table: &PermissionTable) -> Self {
-        let weight = |vm: &VmId| (rendezvous_weight(service.as_str(), vm.as_str()), vm.clone());
-        let own = weight(&local.vm);
-        let permissions = table.permissions.iter().enumerate();
-        let mut others: Vec<((u64, VmId), usize)> = permissions
-            .filter(|(_, (record, _))| record.zone == local.zone && record.vm != local.vm)
-            .map(|(place, (record, _))| (weight(&record.vm), place))
+    /// Computes the order for a service. Preferred daemons come first; the order changes little
+    /// when daemons come and go.
+    pub(crate) fn new(service: &ServiceName, daemons: &ZoneDaemons<'_>) -> Self {
+        let own = daemons.own.rank(service);
+        let mut others: Vec<_> = daemons
+            .others
+            .iter()
+            .map(|(candidate, place)| (candidate.rank(service), *place))
             .collect();
         others.sort_unstable_by(|one, other| other.cmp(one));
         Self {
-            before_own: others.partition_point(|(weight, _)| *weight > own),
+            before_own: others.partition_point(|(rank, _)| *rank > own),
             others: others.into_iter().map(|(_, place)| place).collect(),
         }
     }
@@ -62,22 +162,28 @@
         let (Some(table), Some(catalog)) = (&self.permissions, &self.catalog) else {
             return;
         };
-        let vms = table.permissions.iter().map(|(record, _)| &record.vm);
+        let basis: Vec<Basis> = table
+            .permissions
+            .iter()
+            .map(|(record, _)| Basis {
+                vm: record.vm.clone(),
+                millicores: record.millicores,
+                is_alive: table.now < record.alive,
+            })
+            .collect();
         let has_services = self
             .home_ranks
             .by_service
             .keys()
             .eq(catalog.services.keys());
-        if has_services && vms.clone().eq(&self.home_ranks.vms) {
+        if has_services && basis == self.home_ranks.basis {
             return;
         }
-        let rank = |service: &ServiceName| HomeRank::new(service, &self.local, table);
-        let services = catalog.services.keys();
+        let daemons = ZoneDaemons::new(&self.local, table, catalog.services.len());
+        let rank = |service: &ServiceName| (service.clone(), HomeRank::new(service, &daemons));
         self.home_ranks = HomeRanks {
-            vms: vms.cloned().collect(),
-            by_service: services
-                .map(|service| (service.clone(), rank(service)))
-                .collect(),
+            basis,
+            by_service: catalog.services.keys().map(rank).collect(),
         };
     }
 }
--- a/sapphireslip-lead/src/homes.rs
+++ b/sapphireslip-lead/src/homes.rs
@@ -9,7 +9,7 @@
 
 use sapphireslip_core::{ServiceName, SessionId, VmId, data};
 
-use crate::home_ranks::HomeRank;
+use crate::home_ranks::{HomeRank, ZoneDaemons};
 use crate::session::Session;
 use crate::state::State;
 use crate::{PermissionRecord, Record, RecordKind};
@@ -50,7 +50,8 @@
         let rank = if let Some(rank) = self.home_ranks.get(service) {
             rank
         } else {
-            computed = HomeRank::new(service, &self.local, table);
+            let services = self.catalog.as_ref().map_or(0, |c| c.services.len());
+            computed = HomeRank::new(service, &ZoneDaemons::new(&self.local, table, services));
             &computed
         };
         let leader = self.leaders.named(service);
@@ -145,10 +146,11 @@
         let is_elsewhere = |session: &Session| {
             let route = self.route_to(&session.database);
             let home = route.and_then(|route| self.other_home(&route.service));
-            !session.is_forwarded && home.is_some()
+            home.is_some()
         };
         let quiet = self.sessions.iter().find(|(_, session)| {
-            session.is_idle()
+            !session.is_forwarded
+                && session.is_idle()
                 && self.now.since(session.last_answer) >= MOVE_IDLE_MIN
                 && is_elsewhere(session)
         });
--- a/sapphireslip-lead/src/lead_record.rs
+++ b/sapphireslip-lead/src/lead_record.rs
@@ -44,6 +44,9 @@
         pub incarnation: Incarnation,
         /// The availability zone of the VM.
         pub zone: ZoneName,
+        /// The VM's share of a processor core, in thousandths; 0 in rows of versions that do not
+        /// write it.
+        pub millicores: u32,
         /// The address where the daemon accepts forwarded sessions and requests for grants.
         pub peers: SocketAddr,
         /// Until when the daemon counts as alive, by the store's clock.
--- a/sapphireslip-lead/src/permission.rs
+++ b/sapphireslip-lead/src/permission.rs
@@ -26,14 +26,23 @@
 /// How often a permission is renewed: it outlasts one or two lost answers.
 const RENEWAL_EVERY: Duration = Duration::from_millis(700);
 
-/// How often a daemon that works with no server renews its row, to show that it is alive.
+/// How often a daemon that works with no server renews its row in a small fleet, to show that it
+/// is alive.
 const IDLE_RENEWAL_EVERY: Duration = Duration::from_secs(6);
 
-/// How long a daemon counts as alive after its row was written.
+/// The longest interval at which a daemon that works with no server renews its row, in a fleet of
+/// any size.
+const IDLE_RENEWAL_EVERY_MAX: Duration = Duration::from_secs(30);
+
+/// How many renewals of an idle daemon may fail until it no longer counts as alive.
+const IDLE_RENEWALS_ALIVE: u32 = 2;
+
+/// How long a daemon counts as alive after its row was written, beyond `IDLE_RENEWALS_ALIVE`
+/// intervals.
 ///
 /// Daemons that lose power together must still agree on the homes when they are back. A daemon that
 /// died is noticed earlier by the daemons that forward sessions to it.
-const ALIVE_LENGTH: Duration = Duration::from_secs(14);
+const ALIVE_MARGIN: Duration = Duration::from_secs(2);
 
 /// Sets how long the daemons of a restarting fleet delay the first regular renewal of their rows:
 /// at random between a quarter and three quarters of this time, or of the rest of the earlier row's
@@ -174,12 +183,11 @@
         self.permission.is_renewal_pending = true;
         self.permission.last_renewal_sent = self.now;
         self.permission.next_retry = self.now + RENEWAL_RETRY_AFTER;
-        self.permission.next_renewal = self.now
-            + if needs {
-                RENEWAL_EVERY
-            } else {
-                IDLE_RENEWAL_EVERY
-            };
+        let idle_interval = match needs {
+            true => IDLE_RENEWAL_EVERY,
+            false => self.idle_interval(IDLE_RENEWAL_EVERY, IDLE_RENEWAL_EVERY_MAX),
+        };
+        self.permission.next_renewal = self.now + if needs { RENEWAL_EVERY } else { idle_interval };
         self.permission
             .reported_unreachable
             .clone_from(&unreachable);
@@ -202,8 +210,9 @@
             vm: self.local.vm.clone(),
             incarnation: self.local.incarnation,
             zone: self.local.zone.clone(),
+            millicores: self.local.millicores,
             peers: self.local.peers,
-            alive: StoreTime(latest.0 + ALIVE_LENGTH),
+            alive: StoreTime(latest.0 + idle_interval * IDLE_RENEWALS_ALIVE + ALIVE_MARGIN),
             until: StoreTime(latest.0 + length + took),
             unreachable,
             reached: self.reached_leaders(),
--- a/sapphireslip-lead/src/probes.rs
+++ b/sapphireslip-lead/src/probes.rs
@@ -4,10 +4,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use sapphireslip_core::{Instant, ServerId, ServiceName, data};
+use sapphireslip_core::{Instant, ServerId, ServiceName, Text, data};
 
 use crate::connection::{AnswerTo, Purpose};
-use crate::session::Session;
 use crate::state::State;
 use crate::{ServerRequest, Shape};
 
@@ -93,11 +92,11 @@
 
     /// Returns whether this daemon serves sessions of a service.
     fn serves(&self, service: &ServiceName) -> bool {
-        let is_routed_there = |session: &Session| {
-            self.route_to(&session.database)
+        let is_routed_there = |database: &Text| {
+            self.route_to(database)
                 .is_some_and(|route| route.service == *service)
         };
-        self.sessions.values().any(is_routed_there)
+        self.sessions_by_database.keys().any(is_routed_there)
     }
 
     /// Asks a server for its status on a free connection, unless an earlier request for it is
--- a/sapphireslip-lead/src/relays.rs
+++ b/sapphireslip-lead/src/relays.rs
@@ -218,6 +218,7 @@
             pause.as_millis()
         );
         self.log(Record::new(RecordKind::DaemonAvoided, detail.into()));
+        self.read_permissions_for_lost_home();
     }
 
     /// Records that a client sent a statement on a forwarded session.
--- a/sapphireslip-lead/src/session.rs
+++ b/sapphireslip-lead/src/session.rs
@@ -2,9 +2,12 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use sapphireslip_core::{ConnectionId, Instant, ServiceName, Text, TransactionStatus, data};
+use sapphireslip_core::{
+    ConnectionId, Instant, ServiceName, SessionId, Text, TransactionStatus, data,
+};
 
 use crate::job::JobId;
+use crate::state::State;
 use crate::{Query, Route, Shape, TermPosition};
 
 /// Limit on the variables of one session, and separately on its prepared statements.
@@ -100,3 +103,25 @@
         (service_written == service).then_some(*position)
     }
 }
+
+impl State {
+    /// Adds a session that this daemon serves.
+    pub(crate) fn add_session(&mut self, id: SessionId, session: Session) {
+        let database = Text::clone(&session.database);
+        *self.sessions_by_database.entry(database).or_default() += 1;
+        self.sessions.insert(id, session);
+    }
+
+    /// Forgets a session that this daemon served.
+    pub(crate) fn remove_session(&mut self, id: SessionId) {
+        let Some(session) = self.sessions.remove(&id) else {
+            return;
+        };
+        if let Some(count) = self.sessions_by_database.get_mut(&session.database) {
+            *count -= 1;
+            if *count == 0 {
+                self.sessions_by_database.remove(&session.database);
+            }
+        }
+    }
+}
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use sapphireslip_core::{
-    Incarnation, Instant, Random, ServiceName, SessionId, VmId, ZoneName, data,
+    Incarnation, Instant, Random, ServiceName, SessionId, Text, VmId, ZoneName, data,
 };
 
 use crate::coordinator::Coordinator;
@@ -33,6 +33,8 @@
         pub vm: VmId,
         /// The availability zone of the VM.
         pub zone: ZoneName,
+        /// The VM's share of a processor core, in thousandths.
+        pub millicores: u32,
         /// The number of this run of the daemon.
         pub incarnation: Incarnation,
         /// The address where the daemon accepts forwarded sessions and requests for grants.
@@ -101,6 +103,8 @@
         pub(crate) reads: Reads,
         /// The sessions that this daemon serves.
         pub(crate) sessions: BTreeMap<SessionId, Session>,
+        /// The number of those sessions on each database that has any.
+        pub(crate) sessions_by_database: BTreeMap<Text, usize>,
         /// The sessions that wait until it is known where they are to be served.
         pub(crate) waiting_sessions: Vec<WaitingSession>,
         /// The sessions that are forwarded to other daemons.
@@ -147,6 +151,7 @@
             coordinator: Coordinator::default(),
             reads: Reads::default(),
             sessions: BTreeMap::new(),
+            sessions_by_database: BTreeMap::new(),
             waiting_sessions: Vec::new(),
             relays: Relays::default(),
             jobs: BTreeMap::new(),
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -20,10 +20,14 @@
 /// How often a read of the list is sent while one is overdue: servers get no new work without it.
 const OVERDUE_LIST_EVERY: Duration = Duration::from_millis(400);
 
-/// How often a daemon that works with no server reads the list. It reads the list at once when it
-/// begins to work with servers.
+/// How often a daemon that works with no server reads the list, in a small fleet. It reads the list
+/// at once when it begins to work with servers.
 const SERVERS_EVERY_IDLE: Duration = Duration::from_secs(10);
 
+/// The longest interval at which a daemon that works with no server reads the list, in a fleet of
+/// any size.
+const SERVERS_EVERY_IDLE_MAX: Duration = Duration::from_secs(60);
+
 /// How often a daemon that is not the coordinator reads permissions, to notice when the
 /// coordinator's has ended and which daemons are homes.
 const PERMISSIONS_EVERY: Duration = Duration::from_millis(2_000);
@@ -34,9 +38,13 @@
 
 /// The longest interval at which a daemon that works with no server reads permissions, in a fleet
 /// of any size.
-const PERMISSIONS_EVERY_IDLE_MAX: Duration = Duration::from_secs(10);
+const PERMISSIONS_EVERY_IDLE_MAX: Duration = Duration::from_secs(30);
+
+/// The least time between a read of permissions and another one because a home did not take a
+/// session: the table may show a new home.
+const PERMISSIONS_EVERY_HOME_LOST: Duration = Duration::from_secs(1);
 
-/// The size of the fleet for which `PERMISSIONS_EVERY_IDLE` is meant. The interval is multiplied by
+/// The size of the fleet for which the intervals of idle daemons are meant. They are multiplied by
 /// how many times the fleet has this many daemons, rounded down: twice as many read half as often.
 const IDLE_FLEET_DAEMONS: usize = 30;
 
@@ -49,6 +57,10 @@
 /// How long the start phase lasts after the start of the daemon.
 const START_PHASE: Duration = Duration::from_millis(1_500);
 
+/// How long after its start a daemon that works with no server reads permissions as often as in a
+/// small fleet: daemons that start together write their rows within this time.
+const SETTLING_PHASE: Duration = Duration::from_secs(8);
+
 /// How often the coordinator reads permissions, which also report unreachable leaders.
 const PERMISSIONS_EVERY_COORDINATOR: Duration = Duration::from_millis(500);
 
@@ -134,7 +146,12 @@
             (true, false) => PERMISSIONS_EVERY_COORDINATOR,
             (false, _) if self.permissions.is_none() => PERMISSIONS_EVERY_UNREAD,
             (false, _) if self.now.since_start < START_PHASE => PERMISSIONS_EVERY_START,
-            (false, _) if is_idle => self.idle_read_interval(),
+            (false, _) if is_idle && self.now.since_start < SETTLING_PHASE => {
+                PERMISSIONS_EVERY_IDLE
+            }
+            (false, _) if is_idle => {
+                self.idle_interval(PERMISSIONS_EVERY_IDLE, PERMISSIONS_EVERY_IDLE_MAX)
+            }
             (false, _) => PERMISSIONS_EVERY,
         };
         if self.reads.permissions.is_due(self.now, every) {
@@ -148,31 +165,38 @@
         if self.needs_permission() {
             SERVERS_EVERY.min(self.new_work_time / LIST_READS_PER_NEW_WORK_TIME)
         } else {
-            SERVERS_EVERY_IDLE
+            self.idle_interval(SERVERS_EVERY_IDLE, SERVERS_EVERY_IDLE_MAX)
         }
     }
 
-    /// Returns the interval at which a daemon that works with no server reads permissions, which
-    /// grows with the number of daemons.
-    fn idle_read_interval(&self) -> Duration {
-        let daemons = self
-            .permissions
-            .as_ref()
-            .map_or(0, |table| table.permissions.len());
+    /// Returns the interval of a call that a daemon makes while it works with no server. It is
+    /// `interval` in a small fleet and grows with the number of daemons, up to `max`.
+    pub(crate) fn idle_interval(&self, interval: Duration, max: Duration) -> Duration {
+        let table = self.permissions.as_ref();
+        let daemons = table.map_or(0, |table| table.permissions.len());
         let times = u32::try_from(daemons / IDLE_FLEET_DAEMONS).unwrap_or(u32::MAX);
-        PERMISSIONS_EVERY_IDLE
-            .saturating_mul(times.max(1))
-            .min(PERMISSIONS_EVERY_IDLE_MAX)
+        interval.saturating_mul(times.max(1)).min(max)
     }
 
     /// Reads permissions now; returns false if a read is under way already.
     pub(crate) fn read_permissions(&mut self) -> bool {
-        if !self.reads.permissions.is_due(self.now, Duration::ZERO) {
-            return false;
+        self.read_permissions_unless_read_within(Duration::ZERO)
+    }
+
+    /// Reads permissions, as another daemon did not take a session.
+    pub(crate) fn read_permissions_for_lost_home(&mut self) {
+        self.read_permissions_unless_read_within(PERMISSIONS_EVERY_HOME_LOST);
+    }
+
+    /// Reads permissions unless the last read was sent less than `pause` ago or is under way;
+    /// returns whether they are read.
+    fn read_permissions_unless_read_within(&mut self, pause: Duration) -> bool {
+        let is_due = self.reads.permissions.is_due(self.now, pause);
+        if is_due {
+            self.reads.permissions.ask(self.now);
+            self.effects.push(Effect::ReadPermissions);
         }
-        self.reads.permissions.ask(self.now);
-        self.effects.push(Effect::ReadPermissions);
-        true
+        is_due
     }
 
     /// Records the outcome of a read of the permissions that was sent at `sent`; `table` is none if
--- a/sapphireslip-lead/tests/support/daemon.rs
+++ b/sapphireslip-lead/tests/support/daemon.rs
@@ -1,12 +1,16 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use sapphireslip_core::{ConnectionId, Incarnation, ServerId, SessionId, Text, TransactionStatus};
+use sapphireslip_core::{
+    ConnectionId, Incarnation, ServerId, SessionId, Text, TransactionStatus, VmId,
+};
 use sapphireslip_lead::{
     ClientEvent, ConnectFailure, Effect, Event, Identity, PromoteOutcome, Record, Reply,
     ServerEvent, ServerRequest, State, StoreWrite, WriteOutcome, Written,
 };
 
-use super::{FakeGroup, FakeStore, PAYMENTS, SERVER_DRAIN_BOUND, at, catalog, query, vm, zone};
+use super::{
+    FakeGroup, FakeStore, PAYMENTS, SERVER_DRAIN_BOUND, VM_MILLICORES, at, catalog, query, vm, zone,
+};
 
 /// One daemon with a fake store and fake servers, both of which answer at once unless told
 /// otherwise.
@@ -39,6 +43,8 @@
     /// When servers got single statements or the first ones of transactions, in milliseconds, the
     /// oldest first.
     pub new_work: Vec<(u64, ServerId)>,
+    /// The number of calls to the store.
+    pub store_calls: usize,
     /// The log records, the oldest first.
     pub records: Vec<Record>,
     /// The requests that servers have received and not answered, the oldest first.
@@ -79,9 +85,20 @@
 
     /// Returns a daemon that has just started and knows only the leaders.
     pub fn new(zone_name: &str) -> Self {
+        Self::started(zone_name, VM_MILLICORES)
+    }
+
+    /// Returns a daemon in zone a that has just started on a VM with a share of a core, in
+    /// thousandths.
+    pub fn with_millicores(millicores: u32) -> Self {
+        Self::started("a", millicores)
+    }
+
+    fn started(zone_name: &str, millicores: u32) -> Self {
         let identity = Identity {
             vm: vm("vm-1"),
             zone: zone(zone_name),
+            millicores,
             incarnation: Incarnation(1),
             peers: "10.1.0.1:7000".parse().expect("a valid address"),
         };
@@ -99,6 +116,7 @@
             effects: Vec::new(),
             sent: Vec::new(),
             new_work: Vec::new(),
+            store_calls: 0,
             records: Vec::new(),
             held: Vec::new(),
             begun: BTreeSet::new(),
@@ -111,6 +129,11 @@
         daemon
     }
 
+    /// Returns the daemon's VM.
+    pub fn vm(&self) -> VmId {
+        vm("vm-1")
+    }
+
     /// Advances the time in ticks of 10 ms.
     pub fn advance(&mut self, millis: u64) {
         for _ in 0..millis / 10 {
@@ -119,6 +142,14 @@
         }
     }
 
+    /// Advances the time in few ticks of 200 ms each, for tests of what a daemon does over minutes.
+    pub fn advance_coarsely(&mut self, millis: u64) {
+        for _ in 0..millis / 200 {
+            self.millis += 200;
+            self.event(Event::Tick);
+        }
+    }
+
     /// Opens a session on a database.
     pub fn open(&mut self, database: &str) -> SessionId {
         self.open_from(database, None)
@@ -186,6 +217,10 @@
     }
 
     fn carry_out(&mut self, effect: Effect) {
+        self.store_calls += usize::from(matches!(
+            effect,
+            Effect::ReadServers | Effect::ReadLeaders | Effect::ReadPermissions | Effect::Write(_)
+        ));
         match effect {
             Effect::Connect {
                 connection, server, ..
--- a/sapphireslip-lead/tests/support/fleet.rs
+++ b/sapphireslip-lead/tests/support/fleet.rs
@@ -13,7 +13,8 @@
 
 use super::fleet_history::History;
 use super::{
-    FakeGroup, FakeStore, PAYMENTS, SERVER_DRAIN_BOUND, ServerAction, at, catalog, query, vm, zone,
+    FakeGroup, FakeStore, PAYMENTS, SERVER_DRAIN_BOUND, ServerAction, VM_MILLICORES, at, catalog,
+    query, vm, zone,
 };
 
 /// The length of one step of the simulated time, in milliseconds.
@@ -96,6 +97,7 @@
                 Identity {
                     vm: vm(&format!("vm-{n}")),
                     zone: zone(["a", "b", "c"][n % 3]),
+                    millicores: VM_MILLICORES,
                     incarnation: Incarnation(1),
                     peers: member_address(n),
                 },
--- a/sapphireslip-lead/tests/support/mod.rs
+++ b/sapphireslip-lead/tests/support/mod.rs
@@ -27,6 +27,9 @@
 /// The time after which servers that are listed as draining must get no new work.
 pub const SERVER_DRAIN_BOUND: Duration = Duration::from_secs(7);
 
+/// The share of a processor core, in thousandths, of the VMs of daemons.
+pub const VM_MILLICORES: u32 = 250;
+
 /// A database whose reads go to the primary.
 pub const PAYMENTS: &str = "payments";
 
--- a/sapphireslip-lead/tests/support/store.rs
+++ b/sapphireslip-lead/tests/support/store.rs
@@ -9,7 +9,7 @@
     WriteOutcome,
 };
 
-use super::{at, vm, zone};
+use super::{VM_MILLICORES, at, vm, zone};
 
 /// Returns the row of a daemon that counts as alive for 600 s and has no permission.
 pub fn presence(name: &str, zone_name: &str) -> PermissionRecord {
@@ -17,6 +17,7 @@
         vm: vm(name),
         incarnation: Incarnation(1),
         zone: zone(zone_name),
+        millicores: VM_MILLICORES,
         peers: "10.1.0.9:7000".parse().expect("an address"),
         alive: StoreTime(Duration::from_secs(600)),
         until: StoreTime::default(),
--- a/sapphireslipd/src/lead_run.rs
+++ b/sapphireslipd/src/lead_run.rs
@@ -78,6 +78,7 @@
     let identity = Identity {
         vm: settings.vm,
         zone: settings.zone,
+        millicores: settings.millicores,
         incarnation,
         peers: settings.peers,
     };
