Core of the platform's path: sessions are sent away with an answer, not with a statement on its way

Cause: a daemon that lacked its permission closed every idle session at its next tick, also those just answered or just opened. Change: such a session is closed with its next answer, a refusal with a time to come back, or once it has been idle for 150 ms. Before a session is closed, statements that have arrived are read and answered. Tests: session_is_closed_with_an_answer_when_the_permission_is_lost, session_that_was_just_opened_is_not_closed_when_the_permission_is_lost; both failed before. statements_that_arrive_with_the_request_to_stop_are_answered (real process, stopped while both arrive) passed before too: for planned stops the fault was not shown.

--- a/sapphireslip-lead/src/client.rs
+++ b/sapphireslip-lead/src/client.rs
@@ -235,8 +235,9 @@
             transaction.idle_since = self.now;
         }
         self.effects.push(Effect::Answer { session: id, reply });
-        if let Some(query) = session.pipelined.pop_front() {
-            self.start(id, query);
+        match session.pipelined.pop_front() {
+            Some(query) => self.start(id, query),
+            None => self.move_answered_session(id),
         }
     }
 
--- a/sapphireslip-lead/src/drain.rs
+++ b/sapphireslip-lead/src/drain.rs
@@ -16,7 +16,7 @@
 
 /// How long a session must have been idle before it is closed: a few round trips, so that a client
 /// that has just been answered can send its next statement.
-const CLIENT_PAUSE: Duration = Duration::from_millis(150);
+pub(crate) const CLIENT_PAUSE: Duration = Duration::from_millis(150);
 
 /// Time reserved for the last effects before the process is killed at the end of the grace period.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
@@ -142,7 +142,7 @@
                 |session: &Session| session.running.is_none() && session.transaction.is_some();
             if self.sessions.get(&id).is_some_and(is_idle_in_transaction) {
                 self.end_transaction(id);
-                self.sessions.remove(&id);
+                self.remove_session(id);
                 let failure = Some(busy("the daemon is stopping", RETRY_ELSEWHERE));
                 self.effects.push(Effect::CloseSession {
                     session: id,
--- a/sapphireslip-lead/src/homes.rs
+++ b/sapphireslip-lead/src/homes.rs
@@ -9,6 +9,7 @@
 
 use sapphireslip_core::{ServiceName, SessionId, VmId, data};
 
+use crate::drain::CLIENT_PAUSE;
 use crate::home_ranks::{HomeRank, ZoneDaemons};
 use crate::session::Session;
 use crate::state::State;
@@ -160,13 +161,17 @@
         }
     }
 
-    /// Closes the idle sessions for which `matches` holds, however recent their last statement:
-    /// this daemon would refuse their clients.
+    /// Closes the sessions for which `matches` holds and that have been idle for [`CLIENT_PAUSE`].
+    /// Those that have not are closed with their next answer.
     fn move_idle_sessions(&mut self, matches: impl Fn(&Session) -> bool) {
         let idle: Vec<SessionId> = self
             .sessions
             .iter()
-            .filter(|(_, session)| session.is_idle() && matches(session))
+            .filter(|(_, session)| {
+                session.is_idle()
+                    && self.now.since(session.last_answer) >= CLIENT_PAUSE
+                    && matches(session)
+            })
             .map(|(id, _)| *id)
             .collect();
         for id in idle {
@@ -174,6 +179,22 @@
         }
     }
 
+    /// Closes a session that was just answered if this daemon refuses its statements for lack of
+    /// its permission. The client learns of the end with the answer, before it sends anything else.
+    pub(crate) fn move_answered_session(&mut self, id: SessionId) {
+        let lacked = self.permission.lacked_for(self.now);
+        let is_refused = |session: &Session| {
+            let lacked_max = match session.is_forwarded {
+                true => NO_PERMISSION_FORWARDED_MAX,
+                false => NO_PERMISSION_MAX,
+            };
+            lacked >= lacked_max && session.is_idle()
+        };
+        if !self.is_leaving() && self.sessions.get(&id).is_some_and(is_refused) {
+            self.close_for_reconnect(id);
+        }
+    }
+
     /// Closes an idle session, so that its client reconnects.
     fn close_for_reconnect(&mut self, id: SessionId) {
         let line = Record::new(
--- a/sapphireslip-lead/tests/stops.rs
+++ b/sapphireslip-lead/tests/stops.rs
@@ -110,3 +110,55 @@
     assert_eq!(failure.code, ErrorCode::NoDatabase);
     assert_eq!(daemon.closed, [session]);
 }
+
+/// Guards against statements that are cut off without an answer: a client that has just been
+/// answered, or has just connected, may have sent its next statement when its session is closed.
+#[rstest]
+#[case::own_session(false, 3_000)]
+#[case::forwarded_session(true, 700)]
+fn session_is_closed_with_an_answer_when_the_permission_is_lost(
+    #[case] is_forwarded: bool,
+    #[case] lacking_millis: u64,
+) {
+    let mut daemon = Daemon::ready();
+    let session = match is_forwarded {
+        true => daemon.open_forwarded(PAYMENTS),
+        false => daemon.open(PAYMENTS),
+    };
+    daemon.store_answers = false;
+    // The only daemon is the coordinator, whose permission lasts 6 s.
+    for n in 0..(6_000 + lacking_millis) / 100 {
+        if daemon.closed.contains(&session) {
+            break;
+        }
+        daemon.answers.clear();
+        daemon.submit(session, &n.to_string(), "READ x");
+        let is_closed = daemon.closed.contains(&session);
+        assert!(
+            !is_closed || !daemon.answers.is_empty(),
+            "closed unanswered"
+        );
+        daemon.advance(100);
+        assert_eq!(
+            daemon.closed.contains(&session),
+            is_closed,
+            "closed between statements"
+        );
+    }
+    assert_eq!(daemon.closed, [session]);
+}
+
+#[rstest]
+fn session_that_was_just_opened_is_not_closed_when_the_permission_is_lost() {
+    let mut daemon = Daemon::ready();
+    daemon.store_answers = false;
+    daemon.advance(9_000);
+    let session = daemon.open(PAYMENTS);
+    daemon.advance(100);
+    assert_eq!(daemon.closed, []);
+    let reply = daemon.run(session, "1", "WRITE x 1");
+    let failure = reply.failure().expect("a refusal");
+    assert_eq!(failure.code, ErrorCode::Busy);
+    assert!(failure.text.contains("retry after"), "{}", failure.text);
+    assert_eq!(daemon.closed, [session]);
+}
--- a/sapphireslipd/src/lead_clients.rs
+++ b/sapphireslipd/src/lead_clients.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use futures::FutureExt;
 use sapphireslip_core::{SessionId, Text, TransactionStatus};
 use sapphireslip_lead::{ClientEvent, ErrorCode, Event, Failure};
 use sapphireslip_platform::{
@@ -263,8 +264,15 @@
     async fn serve(&mut self) -> io::Result<Served> {
         loop {
             if self.is_finished() {
-                self.writer.shutdown().await?;
-                return Ok(Served::Ended);
+                // A statement that has arrived meanwhile is answered before the session ends.
+                let Some(line) = self.lines.next().now_or_never() else {
+                    self.writer.shutdown().await?;
+                    return Ok(Served::Ended);
+                };
+                if !self.take_line(line?).await? {
+                    return Ok(Served::Ended);
+                }
+                continue;
             }
             tokio::select! {
                 biased;
@@ -280,11 +288,7 @@
                     }
                 },
                 line = self.lines.next(), if self.is_served_here => {
-                    let Some(line) = line? else {
-                        return Ok(Served::Ended);
-                    };
-                    if !self.handle_line(&line).await {
-                        self.refuse("the line is no message").await?;
+                    if !self.take_line(line?).await? {
                         return Ok(Served::Ended);
                     }
                 }
@@ -292,6 +296,19 @@
         }
     }
 
+    /// Handles a line of the client, or the end of the connection if there is none; returns false
+    /// if the session has ended.
+    async fn take_line(&mut self, line: Option<BytesMut>) -> io::Result<bool> {
+        let Some(line) = line else {
+            return Ok(false);
+        };
+        let is_handled = self.handle_line(&line).await;
+        if !is_handled {
+            self.refuse("the line is no message").await?;
+        }
+        Ok(is_handled)
+    }
+
     /// Returns whether the session is to end and all its statements are answered.
     const fn is_finished(&self) -> bool {
         self.is_closing && self.unanswered == 0
@@ -382,7 +399,15 @@
         let mut peer = Some((lines, writer));
         loop {
             if self.is_finished() {
-                return self.writer.shutdown().await;
+                // A statement that has arrived meanwhile is forwarded before the session ends.
+                match self.lines.next().now_or_never() {
+                    Some(Ok(Some(line))) => {
+                        self.forward_lines(line, &mut peer).await;
+                        continue;
+                    }
+                    Some(_) => return Ok(()),
+                    None => return self.writer.shutdown().await,
+                }
             }
             let from_peer = async {
                 match &mut peer {
@@ -423,33 +448,42 @@
                     let Some(line) = line? else {
                         return Ok(());
                     };
-                    let mut first = None;
-                    let unanswered = &mut self.unanswered;
-                    let bytes = join_lines(line, &mut self.lines, |line| {
-                        if let Some(request) = decode_query_id(line) {
-                            *unanswered += 1;
-                            first.get_or_insert_with(|| Text::from(request));
-                        }
-                    });
-                    if let Some(request) = first {
-                        let session = self.id;
-                        self.send_event(ClientEvent::RelayQuery { session, request }).await;
-                    }
-                    // If the write fails, the connection is broken, and reading from it reports
-                    // that.
-                    if let Some((_, writer)) = &mut peer
-                        && let Err(err) = writer.write_all(&bytes).await
-                    {
-                        log::debug!(
-                            target: LOG_TARGET, session = self.id.0;
-                            "forwarding statements: {err}"
-                        );
-                    }
+                    self.forward_lines(line, &mut peer).await;
                 }
             }
         }
     }
 
+    /// Sends the other daemon a line of the client and all lines that are buffered after it.
+    async fn forward_lines(
+        &mut self,
+        line: BytesMut,
+        peer: &mut Option<(LineReader, OwnedWriteHalf)>,
+    ) {
+        let mut first = None;
+        let unanswered = &mut self.unanswered;
+        let bytes = join_lines(line, &mut self.lines, |line| {
+            if let Some(request) = decode_query_id(line) {
+                *unanswered += 1;
+                first.get_or_insert_with(|| Text::from(request));
+            }
+        });
+        if let Some(request) = first {
+            let session = self.id;
+            self.send_event(ClientEvent::RelayQuery { session, request })
+                .await;
+        }
+        // If the write fails, the connection is broken, and reading from it reports that.
+        if let Some((_, writer)) = peer
+            && let Err(err) = writer.write_all(&bytes).await
+        {
+            log::debug!(
+                target: LOG_TARGET, session = self.id.0;
+                "forwarding statements: {err}"
+            );
+        }
+    }
+
     /// Sends an event to the reducer.
     async fn send_event(&self, event: ClientEvent) {
         // Fails only if the daemon is already stopping.
--- a/sapphireslipd/tests/lead_process.rs
+++ b/sapphireslipd/tests/lead_process.rs
@@ -18,6 +18,12 @@
 /// The number of statements whose log lines fill the pipe of an unread output several times over.
 const STATEMENTS: usize = 1_500;
 
+/// The number of sessions that are open when a daemon is asked to stop.
+const SESSIONS: usize = 100;
+
+/// How long sessions are idle before the stop: longer than a daemon takes for a client's pause.
+const IDLE_TIME: Duration = Duration::from_millis(400);
+
 /// Starts a daemon with the settings; nobody reads its output.
 fn start(folder: &TempDir, text: &str) -> Child {
     let path = folder.path().join("settings.toml");
@@ -84,6 +90,44 @@
     assert!(status.success(), "{status}");
 }
 
+/// Statements that have arrived when a planned stop closes their idle sessions are answered.
+#[tokio::test]
+async fn statements_that_arrive_with_the_request_to_stop_are_answered() {
+    let site = start_line_site("fees", "ledger").await;
+    let (_group, store) = site.expect("servers and a store");
+    let [.., low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, 79, low, 2);
+    let folder = TempDir::new().expect("a folder");
+    let mut daemon = start(&folder, &line_settings("vm-1", ip, store.address()));
+    let until = Instant::now() + WAIT_TIMEOUT;
+    while run(ip, 1).await.is_err() {
+        assert!(Instant::now() < until, "the daemon did not serve in time");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let mut sessions = Vec::new();
+    for _ in 0..SESSIONS {
+        let mut session = LineSession::connect((ip, 5432).into()).await.expect("open");
+        session.send("START fees till").await.expect("sent");
+        assert_eq!(session.line().await.expect("a line"), "READY I -");
+        sessions.push(session);
+    }
+    tokio::time::sleep(IDLE_TIME).await;
+    signal(&daemon, Signal::STOP);
+    signal(&daemon, Signal::TERM);
+    for session in &mut sessions {
+        session.send("QUERY q1 READ x").await.expect("sent");
+    }
+    signal(&daemon, Signal::CONT);
+    for session in &mut sessions {
+        let line = session.line().await.expect("an answer");
+        let is_answer = line.starts_with("ROW") || line.starts_with("COMPLETE");
+        assert!(is_answer || line.starts_with("ERROR BUSY"), "{line}");
+    }
+    drop(sessions);
+    let ended = daemon.wait().expect("a process");
+    assert!(ended.success(), "{ended}");
+}
+
 #[test]
 fn check_names_all_invalid_settings() {
     let folder = TempDir::new().expect("a folder");
