Core of the platform's path: numbers at the end of their range end no daemon

Here a configuration, a server's row or a server's position with the highest numbers overflowed three sums (a process built with checks ends; one without goes on with a wrong limit), and a permission's row with the largest share of a processor had every daemon of its zone draw 71 million lots. Change: sums that saturate; at most 64 lots. Tests: extreme_values, six cases; before: overflow in connections_share, is_saturated and lags_too_far, and permissions_with_the_latest_times ran for over 60 s. Not shown: configuration_with_the_highest_numbers passed until it kept answers back.

--- a/sapphireslip-lead/src/choice.rs
+++ b/sapphireslip-lead/src/choice.rs
@@ -177,7 +177,7 @@
             .get(service)
             .map_or(CONNECTIONS_MIN, |spec| spec.connections);
         if self.is_home(service) {
-            (total * SHARED_CONNECTIONS_PERCENT / 100 / self.live_zones()).max(1)
+            (total.saturating_mul(SHARED_CONNECTIONS_PERCENT) / 100 / self.live_zones()).max(1)
         } else {
             1
         }
@@ -189,7 +189,7 @@
             .servers
             .get(server)
             .map_or(1, |known| known.record.slots.max(1));
-        self.pool.outstanding(server, self.now) >= slots * OUTSTANDING_PER_SLOT
+        self.pool.outstanding(server, self.now) >= slots.saturating_mul(OUTSTANDING_PER_SLOT)
     }
 
     /// Returns how many connections to a server this daemon may have at present.
@@ -204,7 +204,9 @@
         if is_at_connection_limit {
             share
         } else {
-            (share * SHARE_OVERDRAFT_FACTOR).max(CONNECTIONS_MIN)
+            share
+                .saturating_mul(SHARE_OVERDRAFT_FACTOR)
+                .max(CONNECTIONS_MIN)
         }
     }
 }
--- a/sapphireslip-lead/src/handover.rs
+++ b/sapphireslip-lead/src/handover.rs
@@ -315,12 +315,13 @@
     /// Returns whether the old leader is known to have had records that `new` lacks.
     fn would_lose_records(&self, handover: &Handover, new: &ServerId) -> bool {
         let old = handover.old.as_ref().and_then(|old| self.servers.get(old));
-        let had: Option<TermPosition> = old.and_then(|server| server.position);
-        let status = self
-            .servers
-            .get(new)
-            .and_then(|server| server.status.as_ref());
-        had > status.map(|status| status.received)
+        old.and_then(|server| server.position) > self.received(new)
+    }
+
+    /// Returns the last position that a server reported to have received.
+    fn received(&self, id: &ServerId) -> Option<TermPosition> {
+        let status = self.servers.get(id)?.status.as_ref()?;
+        Some(status.received)
     }
 
     /// Returns whether `new` lacks more than `LAG_MAX_RECORDS` records of an old leader that still
@@ -331,12 +332,9 @@
         let Some(last) = old.and_then(|old| old.position) else {
             return false;
         };
-        let status = self
-            .servers
-            .get(new)
-            .and_then(|server| server.status.as_ref());
-        let received = status.map(|status| status.received).unwrap_or_default();
-        received.term < last.term || received.position.0 + LAG_MAX_RECORDS < last.position.0
+        let received = self.received(new).unwrap_or_default();
+        let least = last.position.0.saturating_sub(LAG_MAX_RECORDS);
+        received.term < last.term || received.position.0 < least
     }
 
     /// Continues a handover after the write that names the new leader, or drops it if `version` is
--- a/sapphireslip-lead/src/home_ranks.rs
+++ b/sapphireslip-lead/src/home_ranks.rs
@@ -21,6 +21,9 @@
 /// The share of a processor core, in thousandths, that is set aside for each home.
 const HOME_MILLICORES: u32 = 60;
 
+/// The most lots that a VM draws for a service, whatever its row says.
+const LOTS_MAX: u32 = 64;
+
 data! {
     /// The orders for all services of the configuration.
     #[derive(Default)]
@@ -97,7 +100,7 @@
 
 /// Returns the strongest of the VMs: at least [`PREFERRED_VMS_MIN`], and as many as together have
 /// [`HOME_MILLICORES`] for each service.
-fn preferred<'a>(mut vms: Vec<(&'a VmId, u32)>, services: usize) -> BTreeSet<&'a VmId> {
+fn preferred(mut vms: Vec<(&VmId, u32)>, services: usize) -> BTreeSet<&VmId> {
     vms.sort_unstable_by_key(|(vm, millicores)| {
         (Reverse(*millicores), rendezvous_weight("", vm.as_str()))
     });
@@ -120,7 +123,7 @@
     /// This is weighted rendezvous hashing: a VM draws one lot for each home that it can bear, and
     /// its best one counts.
     fn rank(&self, service: &ServiceName) -> (bool, u64, &VmId) {
-        let lots = (self.millicores / HOME_MILLICORES).max(1);
+        let lots = (self.millicores / HOME_MILLICORES).clamp(1, LOTS_MAX);
         let weight = (1..lots)
             .map(|lot| rendezvous_weight(service.as_str(), &format!("{}#{lot}", self.vm)))
             .fold(
--- a/sapphireslip-lead/tests/support/daemon.rs
+++ b/sapphireslip-lead/tests/support/daemon.rs
@@ -5,7 +5,8 @@
 };
 use sapphireslip_lead::{
     ClientEvent, ConnectFailure, Effect, Event, Identity, PromoteOutcome, Record, Reply,
-    ServerEvent, ServerRequest, State, StoreWrite, WriteOutcome, Written,
+    ServerEvent, ServerRequest, ServerStatus, State, StoreWrite, TermPosition, WriteOutcome,
+    Written,
 };
 
 use super::{
@@ -43,6 +44,8 @@
     /// When servers got single statements or the first ones of transactions, in milliseconds, the
     /// oldest first.
     pub new_work: Vec<(u64, ServerId)>,
+    /// The position that servers report in place of their own.
+    pub reported_position: Option<TermPosition>,
     /// The number of calls to the store.
     pub store_calls: usize,
     /// The log records, the oldest first.
@@ -116,6 +119,7 @@
             effects: Vec::new(),
             sent: Vec::new(),
             new_work: Vec::new(),
+            reported_position: None,
             store_calls: 0,
             records: Vec::new(),
             held: Vec::new(),
@@ -340,7 +344,15 @@
         let Some((server, transaction)) = self.connections.get_mut(&connection) else {
             return;
         };
-        let (reply, status, _) = self.group.get_mut(server).answer(request, transaction);
+        let (mut reply, mut status, _) = self.group.get_mut(server).answer(request, transaction);
+        if let Some(position) = self.reported_position {
+            reply.position = Some(position);
+            status = status.map(|status| ServerStatus {
+                term: position.term,
+                received: position,
+                ..status
+            });
+        }
         self.event(Event::Server(ServerEvent::Replied {
             connection,
             reply,
