Core of the platform's path: a write at a daemon that is silent for a moment is not given up

Cause: operators of similar systems reported running work given up where a machine was only silent for a while. Here an entry closed all sessions at a daemon that answered none for 0.6 s, also those with a payment running: its client was told that the outcome is unknown, though a daemon that is slow or was suspended still answers. Change: a session with a statement that may write stays open for the route's timeout; reads go elsewhere after 0.6 s as before. Test: write_at_a_silent_home_has_all_of_its_time; before, the session was closed after 0.6 s.

--- a/sapphireslip-lead/src/client.rs
+++ b/sapphireslip-lead/src/client.rs
@@ -27,8 +27,12 @@
                 is_refused,
             } => self.on_relay_failed(session, is_refused),
             ClientEvent::RelayLost { session } => self.close_relay(session),
-            ClientEvent::RelayQuery { session, request } => {
-                self.on_relay_query(session, request);
+            ClientEvent::RelayQuery {
+                session,
+                request,
+                may_write,
+            } => {
+                self.on_relay_query(session, request, may_write);
             }
             ClientEvent::RelayAnswered { session, status } => {
                 self.on_relay_answered(session, status);
--- a/sapphireslip-lead/src/event.rs
+++ b/sapphireslip-lead/src/event.rs
@@ -109,6 +109,8 @@
             session: SessionId,
             /// The client's identifier of the first of these statements.
             request: Text,
+            /// Whether one of them may write or commit, so that the client can't repeat it.
+            may_write: bool,
         },
         /// The other daemon answered on a forwarded session.
         RelayAnswered {
--- a/sapphireslip-lead/src/relays.rs
+++ b/sapphireslip-lead/src/relays.rs
@@ -11,7 +11,7 @@
 use crate::{Effect, ErrorCode, Failure, Record, RecordKind, Reply};
 
 /// How long a daemon may leave all sessions that were forwarded to it unanswered; longer than that
-/// daemon itself waits for a primary.
+/// daemon itself waits for a primary. A statement that may write has all of its time.
 const SILENCE_MAX: Duration = Duration::from_millis(600);
 
 /// How long no session is forwarded to a daemon that could not be reached.
@@ -58,6 +58,8 @@
         unanswered_since: Option<Instant>,
         /// The client's identifier of that statement; none while the session is being opened.
         request: Option<Text>,
+        /// Whether a statement that may write is unanswered.
+        may_write: bool,
         /// The transaction status after the last answer.
         status: TransactionStatus,
         /// When the other daemon last answered, or when the session was forwarded.
@@ -163,6 +165,7 @@
             database: Text::clone(&database),
             unanswered_since: Some(self.now),
             request: None,
+            may_write: false,
             status: TransactionStatus::Idle,
             last_answer: self.now,
             is_open: false,
@@ -222,10 +225,11 @@
     }
 
     /// Records that a client sent a statement on a forwarded session.
-    pub(crate) fn on_relay_query(&mut self, id: SessionId, request: Text) {
+    pub(crate) fn on_relay_query(&mut self, id: SessionId, request: Text, may_write: bool) {
         if let Some(relay) = self.relays.sessions.get_mut(&id) {
             relay.unanswered_since.get_or_insert(self.now);
             relay.request.get_or_insert(request);
+            relay.may_write |= may_write;
         }
     }
 
@@ -234,6 +238,7 @@
         if let Some(relay) = self.relays.sessions.get_mut(&id) {
             relay.unanswered_since = None;
             relay.request = None;
+            relay.may_write = false;
             relay.status = status;
             relay.last_answer = self.now;
             if !relay.is_open {
@@ -246,17 +251,30 @@
 
     /// Closes the sessions that were forwarded to daemons that have fallen silent.
     ///
-    /// Their clients reconnect, and can repeat a statement that only reads.
+    /// Their clients reconnect, and can repeat a statement that only reads. One that may write they
+    /// can't: its session stays open for as long as the statement may take, since a daemon that is
+    /// only slow or was suspended still answers it.
     pub(crate) fn close_silent_relays(&mut self) {
         for vm in self.relays.silent(self.now) {
-            self.avoid(&vm, AVOID_SILENT);
-            let lost = self.relays.ids(|relay| relay.vm == vm);
+            if !self.relays.is_avoided(&vm, self.now) {
+                self.avoid(&vm, AVOID_SILENT);
+            }
+            let lost = self
+                .relays
+                .ids(|relay| relay.vm == vm && !self.may_still_answer(relay));
             for id in lost {
                 self.close_relay(id);
             }
         }
     }
 
+    /// Returns whether a statement that may write is unanswered within its route's timeout.
+    fn may_still_answer(&self, relay: &Relay) -> bool {
+        let timeout = self.route_to(&relay.database).map(|route| route.timeout);
+        let waited = relay.unanswered_since.map(|since| self.now.since(since));
+        relay.may_write && waited < timeout
+    }
+
     /// Closes a forwarded session; a running statement, or the opening of the session if that is
     /// unanswered, is answered with an unknown outcome.
     pub(crate) fn close_relay(&mut self, id: SessionId) {
--- a/sapphireslip-lead/tests/relays.rs
+++ b/sapphireslip-lead/tests/relays.rs
@@ -67,10 +67,13 @@
     assert_eq!(daemon.run(session, "1", "READ x").failure(), None);
 }
 
-/// Returns the event of a statement with identifier `q1` on a forwarded session.
+/// Returns the event of a read with identifier `q1` on a forwarded session.
 fn relay_query(session: SessionId) -> ClientEvent {
-    let request = "q1".into();
-    ClientEvent::RelayQuery { session, request }
+    ClientEvent::RelayQuery {
+        session,
+        request: "q1".into(),
+        may_write: false,
+    }
 }
 
 #[rstest]
@@ -119,6 +122,38 @@
     assert_eq!(daemon.run(next, "1", "READ x").failure(), None);
 }
 
+/// Guards against a payment that is given up although the home of its session was only suspended for a
+/// moment: the client can't repeat it, and must be told its outcome.
+#[rstest]
+fn write_at_a_silent_home_has_all_of_its_time() {
+    let (mut daemon, session) = forwarding();
+    let reading = daemon.open(PAYMENTS);
+    let status = TransactionStatus::Idle;
+    for session in [session, reading] {
+        client_event(&mut daemon, ClientEvent::RelayAnswered { session, status });
+    }
+    client_event(&mut daemon, relay_query(reading));
+    let write = ClientEvent::RelayQuery {
+        session,
+        request: "q2".into(),
+        may_write: true,
+    };
+    client_event(&mut daemon, write.clone());
+    daemon.advance(750);
+    assert_eq!(daemon.closed, [reading], "its client can read elsewhere");
+    // The home goes on and answers.
+    client_event(&mut daemon, ClientEvent::RelayAnswered { session, status });
+    daemon.advance(400);
+    assert_eq!(daemon.closed, [reading]);
+    // The home is silent for longer than the route's timeout of 800 ms.
+    client_event(&mut daemon, write);
+    daemon.advance(900);
+    assert_eq!(daemon.closed, [reading, session]);
+    let avoided = |line: &&Record| line.kind == RecordKind::DaemonAvoided;
+    let lines = daemon.records.iter().filter(avoided).count();
+    assert_eq!(lines, 1, "a daemon is avoided for seconds");
+}
+
 /// Guards against futile forwarding: a third of the daemons are cut off from the store and refuse
 /// forwarded sessions, while their rows in the store still say that they are alive.
 #[rstest]
--- a/sapphireslipd/src/lead_clients.rs
+++ b/sapphireslipd/src/lead_clients.rs
@@ -8,11 +8,10 @@
 
 use bytes::BytesMut;
 use futures::FutureExt;
-use sapphireslip_core::{SessionId, Text, TransactionStatus};
+use sapphireslip_core::SessionId;
 use sapphireslip_lead::{ClientEvent, ErrorCode, Event, Failure};
 use sapphireslip_platform::{
-    ClientMessage, LINE_END, PeerOpening, decode_client, decode_peer_opening, decode_query_id,
-    decode_ready_status, encode_failure, encode_session_opened,
+    ClientMessage, PeerOpening, decode_client, decode_peer_opening, encode_failure,
 };
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -27,10 +26,6 @@
 /// The most commands that may be queued for one session while its client does not read.
 const COMMANDS_MAX: usize = 128;
 
-/// How long another daemon may take to open a forwarded session: a few round trips within a zone
-/// and the time until that daemon is scheduled.
-const RELAY_OPEN_TIMEOUT: Duration = Duration::from_millis(150);
-
 /// How long one write to a client may take.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -38,10 +33,10 @@
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The target of this module's log lines: its former path, by which operators filter them.
-const LOG_TARGET: &str = "sapphireslipd::lead_callers";
+pub(crate) const LOG_TARGET: &str = "sapphireslipd::lead_callers";
 
 /// A command of the runner to a session's task.
-enum Command {
+pub(crate) enum Command {
     /// Sends these bytes to the client.
     Send(Vec<u8>),
     /// Sends the client these bytes, which answer a statement.
@@ -160,19 +155,19 @@
 }
 
 /// The task that serves one session's connection to its client.
-struct SessionTask {
-    id: SessionId,
-    lines: LineReader,
-    writer: OwnedWriteHalf,
+pub(crate) struct SessionTask {
+    pub(crate) id: SessionId,
+    pub(crate) lines: LineReader,
+    pub(crate) writer: OwnedWriteHalf,
     /// The commands of the runner.
-    commands: flume::Receiver<Command>,
+    pub(crate) commands: flume::Receiver<Command>,
     /// The channel to the reducer.
     events: flume::Sender<Event>,
     /// Whether the session is served here rather than forwarded; until then statements that the
     /// client has sent ahead stay unread.
     is_served_here: bool,
     /// The number of statements that have been read and not yet answered.
-    unanswered: usize,
+    pub(crate) unanswered: usize,
     /// Whether the session ends as soon as no answer is owed.
     is_closing: bool,
 }
@@ -310,13 +305,13 @@
     }
 
     /// Returns whether the session is to end and all its statements are answered.
-    const fn is_finished(&self) -> bool {
+    pub(crate) const fn is_finished(&self) -> bool {
         self.is_closing && self.unanswered == 0
     }
 
     /// Executes a command of the runner. A session that is forwarded already is closed instead of
     /// being forwarded again.
-    async fn execute(&mut self, command: Command) -> io::Result<()> {
+    pub(crate) async fn execute(&mut self, command: Command) -> io::Result<()> {
         match command {
             Command::Send(bytes) => self.write(bytes).await,
             Command::Answer(bytes) => {
@@ -331,7 +326,7 @@
     }
 
     /// Sends bytes to the client.
-    async fn write(&mut self, bytes: Vec<u8>) -> io::Result<()> {
+    pub(crate) async fn write(&mut self, bytes: Vec<u8>) -> io::Result<()> {
         let write = self.writer.write_all(&bytes);
         tokio::time::timeout(WRITE_TIMEOUT, write)
             .await
@@ -363,129 +358,8 @@
         }
     }
 
-    /// Forwards the session to its end; returns false if the other daemon does not accept it.
-    async fn forward(&mut self, to: SocketAddr, opening: Vec<u8>) -> io::Result<bool> {
-        let opened = tokio::time::timeout(RELAY_OPEN_TIMEOUT, open_relay(to, &opening)).await;
-        let is_refused = match opened.unwrap_or_else(|err| Err(io::Error::other(err))) {
-            Ok(Some((lines, writer))) => {
-                let mut bytes = Vec::new();
-                encode_session_opened(&mut bytes);
-                self.send_event(ClientEvent::RelayAnswered {
-                    session: self.id,
-                    status: TransactionStatus::Idle,
-                })
-                .await;
-                self.write(bytes).await?;
-                self.relay(lines, writer).await?;
-                return Ok(true);
-            }
-            Ok(None) => true,
-            Err(err) => {
-                log::debug!(target: LOG_TARGET, "forwarding a session to `{to}`: {err}");
-                err.kind() == io::ErrorKind::ConnectionRefused
-            }
-        };
-        self.send_event(ClientEvent::RelayFailed {
-            session: self.id,
-            is_refused,
-        })
-        .await;
-        Ok(false)
-    }
-
-    /// Relays lines in both directions until the client closes its connection or the session is to
-    /// be closed.
-    async fn relay(&mut self, lines: LineReader, writer: OwnedWriteHalf) -> io::Result<()> {
-        let mut peer = Some((lines, writer));
-        loop {
-            if self.is_finished() {
-                // A statement that has arrived meanwhile is forwarded before the session ends.
-                match self.lines.next().now_or_never() {
-                    Some(Ok(Some(line))) => {
-                        self.forward_lines(line, &mut peer).await;
-                        continue;
-                    }
-                    Some(_) => return Ok(()),
-                    None => return self.writer.shutdown().await,
-                }
-            }
-            let from_peer = async {
-                match &mut peer {
-                    Some((lines, _)) => lines.next().await,
-                    None => std::future::pending().await,
-                }
-            };
-            tokio::select! {
-                biased;
-                command = self.commands.recv_async() => match command {
-                    Ok(command) => self.execute(command).await?,
-                    Err(_) => return self.writer.shutdown().await,
-                },
-                line = from_peer => {
-                    let Some((lines, _)) = &mut peer else {
-                        continue;
-                    };
-                    let Ok(Some(line)) = line else {
-                        peer = None;
-                        self.send_event(ClientEvent::RelayLost { session: self.id }).await;
-                        continue;
-                    };
-                    let mut status = None;
-                    let mut answered = 0;
-                    let bytes = join_lines(line, lines, |line| {
-                        let end = decode_ready_status(line);
-                        answered += usize::from(end.is_some());
-                        status = end.or(status);
-                    });
-                    self.unanswered = self.unanswered.saturating_sub(answered);
-                    if let Some(status) = status {
-                        self.send_event(ClientEvent::RelayAnswered { session: self.id, status })
-                            .await;
-                    }
-                    self.write(bytes).await?;
-                }
-                line = self.lines.next() => {
-                    let Some(line) = line? else {
-                        return Ok(());
-                    };
-                    self.forward_lines(line, &mut peer).await;
-                }
-            }
-        }
-    }
-
-    /// Sends the other daemon a line of the client and all lines that are buffered after it.
-    async fn forward_lines(
-        &mut self,
-        line: BytesMut,
-        peer: &mut Option<(LineReader, OwnedWriteHalf)>,
-    ) {
-        let mut first = None;
-        let unanswered = &mut self.unanswered;
-        let bytes = join_lines(line, &mut self.lines, |line| {
-            if let Some(request) = decode_query_id(line) {
-                *unanswered += 1;
-                first.get_or_insert_with(|| Text::from(request));
-            }
-        });
-        if let Some(request) = first {
-            let session = self.id;
-            self.send_event(ClientEvent::RelayQuery { session, request })
-                .await;
-        }
-        // If the write fails, the connection is broken, and reading from it reports that.
-        if let Some((_, writer)) = peer
-            && let Err(err) = writer.write_all(&bytes).await
-        {
-            log::debug!(
-                target: LOG_TARGET, session = self.id.0;
-                "forwarding statements: {err}"
-            );
-        }
-    }
-
     /// Sends an event to the reducer.
-    async fn send_event(&self, event: ClientEvent) {
+    pub(crate) async fn send_event(&self, event: ClientEvent) {
         // Fails only if the daemon is already stopping.
         let _stopping = self.events.send_async(Event::Client(event)).await;
     }
@@ -498,30 +372,3 @@
         self.writer.shutdown().await
     }
 }
-
-/// Opens a forwarded session at another daemon; returns none if that daemon refuses it.
-async fn open_relay(
-    to: SocketAddr,
-    opening: &[u8],
-) -> io::Result<Option<(LineReader, OwnedWriteHalf)>> {
-    let stream = TcpStream::connect(to).await?;
-    let (mut lines, mut writer) = split(stream)?;
-    writer.write_all(opening).await?;
-    let line = lines.next().await?;
-    let line = line.ok_or(io::ErrorKind::UnexpectedEof)?;
-    Ok(decode_ready_status(&line).map(|_| (lines, writer)))
-}
-
-/// Joins a line and all lines that are buffered after it, each with its line end, and calls
-/// `inspect` on each of them.
-fn join_lines(first: BytesMut, lines: &mut LineReader, mut inspect: impl FnMut(&[u8])) -> Vec<u8> {
-    let mut bytes = Vec::with_capacity(first.len() + LINE_END.len());
-    let mut next = Some(first);
-    while let Some(line) = next {
-        inspect(&line);
-        bytes.extend_from_slice(&line);
-        bytes.extend_from_slice(LINE_END);
-        next = lines.next_buffered();
-    }
-    bytes
-}
--- a/sapphireslipd/src/lib.rs
+++ b/sapphireslipd/src/lib.rs
@@ -28,6 +28,7 @@
 mod group_call;
 mod hybrid_clock;
 mod lead_clients;
+mod lead_forwarding;
 mod lead_log;
 mod lead_metrics;
 mod lead_run;
