Tests: promotions that take effect after those of the next coordinator

Operators of similar systems reported that around a hand-over both sides acted. Here a coordinator is suspended once it has asked for a promotion, which takes effect up to 5.3 s later, by then after its successor's own. The fault was not shown, so nothing changes but the fake's delay.

--- a/sapphireslip-lead/tests/lead_safety.rs
+++ b/sapphireslip-lead/tests/lead_safety.rs
@@ -58,6 +58,43 @@
     );
 }
 
+/// Around a change of the coordinator both ask for a promotion, and the earlier request may take
+/// effect last.
+#[rstest]
+fn late_promotions_break_no_guarantee(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
+    let mut fleet = Fleet::new(seed);
+    fleet.promotion_delay_max = 5_000;
+    fleet.advance(3_000);
+    for _ in 0..3 {
+        let leader = fleet.store.leaders.leaders.values().next();
+        let primary = leader.expect("a leader").0.leader.clone();
+        fleet.group.get_mut(&primary).is_isolated = true;
+        for _ in 0..600 {
+            if !fleet.is_promoting() {
+                fleet.advance(10);
+            }
+        }
+        // The coordinator is suspended once it has asked, and goes on when it has a successor.
+        let (coordinator, _) = fleet.store.leaders.coordinator.clone().expect("one");
+        let holder = (0..3).find(|n| coordinator.holder == vm(&format!("vm-{n}")));
+        fleet.daemons[holder.expect("a daemon")].is_frozen = true;
+        let pause = 7_000 + fleet.random(2_000);
+        fleet.advance(pause);
+        end_all_faults(&mut fleet);
+        let pause = 1_000 + fleet.random(3_000);
+        fleet.advance(pause);
+    }
+    fleet.advance(10_000);
+    let healed = fleet.acknowledged();
+    fleet.advance(2_000);
+    assert_eq!(fleet.violations(), Vec::<String>::new());
+    assert!(fleet.promotions >= 3, "{} promotions", fleet.promotions);
+    assert!(
+        fleet.acknowledged() > healed + 20,
+        "writes are acknowledged again after the faults"
+    );
+}
+
 #[rstest]
 fn lost_primary_is_replaced_within_permission() {
     let mut fleet = Fleet::new(1);
--- a/sapphireslip-lead/tests/support/fleet.rs
+++ b/sapphireslip-lead/tests/support/fleet.rs
@@ -43,6 +43,8 @@
     pub millis: u64,
     /// Whether the store answers no daemon at present.
     pub store_is_down: bool,
+    /// The longest time by which a promotion takes effect later than usual, in milliseconds.
+    pub promotion_delay_max: u64,
     /// The number of promotions that have taken effect.
     pub promotions: usize,
     /// The source of random delays, losses and statements.
@@ -118,6 +120,7 @@
             group: FakeGroup::new(),
             millis: 0,
             store_is_down: false,
+            promotion_delay_max: 0,
             promotions: 0,
             random: Random::new(seed),
             pending_events: Vec::new(),
@@ -137,6 +140,11 @@
         self.random.below(bound)
     }
 
+    /// Returns whether a promotion was asked for that has not taken effect.
+    pub fn is_promoting(&self) -> bool {
+        !self.pending_promotions.is_empty()
+    }
+
     /// Lets time pass while clients send statements.
     pub fn advance(&mut self, millis: u64) {
         for _ in 0..millis / STEP_MILLIS {
@@ -322,8 +330,12 @@
             Effect::Promote {
                 service, server, ..
             } => {
+                let delay = match self.promotion_delay_max {
+                    0 => 0,
+                    max => self.random.below(max),
+                };
                 self.pending_promotions
-                    .push((self.millis + PROMOTION_MILLIS, server));
+                    .push((self.millis + PROMOTION_MILLIS + delay, server));
                 let outcome = PromoteOutcome::Accepted;
                 self.schedule(n, 30, Event::Promoted { service, outcome });
             }
