--- a/sapphireslipd/tests/lead_process.rs
+++ b/sapphireslipd/tests/lead_process.rs
@@ -59,6 +59,15 @@
     Ok(())
 }
 
+/// Waits until the daemon at an address serves statements.
+async fn wait_until_served(ip: Ipv4Addr) {
+    let until = Instant::now() + WAIT_TIMEOUT;
+    while run(ip, 1).await.is_err() {
+        assert!(Instant::now() < until, "the daemon did not serve in time");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 #[tokio::test]
 async fn unread_log_blocks_no_statement_and_signals_are_handled() {
     let site = start_line_site("fees", "ledger").await;
@@ -68,11 +77,7 @@
     let folder = TempDir::new().expect("a folder");
     let settings = line_settings("vm-1", ip, store.address());
     let mut daemon = start(&folder, &format!("log_level = \"trace\"\n{settings}"));
-    let until = Instant::now() + WAIT_TIMEOUT;
-    while run(ip, 1).await.is_err() {
-        assert!(Instant::now() < until, "the daemon did not serve in time");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    wait_until_served(ip).await;
     let ran = tokio::time::timeout(WAIT_TIMEOUT, run(ip, STATEMENTS)).await;
     ran.expect("the unread log blocks no statement")
         .expect("all answered");
@@ -99,11 +104,7 @@
     let ip = Ipv4Addr::new(127, 79, low, 2);
     let folder = TempDir::new().expect("a folder");
     let mut daemon = start(&folder, &line_settings("vm-1", ip, store.address()));
-    let until = Instant::now() + WAIT_TIMEOUT;
-    while run(ip, 1).await.is_err() {
-        assert!(Instant::now() < until, "the daemon did not serve in time");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    wait_until_served(ip).await;
     let mut sessions = Vec::new();
     for _ in 0..SESSIONS {
         let mut session = LineSession::connect((ip, 5432).into()).await.expect("open");
