Accounts in the configuration: keys by digest, sessions refused by key, revoked sessions closed

Cause: any key was accepted and servers were told a made-up client. Change: the configuration's accounts are decoded with digests of their keys; a session names its key by digest, also when it is forwarded; an unknown key is refused before anything reaches a server, and a new configuration ends the sessions of keys that it no longer names.

--- a/sapphireslip-core/src/name.rs
+++ b/sapphireslip-core/src/name.rs
@@ -116,3 +116,8 @@
     UserName,
     "caller"
 );
+name!(
+    /// The name of a client account.
+    AccountName,
+    "client account"
+);
--- a/sapphireslip-lead/src/catalog.rs
+++ b/sapphireslip-lead/src/catalog.rs
@@ -5,6 +5,8 @@
 
 use sapphireslip_core::{ServiceName, Text, data};
 
+use crate::Accounts;
+
 data! {
     /// One complete version of the operator's configuration.
     pub struct Catalog {
@@ -17,6 +19,8 @@
         /// How long a transaction that holds a server connection may be idle between statements
         /// before it is rolled back.
         pub transaction_idle: Duration,
+        /// The client accounts; none if clients need no key.
+        pub accounts: Accounts,
     }
 
     /// How the statements of a database are served.
@@ -31,6 +35,8 @@
         pub target_latency: Duration,
         /// The priority among waiting statements: 0 goes first.
         pub priority: u8,
+        /// Whether clients need no key.
+        pub is_public: bool,
     }
 
     /// How fresh the reads of a route have to be.
--- a/sapphireslip-lead/src/client.rs
+++ b/sapphireslip-lead/src/client.rs
@@ -1,10 +1,10 @@
 //! Client events: opens, forwards, serves and closes sessions, and accepts their statements.
 
-use sapphireslip_core::{SessionId, Text, TransactionStatus};
+use sapphireslip_core::{ServiceName, SessionId, Text, TransactionStatus};
 
 use crate::job::{Begin, Job, JobId, Stage, Work};
 use crate::refusal::{RETRY_ELSEWHERE, busy};
-use crate::session::{PIPELINED_STATEMENTS_MAX, Session};
+use crate::session::{Opening, PIPELINED_STATEMENTS_MAX, Session};
 use crate::session_statement::StatementAction;
 use crate::state::State;
 use crate::waiting_session::WaitingSession;
@@ -19,8 +19,9 @@
             ClientEvent::Opened {
                 session,
                 database,
+                key,
                 forwarder_version,
-            } => self.open_session(session, database, forwarder_version),
+            } => self.open_session(session, Opening { database, key }, forwarder_version),
             ClientEvent::Query { session, query } => self.on_query(session, query),
             ClientEvent::RelayFailed {
                 session,
@@ -45,12 +46,17 @@
     ///
     /// `forwarder_version` is the configuration version of the daemon that forwarded the session. A
     /// daemon with an older configuration refuses it, and so does one that may not take sessions.
-    fn open_session(&mut self, session: SessionId, database: Text, forwarder_version: Option<u64>) {
+    fn open_session(
+        &mut self,
+        session: SessionId,
+        client: Opening,
+        forwarder_version: Option<u64>,
+    ) {
         match forwarder_version {
-            None if self.can_place_sessions() => self.place_session(session, database),
+            None if self.can_place_sessions() => self.place_session(session, client),
             None => self.waiting_sessions.push(WaitingSession {
                 session,
-                database,
+                client,
                 arrived: self.now,
             }),
             Some(forwarder_version) => {
@@ -58,24 +64,38 @@
                 if version < Some(forwarder_version) || !self.may_take_sessions() {
                     let failure = busy("another daemon should serve this session", RETRY_ELSEWHERE);
                     self.refuse_session(session, failure);
-                } else if self.route_to(&database).is_some() {
-                    self.serve_session(session, database, true);
-                } else {
-                    self.refuse_database(session, &database);
+                } else if self.admit_session(session, &client).is_some() {
+                    self.serve_session(session, client, true);
                 }
             }
         }
     }
 
     /// Forwards a client's session to the home of its service, or serves it on this daemon.
-    pub(crate) fn place_session(&mut self, session: SessionId, database: Text) {
-        let Some(service) = self.route_to(&database).map(|route| route.service.clone()) else {
-            return self.refuse_database(session, &database);
+    pub(crate) fn place_session(&mut self, session: SessionId, client: Opening) {
+        let Some(service) = self.admit_session(session, &client) else {
+            return;
         };
         match self.other_home(&service) {
-            Some(home) => self.forward_session(session, database, home, 0),
-            None => self.serve_session(session, database, false),
+            Some(home) => self.forward_session(session, client, home, 0),
+            None => self.serve_session(session, client, false),
+        }
+    }
+
+    /// Returns the service that a new session's database leads to.
+    ///
+    /// Refuses the session if no route leads to the database or if the client's key belongs to no
+    /// account.
+    fn admit_session(&mut self, session: SessionId, client: &Opening) -> Option<ServiceName> {
+        let Some(route) = self.route_to(&client.database).cloned() else {
+            self.refuse_database(session, &client.database);
+            return None;
+        };
+        if let Err(failure) = self.identify(client.key, &route) {
+            self.refuse_session(session, failure);
+            return None;
         }
+        Some(route.service)
     }
 
     /// Returns the route of a database in the current configuration.
@@ -104,8 +124,8 @@
     }
 
     /// Serves a session on this daemon and renews the permission if that is due.
-    pub(crate) fn serve_session(&mut self, id: SessionId, database: Text, is_forwarded: bool) {
-        self.add_session(id, Session::new(database, self.now, is_forwarded));
+    pub(crate) fn serve_session(&mut self, id: SessionId, client: Opening, is_forwarded: bool) {
+        self.add_session(id, Session::new(client, self.now, is_forwarded));
         self.effects.push(Effect::Welcome { session: id });
         self.renew_permission();
     }
@@ -137,6 +157,11 @@
 
     /// Starts a statement of a session that has none running.
     pub(crate) fn start(&mut self, id: SessionId, query: Query) {
+        if let Err(failure) = self.identify_session(id) {
+            self.end_transaction(id);
+            self.answer_failure(id, &query, failure);
+            return self.close_when_idle(id);
+        }
         match self.apply_statement(id, query.statement.as_ref()) {
             StatementAction::Done => self.answer_done(id),
             StatementAction::Failed(failure) => self.answer_failure(id, &query, failure),
@@ -177,6 +202,7 @@
             });
         let job = Job {
             session: id,
+            account: self.account_of(id),
             shape,
             work,
             in_transaction: transaction.is_some(),
--- a/sapphireslip-lead/src/dispatch.rs
+++ b/sapphireslip-lead/src/dispatch.rs
@@ -355,6 +355,7 @@
             address,
             service,
             server: server.clone(),
+            account: None,
         });
         true
     }
--- a/sapphireslip-lead/src/effect.rs
+++ b/sapphireslip-lead/src/effect.rs
@@ -3,11 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use sapphireslip_core::{ConnectionId, ServerId, ServiceName, SessionId, Text, VmId, data};
+use sapphireslip_core::{
+    AccountName, ConnectionId, ServerId, ServiceName, SessionId, Text, VmId, data,
+};
 
 use crate::{
-    CoordinatorRecord, Failure, LeaderRecord, PermissionRecord, Record, Reply, RowVersion, Shape,
-    StayingServers, TermPosition,
+    CoordinatorRecord, Failure, KeyDigest, LeaderRecord, PermissionRecord, Record, Reply,
+    RowVersion, Shape, StayingServers, TermPosition,
 };
 
 data! {
@@ -26,6 +28,8 @@
             address: SocketAddr,
             /// The database that the client named.
             database: Text,
+            /// The digest of the client's key; none if the client gave none.
+            key: Option<KeyDigest>,
             /// The version of this daemon's configuration.
             version: u64,
         },
@@ -58,6 +62,8 @@
             service: ServiceName,
             /// The server that must answer at the address.
             server: ServerId,
+            /// The client account that the server is told; none if the connection serves none.
+            account: Option<AccountName>,
         },
         /// Sends requests on a connection.
         Send {
--- a/sapphireslip-lead/src/event.rs
+++ b/sapphireslip-lead/src/event.rs
@@ -7,8 +7,8 @@
 };
 
 use crate::{
-    Catalog, LeaderTable, PermissionTable, Query, Reply, RowVersion, ServerRecord, ServerStatus,
-    StayingServers, StoreTime,
+    Catalog, KeyDigest, LeaderTable, PermissionTable, Query, Reply, RowVersion, ServerRecord,
+    ServerStatus, StayingServers, StoreTime,
 };
 
 data! {
@@ -86,6 +86,8 @@
             session: SessionId,
             /// The database that the client named.
             database: Text,
+            /// The digest of the client's key; none if the client gave none.
+            key: Option<KeyDigest>,
             /// The configuration version of the daemon that forwarded the session; none if the
             /// client connected to this daemon.
             forwarder_version: Option<u64>,
--- a/sapphireslip-lead/src/job.rs
+++ b/sapphireslip-lead/src/job.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use sapphireslip_core::{ConnectionId, Instant, ServerId, ServiceName, SessionId, data, key};
+use sapphireslip_core::{
+    AccountName, ConnectionId, Instant, ServerId, ServiceName, SessionId, data, key,
+};
 
 use crate::{Freshness, Query, ServerRequest, Shape, TermPosition};
 
@@ -26,6 +28,8 @@
     pub(crate) struct Job {
         /// The session that sent the statement.
         pub(crate) session: SessionId,
+        /// The session's client account; none if it has none.
+        pub(crate) account: Option<AccountName>,
         /// The statement.
         pub(crate) query: Query,
         /// The prepared statement that an `EXECUTE` runs.
--- a/sapphireslip-lead/src/lib.rs
+++ b/sapphireslip-lead/src/lib.rs
@@ -3,9 +3,11 @@
 //!
 //! The crate uses no sockets, tasks, clocks or threads.
 
+mod account;
 mod catalog;
 mod choice;
 mod client;
+mod client_account;
 mod completion;
 mod connection;
 mod coordinator;
@@ -45,6 +47,7 @@
 
 pub use sapphireslip_core::{Position, Term, TermPosition};
 
+pub use self::account::*;
 pub use self::catalog::*;
 pub use self::effect::*;
 pub use self::event::*;
--- a/sapphireslip-lead/src/record.rs
+++ b/sapphireslip-lead/src/record.rs
@@ -52,6 +52,8 @@
         Promotion,
         /// A version of the configuration was applied.
         CatalogTaken,
+        /// An account or a key of the configuration was left out.
+        AccountIgnored,
         /// A backend server's row in the list appeared, changed or is missing.
         ServerListed,
         /// A backend server became unreachable, or answers again.
@@ -118,7 +120,7 @@
 
 impl RecordKind {
     /// All kinds.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::RequestSent,
         Self::RequestAnswered,
         Self::RequestRetried,
@@ -135,6 +137,7 @@
         Self::CoordinatorChanged,
         Self::Promotion,
         Self::CatalogTaken,
+        Self::AccountIgnored,
         Self::StoreReachable,
         Self::DaemonAvoided,
         Self::Drain,
@@ -180,6 +183,7 @@
             Self::TransactionAborted => "transaction_aborted",
             Self::Promotion => "promotion",
             Self::CatalogTaken => "catalog_taken",
+            Self::AccountIgnored => "account_ignored",
             Self::ServerListed => "server_listed",
             Self::ServerReachable => "server_reachable",
             Self::StoreReachable => "store_reachable",
--- a/sapphireslip-lead/src/relays.rs
+++ b/sapphireslip-lead/src/relays.rs
@@ -7,6 +7,7 @@
 use sapphireslip_core::{Instant, SessionId, Text, TransactionStatus, VmId, data};
 
 use crate::homes::RemoteHome;
+use crate::session::Opening;
 use crate::state::State;
 use crate::{Effect, ErrorCode, Failure, Record, RecordKind, Reply};
 
@@ -52,8 +53,8 @@
     struct Relay {
         /// The daemon that serves the session.
         vm: VmId,
-        /// The database that the client named.
-        database: Text,
+        /// What the client gave to open the session.
+        client: Opening,
         /// Since when the opening of the session or a statement has been unanswered.
         unanswered_since: Option<Instant>,
         /// The client's identifier of that statement; none while the session is being opened.
@@ -86,6 +87,11 @@
         }
     }
 
+    /// Returns the sessions, not closing yet, whose client's opening matches a predicate.
+    pub(crate) fn opened_with(&self, matches: impl Fn(&Opening) -> bool) -> Vec<SessionId> {
+        self.ids(|relay| !relay.is_closing && matches(&relay.client))
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.sessions.len()
     }
@@ -155,14 +161,14 @@
     pub(crate) fn forward_session(
         &mut self,
         session: SessionId,
-        database: Text,
+        client: Opening,
         home: RemoteHome,
         refusals: u8,
     ) {
         let version = self.catalog.as_ref().map_or(0, |catalog| catalog.version);
         let relay = Relay {
             vm: home.vm,
-            database: Text::clone(&database),
+            client: client.clone(),
             unanswered_since: Some(self.now),
             request: None,
             may_write: false,
@@ -176,7 +182,8 @@
         self.effects.push(Effect::Relay {
             session,
             address: home.address,
-            database,
+            database: client.database,
+            key: client.key,
             version,
         });
     }
@@ -196,11 +203,11 @@
         };
         self.avoid(&relay.vm, pause);
         let refusals = relay.refusals + 1;
-        let route = self.route_to(&relay.database);
+        let route = self.route_to(&relay.client.database);
         let next = route.and_then(|route| self.other_home(&route.service));
         match next.filter(|_| refusals < REFUSALS_MAX) {
-            Some(home) => self.forward_session(id, relay.database, home, refusals),
-            None => self.serve_session(id, relay.database, false),
+            Some(home) => self.forward_session(id, relay.client, home, refusals),
+            None => self.serve_session(id, relay.client, false),
         }
     }
 
@@ -270,7 +277,9 @@
 
     /// Returns whether a statement that may write is unanswered within its route's timeout.
     fn may_still_answer(&self, relay: &Relay) -> bool {
-        let timeout = self.route_to(&relay.database).map(|route| route.timeout);
+        let timeout = self
+            .route_to(&relay.client.database)
+            .map(|route| route.timeout);
         let waited = relay.unanswered_since.map(|since| self.now.since(since));
         relay.may_write && waited < timeout
     }
--- a/sapphireslip-lead/src/reply.rs
+++ b/sapphireslip-lead/src/reply.rs
@@ -62,6 +62,8 @@
         NoStatement,
         /// No route leads to the database.
         NoDatabase,
+        /// The client's key belongs to no account; nothing was run.
+        NoAccount,
         /// The message is malformed or not allowed at this point.
         Malformed,
         /// A kind that this version does not know, with its code.
--- a/sapphireslip-lead/src/session.rs
+++ b/sapphireslip-lead/src/session.rs
@@ -8,7 +8,7 @@
 
 use crate::job::JobId;
 use crate::state::State;
-use crate::{Query, Route, Shape, TermPosition};
+use crate::{KeyDigest, Query, Route, Shape, TermPosition};
 
 /// Limit on the variables of one session, and separately on its prepared statements.
 pub(crate) const SESSION_NAMES_MAX: usize = 256;
@@ -17,10 +17,20 @@
 pub(crate) const PIPELINED_STATEMENTS_MAX: usize = 64;
 
 data! {
+    /// What a client gave to open its session.
+    pub(crate) struct Opening {
+        /// The name of the database.
+        pub(crate) database: Text,
+        /// The digest of the client's key; none if the client gave none.
+        pub(crate) key: Option<KeyDigest>,
+    }
+
     /// A client's session that this daemon serves.
     pub(crate) struct Session {
         /// The database that the client named when it opened the session.
         pub(crate) database: Text,
+        /// The digest of the client's key; none if the client gave none.
+        pub(crate) key: Option<KeyDigest>,
         /// The values that the client has set, by variable name.
         pub(crate) variables: BTreeMap<Text, Text>,
         /// The prepared statements, by the name that the session gave them.
@@ -66,9 +76,11 @@
 
 impl Session {
     /// Returns a session that was opened at `now` and has done nothing yet.
-    pub(crate) const fn new(database: Text, now: Instant, is_forwarded: bool) -> Self {
+    pub(crate) fn new(client: Opening, now: Instant, is_forwarded: bool) -> Self {
+        let Opening { database, key } = client;
         Self {
             database,
+            key,
             variables: BTreeMap::new(),
             prepared: BTreeMap::new(),
             transaction: None,
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sapphireslip_core::{Instant, data};
+use sapphireslip_core::{Instant, Text, data};
 
 use crate::state::State;
 use crate::{
@@ -259,9 +259,14 @@
             catalog.routes.len()
         );
         self.log(Record::new(RecordKind::CatalogTaken, detail.into()));
+        for fault in catalog.accounts.faults() {
+            let line = Record::new(RecordKind::AccountIgnored, Text::clone(fault));
+            self.effects.push(Effect::Log(line));
+        }
         self.catalog = Some(catalog);
         self.catalog_applied = self.now;
         self.rank_homes();
+        self.close_revoked_sessions();
         self.open_waiting_sessions();
     }
 
--- a/sapphireslip-lead/src/waiting_session.rs
+++ b/sapphireslip-lead/src/waiting_session.rs
@@ -6,9 +6,10 @@
 
 use std::time::Duration;
 
-use sapphireslip_core::{Instant, SessionId, Text, data};
+use sapphireslip_core::{Instant, SessionId, data};
 
 use crate::refusal::{RETRY_ELSEWHERE, busy};
+use crate::session::Opening;
 use crate::state::State;
 
 /// How long a session waits: a few reads of the store, well within the time that clients wait for a
@@ -20,8 +21,8 @@
     pub(crate) struct WaitingSession {
         /// The session.
         pub(crate) session: SessionId,
-        /// The name of the database that the client gave.
-        pub(crate) database: Text,
+        /// What the client gave to open it.
+        pub(crate) client: Opening,
         /// When the session arrived at this daemon.
         pub(crate) arrived: Instant,
     }
@@ -44,11 +45,11 @@
             .partition(is_due);
         self.waiting_sessions = waiting;
         for WaitingSession {
-            session, database, ..
+            session, client, ..
         } in due
         {
             if self.catalog.is_some() {
-                self.place_session(session, database);
+                self.place_session(session, client);
             } else {
                 let failure = busy("the configuration is not known yet", RETRY_ELSEWHERE);
                 self.refuse_session(session, failure);
--- a/sapphireslip-lead/tests/stops.rs
+++ b/sapphireslip-lead/tests/stops.rs
@@ -90,6 +90,7 @@
     daemon.event(Event::Client(ClientEvent::Opened {
         session,
         database: PAYMENTS.into(),
+        key: None,
         forwarder_version: Some(forwarder_version),
     }));
     assert_eq!(daemon.closed.contains(&session), is_refused);
--- a/sapphireslip-lead/tests/support/daemon.rs
+++ b/sapphireslip-lead/tests/support/daemon.rs
@@ -170,6 +170,7 @@
         self.event(Event::Client(ClientEvent::Opened {
             session,
             database: database.into(),
+            key: None,
             forwarder_version,
         }));
         session
--- a/sapphireslip-lead/tests/support/fleet.rs
+++ b/sapphireslip-lead/tests/support/fleet.rs
@@ -209,6 +209,7 @@
                 database: PAYMENTS.into(),
                 // A session that is passed on is served by the daemon where it arrives, so that
                 // every daemon works with the servers.
+                key: None,
                 forwarder_version: Some(0),
             }),
         );
--- a/sapphireslip-lead/tests/support/mod.rs
+++ b/sapphireslip-lead/tests/support/mod.rs
@@ -17,7 +17,9 @@
 use std::time::Duration;
 
 use sapphireslip_core::{Instant, ServerId, ServiceName, Text, VmId, ZoneName};
-use sapphireslip_lead::{Catalog, Freshness, Query, Route, ServiceSpec, Shape, Statement};
+use sapphireslip_lead::{
+    Accounts, Catalog, Freshness, Query, Route, ServiceSpec, Shape, Statement,
+};
 
 pub use self::daemon::*;
 pub use self::fleet::*;
@@ -74,6 +76,7 @@
         timeout: Duration::from_millis(800),
         target_latency: Duration::from_millis(100),
         priority: 1,
+        is_public: false,
     };
     let age = Duration::from_millis(1_500);
     Catalog {
@@ -85,6 +88,7 @@
         ]),
         services: BTreeMap::from([(service(), ServiceSpec { connections: 16 })]),
         transaction_idle: Duration::from_secs(3),
+        accounts: Accounts::default(),
     }
 }
 
--- a/sapphireslipd/src/lead_clients.rs
+++ b/sapphireslipd/src/lead_clients.rs
@@ -11,7 +11,8 @@
 use sapphireslip_core::SessionId;
 use sapphireslip_lead::{ClientEvent, ErrorCode, Event, Failure};
 use sapphireslip_platform::{
-    ClientMessage, PeerOpening, decode_client, decode_peer_opening, encode_failure,
+    ClientMessage, PeerOpening, decode_client, decode_forwarded_start, decode_peer_opening,
+    encode_failure,
 };
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -227,12 +228,17 @@
         }
         let line = task.first_line().await?;
         let _running = running.token();
-        let Ok(ClientMessage::Start { database }) = decode_client(&line) else {
+        let start = match forwarder_version {
+            Some(_) => decode_forwarded_start(&line),
+            None => decode_client(&line),
+        };
+        let Ok(ClientMessage::Start { database, key }) = start else {
             return task.refuse("expected START and a database").await;
         };
         task.send_event(ClientEvent::Opened {
             session: id,
             database,
+            key,
             forwarder_version,
         })
         .await;
--- a/sapphireslipd/src/lead_runner.rs
+++ b/sapphireslipd/src/lead_runner.rs
@@ -145,10 +145,11 @@
                 session,
                 address,
                 database,
+                key,
                 version,
             } => {
                 let mut opening = Vec::new();
-                encode_forward(version, &database, &mut opening);
+                encode_forward(version, &database, key, &mut opening);
                 self.clients.forward(session, address, opening);
             }
             Effect::Answer { session, reply } => {
@@ -170,11 +171,13 @@
                 address,
                 service,
                 server,
+                account,
             } => {
                 let to = Target {
                     address,
                     service,
                     server,
+                    account,
                 };
                 self.backends
                     .connect(connection, to, self.events_tx.clone());
--- a/sapphireslipd/src/lead_servers.rs
+++ b/sapphireslipd/src/lead_servers.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use sapphireslip_core::{ConnectionId, ServerId, ServiceName};
+use sapphireslip_core::{AccountName, ConnectionId, ServerId, ServiceName};
 use sapphireslip_lead::{ConnectFailure, Event, Reply, ServerEvent, ServerRequest};
 use sapphireslip_platform::{
     ReplyReader, connect_failure, decode_status, encode_request, encode_start,
@@ -39,11 +39,13 @@
     status_flags: flume::Sender<bool>,
 }
 
-/// The address of a connection, and the service and server that are expected there.
+/// The address of a connection, the service and server that are expected there, and the client account
+/// that the connection serves.
 pub(crate) struct Target {
     pub(crate) address: SocketAddr,
     pub(crate) service: ServiceName,
     pub(crate) server: ServerId,
+    pub(crate) account: Option<AccountName>,
 }
 
 /// The task that serves one connection.
@@ -199,7 +201,7 @@
     let stream = TcpStream::connect(to.address).await.map_err(failure)?;
     let (mut lines, mut writer) = split(stream).map_err(failure)?;
     let mut bytes = Vec::new();
-    encode_start(&to.service, &to.server, &mut bytes);
+    encode_start(&to.service, &to.server, to.account.as_ref(), &mut bytes);
     writer.write_all(&bytes).await.map_err(failure)?;
     let mut reader = ReplyReader::default();
     loop {
