Sessions that no daemon of their zone can serve go to a home in another zone

Change: a daemon that can't get its permission takes no forwarded sessions; after the refusals of its zone it forwards to a home in another zone that had a permission, and idle sessions return one by one. Served locally only if all refuse, as before.

--- a/sapphireslip-lead/src/client.rs
+++ b/sapphireslip-lead/src/client.rs
@@ -76,7 +76,12 @@
         let Some(service) = self.admit_session(session, &client) else {
             return;
         };
-        match self.other_home(&service) {
+        let home = self.other_home(&service);
+        let home = match home {
+            None if !self.can_get_permission() => self.home_elsewhere(&service),
+            home => home,
+        };
+        match home {
             Some(home) => self.forward_session(session, client, home, 0),
             None => self.serve_session(session, client, false),
         }
--- /dev/null
+++ b/sapphireslip-lead/src/home_elsewhere.rs
@@ -0,0 +1,64 @@
+//! Homes in other zones, for sessions that no daemon of this zone can serve.
+//!
+//! The store may turn away a part of the daemons, among them the home of a service and those next in
+//! rank. A daemon without the store can't renew its permission and may not know the leaders, so it
+//! would accept sessions only to refuse their statements.
+
+use std::collections::BTreeSet;
+
+use sapphireslip_core::placement::rendezvous_weight;
+use sapphireslip_core::{ServiceName, SessionId};
+
+use crate::home_ranks::rank_in_zone;
+use crate::homes::RemoteHome;
+use crate::state::State;
+
+impl State {
+    /// Returns whether this daemon has its permission or can get it from the store.
+    pub(crate) fn can_get_permission(&self) -> bool {
+        self.permission.is_valid(self.now) || (!self.reads.is_store_away() && self.leaders.is_known)
+    }
+
+    /// Returns a home of a service in another zone that had a permission when the permissions were
+    /// last read.
+    ///
+    /// The daemons of this zone spread over the other zones by their VM, and each keeps to one.
+    pub(crate) fn home_elsewhere(&self, service: &ServiceName) -> Option<RemoteHome> {
+        let table = self.permissions.as_ref()?;
+        let services = self.catalog.as_ref().map_or(0, |c| c.services.len());
+        let rows = table.permissions.iter().map(|(record, _)| &record.zone);
+        let zones: BTreeSet<_> = rows.filter(|zone| **zone != self.local.zone).collect();
+        let homes = zones.into_iter().filter_map(|zone| {
+            let ranked = rank_in_zone(zone, service, table, services);
+            let mut records = ranked
+                .into_iter()
+                .filter_map(|place| Some(&table.permissions.get(place)?.0));
+            let record = records.find(|record| self.may_forward_to(record, service))?;
+            let own = format!("{}/{service}", self.local.vm);
+            Some((rendezvous_weight(&own, zone.as_str()), record))
+        });
+        let (_, record) = homes.max_by_key(|(weight, _)| *weight)?;
+        Some(RemoteHome {
+            vm: record.vm.clone(),
+            address: record.peers,
+            is_elsewhere: true,
+        })
+    }
+
+    /// Returns an idle session that is forwarded to another zone although a daemon of this zone can
+    /// serve it again.
+    pub(crate) fn session_to_return(&self) -> Option<SessionId> {
+        let table = self.permissions.as_ref()?;
+        let has_permission = |home: &RemoteHome| {
+            let mut rows = table.permissions.iter();
+            rows.any(|(record, _)| record.vm == home.vm && table.now < record.until)
+        };
+        self.relays.idle_elsewhere(self.now).find(|id| {
+            let service = self.service_of_relay(*id);
+            service.is_some_and(|service| match self.other_home(&service) {
+                Some(home) => has_permission(&home),
+                None => self.permission.is_valid(self.now),
+            })
+        })
+    }
+}
--- a/sapphireslip-lead/src/home_ranks.rs
+++ b/sapphireslip-lead/src/home_ranks.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use sapphireslip_core::placement::rendezvous_weight;
-use sapphireslip_core::{ServiceName, VmId, data};
+use sapphireslip_core::{ServiceName, VmId, ZoneName, data};
 
 use crate::PermissionTable;
 use crate::state::{Identity, State};
@@ -98,6 +98,33 @@
     }
 }
 
+/// Returns the daemons of another zone with a permission, as indexes in the permission table, the best
+/// home of a service first.
+pub(crate) fn rank_in_zone(
+    zone: &ZoneName,
+    service: &ServiceName,
+    table: &PermissionTable,
+    services: usize,
+) -> Vec<usize> {
+    let rows = table.permissions.iter().enumerate();
+    let alive = rows.filter(|(_, (r, _))| r.zone == *zone && table.now < r.alive);
+    let vms = alive.clone().map(|(_, (r, _))| (&r.vm, r.millicores));
+    let preferred = preferred(vms.collect(), services);
+    let permitted = alive.filter(|(_, (record, _))| table.now < record.until);
+    let mut ranked: Vec<_> = permitted
+        .map(|(place, (record, _))| {
+            let candidate = Candidate {
+                vm: &record.vm,
+                millicores: record.millicores,
+                is_preferred: preferred.contains(&record.vm),
+            };
+            (candidate.rank(service), place)
+        })
+        .collect();
+    ranked.sort_unstable_by(|one, other| other.cmp(one));
+    ranked.into_iter().map(|(_, place)| place).collect()
+}
+
 /// Returns the strongest of the VMs: at least [`PREFERRED_VMS_MIN`], and as many as together have
 /// [`HOME_MILLICORES`] for each service.
 fn preferred(mut vms: Vec<(&VmId, u32)>, services: usize) -> BTreeSet<&VmId> {
@@ -117,12 +144,12 @@
     preferred
 }
 
-impl Candidate<'_> {
+impl<'a> Candidate<'a> {
     /// Returns the sort key for a service; the highest one is the best.
     ///
     /// This is weighted rendezvous hashing: a VM draws one lot for each home that it can bear, and
     /// its best one counts.
-    fn rank(&self, service: &ServiceName) -> (bool, u64, &VmId) {
+    fn rank(&self, service: &ServiceName) -> (bool, u64, &'a VmId) {
         let lots = (self.millicores / HOME_MILLICORES).clamp(1, LOTS_MAX);
         let weight = (1..lots)
             .map(|lot| rendezvous_weight(service.as_str(), &format!("{}#{lot}", self.vm)))
--- a/sapphireslip-lead/src/homes.rs
+++ b/sapphireslip-lead/src/homes.rs
@@ -13,13 +13,13 @@
 use crate::home_ranks::{HomeRank, ZoneDaemons};
 use crate::session::Session;
 use crate::state::State;
-use crate::{PermissionRecord, Record, RecordKind};
+use crate::{Effect, PermissionRecord, Record, RecordKind};
 
 /// How long daemons that start together take to write their rows and to read those of the others.
 const PEER_DISCOVERY_TIME: Duration = Duration::from_millis(800);
 
 /// How long a session must have been idle before it is moved to its home: its client pauses.
-const MOVE_IDLE_MIN: Duration = Duration::from_millis(400);
+pub(crate) const MOVE_IDLE_MIN: Duration = Duration::from_millis(400);
 
 /// The pause between moving two sessions, so that clients do not reconnect all at once.
 const MOVE_SPACING: Duration = Duration::from_millis(40);
@@ -40,6 +40,8 @@
         pub(crate) vm: VmId,
         /// The address where the daemon accepts forwarded sessions.
         pub(crate) address: SocketAddr,
+        /// Whether the daemon is in another zone.
+        pub(crate) is_elsewhere: bool,
     }
 }
 
@@ -55,23 +57,27 @@
             computed = HomeRank::new(service, &ZoneDaemons::new(&self.local, table, services));
             &computed
         };
-        let leader = self.leaders.named(service);
-        let can_serve = |record: &PermissionRecord| {
-            table.now < record.alive
-                && !self.relays.is_avoided(&record.vm, self.now)
-                && leader.is_none_or(|leader| !record.unreachable.contains(leader))
-        };
         let others = rank.others.iter().enumerate();
         let mut records =
             others.filter_map(|(n, place)| Some((n, &table.permissions.get(*place)?.0)));
-        let (n, best) = records.find(|(_, record)| can_serve(record))?;
+        let (n, best) = records
+            .find(|(_, record)| table.now < record.alive && self.may_forward_to(record, service))?;
         let is_own = n >= rank.before_own && self.can_be_home(service);
         (!is_own).then(|| RemoteHome {
             vm: best.vm.clone(),
             address: best.peers,
+            is_elsewhere: false,
         })
     }
 
+    /// Returns whether sessions of a service may be forwarded to a daemon: it has not refused any
+    /// lately, and reports no leader of the service as unreachable.
+    pub(crate) fn may_forward_to(&self, record: &PermissionRecord, service: &ServiceName) -> bool {
+        let leader = self.leaders.named(service);
+        !self.relays.is_avoided(&record.vm, self.now)
+            && leader.is_none_or(|leader| !record.unreachable.contains(leader))
+    }
+
     /// Returns whether this daemon could serve a service now: it reaches the leader and may take
     /// sessions.
     fn can_be_home(&self, service: &ServiceName) -> bool {
@@ -92,7 +98,10 @@
     /// Returns whether other daemons may forward sessions to this one.
     pub(crate) fn may_take_sessions(&self) -> bool {
         let lacks_permission = self.permission.lacked_for(self.now) >= NO_PERMISSION_FORWARDED_MAX;
-        !lacks_permission && !self.is_leaving() && self.servers.last_read.is_some()
+        !lacks_permission
+            && !self.is_leaving()
+            && self.servers.last_read.is_some()
+            && self.can_get_permission()
     }
 
     /// Returns whether this daemon is the home of a service in its zone.
@@ -144,6 +153,12 @@
         if self.relays.last_move + MOVE_SPACING > self.now {
             return;
         }
+        if let Some(id) = self.session_to_return() {
+            self.relays.last_move = self.now;
+            self.relays.mark_closing(id);
+            self.log_session_moved(id);
+            return self.effects.push(Effect::CloseWhenIdle { session: id });
+        }
         let is_elsewhere = |session: &Session| {
             let route = self.route_to(&session.database);
             let home = route.and_then(|route| self.other_home(&route.service));
@@ -197,6 +212,12 @@
 
     /// Closes an idle session, so that its client reconnects.
     fn close_for_reconnect(&mut self, id: SessionId) {
+        self.log_session_moved(id);
+        self.close_when_idle(id);
+    }
+
+    /// Logs that a session is closed for its client to reconnect.
+    fn log_session_moved(&mut self, id: SessionId) {
         let line = Record::new(
             RecordKind::SessionMoved,
             "the client is to reconnect".into(),
@@ -205,6 +226,5 @@
             session: Some(id),
             ..line
         });
-        self.close_when_idle(id);
     }
 }
--- a/sapphireslip-lead/src/lib.rs
+++ b/sapphireslip-lead/src/lib.rs
@@ -18,6 +18,7 @@
 mod floors;
 mod grant;
 mod handover;
+mod home_elsewhere;
 mod home_ranks;
 mod homes;
 mod job;
--- a/sapphireslip-lead/src/relays.rs
+++ b/sapphireslip-lead/src/relays.rs
@@ -4,9 +4,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use sapphireslip_core::{Instant, SessionId, Text, TransactionStatus, VmId, data};
+use sapphireslip_core::{Instant, ServiceName, SessionId, Text, TransactionStatus, VmId, data};
 
-use crate::homes::RemoteHome;
+use crate::homes::{MOVE_IDLE_MIN, RemoteHome};
 use crate::session::Opening;
 use crate::state::State;
 use crate::{Effect, ErrorCode, Failure, Record, RecordKind, Reply};
@@ -24,9 +24,13 @@
 /// Upper bound of the pauses: a daemon that has recovered gets its sessions back within this time.
 const AVOID_MAX: Duration = Duration::from_secs(4);
 
-/// How many daemons may refuse a session before it is served here; the client waits meanwhile.
+/// How many daemons of this zone may refuse a session before it is served here or in another zone; the
+/// client waits meanwhile.
 const REFUSALS_MAX: u8 = 4;
 
+/// How many daemons may refuse a session in all before it is served here, whatever this daemon lacks.
+const REFUSALS_IN_ALL_MAX: u8 = 7;
+
 data! {
     /// The sessions that this daemon has forwarded to other daemons.
     #[derive(Default)]
@@ -71,6 +75,18 @@
         refusals: u8,
         /// Whether the session is to be closed once its statements are answered.
         is_closing: bool,
+        /// Whether the daemon is in another zone.
+        is_elsewhere: bool,
+    }
+}
+
+impl Relay {
+    /// Returns whether the client has sent no statement and had no transaction for at least `pause`.
+    fn has_paused(&self, now: Instant, pause: Duration) -> bool {
+        !self.is_closing
+            && self.unanswered_since.is_none()
+            && self.status == TransactionStatus::Idle
+            && now.since(self.last_answer) >= pause
     }
 }
 
@@ -87,6 +103,14 @@
         }
     }
 
+    /// Returns the sessions at daemons of other zones whose clients have paused for
+    /// [`MOVE_IDLE_MIN`].
+    pub(crate) fn idle_elsewhere(&self, now: Instant) -> impl Iterator<Item = SessionId> {
+        let elsewhere = self.sessions.iter().filter(|(_, relay)| relay.is_elsewhere);
+        let idle = elsewhere.filter(move |(_, relay)| relay.has_paused(now, MOVE_IDLE_MIN));
+        idle.map(|(id, _)| *id)
+    }
+
     /// Returns the sessions, not closing yet, whose client's opening matches a predicate.
     pub(crate) fn opened_with(&self, matches: impl Fn(&Opening) -> bool) -> Vec<SessionId> {
         self.ids(|relay| !relay.is_closing && matches(&relay.client))
@@ -109,13 +133,7 @@
 
     /// Returns the sessions that have had no statement or transaction for at least `pause`.
     pub(crate) fn idle(&self, now: Instant, pause: Duration) -> Vec<SessionId> {
-        let is_idle = |relay: &Relay| {
-            !relay.is_closing
-                && relay.unanswered_since.is_none()
-                && relay.status == TransactionStatus::Idle
-                && now.since(relay.last_answer) >= pause
-        };
-        self.ids(is_idle)
+        self.ids(|relay| relay.has_paused(now, pause))
     }
 
     /// Returns the sessions with an open transaction and no running statement.
@@ -177,6 +195,7 @@
             is_open: false,
             refusals,
             is_closing: false,
+            is_elsewhere: home.is_elsewhere,
         };
         self.relays.sessions.insert(session, relay);
         self.effects.push(Effect::Relay {
@@ -191,7 +210,8 @@
     /// Forwards a session that its home did not accept to the next daemon in rank, or serves it
     /// here.
     ///
-    /// All daemons of the zone compute the same ranks, so they choose the same next daemon.
+    /// All daemons of the zone compute the same ranks, so they choose the same next daemon. If
+    /// neither those nor this daemon can serve it, it goes to a home in another zone.
     pub(crate) fn on_relay_failed(&mut self, id: SessionId, is_refused: bool) {
         let Some(relay) = self.relays.sessions.remove(&id) else {
             return;
@@ -204,13 +224,27 @@
         self.avoid(&relay.vm, pause);
         let refusals = relay.refusals + 1;
         let route = self.route_to(&relay.client.database);
-        let next = route.and_then(|route| self.other_home(&route.service));
-        match next.filter(|_| refusals < REFUSALS_MAX) {
+        let service = route.map(|route| route.service.clone());
+        let next = service.and_then(|service| {
+            let in_zone = self.other_home(&service);
+            in_zone.filter(|_| refusals < REFUSALS_MAX).or_else(|| {
+                let may_go = refusals < REFUSALS_IN_ALL_MAX && !self.can_get_permission();
+                self.home_elsewhere(&service).filter(|_| may_go)
+            })
+        });
+        match next {
             Some(home) => self.forward_session(id, relay.client, home, refusals),
             None => self.serve_session(id, relay.client, false),
         }
     }
 
+    /// Returns the service of a forwarded session's database.
+    pub(crate) fn service_of_relay(&self, id: SessionId) -> Option<ServiceName> {
+        let relay = self.relays.sessions.get(&id)?;
+        let route = self.route_to(&relay.client.database)?;
+        Some(route.service.clone())
+    }
+
     /// Forwards no session to a daemon for `pause`, or longer if it has failed before.
     fn avoid(&mut self, vm: &VmId, pause: Duration) {
         let before = self.relays.avoided.get(vm);
