A home that is slow to open a session keeps its sessions

Cause: an opening that took over 150 ms had a daemon avoided for 3 s by the entry that forwarded it. Change: a daemon that answered any session within 0.6 s is tried again and not avoided; the opening may take 500 ms once the connection is open, which may take 150 ms as before. One test with two cases, of which the first failed before.

--- a/sapphireslip-lead/src/relays.rs
+++ b/sapphireslip-lead/src/relays.rs
@@ -149,18 +149,19 @@
         matching.map(|(id, _)| *id).collect()
     }
 
+    /// Returns whether a daemon has answered any session within [`SILENCE_MAX`].
+    fn has_answered_lately(&self, vm: &VmId, now: Instant) -> bool {
+        let last_answer = self.last_answers.get(vm).copied().unwrap_or_default();
+        now.since(last_answer) < SILENCE_MAX
+    }
+
     /// Returns the daemons that have left a statement or the opening of a session unanswered for
     /// [`SILENCE_MAX`] and answered no other session in that time.
     fn silent(&self, now: Instant) -> Vec<VmId> {
         let is_silent = |relay: &&Relay| {
-            let last_answer = self
-                .last_answers
-                .get(&relay.vm)
-                .copied()
-                .unwrap_or_default();
-            relay.unanswered_since.is_some_and(|unanswered_since| {
-                now.since(unanswered_since) >= SILENCE_MAX && now.since(last_answer) >= SILENCE_MAX
-            })
+            let unanswered = relay.unanswered_since;
+            unanswered.is_some_and(|since| now.since(since) >= SILENCE_MAX)
+                && !self.has_answered_lately(&relay.vm, now)
         };
         let mut vms: Vec<VmId> = self
             .sessions
@@ -211,17 +212,18 @@
     /// here.
     ///
     /// All daemons of the zone compute the same ranks, so they choose the same next daemon. If
-    /// neither those nor this daemon can serve it, it goes to a home in another zone.
+    /// neither those nor this daemon can serve it, it goes to a home in another zone. A daemon that
+    /// lately answered other sessions is only slow and is tried again: avoided by all entries at once,
+    /// its sessions would flood daemons that are not prepared to serve them.
     pub(crate) fn on_relay_failed(&mut self, id: SessionId, is_refused: bool) {
         let Some(relay) = self.relays.sessions.remove(&id) else {
             return;
         };
-        let pause = if is_refused {
-            AVOID_REFUSING
-        } else {
-            AVOID_SILENT
-        };
-        self.avoid(&relay.vm, pause);
+        if is_refused {
+            self.avoid(&relay.vm, AVOID_REFUSING);
+        } else if !self.relays.has_answered_lately(&relay.vm, self.now) {
+            self.avoid(&relay.vm, AVOID_SILENT);
+        }
         let refusals = relay.refusals + 1;
         let route = self.route_to(&relay.client.database);
         let service = route.map(|route| route.service.clone());
--- a/sapphireslip-lead/tests/relays.rs
+++ b/sapphireslip-lead/tests/relays.rs
@@ -67,6 +67,35 @@
     assert_eq!(daemon.run(session, "1", "READ x").failure(), None);
 }
 
+/// A home that is slow to open one session but answers others must keep its sessions: given up by all
+/// entries at once, they would go to daemons without a permission.
+#[rstest]
+#[case::and_answers_other_sessions(100, true)]
+#[case::and_is_silent(800, false)]
+fn home_is_slow_to_open_a_session(#[case] answered_ago: u64, #[case] is_tried_again: bool) {
+    let (mut daemon, other) = forwarding();
+    let status = TransactionStatus::Idle;
+    client_event(
+        &mut daemon,
+        ClientEvent::RelayAnswered {
+            session: other,
+            status,
+        },
+    );
+    let session = daemon.open(PAYMENTS);
+    daemon.advance(answered_ago);
+    daemon.effects.clear();
+    client_event(
+        &mut daemon,
+        ClientEvent::RelayFailed {
+            session,
+            is_refused: false,
+        },
+    );
+    let is_relayed = |e: &Effect| matches!(e, Effect::Relay { session: id, .. } if *id == session);
+    assert_eq!(daemon.effects.iter().any(is_relayed), is_tried_again);
+}
+
 /// Returns the event of a read with identifier `q1` on a forwarded session.
 fn relay_query(session: SessionId) -> ClientEvent {
     ClientEvent::RelayQuery {
--- a/sapphireslipd/src/lead_forwarding.rs
+++ b/sapphireslipd/src/lead_forwarding.rs
@@ -18,9 +18,12 @@
 use crate::lead_clients::{LOG_TARGET, SessionTask};
 use crate::line_stream::{LineReader, split};
 
-/// How long another daemon may take to open a forwarded session: a few round trips within a zone
-/// and the time until that daemon is scheduled.
-const RELAY_OPEN_TIMEOUT: Duration = Duration::from_millis(150);
+/// How long a connection to another daemon may take: a few round trips between zones.
+const RELAY_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// How long another daemon may take to answer the opening of a forwarded session. A daemon that has
+/// used up its processor share is not scheduled for the rest of 100 ms, also several times in a row.
+const RELAY_OPEN_TIMEOUT: Duration = Duration::from_millis(500);
 
 impl SessionTask {
     /// Forwards the session to its end; returns false if the other daemon does not accept it.
@@ -155,7 +158,7 @@
     to: SocketAddr,
     opening: &[u8],
 ) -> io::Result<Option<(LineReader, OwnedWriteHalf)>> {
-    let stream = TcpStream::connect(to).await?;
+    let stream = tokio::time::timeout(RELAY_CONNECT_TIMEOUT, TcpStream::connect(to)).await??;
     let (mut lines, mut writer) = split(stream)?;
     writer.write_all(opening).await?;
     let line = lines.next().await?;
