Connections by account: each account has its own, idle ones of others make room

Cause: a connection was given to whichever statement came next, and servers were told one client for all. Change: a connection is opened for an account and serves no other. One decision function says whether a waiting statement uses a free connection of its account, waits for one in use, has one opened, or has the least recently used idle one of another account closed for it. Openings in flight and replacements a second are bounded by server; reads of an account prefer one replica; a server at its connection limit gets a connection in place of another at once. Without accounts nothing changes.

--- a/sapphireslip-lead/src/choice.rs
+++ b/sapphireslip-lead/src/choice.rs
@@ -3,10 +3,14 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use sapphireslip_core::{ServerId, data};
+use sapphireslip_core::placement::rendezvous_weight;
+use sapphireslip_core::{AccountName, ServerId, data};
 
+use crate::connection_choice::OPENING_TIME;
 use crate::job::{Job, Stage};
 use crate::leaders::LeaderView;
+use crate::pool::AccountUse;
+use crate::server::KnownServer;
 use crate::state::State;
 use crate::{Role, TermPosition};
 
@@ -22,6 +26,18 @@
 /// can serve writes.
 const LEADER_PENALTY: Duration = Duration::from_millis(3);
 
+/// Cost added for a read of an account to all servers but the one replica that the account prefers,
+/// so that an account needs few connections. The measured latencies of equally good servers differ
+/// by several milliseconds by chance.
+const PREFERENCE_PENALTY: Duration = Duration::from_millis(10);
+
+/// How much more than the best server another one may cost to get a read of an account because it
+/// has a free connection while the best has not.
+const TOLERATED_COST: Duration = Duration::from_millis(20);
+
+/// How much the tolerated cost grows with the time that the statement has waited.
+const TOLERATED_COST_GROWTH: u32 = 2;
+
 /// The share of a server's connections, in percent, that the daemons divide among themselves; the
 /// rest makes up for connections that killed daemons leave behind.
 const SHARED_CONNECTIONS_PERCENT: usize = 90;
@@ -57,6 +73,8 @@
         pub(crate) server: ServerId,
         /// Whether the server leads the service, so that no floor applies.
         pub(crate) is_leader: bool,
+        /// The estimated time that the statement takes there, with the penalties.
+        pub(crate) cost: Duration,
     }
 }
 
@@ -70,7 +88,8 @@
     ///
     /// Servers that have not failed the statement come before those that have; among equals,
     /// servers that have answered since their last failure come first, then replicas that have not
-    /// lagged recently, then the cheapest.
+    /// lagged recently, then the cheapest. For a statement of an account, servers are left out that
+    /// cost much more than the first one.
     pub(crate) fn candidates(&self, job: &Job) -> Candidates {
         let age = job.freshness.max_staleness().unwrap_or_default();
         let floors = self.floors.get(&job.service);
@@ -81,6 +100,7 @@
             LeaderView::Confirmed(server) => Some(server),
             LeaderView::Pending(_) | LeaderView::Unavailable(_) => None,
         };
+        let preferred = self.preferred_replica(job, leader.as_ref());
         let mut ranked = Vec::new();
         let mut leaving_leader = None;
         for (id, server) in self.servers.of(&job.service) {
@@ -97,6 +117,7 @@
                 leaving_leader = Some(Candidate {
                     server: id.clone(),
                     is_leader,
+                    cost: Duration::ZERO,
                 });
                 continue;
             }
@@ -106,17 +127,18 @@
             if is_lagging && leader.is_some() {
                 continue;
             }
-            let rank = (
-                job.failed_servers.contains(id),
-                server.is_failing(),
-                is_lagging,
-                self.cost(id, is_leader),
-            );
+            let cost = match &job.account {
+                None => self.cost(id, is_leader),
+                Some(account) => self.account_cost(id, is_leader, account, preferred),
+            };
+            let has_failed = job.failed_servers.contains(id);
+            let rank = (has_failed, server.is_failing(), is_lagging, cost);
             ranked.push((
                 rank,
                 Candidate {
                     server: id.clone(),
                     is_leader,
+                    cost,
                 },
             ));
         }
@@ -125,6 +147,11 @@
         if servers.is_empty() {
             servers.extend(leaving_leader);
         }
+        if let (Some(_), Some(best)) = (&job.account, servers.first()) {
+            let waited = self.now.since(job.arrived);
+            let cost_max = best.cost + TOLERATED_COST + waited * TOLERATED_COST_GROWTH;
+            servers.retain(|candidate| candidate.cost <= cost_max);
+        }
         Candidates { servers, floor }
     }
 
@@ -135,16 +162,76 @@
             return Duration::MAX;
         };
         let outstanding = u32::try_from(self.pool.outstanding(id, self.now)).unwrap_or(u32::MAX);
-        let mut cost = server
+        let latency = server
             .latency()
             .saturating_mul(outstanding.saturating_add(1));
+        latency + self.penalty(server, is_leader)
+    }
+
+    /// Returns the penalty for another zone and for the primary.
+    fn penalty(&self, server: &KnownServer, is_leader: bool) -> Duration {
+        let mut penalty = Duration::ZERO;
         if server.record.zone != self.local.zone {
-            cost += ZONE_PENALTY;
+            penalty += ZONE_PENALTY;
         }
         if is_leader || server.record.role == Role::Primary {
-            cost += LEADER_PENALTY;
+            penalty += LEADER_PENALTY;
         }
-        cost
+        penalty
+    }
+
+    /// Returns the estimated time that a statement of an account takes at a server, as
+    /// [`Self::cost`], with the time to obtain a connection of the account.
+    ///
+    /// Outstanding statements count by the slots of the server. Counted one after the other, they
+    /// would move a second statement of the account to a server where it has no connection, though
+    /// the first server has slots left.
+    fn account_cost(
+        &self,
+        id: &ServerId,
+        is_leader: bool,
+        account: &AccountName,
+        preferred: Option<&ServerId>,
+    ) -> Duration {
+        let Some(server) = self.servers.get(id) else {
+            return Duration::MAX;
+        };
+        let outstanding = u32::try_from(self.pool.outstanding(id, self.now)).unwrap_or(u32::MAX);
+        let slots = u32::try_from(server.record.slots.max(1)).unwrap_or(u32::MAX);
+        let latency = server.latency();
+        let mut cost = latency + latency.saturating_mul(outstanding) / slots;
+        cost += match self.pool.account_use(id, account) {
+            AccountUse::Free => Duration::ZERO,
+            AccountUse::InUse => OPENING_TIME / 2,
+            AccountUse::None => OPENING_TIME,
+        };
+        if preferred != Some(id) {
+            cost += PREFERENCE_PENALTY;
+        }
+        cost + self.penalty(server, is_leader)
+    }
+
+    /// Returns the replica that the reads of a job's account prefer; none without an account.
+    ///
+    /// It is one of the replicas in the daemon's own zone or, if there is none, of all replicas.
+    /// Which of them depends on nothing but the names, so that it stays the same and the accounts
+    /// are spread over the replicas.
+    fn preferred_replica<'a>(
+        &'a self,
+        job: &'a Job,
+        leader: Option<&ServerId>,
+    ) -> Option<&'a ServerId> {
+        let account = job.account.as_ref()?;
+        let replicas = self
+            .servers
+            .of(&job.service)
+            .filter(|(id, server)| Some(*id) != leader && server.is_staying());
+        replicas
+            .max_by_key(|(id, server)| {
+                let is_near = server.record.zone == self.local.zone;
+                (is_near, rendezvous_weight(account.as_str(), id.as_str()))
+            })
+            .map(|(id, _)| id)
     }
 
     /// Returns the number of zones with a live daemon, at least 1; each has a home of every
@@ -183,13 +270,15 @@
         }
     }
 
-    /// Returns whether this daemon has as many statements outstanding at a server as it may have.
-    pub(crate) fn is_saturated(&self, server: &ServerId) -> bool {
+    /// Returns how many statements this daemon may send to a server in addition to those that are
+    /// outstanding there.
+    pub(crate) fn statements_left(&self, server: &ServerId) -> usize {
         let slots = self
             .servers
             .get(server)
             .map_or(1, |known| known.record.slots.max(1));
-        self.pool.outstanding(server, self.now) >= slots.saturating_mul(OUTSTANDING_PER_SLOT)
+        let max = slots.saturating_mul(OUTSTANDING_PER_SLOT);
+        max.saturating_sub(self.pool.outstanding(server, self.now))
     }
 
     /// Returns how many connections to a server this daemon may have at present.
--- a/sapphireslip-lead/src/completion.rs
+++ b/sapphireslip-lead/src/completion.rs
@@ -52,9 +52,14 @@
         };
         connection.is_open = true;
         connection.last_heard = self.now;
+        connection.last_used = self.now;
+        let serves_account = connection.account().is_some();
         let server = connection.server.clone();
         self.note_answer(&server);
-        self.probe(&server);
+        // A connection of an account was opened for a statement that waits.
+        if !serves_account || self.is_probe_due(&server) {
+            self.probe(&server);
+        }
         if let Some(service) = self.servers.get(&server).map(|s| s.record.service.clone()) {
             self.run_queue(&service);
         }
--- a/sapphireslip-lead/src/connection.rs
+++ b/sapphireslip-lead/src/connection.rs
@@ -1,9 +1,11 @@
 //! One connection to a backend server: its use, its outstanding requests and its session state.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
 
-use sapphireslip_core::{ConnectionId, Instant, ServerId, SessionId, Text, data};
+use sapphireslip_core::{AccountName, ConnectionId, Instant, ServerId, SessionId, Text, data};
 
+use crate::connection_choice::Usage;
 use crate::job::JobId;
 use crate::session::Session;
 use crate::{ServerRequest, Shape};
@@ -18,6 +20,9 @@
         pub(crate) id: ConnectionId,
         /// The server at the other end.
         pub(crate) server: ServerId,
+        /// The account that the server was told, which never changes; none if the connection serves
+        /// no account.
+        account: Option<AccountName>,
         /// Whether the connection is open; false while it is being opened.
         pub(crate) is_open: bool,
         /// What the connection is used for at present.
@@ -31,6 +36,9 @@
         /// When the connection was opened or last carried an answer; until then, when its opening
         /// began.
         pub(crate) last_heard: Instant,
+        /// When the last statement was sent on the connection; before the first, when its opening
+        /// began.
+        pub(crate) last_used: Instant,
     }
 
     /// What a connection is used for.
@@ -68,16 +76,53 @@
 
 impl Connection {
     /// Returns a connection whose opening begins at `now`.
-    pub(crate) const fn opening(id: ConnectionId, server: ServerId, now: Instant) -> Self {
+    pub(crate) const fn opening(
+        id: ConnectionId,
+        server: ServerId,
+        account: Option<AccountName>,
+        now: Instant,
+    ) -> Self {
         Self {
             id,
             server,
+            account,
             is_open: false,
             purpose: Purpose::Free,
             awaited: VecDeque::new(),
             variables: Some(BTreeMap::new()),
             prepared: BTreeSet::new(),
             last_heard: now,
+            last_used: now,
+        }
+    }
+
+    /// Returns the account that the connection serves; none if it serves no account.
+    pub(crate) const fn account(&self) -> Option<&AccountName> {
+        self.account.as_ref()
+    }
+
+    /// Returns since when the connection counts as idle while it is free.
+    ///
+    /// Requests for the server's status keep a connection in use only if it serves no account.
+    pub(crate) const fn idle_since(&self) -> Instant {
+        match self.account {
+            Some(_) => self.last_used,
+            None => self.last_heard,
+        }
+    }
+
+    /// Returns the use of the connection. A statement usually takes `latency`.
+    pub(crate) fn usage(&self, latency: Duration, now: Instant) -> Usage {
+        if !self.is_open {
+            return Usage::Opening;
+        }
+        match (&self.purpose, self.awaited.front()) {
+            (Purpose::Transaction(_), _) => Usage::Transaction,
+            (Purpose::Free, None) => Usage::Free,
+            (Purpose::Free | Purpose::Busy, oldest) => {
+                let sent = oldest.map_or(self.last_heard, |awaited| awaited.sent);
+                Usage::Busy(latency.saturating_sub(now.since(sent)))
+            }
         }
     }
 
--- a/sapphireslip-lead/src/dispatch.rs
+++ b/sapphireslip-lead/src/dispatch.rs
@@ -4,8 +4,9 @@
 
 use sapphireslip_core::{ConnectionId, ServerId, ServiceName, SessionId, Text};
 
-use crate::choice::Candidates;
+use crate::choice::{Candidate, Candidates};
 use crate::connection::{AnswerTo, Awaited, Purpose};
+use crate::connection_choice::ConnectionChoice;
 use crate::job::{Job, JobId, Sending, Stage, Work};
 use crate::leaders::LeaderView;
 use crate::refusal::{RETRY_BUSY, RETRY_HANDOVER};
@@ -118,12 +119,14 @@
         };
         match self.leader_view(&job.service) {
             LeaderView::Confirmed(server) => {
-                if self.send_to(id, &server, None) {
-                    Dispatched::Sent
-                } else {
-                    self.open_another(&server);
-                    Dispatched::Waiting
+                let choice = self.connection_for(job, &server);
+                if let ConnectionChoice::Use(connection) = choice {
+                    self.send(id, connection, None);
+                    return Dispatched::Sent;
                 }
+                let account = job.account.clone();
+                self.prepare_connection(&server, account, &choice);
+                Dispatched::Waiting
             }
             LeaderView::Pending(_) => {
                 let patience = job.deadline.since(job.arrived) / HANDOVER_WAIT_DIVISOR;
@@ -152,21 +155,28 @@
                 }
             };
         }
-        for candidate in &servers {
-            let floor = floor.filter(|_| !candidate.is_leader);
-            if self.send_to(id, &candidate.server, floor) {
+        let mut choices = Vec::new();
+        for Candidate {
+            server, is_leader, ..
+        } in servers
+        {
+            let choice = self.connection_for(job, &server);
+            if let ConnectionChoice::Use(connection) = choice {
+                self.send(id, connection, floor.filter(|_| !is_leader));
                 return Dispatched::Sent;
             }
+            choices.push((server, choice));
         }
-        for candidate in &servers {
-            if self.open_another(&candidate.server) {
+        let account = job.account.clone();
+        for (server, choice) in choices {
+            if self.prepare_connection(&server, account.clone(), &choice) {
                 break;
             }
         }
         Dispatched::Waiting
     }
 
-    /// Sends a statement on a free connection to a server.
+    /// Sends a statement on a free connection of its account to a server.
     ///
     /// Returns false if no connection is free, or if the server has enough outstanding statements
     /// or may get no new work.
@@ -179,14 +189,7 @@
         let Some(job) = self.jobs.get(&id) else {
             return false;
         };
-        let Some(session) = self.sessions.get(&job.session) else {
-            return false;
-        };
-        if self.is_saturated(server) || !self.may_get_new_work(server) {
-            return false;
-        }
-        let shape_number = job.shape.as_ref().map(|shape| self.shapes.number(shape));
-        let Some(connection) = self.pool.free(server, session, shape_number) else {
+        let ConnectionChoice::Use(connection) = self.connection_for(job, server) else {
             return false;
         };
         self.send(id, connection, floor);
@@ -241,6 +244,7 @@
         let Some(at) = self.pool.get_mut(connection) else {
             return;
         };
+        at.last_used = self.now;
         let shape = shape_number.zip(job.shape.as_ref());
         let mut requests = match job.work {
             Work::Commit => Vec::new(),
@@ -324,42 +328,6 @@
         }
     }
 
-    /// Opens another connection to a server within this daemon's limits.
-    ///
-    /// Returns whether a connection to the server is being opened.
-    pub(crate) fn open_another(&mut self, server: &ServerId) -> bool {
-        if self.pool.opening(server) > 0 {
-            return true;
-        }
-        if self.is_saturated(server) || self.pool.count(server) >= self.connections_max(server) {
-            return false;
-        }
-        self.connect(server)
-    }
-
-    /// Opens a connection to a server.
-    ///
-    /// Returns false if the server is unknown or has recently refused a connection, or if this
-    /// daemon has lacked its permission for so long that it sends its clients away.
-    pub(crate) fn connect(&mut self, server: &ServerId) -> bool {
-        let Some(known) = self.servers.get(server) else {
-            return false;
-        };
-        if !known.may_connect(self.now) || self.lacks_permission_for_long() {
-            return false;
-        }
-        let (address, service) = (known.record.address, known.record.service.clone());
-        let connection = self.pool.open(server, self.now);
-        self.effects.push(Effect::Connect {
-            connection,
-            address,
-            service,
-            server: server.clone(),
-            account: None,
-        });
-        true
-    }
-
     /// Ends a job, logs its outcome and sends the answer to the client.
     pub(crate) fn deliver(&mut self, id: JobId, reply: crate::Reply) {
         let Some(job) = self.jobs.remove(&id) else {
--- a/sapphireslip-lead/src/pool.rs
+++ b/sapphireslip-lead/src/pool.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use sapphireslip_core::{ConnectionId, Instant, ServerId, data};
+use sapphireslip_core::{AccountName, ConnectionId, Instant, ServerId, data};
 
 use crate::connection::{Connection, Purpose};
-use crate::session::Session;
+use crate::connection_choice::{Held, Usage};
 
 /// A request that is unanswered for longer has most likely lost its answer, and no longer counts as
 /// occupying a slot of its server.
@@ -22,6 +22,35 @@
         by_server: BTreeMap<ServerId, Vec<ConnectionId>>,
         /// The number of the last connection that was opened; numbers are never reused.
         last_id: u64,
+        /// The number of connections that were closed to make room for another account.
+        replacements: u64,
+    }
+
+    /// What an account has at a server.
+    pub(crate) enum AccountUse {
+        /// No connection.
+        None,
+        /// Connections that are all in use or being opened.
+        InUse,
+        /// A free connection.
+        Free,
+    }
+
+    /// The numbers of connections by their use, and how many were opened and replaced so far.
+    #[derive(Default)]
+    pub struct ConnectionCounts {
+        /// The connections that are being opened.
+        pub opening: usize,
+        /// The idle connections.
+        pub free: usize,
+        /// The connections that run a single statement or a request of the daemon.
+        pub busy: usize,
+        /// The connections with an open transaction.
+        pub in_transaction: usize,
+        /// The connections whose opening has begun since the start of the daemon.
+        pub openings: u64,
+        /// The connections that were closed since then to make room for another account.
+        pub replacements: u64,
     }
 }
 
@@ -67,12 +96,17 @@
         self.connections_to(server).filter(is_outstanding).count()
     }
 
-    /// Adds a connection that is being opened.
-    pub(crate) fn open(&mut self, server: &ServerId, now: Instant) -> ConnectionId {
+    /// Adds a connection that is being opened for an account.
+    pub(crate) fn open(
+        &mut self,
+        server: &ServerId,
+        account: Option<AccountName>,
+        now: Instant,
+    ) -> ConnectionId {
         self.last_id += 1;
         let id = ConnectionId(self.last_id);
         self.connections
-            .insert(id, Connection::opening(id, server.clone(), now));
+            .insert(id, Connection::opening(id, server.clone(), account, now));
         self.by_server.entry(server.clone()).or_default().push(id);
         id
     }
@@ -89,46 +123,81 @@
         Some(connection)
     }
 
-    /// Returns the free connection to a server that needs the fewest requests to take over a
-    /// session's state. Of equals it returns the one that answered last, as it is the least likely
-    /// to be dead.
+    /// Returns how many connections to a server are being opened for an account.
+    pub(crate) fn opening_for(&self, server: &ServerId, account: Option<&AccountName>) -> usize {
+        self.connections_to(server)
+            .filter(|connection| !connection.is_open && connection.account() == account)
+            .count()
+    }
+
+    /// Returns the connections to a server as a waiting statement of an account sees them.
     ///
-    /// `shape_number` is the number of the prepared statement that is to run.
-    pub(crate) fn free(
+    /// `setup_count` counts the requests that bring a connection to the state of the session;
+    /// `latency` is the usual time of a statement at the server.
+    pub(crate) fn held(
         &self,
         server: &ServerId,
-        session: &Session,
-        shape_number: Option<u32>,
-    ) -> Option<ConnectionId> {
-        let rank = |c: &&Connection| {
-            (
-                c.setup_count(session, shape_number),
-                std::cmp::Reverse(c.last_heard),
-            )
+        account: Option<&AccountName>,
+        setup_count: impl Fn(&Connection) -> usize,
+        latency: Duration,
+        now: Instant,
+    ) -> Vec<Held> {
+        let held = |connection: &Connection| {
+            let is_own = connection.account() == account;
+            Held {
+                id: connection.id,
+                is_own,
+                usage: connection.usage(latency, now),
+                last_used: connection.last_used,
+                last_heard: connection.last_heard,
+                setup_count: if is_own { setup_count(connection) } else { 0 },
+            }
         };
-        self.connections_to(server)
-            .filter(|connection| connection.is_free())
-            .min_by_key(rank)
-            .map(|connection| connection.id)
+        self.connections_to(server).map(held).collect()
     }
 
-    /// Returns any free connection to a server.
+    /// Returns what an account has at a server.
+    pub(crate) fn account_use(&self, server: &ServerId, account: &AccountName) -> AccountUse {
+        let mut own = self
+            .connections_to(server)
+            .filter(|connection| connection.account() == Some(account))
+            .peekable();
+        if own.peek().is_none() {
+            AccountUse::None
+        } else if own.any(Connection::is_free) {
+            AccountUse::Free
+        } else {
+            AccountUse::InUse
+        }
+    }
+
+    /// Returns the free connections whose account `is_chosen`.
+    pub(crate) fn free_with(&self, is_chosen: impl Fn(&AccountName) -> bool) -> Vec<ConnectionId> {
+        let is_chosen = |connection: &&Connection| {
+            connection.is_free() && connection.account().is_some_and(&is_chosen)
+        };
+        self.all().filter(is_chosen).map(|c| c.id).collect()
+    }
+
+    /// Returns any free connection to a server: the oldest one that serves no account or, if there
+    /// is none, the least recently used one.
     pub(crate) fn any_free(&self, server: &ServerId) -> Option<ConnectionId> {
         self.connections_to(server)
-            .find(|connection| connection.is_free())
+            .filter(|connection| connection.is_free())
+            .min_by_key(|connection| connection.account().map(|_| connection.last_used))
             .map(|connection| connection.id)
     }
 
-    /// Returns the free connections to a server and when each last answered, the longest idle
+    /// Returns the free connections to a server and since when each is idle, the longest idle
     /// first.
     pub(crate) fn idle(&self, server: &ServerId) -> Vec<(ConnectionId, Instant)> {
         let free = self
             .connections_to(server)
             .filter(|connection| connection.is_free());
         let mut idle: Vec<_> = free
-            .map(|connection| (connection.id, connection.last_heard))
+            .map(|connection| (connection.id, connection.idle_since()))
             .collect();
-        idle.sort_by_key(|(_, last_heard)| *last_heard);
+        idle.sort_by_key(|(_, since)| *since);
         idle
     }
 
@@ -137,6 +206,30 @@
         self.by_server.keys().cloned().collect()
     }
 
+    /// Counts a connection that was closed to make room for another account.
+    pub(crate) const fn count_replacement(&mut self) {
+        self.replacements += 1;
+    }
+
+    /// Returns the numbers of connections by their use, and of those opened and replaced.
+    pub(crate) fn counts(&self) -> ConnectionCounts {
+        let mut counts = ConnectionCounts {
+            openings: self.last_id,
+            replacements: self.replacements,
+            ..ConnectionCounts::default()
+        };
+        for connection in self.connections.values() {
+            let count = match connection.usage(Duration::ZERO, connection.last_heard) {
+                Usage::Opening => &mut counts.opening,
+                Usage::Free => &mut counts.free,
+                Usage::Busy(_) => &mut counts.busy,
+                Usage::Transaction => &mut counts.in_transaction,
+            };
+            *count += 1;
+        }
+        counts
+    }
+
     /// Marks a connection as free.
     pub(crate) fn release(&mut self, id: ConnectionId) {
         if let Some(connection) = self.connections.get_mut(&id) {
--- a/sapphireslip-lead/src/probes.rs
+++ b/sapphireslip-lead/src/probes.rs
@@ -121,6 +121,19 @@
         }
     }
 
+    /// Returns whether the server's status is needed soon: it is named to lead and has not
+    /// confirmed it, or was not asked recently.
+    pub(crate) fn is_probe_due(&self, server: &ServerId) -> bool {
+        let Some(known) = self.servers.get(server) else {
+            return false;
+        };
+        let service = &known.record.service;
+        let is_pending =
+            self.leaders.named(service) == Some(server) && self.leaders.term(service).is_none();
+        let last = known.last_probe;
+        is_pending || last.is_none_or(|last| self.now.since(last) >= PROBE_AFTER)
+    }
+
     /// Opens another connection if the server is failing or has no connection, unless one is
     /// already being opened.
     fn connect_if_stuck(&mut self, server: &ServerId) {
@@ -130,7 +143,7 @@
             .is_some_and(crate::server::KnownServer::is_failing);
         let is_empty = self.pool.count(server) == 0;
         if (is_failing || is_empty) && self.pool.opening(server) == 0 {
-            self.connect(server);
+            self.connect_ahead(server);
         }
     }
 }
--- a/sapphireslip-lead/src/record.rs
+++ b/sapphireslip-lead/src/record.rs
@@ -62,6 +62,8 @@
         StoreReachable,
         /// A connection to a server was closed because of a fault, or could not be opened.
         ConnectionClosed,
+        /// An idle connection to a server was closed to make room for another account.
+        ConnectionReplaced,
         /// A session was closed for its client to reconnect, so that another daemon serves it.
         SessionMoved,
         /// No session is forwarded to another daemon for a while.
@@ -120,7 +122,7 @@
 
 impl RecordKind {
     /// All kinds.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::RequestSent,
         Self::RequestAnswered,
         Self::RequestRetried,
@@ -129,6 +131,7 @@
         Self::SessionMoved,
         Self::TransactionAborted,
         Self::ConnectionClosed,
+        Self::ConnectionReplaced,
         Self::ServerListed,
         Self::ServerReachable,
         Self::LeaderChanged,
@@ -160,6 +163,7 @@
                 | Self::RequestRefused
                 | Self::RequestUnknown
                 | Self::SessionMoved
+                | Self::ConnectionReplaced
         )
     }
 
@@ -188,6 +192,7 @@
             Self::ServerReachable => "server_reachable",
             Self::StoreReachable => "store_reachable",
             Self::ConnectionClosed => "connection_closed",
+            Self::ConnectionReplaced => "connection_replaced",
             Self::SessionMoved => "session_moved",
             Self::DaemonAvoided => "daemon_avoided",
             Self::Drain => "drain",
--- a/sapphireslip-lead/src/server.rs
+++ b/sapphireslip-lead/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sapphireslip_core::{Instant, data};
+use sapphireslip_core::{Instant, data, key};
 
 use crate::{ServerRecord, ServerStatus, TermPosition};
 
@@ -33,6 +33,34 @@
 /// The window of the running mean of the latency: a new value has the weight 1 / `LATENCY_WINDOW`.
 const LATENCY_WINDOW: u64 = 8;
 
+/// The pace of connections that one daemon replaces, for a server with one slot: an opening takes
+/// 12 ms of a slot, so that three homes use at most 36% of a server for accounts that take turns.
+const REPLACEMENT_EVERY: Duration = Duration::from_millis(100);
+
+key! {
+    /// How much a statement needs a connection in place of another account's.
+    pub(crate) enum ReplacementNeed {
+        /// The statement can wait for the pace.
+        Normal,
+        /// The statement is of an urgent route.
+        Urgent,
+        /// The statement would be refused soon.
+        Late,
+    }
+}
+
+impl ReplacementNeed {
+    /// Returns how much of the pace may be used ahead of time. What a less urgent statement may not
+    /// use is left to more urgent ones.
+    const fn time_ahead(self) -> Duration {
+        match self {
+            Self::Normal => REPLACEMENT_EVERY,
+            Self::Urgent => Duration::from_millis(200),
+            Self::Late => Duration::from_millis(1_000),
+        }
+    }
+}
+
 data! {
     /// A backend server and how it has answered this daemon.
     pub(crate) struct KnownServer {
@@ -69,6 +97,8 @@
         connect_pause: Duration,
         /// The earliest time for the next attempt to connect.
         next_connect: Instant,
+        /// Until when the pace of replaced connections is used up.
+        replacements_until: Instant,
         /// Until when the server counts as being at its connection limit.
         at_limit_until: Instant,
         /// Until when reads avoid the server because its log was behind.
@@ -98,6 +128,9 @@
             next_connect: Instant {
                 since_start: Duration::ZERO,
             },
+            replacements_until: Instant {
+                since_start: Duration::ZERO,
+            },
             at_limit_until: Instant {
                 since_start: Duration::ZERO,
             },
@@ -183,6 +216,21 @@
         self.next_connect <= now
     }
 
+    /// Returns whether a connection may be opened in place of another one, which is also possible
+    /// while the server is at its connection limit.
+    pub(crate) fn may_replace_connection(&self, now: Instant, need: ReplacementNeed) -> bool {
+        let is_paused_for_limit = self.next_connect == self.at_limit_until;
+        let ahead = self.replacements_until.since(now);
+        (self.may_connect(now) || is_paused_for_limit) && ahead < need.time_ahead()
+    }
+
+    /// Records that a connection is opened in place of another one.
+    pub(crate) fn note_replacement(&mut self, now: Instant) {
+        let slots = u32::try_from(self.record.slots.max(1)).unwrap_or(u32::MAX);
+        let time = REPLACEMENT_EVERY / slots;
+        self.replacements_until = self.replacements_until.max(now) + time;
+    }
+
     /// Returns whether the server has failed for so long that it must be down or cut off from this
     /// daemon.
     pub(crate) fn is_unreachable(&self, now: Instant) -> bool {
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -24,7 +24,7 @@
 use crate::store_events::Reads;
 use crate::votes::Votes;
 use crate::waiting_session::WaitingSession;
-use crate::{Catalog, Effect, Event, Floors, PermissionTable, Record};
+use crate::{Catalog, ConnectionCounts, Effect, Event, Floors, PermissionTable, Record};
 
 data! {
     /// The identity of this daemon, which stays the same while it runs.
@@ -51,6 +51,8 @@
         pub waiting: usize,
         /// The number of connections to backend servers.
         pub connections: usize,
+        /// The numbers of those connections by their use, and of those opened and replaced.
+        pub connection_counts: ConnectionCounts,
         /// The number of known backend servers.
         pub servers: usize,
         /// The number of leaders that are draining or missing from the list of servers.
@@ -246,6 +248,7 @@
             relays: self.relays.len(),
             waiting: self.queues.values().map(Vec::len).sum(),
             connections: self.pool.all().count(),
+            connection_counts: self.pool.counts(),
             servers: self.servers.known.len(),
             leaving_leaders: self.leaving_leaders(),
             permission_left: self.permission.remaining(self.now),
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -267,6 +267,7 @@
         self.catalog_applied = self.now;
         self.rank_homes();
         self.close_revoked_sessions();
+        self.close_connections_of_removed_accounts();
         self.open_waiting_sessions();
     }
 
--- a/sapphireslip-lead/src/timeouts.rs
+++ b/sapphireslip-lead/src/timeouts.rs
@@ -48,6 +48,12 @@
 /// How long a connection beyond `UNUSED_CONNECTIONS_KEPT` may stay unused.
 const SPARE_CONNECTION_IDLE_MAX: Duration = Duration::from_millis(1_500);
 
+/// How long a connection may stay unused that is within half of the daemon's share, where accounts
+/// have connections of their own. Small accounts send an operation every few seconds, and opening a
+/// connection for each would cost about as much of the server as the operation. The other half of
+/// the share is left to the successor of a daemon that dies.
+const ACCOUNT_CONNECTION_IDLE_MAX: Duration = Duration::from_secs(10);
+
 impl State {
     /// Ends the statements, connections and transactions that have run out of time.
     pub(crate) fn apply_timeouts(&mut self) {
@@ -256,19 +262,26 @@
     /// Closes surplus unused connections, and opens a first one to each server ahead of need: as a
     /// home to the servers of its services, as the coordinator to all servers.
     pub(crate) fn keep_connections(&mut self) {
+        self.close_connections_of_removed_accounts();
         for server in self.pool.servers() {
             let is_known = self.servers.get(&server).is_some();
             let service = self.servers.get(&server).map(|known| &known.record.service);
             let is_used = service.is_some_and(|service| self.works_with(service));
-            let kept = if is_used { UNUSED_CONNECTIONS_KEPT } else { 0 };
-            let mut spare = self.pool.count(&server).saturating_sub(kept);
-            for (connection, last_answer) in self.pool.idle(&server) {
-                if spare == 0
-                    || (is_known && self.now.since(last_answer) < SPARE_CONNECTION_IDLE_MAX)
-                {
+            let kept_min = if is_used { UNUSED_CONNECTIONS_KEPT } else { 0 };
+            let kept = if is_used && self.has_accounts() {
+                (self.connections_share(&server) / 2).max(kept_min)
+            } else {
+                kept_min
+            };
+            let mut count = self.pool.count(&server);
+            for (connection, idle_since) in self.pool.idle(&server) {
+                let idle = self.now.since(idle_since);
+                let is_spare = count > kept && (!is_known || idle >= SPARE_CONNECTION_IDLE_MAX);
+                let is_long_unused = count > kept_min && idle >= ACCOUNT_CONNECTION_IDLE_MAX;
+                if !is_spare && !is_long_unused {
                     break;
                 }
-                spare -= 1;
+                count -= 1;
                 self.pool.remove(connection);
                 self.effects.push(crate::Effect::Disconnect { connection });
             }
@@ -288,7 +301,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for server in unused {
-            self.connect(&server);
+            self.connect_ahead(&server);
         }
     }
 
--- a/sapphireslip-lead/tests/support/daemon.rs
+++ b/sapphireslip-lead/tests/support/daemon.rs
@@ -1,10 +1,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use sapphireslip_core::{
-    ConnectionId, Incarnation, ServerId, SessionId, Text, TransactionStatus, VmId,
+    AccountName, ConnectionId, Incarnation, ServerId, SessionId, Text, TransactionStatus, VmId,
 };
 use sapphireslip_lead::{
-    ClientEvent, ConnectFailure, Effect, Event, Identity, PromoteOutcome, Record, Reply,
+    ClientEvent, ConnectFailure, Effect, Event, Identity, KeyDigest, PromoteOutcome, Record, Reply,
     ServerEvent, ServerRequest, ServerStatus, State, StoreWrite, TermPosition, WriteOutcome,
     Written,
 };
@@ -33,6 +33,16 @@
     pub withholds_lead_changes: bool,
     /// Whether statements of clients stay unanswered until `answer_all`.
     pub withholds_answers: bool,
+    /// Whether connections stay unopened until `finish_opening`.
+    pub withholds_connects: bool,
+    /// The connections that one server accepts; none if there is no limit.
+    pub connections_max: Option<usize>,
+    /// The connections that were to be opened, with their servers and accounts, the oldest first.
+    pub opened: Vec<(ConnectionId, ServerId, Option<AccountName>)>,
+    /// The connections that the daemon has closed, the oldest first.
+    pub disconnected: Vec<ConnectionId>,
+    /// The statements of clients with the connections that they were sent on, the oldest first.
+    pub sent_on: Vec<(ConnectionId, ServerRequest)>,
     /// The answers to clients, the oldest first.
     pub answers: Vec<(SessionId, Reply)>,
     /// The sessions that the daemon has closed, the oldest first.
@@ -58,6 +68,8 @@
     first_statements: BTreeSet<Text>,
     /// The open connections with their servers and transaction status.
     connections: BTreeMap<ConnectionId, (ServerId, TransactionStatus)>,
+    /// The connections that are being opened, the oldest first.
+    opening: Vec<(ConnectionId, ServerId)>,
     /// The number of the last session that was opened.
     sessions: u64,
 }
@@ -114,6 +126,11 @@
             withholds_lists: false,
             withholds_lead_changes: false,
             withholds_answers: false,
+            withholds_connects: false,
+            connections_max: None,
+            opened: Vec::new(),
+            disconnected: Vec::new(),
+            sent_on: Vec::new(),
             answers: Vec::new(),
             closed: Vec::new(),
             effects: Vec::new(),
@@ -126,6 +143,7 @@
             begun: BTreeSet::new(),
             first_statements: BTreeSet::new(),
             connections: BTreeMap::new(),
+            opening: Vec::new(),
             sessions: 0,
         };
         let leaders = daemon.store.leaders.clone();
@@ -156,21 +174,31 @@
 
     /// Opens a session on a database.
     pub fn open(&mut self, database: &str) -> SessionId {
-        self.open_from(database, None)
+        self.open_from(database, None, None)
+    }
+
+    /// Opens a session on a database with a client's key.
+    pub fn open_with_key(&mut self, database: &str, key: KeyDigest) -> SessionId {
+        self.open_from(database, None, Some(key))
     }
 
     /// Opens a session on a database that another daemon has forwarded.
     pub fn open_forwarded(&mut self, database: &str) -> SessionId {
-        self.open_from(database, Some(1))
+        self.open_from(database, Some(1), None)
     }
 
-    fn open_from(&mut self, database: &str, forwarder_version: Option<u64>) -> SessionId {
+    fn open_from(
+        &mut self,
+        database: &str,
+        forwarder_version: Option<u64>,
+        key: Option<KeyDigest>,
+    ) -> SessionId {
         self.sessions += 1;
         let session = SessionId(self.sessions);
         self.event(Event::Client(ClientEvent::Opened {
             session,
             database: database.into(),
-            key: None,
+            key,
             forwarder_version,
         }));
         session
@@ -221,6 +249,42 @@
         }
     }
 
+    /// Opens the connections that are being opened, each unless its server accepts no more.
+    pub fn finish_opening(&mut self) {
+        for (connection, server) in std::mem::take(&mut self.opening) {
+            let failure = if self.group.get(&server).is_isolated {
+                Some(ConnectFailure::Refused)
+            } else if Some(self.connections_to(&server)) == self.connections_max {
+                Some(ConnectFailure::Limit)
+            } else {
+                None
+            };
+            let event = match failure {
+                Some(failure) => ServerEvent::ConnectFailed {
+                    connection,
+                    failure,
+                },
+                None => {
+                    let state = (server, TransactionStatus::Idle);
+                    self.connections.insert(connection, state);
+                    ServerEvent::Connected { connection }
+                }
+            };
+            self.event(Event::Server(event));
+        }
+    }
+
+    /// Returns the number of open connections to a server.
+    pub fn connections_to(&self, server: &ServerId) -> usize {
+        let to = self.connections.values().filter(|(to, _)| to == server);
+        to.count()
+    }
+
+    /// Returns the servers of the connections that are being opened.
+    pub fn opening(&self) -> Vec<ServerId> {
+        self.opening.iter().map(|(_, to)| to.clone()).collect()
+    }
+
     fn carry_out(&mut self, effect: Effect) {
         self.store_calls += usize::from(matches!(
             effect,
@@ -228,19 +292,16 @@
         ));
         match effect {
             Effect::Connect {
-                connection, server, ..
+                connection,
+                server,
+                account,
+                ..
             } => {
-                let event = if self.group.get(&server).is_isolated {
-                    ServerEvent::ConnectFailed {
-                        connection,
-                        failure: ConnectFailure::Refused,
-                    }
-                } else {
-                    let state = (server, TransactionStatus::Idle);
-                    self.connections.insert(connection, state);
-                    ServerEvent::Connected { connection }
-                };
-                self.event(Event::Server(event));
+                self.opened.push((connection, server.clone(), account));
+                self.opening.push((connection, server));
+                if !self.withholds_connects {
+                    self.finish_opening();
+                }
             }
             Effect::Send {
                 connection,
@@ -252,6 +313,8 @@
             }
             Effect::Disconnect { connection } => {
                 self.connections.remove(&connection);
+                self.opening.retain(|(id, _)| *id != connection);
+                self.disconnected.push(connection);
             }
             Effect::ReadServers if self.withholds_lists => {}
             Effect::ReadServers => {
@@ -334,6 +397,9 @@
             self.new_work.push((self.millis, server.clone()));
         }
         self.sent.push((server.clone(), request.clone()));
+        if is_clients {
+            self.sent_on.push((connection, request.clone()));
+        }
         if (is_clients && self.withholds_answers) || self.group.get(&server).is_isolated {
             self.held.push((connection, request));
         } else {
--- a/sapphireslipd/src/lead_metrics.rs
+++ b/sapphireslipd/src/lead_metrics.rs
@@ -64,6 +64,8 @@
     /// The numbers of open sessions and connections, waiting statements, known servers and leaving
     /// leaders.
     open: Family<Open, Gauge<u64, AtomicU64>>,
+    /// The number of connections to backend servers whose opening has begun.
+    connections_opened: Counter,
     /// How long the permission still lasts, in seconds; 0 if there is none.
     permission_left: Gauge<f64, AtomicU64>,
     /// The time since the list of backend servers was last read, in seconds.
@@ -95,6 +97,7 @@
             store_calls: Family::default(),
             store_call_times: time_histogram(),
             open: Family::default(),
+            connections_opened: Counter::default(),
             permission_left: Gauge::default(),
             servers_age: Gauge::default(),
             configuration_version: Gauge::default(),
@@ -135,6 +138,11 @@
             self.store_call_times.clone(),
         );
         registry.register("open", "What is open or waits", self.open.clone());
+        registry.register(
+            "connections_opened",
+            "Connections to servers whose opening has begun",
+            self.connections_opened.clone(),
+        );
         let help = "Time left of the permission to rely on the known primaries";
         registry.register_with_unit(
             "permission_left",
@@ -191,11 +199,16 @@
 
     /// Sets the gauges to the current values of the reducer's state.
     pub(crate) fn update(&self, snapshot: &Snapshot) {
+        let connections = &snapshot.connection_counts;
         let counts = [
             ("sessions", snapshot.sessions),
             ("sessions_passed_on", snapshot.relays),
             ("statements_waiting", snapshot.waiting),
             ("connections", snapshot.connections),
+            ("connections_opening", connections.opening),
+            ("connections_free", connections.free),
+            ("connections_busy", connections.busy),
+            ("connections_in_transaction", connections.in_transaction),
             ("servers", snapshot.servers),
             ("leaving_leaders", snapshot.leaving_leaders),
         ];
@@ -203,6 +216,9 @@
             let count = u64::try_from(count).unwrap_or(u64::MAX);
             self.open.get_or_create(&Open { what }).set(count);
         }
+        let opened = self.connections_opened.get();
+        self.connections_opened
+            .inc_by(connections.openings.saturating_sub(opened));
         self.permission_left
             .set(snapshot.permission_left.as_secs_f64());
         self.servers_age.set(snapshot.servers_age.as_secs_f64());
