--- a/sapphireslip-lead/src/client.rs
+++ b/sapphireslip-lead/src/client.rs
@@ -127,6 +127,7 @@
     pub(crate) fn serve_session(&mut self, id: SessionId, client: Opening, is_forwarded: bool) {
         self.add_session(id, Session::new(client, self.now, is_forwarded));
         self.effects.push(Effect::Welcome { session: id });
+        self.note_session_account(id);
         self.renew_permission();
     }
 
@@ -216,6 +217,7 @@
             stage: Stage::Queued,
             failed_servers: Vec::new(),
             send_count: 0,
+            needs_token: false,
             earliest_send: self.now,
             service: route.service,
             freshness: route.freshness,
@@ -233,7 +235,9 @@
                 transaction.has_sent_write = true;
             }
         }
-        self.enqueue(job_id);
+        if self.admit_by_limit(job_id) {
+            self.enqueue(job_id);
+        }
     }
 
     /// Answers a statement that was not sent to any backend server with a failure.
--- a/sapphireslip-lead/src/dispatch.rs
+++ b/sapphireslip-lead/src/dispatch.rs
@@ -8,6 +8,7 @@
 use crate::connection::{AnswerTo, Awaited, Purpose};
 use crate::job::{Job, JobId, Sending, Stage, Work};
 use crate::leaders::LeaderView;
+use crate::rate_exchange::TokenState;
 use crate::refusal::{RETRY_BUSY, RETRY_HANDOVER};
 use crate::state::State;
 use crate::{Effect, Record, RecordKind, ServerRequest, TermPosition};
@@ -27,6 +28,8 @@
     Waiting,
     /// The statement can't be served: the cause, and the time after which the client may retry.
     Refused(&'static str, Duration),
+    /// The statement found no token of its account's limit.
+    Limited,
 }
 
 impl State {
@@ -65,11 +68,13 @@
             return;
         };
         let mut refused = Vec::new();
+        let mut limited = Vec::new();
         for id in std::mem::take(queue) {
             match self.dispatch(id) {
                 Dispatched::Sent => {}
                 Dispatched::Waiting => self.queues.entry(service.clone()).or_default().push(id),
                 Dispatched::Refused(cause, retry_after) => refused.push((id, cause, retry_after)),
+                Dispatched::Limited => limited.push(id),
             }
         }
         // A refusal starts the next statement that its client has pipelined, which needs the whole
@@ -77,6 +82,9 @@
         for (id, cause, retry_after) in refused {
             self.refuse(id, cause, retry_after);
         }
+        for id in limited {
+            self.refuse_waiting(id);
+        }
     }
 
     /// Tries to send one statement that has been taken from its queue.
@@ -87,6 +95,14 @@
         if self.now < job.earliest_send {
             return Dispatched::Waiting;
         }
+        match self.token_state(id) {
+            TokenState::Present => {}
+            TokenState::Expected => return Dispatched::Waiting,
+            TokenState::Refused => return Dispatched::Limited,
+        }
+        let Some(job) = self.jobs.get(&id) else {
+            return Dispatched::Sent;
+        };
         if let Some(connection) = self.bound_connection(job) {
             if !self.has_run(job.session) && !self.may_get_new_work_on(connection) {
                 return Dispatched::Refused("the server is leaving", RETRY_HANDOVER);
@@ -198,6 +214,7 @@
     /// For the first statement of a transaction only the `BEGIN` is sent; the statement follows
     /// once the server has answered it.
     fn send(&mut self, id: JobId, connection: ConnectionId, floor: Option<TermPosition>) {
+        self.take_token(id);
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -365,6 +382,7 @@
         let Some(job) = self.jobs.remove(&id) else {
             return;
         };
+        self.withdraw_token(&job);
         if let Some(queue) = self.queues.get_mut(&job.service) {
             queue.retain(|other| *other != id);
         }
@@ -390,10 +408,11 @@
     /// Drops a job whose client is gone. A statement that was sent still runs at its server; its
     /// answer is discarded.
     pub(crate) fn abandon(&mut self, id: JobId) {
-        if let Some(job) = self.jobs.remove(&id)
-            && let Some(queue) = self.queues.get_mut(&job.service)
-        {
-            queue.retain(|other| *other != id);
+        if let Some(job) = self.jobs.remove(&id) {
+            self.withdraw_token(&job);
+            if let Some(queue) = self.queues.get_mut(&job.service) {
+                queue.retain(|other| *other != id);
+            }
         }
     }
 }
--- a/sapphireslip-lead/src/drain.rs
+++ b/sapphireslip-lead/src/drain.rs
@@ -160,6 +160,8 @@
         let detail = format!("exiting with {} sessions open", self.sessions.len());
         self.log(Record::new(RecordKind::Drain, detail.into()));
         self.release_coordinator_role();
+        self.rate_limits.give_up(self.now);
+        self.rate_shares.end();
         if let Some(permission_version) = self.permission.stored_version {
             let write = StoreWrite::DropPermission {
                 vm: self.local.vm.clone(),
--- a/sapphireslip-lead/src/effect.rs
+++ b/sapphireslip-lead/src/effect.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     CoordinatorRecord, Failure, KeyDigest, LeaderRecord, PermissionRecord, Record, Reply,
-    RowVersion, Shape, StayingServers, TermPosition,
+    RowVersion, Shape, ShareAnswer, ShareRequest, StayingServers, TermPosition,
 };
 
 data! {
@@ -103,6 +103,21 @@
             /// Which of the other daemon's servers stay.
             staying: StayingServers,
         },
+        /// Asks the coordinator for shares of accounts' limits, on the connection that is kept open to
+        /// it.
+        RequestShares {
+            /// The address at which the coordinator accepts requests of other daemons.
+            address: SocketAddr,
+            /// The request.
+            request: ShareRequest,
+        },
+        /// Answers a daemon that asked for shares; its connection stays open.
+        AnswerShares {
+            /// The connection on which the other daemon waits.
+            session: SessionId,
+            /// The answer.
+            answer: ShareAnswer,
+        },
         /// Asks the platform to promote a server.
         Promote {
             /// The service that the server belongs to.
--- a/sapphireslip-lead/src/event.rs
+++ b/sapphireslip-lead/src/event.rs
@@ -7,8 +7,8 @@
 };
 
 use crate::{
-    Catalog, KeyDigest, LeaderTable, PermissionTable, Query, Reply, RowVersion, ServerRecord,
-    ServerStatus, StayingServers, StoreTime,
+    Catalog, CoordinatorRecord, KeyDigest, LeaderTable, PermissionTable, Query, Reply, RowVersion,
+    ServerRecord, ServerStatus, ShareAnswer, ShareRequest, StayingServers, StoreTime,
 };
 
 data! {
@@ -71,6 +71,22 @@
             /// When the request was sent.
             sent: Instant,
         },
+        /// A read of the leaders has shown who the coordinator is.
+        CoordinatorRead {
+            /// The coordinator and its row's version; none if there is no coordinator.
+            coordinator: Option<(CoordinatorRecord, RowVersion)>,
+            /// When the read was sent.
+            sent: Instant,
+        },
+        /// Another daemon asks this one, as the coordinator, for shares of accounts' limits.
+        ShareRequested {
+            /// The connection on which the other daemon waits for the answer.
+            session: SessionId,
+            /// The request.
+            request: ShareRequest,
+        },
+        /// The coordinator answered this daemon's request for shares.
+        ShareAnswered(ShareAnswer),
         /// The process was asked to stop.
         Drain {
             /// The time from now until the process is killed.
--- a/sapphireslip-lead/src/job.rs
+++ b/sapphireslip-lead/src/job.rs
@@ -64,6 +64,9 @@
         pub(crate) failed_servers: Vec<ServerId>,
         /// How many times the statement, or the `BEGIN` before it, was sent to a server.
         pub(crate) send_count: u32,
+        /// Whether the statement begins an operation of a limited account and has not taken the
+        /// operation's token.
+        pub(crate) needs_token: bool,
         /// The earliest time at which the statement may be sent.
         pub(crate) earliest_send: Instant,
     }
--- a/sapphireslip-lead/src/lead_record.rs
+++ b/sapphireslip-lead/src/lead_record.rs
@@ -58,6 +58,8 @@
         pub unreachable: Vec<ServerId>,
         /// The leaders that have answered the daemon recently.
         pub reached: Vec<ServerId>,
+        /// Whether the daemon may hold shares of the limits of accounts.
+        pub holds_shares: bool,
     }
 
     /// The leaders of all services and the coordinator at one version of the store.
--- a/sapphireslip-lead/src/permission.rs
+++ b/sapphireslip-lead/src/permission.rs
@@ -117,13 +117,32 @@
     /// Returns how long the permission still lasts: until the last grant ends or, if that is later,
     /// until the earliest end of any row that the store may hold.
     pub(crate) fn remaining(&self, now: Instant) -> Duration {
+        let by_row = self.row_remaining(now, Duration::ZERO);
+        let by_grant = self.grant_end.map_or(Duration::ZERO, |end| end.since(now));
+        by_row.max(by_grant)
+    }
+
+    /// Returns whether no other daemon can see this daemon's permission as ended in the store, grants
+    /// left aside.
+    pub(crate) fn is_row_valid(&self, now: Instant) -> bool {
+        !self.row_remaining(now, Duration::ZERO).is_zero()
+    }
+
+    /// Returns the time until `extra` has passed since the earliest end of any row that the store may
+    /// hold; zero if there is none.
+    pub(crate) fn row_remaining(&self, now: Instant, extra: Duration) -> Duration {
         let until = self
             .row_end
             .map(|until| self.unconfirmed_end.map_or(until, |end| end.min(until)));
-        let by_row = until.zip(self.clock.latest(now));
-        let by_row = by_row.map_or(Duration::ZERO, |(end, now)| end.0.saturating_sub(now.0));
-        let by_grant = self.grant_end.map_or(Duration::ZERO, |end| end.since(now));
-        by_row.max(by_grant)
+        let left = until.zip(self.clock.latest(now));
+        left.map_or(Duration::ZERO, |(end, now)| {
+            (end.0 + extra).saturating_sub(now.0)
+        })
+    }
+
+    /// Has the permission renewed at the next opportunity.
+    pub(crate) const fn make_renewal_due(&mut self, now: Instant) {
+        self.next_renewal = now;
     }
 
     /// Returns whether the last renewal is under way or ended without an answer.
@@ -206,6 +225,10 @@
         } else {
             Duration::ZERO
         };
+        let holds_shares = needs && self.rate_limits.has_limits();
+        if !holds_shares {
+            self.rate_limits.give_up(self.now);
+        }
         let record = PermissionRecord {
             vm: self.local.vm.clone(),
             incarnation: self.local.incarnation,
@@ -216,6 +239,7 @@
             until: StoreTime(latest.0 + length + took),
             unreachable,
             reached: self.reached_leaders(),
+            holds_shares,
         };
         let end = record.until;
         let earliest = self
@@ -254,6 +278,9 @@
                     .max(generation.unwrap_or_default());
                 self.permission.row_end = Some(record.until);
                 self.permission.unconfirmed_end = None;
+                if record.holds_shares {
+                    self.rate_limits.allow();
+                }
             }
             WriteOutcome::Conflict {
                 permission_version,
@@ -295,6 +322,7 @@
                     self.now + self.random.jitter(alive.min(RESTART_SPREAD) / 2);
             }
         }
+        self.rate_shares.on_rows(self.now, sent, &table);
         self.votes = Votes::count(&table, &self.local.vm);
         self.permissions = Some(table);
         self.rank_homes();
--- /dev/null
+++ b/sapphireslip-lead/src/rate_shares.rs
@@ -0,0 +1,371 @@
+//! The coordinator's lending of shares of accounts' limits, and of single tokens.
+//!
+//! The sum of the shares that may be in use, including the coordinator's own rest, is at most the
+//! whole limit at any time. `docs/design/10-rate-limits.md` derives the bound on operations from it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use sapphireslip_core::{AccountName, Incarnation, Instant, VmId, data};
+
+use crate::rate_bucket::{Bucket, WHOLE_SHARE};
+use crate::{
+    AccountAsk, AccountLoan, Accounts, PermissionTable, RateBounds, RateLimit, SHARE_LEASE,
+    ShareAnswer, ShareRequest, StoreTime,
+};
+
+/// The most of a limit that is lent while demand is low, in millionths. The rest stays with the
+/// coordinator for tokens.
+const LENT_AT_LOW_DEMAND: u64 = 750_000;
+
+/// The most of a limit that is lent while demand exceeds it, in millionths.
+const LENT_AT_HIGH_DEMAND: u64 = 900_000;
+
+/// The rate per borrower, in thousandths of an operation per second, at which half of these parts is
+/// lent. A bucket that yields less than a token in some seconds is mostly full when none asks and
+/// empty when one does, so that small accounts are served better by tokens.
+const HALF_LENT_RATE: u64 = 1_000;
+
+/// The part of a limit, as a divisor, that is divided equally among borrowers while demand exceeds
+/// the limit, so that none is left without a share while the coordinator is lost.
+const EQUAL_PART_DIVISOR: u64 = 10;
+
+data! {
+    /// The shares and tokens that this daemon lends as the coordinator.
+    pub struct RateShares {
+        bounds: RateBounds,
+        /// The term of lending; none while this daemon is not the coordinator.
+        term: Option<LendingTerm>,
+        accounts: BTreeMap<AccountName, Lending>,
+    }
+
+    /// The time since this daemon became the coordinator.
+    struct LendingTerm {
+        begun: Instant,
+        /// Whether every lease of an earlier coordinator is known or has ended.
+        is_known: bool,
+        /// The runs that may hold leases of an earlier coordinator and have not reported yet; none
+        /// until the rows are read.
+        unreported: Option<Vec<(VmId, Incarnation)>>,
+        borrowers: BTreeMap<VmId, Borrower>,
+    }
+
+    /// What is known of a daemon that asked for shares.
+    struct Borrower {
+        incarnation: Incarnation,
+        sequence: u64,
+        /// Whether it has listed all its shares since the term began.
+        has_reported: bool,
+    }
+
+    /// What is lent of one account's limit.
+    struct Lending {
+        /// The rest of the limit, from which tokens are issued.
+        rest: Bucket,
+        leases: BTreeMap<VmId, Lease>,
+    }
+
+    /// A share that a daemon may use.
+    struct Lease {
+        /// The share that the daemon used when it last asked.
+        in_use: u32,
+        /// The share that it was answered.
+        answered: u32,
+        demand_millis: u64,
+        end: Instant,
+    }
+}
+
+impl Lease {
+    /// Returns the largest share that the daemon may be using.
+    fn counted(&self) -> u32 {
+        self.in_use.max(self.answered)
+    }
+}
+
+impl Lending {
+    /// Returns the sum of the shares that may be in use.
+    fn lent(&self) -> u32 {
+        let shares = self.leases.values().map(Lease::counted);
+        shares.fold(0, u32::saturating_add)
+    }
+
+    /// Sets the rest to what is not lent, or to nothing while `is_known` is false.
+    fn set_rest(&mut self, now: Instant, limit: RateLimit, is_known: bool) {
+        let rest = match is_known {
+            true => WHOLE_SHARE.saturating_sub(self.lent()),
+            false => 0,
+        };
+        self.rest.set(now, limit, rest);
+    }
+
+    /// Returns the share that the borrower `vm` should have by the demand of all borrowers.
+    fn target(&self, vm: &VmId, limit: RateLimit) -> u32 {
+        let rate = u128::from(limit.per_second);
+        let count = self.leases.len().max(1) as u128;
+        let demands = self.leases.values().map(|lease| lease.demand_millis);
+        let demand: u128 = demands.map(u128::from).sum();
+        let own = self.leases.get(vm).map_or(0, |lease| lease.demand_millis);
+        if rate == 0 {
+            return 0;
+        }
+        let per_borrower = rate / count;
+        let lent =
+            lent_at(demand, rate) * per_borrower / (per_borrower + u128::from(HALF_LENT_RATE));
+        // The equal part brings the sum of the targets up to what is lent while demand is lower.
+        let lent_rate = rate * lent / u128::from(WHOLE_SHARE);
+        let unasked = lent_rate.saturating_sub(demand) / count;
+        let equal = unasked.max(rate / u128::from(EQUAL_PART_DIVISOR) / count);
+        let total = demand + equal * count;
+        let target = lent * (u128::from(own) + equal) / total.max(1);
+        u32::try_from(target).unwrap_or(WHOLE_SHARE)
+    }
+}
+
+/// Returns the part of a limit to be lent, in millionths, which rises as demand nears the limit.
+fn lent_at(demand: u128, rate: u128) -> u128 {
+    let (low, high) = (
+        u128::from(LENT_AT_LOW_DEMAND),
+        u128::from(LENT_AT_HIGH_DEMAND),
+    );
+    let whole = u128::from(WHOLE_SHARE);
+    let excess = (demand * whole / rate).saturating_sub(whole);
+    (low + excess).min(high)
+}
+
+impl RateShares {
+    /// Returns the state of a daemon that is not the coordinator.
+    #[must_use]
+    pub const fn new(bounds: RateBounds) -> Self {
+        Self {
+            bounds,
+            term: None,
+            accounts: BTreeMap::new(),
+        }
+    }
+
+    /// Begins a term without knowledge of the leases that an earlier coordinator gave. No earlier
+    /// coordinator may give any after `now`.
+    pub fn begin(&mut self, now: Instant, accounts: &Accounts) {
+        self.accounts.clear();
+        self.term = Some(LendingTerm {
+            begun: now,
+            is_known: false,
+            unreported: None,
+            borrowers: BTreeMap::new(),
+        });
+        self.on_limits(now, accounts);
+    }
+
+    /// Ends the term.
+    pub fn end(&mut self) {
+        self.term = None;
+        self.accounts.clear();
+    }
+
+    /// Returns whether this daemon answers requests.
+    #[must_use]
+    pub const fn is_lending(&self) -> bool {
+        self.term.is_some()
+    }
+
+    /// Returns whether every lease of an earlier coordinator is known or has ended, so that more
+    /// may be lent.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.term.as_ref().is_some_and(|term| term.is_known)
+    }
+
+    /// Learns from rows that were read at or after `sent` which daemons may hold leases. Rows that
+    /// were read before the term began are ignored: they may lack a daemon that got a lease since.
+    pub fn on_rows(&mut self, now: Instant, sent: Instant, table: &PermissionTable) {
+        let Some(term) = self.term.as_mut().filter(|term| term.begun <= sent) else {
+            return;
+        };
+        let may_hold = |record: &&crate::PermissionRecord| {
+            record.holds_shares && table.now < StoreTime(record.until.0 + SHARE_LEASE)
+        };
+        let rows = table.permissions.iter().map(|(record, _)| record);
+        let holders = rows.filter(may_hold);
+        let runs = holders.map(|record| (record.vm.clone(), record.incarnation));
+        term.unreported = Some(runs.collect());
+        self.check_known(now);
+    }
+
+    /// Applies the limits of a configuration.
+    pub fn on_limits(&mut self, now: Instant, accounts: &Accounts) {
+        let Some(term) = &self.term else {
+            return;
+        };
+        let is_known = term.is_known;
+        self.accounts.retain(|name, lending| {
+            lending.leases.retain(|_, lease| now < lease.end);
+            let is_limited = accounts.get(name).is_some_and(|a| a.limit.is_some());
+            is_limited || lending.lent() > 0
+        });
+        for account in accounts.all() {
+            if let Some(limit) = account.limit {
+                let lending = entry(&mut self.accounts, now, &account.name, limit, &self.bounds);
+                lending.set_rest(now, limit, is_known);
+            }
+        }
+    }
+
+    /// Lets time pass: everything may be lent once an earlier coordinator's leases have ended.
+    pub fn check_known(&mut self, now: Instant) {
+        let Some(term) = self.term.as_mut().filter(|term| !term.is_known) else {
+            return;
+        };
+        let has_reported = |(vm, incarnation): &(VmId, Incarnation)| {
+            let borrower = term.borrowers.get(vm);
+            borrower.is_some_and(|b| b.has_reported && b.incarnation >= *incarnation)
+        };
+        let all_reported = term
+            .unreported
+            .as_ref()
+            .is_some_and(|runs| runs.iter().all(has_reported));
+        if all_reported || now.since(term.begun) >= SHARE_LEASE {
+            term.is_known = true;
+            for lending in self.accounts.values_mut() {
+                let limit = lending.rest.limit();
+                lending.set_rest(now, limit, true);
+            }
+        }
+    }
+
+    /// Answers a daemon's request; returns none if this daemon does not lend, or if the request is
+    /// older than one that was answered.
+    pub fn on_request(
+        &mut self,
+        now: Instant,
+        accounts: &Accounts,
+        request: &ShareRequest,
+    ) -> Option<ShareAnswer> {
+        let is_new_run = self.note_borrower(request)?;
+        if is_new_run {
+            self.end_leases(now, &request.vm, &BTreeSet::new());
+        } else if request.is_complete {
+            let listed = request.accounts.iter().map(|ask| &ask.account).collect();
+            self.end_leases(now, &request.vm, &listed);
+        }
+        self.check_known(now);
+        let is_known = self.is_complete();
+        let mut loans = Vec::with_capacity(request.accounts.len());
+        for ask in &request.accounts {
+            let limit = accounts.get(&ask.account).and_then(|account| account.limit);
+            let limit_or_none = limit.unwrap_or(RateLimit {
+                per_second: 0,
+                burst: 0,
+            });
+            let bounds = &self.bounds;
+            let lending = entry(&mut self.accounts, now, &ask.account, limit_or_none, bounds);
+            let may_change = is_known && limit.is_some();
+            loans.push(lend(
+                lending,
+                now,
+                &request.vm,
+                ask,
+                limit_or_none,
+                may_change,
+                bounds,
+            ));
+        }
+        Some(ShareAnswer {
+            sequence: request.sequence,
+            lease: SHARE_LEASE,
+            accounts: loans,
+        })
+    }
+
+    /// Records a request's sender. Returns whether an earlier run on its VM was known before; none
+    /// if the request is to be ignored.
+    fn note_borrower(&mut self, request: &ShareRequest) -> Option<bool> {
+        let term = self.term.as_mut()?;
+        let known = term.borrowers.get(&request.vm);
+        let is_old = known.is_some_and(|known| {
+            (request.incarnation, request.sequence) <= (known.incarnation, known.sequence)
+        });
+        if is_old {
+            return None;
+        }
+        let same_run = known.filter(|known| known.incarnation == request.incarnation);
+        let has_reported = request.is_complete || same_run.is_some_and(|run| run.has_reported);
+        let is_new_run = known.is_some() && same_run.is_none();
+        let borrower = Borrower {
+            incarnation: request.incarnation,
+            sequence: request.sequence,
+            has_reported,
+        };
+        term.borrowers.insert(request.vm.clone(), borrower);
+        Some(is_new_run)
+    }
+
+    /// Ends the leases of a daemon on all accounts but those in `kept`.
+    fn end_leases(&mut self, now: Instant, vm: &VmId, kept: &BTreeSet<&AccountName>) {
+        let is_known = self.is_complete();
+        for (name, lending) in &mut self.accounts {
+            if !kept.contains(name) && lending.leases.remove(vm).is_some() {
+                let limit = lending.rest.limit();
+                lending.set_rest(now, limit, is_known);
+            }
+        }
+    }
+}
+
+/// Returns the lending of an account; it begins with an empty bucket.
+fn entry<'a>(
+    accounts: &'a mut BTreeMap<AccountName, Lending>,
+    now: Instant,
+    name: &AccountName,
+    limit: RateLimit,
+    bounds: &RateBounds,
+) -> &'a mut Lending {
+    accounts.entry(name.clone()).or_insert_with(|| Lending {
+        rest: Bucket::new(now, limit, bounds.coordinator_spare()),
+        leases: BTreeMap::new(),
+    })
+}
+
+/// Lends a share of one account's limit, and tokens. The borrower keeps the share that it uses
+/// unless `may_change`.
+fn lend(
+    lending: &mut Lending,
+    now: Instant,
+    vm: &VmId,
+    ask: &AccountAsk,
+    limit: RateLimit,
+    may_change: bool,
+    bounds: &RateBounds,
+) -> AccountLoan {
+    lending.leases.retain(|_, lease| now < lease.end);
+    let lease = Lease {
+        in_use: ask.share,
+        answered: ask.share,
+        demand_millis: ask.demand_millis,
+        end: now + SHARE_LEASE,
+    };
+    lending.leases.insert(vm.clone(), lease);
+    let share = if may_change {
+        let others = lending.lent().saturating_sub(ask.share);
+        let others_count = lending.leases.iter();
+        let others_count =
+            others_count.filter(|(other, lease)| *other != vm && lease.counted() > 0);
+        let may_borrow = (others_count.count() as u64) < bounds.borrowers_max();
+        match ask.share > 0 || may_borrow {
+            true => lending
+                .target(vm, limit)
+                .min(WHOLE_SHARE.saturating_sub(others)),
+            false => 0,
+        }
+    } else {
+        ask.share
+    };
+    if let Some(lease) = lending.leases.get_mut(vm) {
+        lease.answered = share;
+    }
+    lending.set_rest(now, limit, may_change);
+    AccountLoan {
+        account: ask.account.clone(),
+        share,
+        tokens: lending.rest.take(now, ask.wanted),
+    }
+}
--- a/sapphireslip-lead/src/record.rs
+++ b/sapphireslip-lead/src/record.rs
@@ -54,6 +54,8 @@
         CatalogTaken,
         /// An account or a key of the configuration was left out.
         AccountIgnored,
+        /// The limit of an account was reached at this daemon, or is no longer.
+        AccountLimited,
         /// A backend server's row in the list appeared, changed or is missing.
         ServerListed,
         /// A backend server became unreachable, or answers again.
@@ -120,7 +122,7 @@
 
 impl RecordKind {
     /// All kinds.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::RequestSent,
         Self::RequestAnswered,
         Self::RequestRetried,
@@ -138,6 +140,7 @@
         Self::Promotion,
         Self::CatalogTaken,
         Self::AccountIgnored,
+        Self::AccountLimited,
         Self::StoreReachable,
         Self::DaemonAvoided,
         Self::Drain,
@@ -184,6 +187,7 @@
             Self::Promotion => "promotion",
             Self::CatalogTaken => "catalog_taken",
             Self::AccountIgnored => "account_ignored",
+            Self::AccountLimited => "account_limited",
             Self::ServerListed => "server_listed",
             Self::ServerReachable => "server_reachable",
             Self::StoreReachable => "store_reachable",
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -24,7 +24,9 @@
 use crate::store_events::Reads;
 use crate::votes::Votes;
 use crate::waiting_session::WaitingSession;
-use crate::{Catalog, Effect, Event, Floors, PermissionTable, Record};
+use crate::{
+    Catalog, Effect, Event, Floors, PermissionTable, RateBounds, RateLimits, RateShares, Record,
+};
 
 data! {
     /// The identity of this daemon, which stays the same while it runs.
@@ -63,6 +65,10 @@
         pub configuration: u64,
         /// The time since that version was applied; zero if none is known.
         pub configuration_age: Duration,
+        /// The number of operations that were refused by the limit of their account.
+        pub refused_by_limit: u64,
+        /// The number of accounts of whose limit this daemon has a share.
+        pub shares_held: usize,
         /// Whether the daemon is ready for clients.
         pub is_ready: bool,
     }
@@ -119,6 +125,13 @@
         pub(crate) pool: Pool,
         /// The floors of each service, by the positions of its primary.
         pub(crate) floors: BTreeMap<ServiceName, Floors>,
+        /// This daemon's shares of the limits of accounts.
+        pub(crate) rate_limits: RateLimits,
+        /// The shares that this daemon lends as the coordinator.
+        pub(crate) rate_shares: RateShares,
+        /// Since when this daemon has been the coordinator by a valid row, as far as it knows, and
+        /// when it last read the leaders to confirm that; none if it is not the coordinator.
+        pub(crate) lender_since: Option<(Instant, Instant)>,
         /// The numbers of the prepared statement shapes.
         pub(crate) shapes: Shapes,
         /// The graceful stop; none until it begins.
@@ -133,6 +146,7 @@
     /// determines the jitter; it should differ between daemons.
     #[must_use]
     pub fn new(local: Identity, server_drain_bound: Duration, seed: u64) -> Self {
+        let (vm, incarnation) = (local.vm.clone(), local.incarnation);
         Self {
             local,
             now: Instant::default(),
@@ -159,6 +173,9 @@
             queues: BTreeMap::new(),
             pool: Pool::default(),
             floors: BTreeMap::new(),
+            rate_limits: RateLimits::new(RateBounds::default(), vm, incarnation),
+            rate_shares: RateShares::new(RateBounds::default()),
+            lender_since: None,
             shapes: Shapes::default(),
             drain: None,
         }
@@ -169,6 +186,7 @@
     /// `now` must include time during which the machine was suspended: permissions depend on it.
     pub fn reduce(&mut self, now: Instant, event: Event) -> Vec<Effect> {
         self.now = now;
+        self.watch_lending();
         match event {
             Event::Tick => self.on_tick(),
             Event::Client(event) => self.on_client(event),
@@ -191,6 +209,13 @@
                 length,
                 sent,
             } => self.on_granted(generation, &staying, length, sent),
+            Event::CoordinatorRead { coordinator, sent } => {
+                self.on_coordinator_read(coordinator.as_ref(), sent);
+            }
+            Event::ShareRequested { session, request } => {
+                self.on_shares_requested(session, &request);
+            }
+            Event::ShareAnswered(answer) => self.on_shares_answered(&answer),
             Event::Drain { grace } => self.begin_drain(grace),
         }
         std::mem::take(&mut self.effects)
@@ -205,6 +230,7 @@
         self.read_store();
         self.probe_leaders();
         self.coordinate();
+        self.keep_shares();
         self.close_silent_relays();
         self.move_sessions();
         self.keep_connections();
@@ -255,6 +281,8 @@
                 Some(_) => self.now.since(self.catalog_applied),
                 None => Duration::ZERO,
             },
+            refused_by_limit: self.rate_limits.refused(),
+            shares_held: self.rate_limits.shares_held(self.now),
             is_ready: self.is_ready(),
         }
     }
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -265,6 +265,7 @@
         }
         self.catalog = Some(catalog);
         self.catalog_applied = self.now;
+        self.apply_limits();
         self.rank_homes();
         self.close_revoked_sessions();
         self.open_waiting_sessions();
--- a/sapphireslip-lead/tests/support/store.rs
+++ b/sapphireslip-lead/tests/support/store.rs
@@ -23,6 +23,7 @@
         until: StoreTime::default(),
         unreachable: Vec::new(),
         reached: Vec::new(),
+        holds_shares: false,
     }
 }
 
--- a/sapphireslipd/src/lead_clients.rs
+++ b/sapphireslipd/src/lead_clients.rs
@@ -163,7 +163,7 @@
     /// The commands of the runner.
     pub(crate) commands: flume::Receiver<Command>,
     /// The channel to the reducer.
-    events: flume::Sender<Event>,
+    pub(crate) events: flume::Sender<Event>,
     /// Whether the session is served here rather than forwarded; until then statements that the
     /// client has sent ahead stay unread.
     is_served_here: bool,
@@ -184,7 +184,8 @@
 impl SessionTask {
     /// Reads the opening of a connection and serves its session to the end.
     ///
-    /// A connection of another daemon opens a forwarded session, or asks for a grant.
+    /// A connection of another daemon opens a forwarded session, or asks for a grant or for shares of
+    /// accounts' limits.
     async fn open(
         id: SessionId,
         client: NewClient,
@@ -224,6 +225,7 @@
                     let _stopping = task.events.send_async(event).await;
                     return task.serve().await.map(|_| ());
                 }
+                PeerOpening::ShareRequest(request) => return task.serve_shares(request).await,
             }
         }
         let line = task.first_line().await?;
--- a/sapphireslipd/src/lead_metrics.rs
+++ b/sapphireslipd/src/lead_metrics.rs
@@ -72,6 +72,8 @@
     configuration_version: Gauge<u64, AtomicU64>,
     /// The time since that version took effect, in seconds.
     configuration_age: Gauge<f64, AtomicU64>,
+    /// The number of operations that were refused by the limit of their account.
+    refused_by_limit: Gauge<u64, AtomicU64>,
     /// 1 if the daemon is ready for clients, else 0.
     ready: Gauge,
 }
@@ -99,6 +101,7 @@
             servers_age: Gauge::default(),
             configuration_version: Gauge::default(),
             configuration_age: Gauge::default(),
+            refused_by_limit: Gauge::default(),
             ready: Gauge::default(),
         };
         metrics.register();
@@ -153,6 +156,11 @@
         let help = "Time since that version was taken";
         let age = self.configuration_age.clone();
         registry.register_with_unit("configuration_age", help, Unit::Seconds, age);
+        registry.register(
+            "refused_by_limit",
+            "Operations refused by the limit of their account since the start",
+            self.refused_by_limit.clone(),
+        );
         registry.register(
             "ready",
             "Whether clients should connect",
@@ -198,6 +206,7 @@
             ("connections", snapshot.connections),
             ("servers", snapshot.servers),
             ("leaving_leaders", snapshot.leaving_leaders),
+            ("shares", snapshot.shares_held),
         ];
         for (what, count) in counts {
             let count = u64::try_from(count).unwrap_or(u64::MAX);
@@ -209,6 +218,7 @@
         self.configuration_version.set(snapshot.configuration);
         let age = snapshot.configuration_age.as_secs_f64();
         self.configuration_age.set(age);
+        self.refused_by_limit.set(snapshot.refused_by_limit);
         self.ready.set(i64::from(snapshot.is_ready));
     }
 
--- a/sapphireslipd/src/lead_run.rs
+++ b/sapphireslipd/src/lead_run.rs
@@ -16,6 +16,7 @@
 use crate::lead_metrics::LeadMetrics;
 use crate::lead_runner::LeadRunner;
 use crate::lead_servers::Backends;
+use crate::lead_shares::ShareLink;
 use crate::run::listen;
 use crate::store_client::StoreClient;
 use crate::store_edge::StoreEdge;
@@ -83,8 +84,10 @@
         peers: settings.peers,
     };
     log::info!(callers:% = settings.clients, incarnation = incarnation.0; "started");
+    let shares = ShareLink::start(events_tx.clone());
     let runner = LeadRunner {
-        state: State::new(identity, settings.server_drain_bound, incarnation.0),
+        state: State::new(identity, settings.server_drain_bound, incarnation.0)
+            .with_rate_bounds(settings.rates),
         clock,
         events,
         events_tx,
@@ -92,6 +95,7 @@
         clients: Clients::default(),
         backends: Backends::default(),
         store,
+        shares,
         is_ready,
         needs_leaders,
         metrics,
--- a/sapphireslipd/src/lead_runner.rs
+++ b/sapphireslipd/src/lead_runner.rs
@@ -8,7 +8,8 @@
 use sapphireslip_core::SessionId;
 use sapphireslip_lead::{Effect, Event, State};
 use sapphireslip_platform::{
-    encode_failure, encode_forward, encode_grant, encode_reply, encode_session_opened, promote_call,
+    encode_failure, encode_forward, encode_grant, encode_reply, encode_session_opened,
+    encode_share_answer, promote_call,
 };
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until};
@@ -18,6 +19,7 @@
 use crate::lead_log::log_record;
 use crate::lead_metrics::LeadMetrics;
 use crate::lead_servers::{Backends, Target};
+use crate::lead_shares::ShareLink;
 use crate::store_edge::StoreEdge;
 
 /// The interval of ticks while statements, a handover or the stop depend on timeouts.
@@ -47,6 +49,8 @@
     pub(crate) clients: Clients,
     pub(crate) backends: Backends,
     pub(crate) store: StoreEdge,
+    /// The connection to the coordinator for shares of accounts' limits.
+    pub(crate) shares: ShareLink,
     /// Whether the daemon is ready for clients, for the readiness page.
     pub(crate) is_ready: Arc<AtomicBool>,
     /// Whether the leaders have to be watched in the store.
@@ -226,6 +230,12 @@
                 self.clients.send(session, bytes);
                 self.clients.close(session);
             }
+            Effect::RequestShares { address, request } => self.shares.send(address, request),
+            Effect::AnswerShares { session, answer } => {
+                let mut bytes = Vec::new();
+                encode_share_answer(&answer, &mut bytes);
+                self.clients.send(session, bytes);
+            }
             Effect::Log(record) => {
                 self.metrics.record(&record);
                 log_record(&record);
--- a/sapphireslipd/src/lead_settings.rs
+++ b/sapphireslipd/src/lead_settings.rs
@@ -12,6 +12,9 @@
 //! server_drain_bound = "7s"     # a server that leaves gets no new work after it; optional
 //! settle_time = "4s"            # after a fault the platform's bounds hold again; optional
 //! processor_share = "0.25"      # the cores that the VM has for this daemon; optional
+//! rate_window = "5s"            # accounts keep their limits in any span of this length; optional
+//! rate_overshoot = "0.1"        # by this part they may exceed them; optional
+//! rate_slack = "20"             # and by so many operations; optional
 //!
 //! [store]                       # its presence selects this kind of settings
 //! address = "10.0.9.1:443"
@@ -25,6 +28,7 @@
 
 use log::LevelFilter;
 use sapphireslip_core::{Located, TomlTable, ValueFault, VmId, ZoneName};
+use sapphireslip_lead::RateBounds;
 
 use crate::raw_settings::{Faults, address, duration, name};
 use crate::settings::log_level;
@@ -52,6 +56,18 @@
 /// The highest `settle_time` that the settings may give.
 const SETTLE_TIME_MAX: Duration = Duration::from_secs(20);
 
+/// The lowest `rate_window` that the settings may give: daemons exchange shares once per second.
+const RATE_WINDOW_MIN: Duration = Duration::from_secs(1);
+
+/// The highest `rate_window` that the settings may give.
+const RATE_WINDOW_MAX: Duration = Duration::from_secs(60 * 60);
+
+/// The highest `rate_overshoot` that the settings may give.
+const RATE_OVERSHOOT_MAX: u32 = 10;
+
+/// The highest `rate_slack` that the settings may give.
+const RATE_SLACK_MAX: u32 = 1_000_000;
+
 /// The share of a processor core, in thousandths, that a VM has if the settings do not say.
 pub const MILLICORES_DEFAULT: u32 = 250;
 
@@ -81,6 +97,8 @@
     pub settle_time: Duration,
     /// The VM's share of a processor core, in thousandths: the stronger of a zone's VMs become homes.
     pub millicores: u32,
+    /// How far the operations of an account may exceed its limit.
+    pub rates: RateBounds,
     /// The address of the platform's store.
     pub store: SocketAddr,
     /// The address of the platform's service that promotes servers.
@@ -138,6 +156,7 @@
         SETTLE_TIME_MIN..=SETTLE_TIME_MAX,
     );
     let millicores = processor_share(&mut root, faults);
+    let rates = rate_bounds(&mut root, faults);
     let store = service(&mut root, faults, "store");
     let promotion = service(&mut root, faults, "promotion");
     root.finish(faults);
@@ -153,6 +172,7 @@
         server_drain_bound: server_drain_bound.unwrap_or(SERVER_DRAIN_BOUND_DEFAULT),
         settle_time: settle_time.unwrap_or(SETTLE_TIME_DEFAULT),
         millicores: millicores.unwrap_or(MILLICORES_DEFAULT),
+        rates,
         store: store?.value,
         promotion: promotion?.value,
     })
@@ -177,6 +197,42 @@
     }
 }
 
+/// Reads the optional bounds on how far accounts may exceed their limits.
+fn rate_bounds(root: &mut TomlTable<'_>, faults: &mut Faults<'_>) -> RateBounds {
+    let default = RateBounds::default();
+    let range = RATE_WINDOW_MIN..=RATE_WINDOW_MAX;
+    let window = duration(root, faults, "rate_window", range);
+    let overshoot = number(root, faults, "rate_overshoot", RATE_OVERSHOOT_MAX);
+    let slack = number(root, faults, "rate_slack", RATE_SLACK_MAX);
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "both numbers are between 0 and a million"
+    )]
+    RateBounds {
+        window: window.unwrap_or(default.window),
+        overshoot_millis: overshoot.map_or(default.overshoot_millis, |n| (n * 1_000.0) as u32),
+        slack: slack.map_or(default.slack, |n| n as u64),
+    }
+}
+
+/// Reads an optional number from 0 to `max`.
+fn number(
+    root: &mut TomlTable<'_>,
+    faults: &mut Faults<'_>,
+    key: &'static str,
+    max: u32,
+) -> Option<f64> {
+    let Located { value, offset } = root.optional_text(faults, key)?;
+    let number = value.parse::<f64>().ok();
+    let number = number.filter(|number| (0.0..=f64::from(max)).contains(number));
+    if number.is_none() {
+        let fault = SettingsFault::InvalidNumber(max, value.to_owned());
+        faults.add(offset, &root.path_of(key), fault);
+    }
+    number
+}
+
 /// Reads the address of one of the platform's services from the table `key`.
 fn service(
     root: &mut TomlTable<'_>,
--- a/sapphireslipd/src/lib.rs
+++ b/sapphireslipd/src/lib.rs
@@ -35,6 +35,7 @@
 mod lead_runner;
 mod lead_servers;
 mod lead_settings;
+mod lead_shares;
 mod line_stream;
 mod log_budget;
 mod logging;
--- a/sapphireslipd/src/settings_fault.rs
+++ b/sapphireslipd/src/settings_fault.rs
@@ -55,6 +55,10 @@
         InvalidProcessorShare(text: String) {
             display("`{text}` is no share of a processor: write a number of cores above 0, such as `0.25`")
         }
+        /// A text is not a number in the permitted range.
+        InvalidNumber(max: u32, text: String) {
+            display("`{text}` is no number from 0 to {max}")
+        }
         /// A VM or an address that must be unique occurs more than once.
         Duplicate(text: String, first_line: usize) {
             display("`{text}` is already given in line {first_line}: keep one of them")
--- a/sapphireslipd/src/store_edge.rs
+++ b/sapphireslipd/src/store_edge.rs
@@ -55,10 +55,14 @@
         self.send_event(Event::Servers { list, sent }).await;
     }
 
-    /// Reads the leaders of all services; reports nothing if that fails.
+    /// Reads the leaders of all services and who the coordinator is; reports nothing if that fails.
     pub(crate) async fn read_leaders(self) {
+        let sent = self.clock.now();
         if let Some(table) = self.read(Table::Leads, decode_leaders).await {
+            let coordinator = table.coordinator.clone();
             self.send_event(Event::Leaders(table)).await;
+            self.send_event(Event::CoordinatorRead { coordinator, sent })
+                .await;
         }
     }
 
