--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -270,6 +270,7 @@
         }
         self.catalog = Some(catalog);
         self.catalog_applied = self.now;
+        self.apply_limits();
         self.rank_homes();
         self.close_revoked_sessions();
         self.close_connections_of_removed_accounts();
