--- a/sapphireslipd/src/lead_clients.rs
+++ b/sapphireslipd/src/lead_clients.rs
@@ -184,8 +184,8 @@
 impl SessionTask {
     /// Reads the opening of a connection and serves its session to the end.
     ///
-    /// A connection of another daemon opens a forwarded session, or asks for a grant or for shares of
-    /// accounts' limits.
+    /// A connection of another daemon opens a forwarded session, or asks for a grant, for shares of
+    /// accounts' limits or for the configuration.
     async fn open(
         id: SessionId,
         client: NewClient,
@@ -226,6 +226,15 @@
                     return task.serve().await.map(|_| ());
                 }
                 PeerOpening::ShareRequest(request) => return task.serve_shares(request).await,
+                PeerOpening::CatalogRequest(version) => {
+                    let event = Event::CatalogAsked {
+                        session: id,
+                        version,
+                    };
+                    // Fails only if the daemon is already stopping.
+                    let _stopping = task.events.send_async(event).await;
+                    return task.serve().await.map(|_| ());
+                }
             }
         }
         let line = task.first_line().await?;
--- a/sapphireslipd/src/lead_runner.rs
+++ b/sapphireslipd/src/lead_runner.rs
@@ -9,7 +9,7 @@
 use sapphireslip_lead::{Effect, Event, State};
 use sapphireslip_platform::{
     encode_failure, encode_forward, encode_grant, encode_reply, encode_session_opened,
-    encode_share_answer, promote_call,
+    encode_share_answer, encode_told_catalog, promote_call,
 };
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until};
@@ -236,6 +236,15 @@
                 encode_share_answer(&answer, &mut bytes);
                 self.clients.send(session, bytes);
             }
+            Effect::AskCatalog { address, version } => {
+                tokio::spawn(self.store.clone().ask_catalog(address, version));
+            }
+            Effect::TellCatalog { session, told } => {
+                let mut bytes = Vec::new();
+                encode_told_catalog(&told, &mut bytes);
+                self.clients.send(session, bytes);
+                self.clients.close(session);
+            }
             Effect::Log(record) => {
                 self.metrics.record(&record);
                 log_record(&record);
