Standins: a replica keeps the records that it has reported

Cause: the replication task and each request to follow a primary compared the logs and applied the difference under separate locks. Of two at the same time, the later one dropped records that the other had received and the server had reported, and received them again. Meanwhile the server's reads lacked records that its last status showed, which the contract of a server rules out. Change: one pull at a time.

--- a/standins/src/backend_group.rs
+++ b/standins/src/backend_group.rs
@@ -263,6 +263,7 @@
         run: Mutex::new(limits.new_run()),
         limits,
         log: Mutex::new(Log::new(index == 0)),
+        pulling: Mutex::default(),
         faults: Mutex::new(Faults {
             transfer_delay: settings.transfer_delay,
             lag: settings.lag,
--- a/standins/src/backend_server.rs
+++ b/standins/src/backend_server.rs
@@ -80,6 +80,10 @@
     pub(crate) limits: Limits,
     /// The log and the databases, which outlive a run.
     pub(crate) log: Mutex<Log>,
+    /// Held while records are pulled from the primary. The replication task and each request to
+    /// follow a primary pull records; a pull that compared the logs before another one ended would
+    /// drop records that the server has already reported.
+    pub(crate) pulling: Mutex<()>,
     /// The faults that are switched on at present.
     pub(crate) faults: Mutex<Faults>,
     /// The lock that the session with the open write transaction holds.
@@ -237,6 +241,7 @@
     ///
     /// Returns when the next record is due; `None` if no record is on its way.
     pub(crate) fn pull_records(&self, group: &[Arc<Self>]) -> Option<Instant> {
+        let _pulling = lock(&self.pulling);
         let following = lock(&self.log).following?;
         let primary = group.get(following.primary)?;
         let faults = lock(&self.faults).clone();
--- a/standins/tests/backend_failover.rs
+++ b/standins/tests/backend_failover.rs
@@ -1,5 +1,7 @@
 //! Tests of group requests, of failover by group requests, and of server faults.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use rstest::rstest;
@@ -237,3 +239,55 @@
     group.heal(0);
     answer.await.expect("the statement is answered");
 }
+
+/// Several daemons order a replica to follow the same primary at the same time, while it replicates.
+/// A record that the replica has reported must stay in its log and in its reads: a daemon that knows
+/// of it sends the reads of a session that wrote it there.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn follow_keeps_reported_records() {
+    const WRITES: u64 = 400;
+    let group = Arc::new(group().await);
+    group.set_transfer_delay(1, Duration::ZERO);
+    let primary = session(&group, 0).await;
+    create(&primary).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut orders = Vec::new();
+    for _ in 0..3 {
+        let control = control(&group, 1).await;
+        let stop = Arc::clone(&stop);
+        orders.push(tokio::spawn(async move {
+            while !stop.load(Ordering::Relaxed) {
+                ask(&control, "group_follow(1, 'server-a')")
+                    .await
+                    .expect("server-a is primary in this term");
+            }
+        }));
+    }
+    let watch = {
+        let (group, stop) = (Arc::clone(&group), Arc::clone(&stop));
+        std::thread::spawn(move || {
+            let mut drops = Vec::new();
+            let mut last = group.status(1);
+            while !stop.load(Ordering::Relaxed) {
+                let status = group.status(1);
+                if status.held < last.held || status.applied < last.applied {
+                    drops.push((last.applied, status.applied));
+                }
+                last = status;
+            }
+            drops
+        })
+    };
+    for id in 0..WRITES {
+        assert_eq!(write(&primary, id).await, Ok(()));
+    }
+    stop.store(true, Ordering::Relaxed);
+    for order in orders {
+        order.await.expect("every order is granted");
+    }
+    let drops = watch.join().expect("the watch runs to its end");
+    assert!(
+        drops.is_empty(),
+        "reads of the replica went back: {drops:?}"
+    );
+}
