Core: a replica that may have restarted gets no reads on the word of an old status

Cause: a replica was chosen for a session's read by its last status, also when its connections had been lost since. Its log is durable, but a server that restarts rebuilds what its reads see, and may at first show less than it reported before. Change: the loss of a connection, or a failure to open one, discards what a replica was known to show, until it answers a request sent after that. The server is polled at once, as before. The contract of a server says how long a reported record stays visible. Test: read_avoids_restarted_replica_until_its_next_status; before: the read went to the replica without a status since the loss.

--- a/sapphireslip-core/src/group.rs
+++ b/sapphireslip-core/src/group.rs
@@ -267,7 +267,7 @@
     pub fn note_failed(&mut self, cx: &mut Cx<'_>, server: &ServerId) {
         self.now = cx.now.instant;
         if let Some(known) = self.servers.get_mut(server) {
-            known.note_failed(cx.now.instant);
+            known.note_connection_failed(cx.now.instant);
             self.poll(cx, server);
             cx.wake_at(cx.now.instant);
         }
--- a/sapphireslip-core/src/known_server.rs
+++ b/sapphireslip-core/src/known_server.rs
@@ -16,8 +16,11 @@
     /// What a home knows of one backend server.
     #[derive(Default)]
     pub struct KnownServer {
-        /// The newest known status.
+        /// The newest known status; of a replica that may have restarted since, without what its
+        /// reads see.
         pub(crate) status: Option<ServerStatus>,
+        /// When a connection to the server was last lost or could not be opened.
+        connection_failed: Option<Instant>,
         /// When the newest request that was answered was sent; the status is no older than that.
         pub(crate) answered_request_sent: Option<Instant>,
         /// When the server last answered a request.
@@ -60,6 +63,9 @@
                 self.log_changed = Some(now);
             }
             self.status = Some(status.clone());
+            if self.connection_failed.is_some_and(|at| asked < at) {
+                self.forget_applied();
+            }
         }
         self.answered_request_sent = self.answered_request_sent.max(Some(asked));
         self.last_answer = Some(now);
@@ -113,6 +119,25 @@
         self.failing_since = None;
     }
 
+    /// Counts the loss of a connection, or a failure to open one, as a failure of the server.
+    ///
+    /// The server may have restarted. A replica's log is durable, but what its reads see is rebuilt
+    /// and may be behind its last status, so that counts only once it is reported again.
+    pub(crate) fn note_connection_failed(&mut self, now: Instant) {
+        self.note_failed(now);
+        self.connection_failed = Some(now);
+        self.forget_applied();
+    }
+
+    /// Forgets what a replica's reads see. A primary's reads always see its whole log.
+    fn forget_applied(&mut self) {
+        if let Some(status) = &mut self.status
+            && status.role == ServerRole::Replica
+        {
+            status.applied = Position::default();
+        }
+    }
+
     /// Counts a failure of the server.
     pub(crate) fn note_failed(&mut self, now: Instant) {
         self.failures = self.failures.saturating_add(1);
--- a/sapphireslip-core/src/server_status.rs
+++ b/sapphireslip-core/src/server_status.rs
@@ -26,7 +26,9 @@
         /// The last record in the server's log. The record is durable there, so it survives the
         /// loss of the primary, but it may not be applied yet.
         pub held: TermPosition,
-        /// The last record that the server's reads see.
+        /// The last record that the server's reads see, in the log that the other fields describe.
+        /// Reads go on seeing it until the server drops it to follow the primary of a later term,
+        /// or restarts.
         pub applied: Position,
         /// The first record of each of the newest terms in the log, oldest first, at most
         /// [`TERM_STARTS_MAX`].
@@ -53,7 +55,8 @@
             term: Term,
         },
         /// Follow the primary of a term and discard the records that the primary never wrote. The
-        /// server refuses if it is fenced at a higher term.
+        /// server refuses if it is fenced at a higher term. Several daemons may send the request;
+        /// a server that follows this primary already keeps the records that it has received.
         Follow {
             /// The primary's term.
             term: Term,
--- a/sapphireslip-core/tests/home_fake/mod.rs
+++ b/sapphireslip-core/tests/home_fake/mod.rs
@@ -429,6 +429,21 @@
         }));
     }
 
+    /// Breaks the connections to a server that have no work.
+    pub fn lose_idle(&mut self, server: &str) {
+        let is_busy = |c: &ConnectionId| self.sent.iter().any(|sent| sent.connection == *c);
+        let idle: Vec<_> = self
+            .open
+            .iter()
+            .filter(|(connection, at)| *at == server && !is_busy(connection))
+            .map(|(connection, _)| *connection)
+            .collect();
+        for connection in idle {
+            self.open.remove(&connection);
+            self.event(Event::Backend(BackendEvent::Lost { connection }));
+        }
+    }
+
     /// Lets a server hold and apply everything up to a log position of its term.
     pub fn hold(&mut self, server: &str, position: u64) {
         let status = self.statuses.get_mut(server).unwrap();
--- a/sapphireslip-core/tests/home_route.rs
+++ b/sapphireslip-core/tests/home_route.rs
@@ -128,6 +128,40 @@
     assert_ne!(fake.only_sent().server, "s-a");
 }
 
+/// A replica that restarts may at first show less than it did before: its log is durable, but what
+/// its reads see is rebuilt from an earlier state. A status from before the restart must not send it
+/// a read of a session that has seen more.
+#[test]
+fn read_avoids_restarted_replica_until_its_next_status() {
+    let mut fake = Fake::new();
+    fake.hold("s-a", 11);
+    fake.hold("s-b", 11);
+    let read_own_write = |fake: &mut Fake| {
+        let mut request = fake.request(StatementKind::Read);
+        request.freshness = Freshness::AtLeast(record(1, 11));
+        fake.submit(request);
+        fake.run_ms(6);
+        let server = fake.only_sent().server;
+        fake.reply_only(b"rows", ok());
+        server
+    };
+    assert_eq!(read_own_write(&mut fake), "s-b", "it has shown the record");
+    fake.up.insert("s-b".to_owned(), false);
+    fake.lose_idle("s-b");
+    assert_eq!(read_own_write(&mut fake), "s-a", "no status since the loss");
+    fake.up.insert("s-b".to_owned(), true);
+    fake.statuses.get_mut("s-b").unwrap().applied = Position(10);
+    fake.run_ms(1000);
+    assert_eq!(
+        read_own_write(&mut fake),
+        "s-a",
+        "it shows less than before"
+    );
+    fake.hold("s-b", 11);
+    fake.run_ms(1000);
+    assert_eq!(read_own_write(&mut fake), "s-b", "it has caught up");
+}
+
 #[test]
 fn read_token_past_the_end_of_the_log_is_refused() {
     let mut fake = Fake::new();
