Core: the loss of a daemon of unknown address counts once in an event

Cause: repeats were dropped only where they followed each other, so that answers to two such daemons in turn made one loss each. A repeat changes nothing, but looks through all sessions and homes. Change: the list of lost daemons is sorted first. Test: lost_daemon_counts_once_among_others; before: 9 effects for 7. All tests of the package pass.

--- a/sapphireslip-core/src/reducer.rs
+++ b/sapphireslip-core/src/reducer.rs
@@ -243,6 +243,7 @@
             None => unknown.push(to),
         }
     }
+    unknown.sort();
     unknown.dedup();
     for vm in unknown {
         let mut outgoing = Vec::new();
