--- a/sapphireslip-core/tests/home_route.rs
+++ b/sapphireslip-core/tests/home_route.rs
@@ -162,6 +162,41 @@
     assert_eq!(read_own_write(&mut fake), "s-b", "it has caught up");
 }
 
+/// A former primary that returns after a cut may report the new term and a position past the
+/// session's record while its log still ends in records of its own, which it has yet to drop.
+#[test]
+fn read_avoids_former_primary_until_it_drops_its_records() {
+    let mut fake = Fake::new();
+    fake.promote("s-b", 2);
+    fake.hold("s-b", 12);
+    let former = fake.statuses.get_mut("s-a").unwrap();
+    former.role = ServerRole::Replica;
+    former.fenced = Term(2);
+    former.held = record(1, 15);
+    former.applied = Position(15);
+    fake.run_ms(1100);
+    let read_own_write = |fake: &mut Fake| {
+        let mut request = fake.request(StatementKind::Read);
+        request.freshness = Freshness::AtLeast(record(2, 12));
+        fake.submit(request);
+        fake.run_ms(6);
+        let server = fake.only_sent().server;
+        fake.reply_only(b"rows", ok());
+        server
+    };
+    assert_eq!(read_own_write(&mut fake), "s-b", "15 is of another branch");
+    let former = fake.statuses.get_mut("s-a").unwrap();
+    former.held = record(2, 12);
+    former.applied = Position(12);
+    former.term_starts.push(record(2, 11));
+    fake.run_ms(1100);
+    assert_eq!(
+        read_own_write(&mut fake),
+        "s-a",
+        "it has dropped its records"
+    );
+}
+
 #[test]
 fn read_token_past_the_end_of_the_log_is_refused() {
     let mut fake = Fake::new();
