Succession of the coordinator: grants of an earlier run on the VM are counted from when it is learned of

Cause: the next coordinator waited 2 s from when it took its role before it promoted anything, also after all daemons had been killed. Besides, a coordinator whose role was taken while it was cut off from the store renewed its permission and gave grants until it learned of that, and an earlier table of the leaders that arrived last gave it its role back. Change: a run that takes the role from an earlier run on its VM, which its first table of leaders shows, promotes from 1.55 s after that table on. The coordinator renews its permission on the condition that its role's row is unchanged, and a table with an earlier row of the role is ignored. The proof is in docs/design/08-platform.md; why a naming alone proves no absence of grants is there too.

--- a/sapphireslip-lead/src/coordinator.rs
+++ b/sapphireslip-lead/src/coordinator.rs
@@ -83,33 +83,6 @@
 }
 
 impl State {
-    /// Returns the fencing token of this daemon if it is the coordinator and has its permission.
-    pub(crate) fn fencing_token(&self) -> Option<RowVersion> {
-        let (_, version) = self.leaders.table.coordinator.as_ref()?;
-        (self.is_coordinator() && self.permission.is_valid(self.now)).then_some(*version)
-    }
-
-    /// Returns whether this daemon is the coordinator according to the rows of the store, whether
-    /// or not its permission is valid.
-    pub(crate) fn is_coordinator(&self) -> bool {
-        let coordinator = self.leaders.table.coordinator.as_ref();
-        coordinator.is_some_and(|(record, version)| {
-            record.holder == self.local.vm
-                && record.incarnation == self.local.incarnation
-                && self.coordinator.resigned_row != Some(*version)
-        })
-    }
-
-    /// Returns whether an earlier run on this VM is still named as the coordinator. Only this
-    /// daemon can then claim the role at once; others wait until the permission of that run has
-    /// ended.
-    pub(crate) fn was_coordinator_in_earlier_run(&self) -> bool {
-        let coordinator = self.leaders.table.coordinator.as_ref();
-        coordinator.is_some_and(|(record, _)| {
-            record.holder == self.local.vm && record.incarnation != self.local.incarnation
-        })
-    }
-
     /// Does the work of the coordinator, or claims the role if it is vacant.
     pub(crate) fn coordinate(&mut self) {
         if !self.leaders.is_known || !self.permission.is_valid(self.now) || self.is_drain_finished()
@@ -180,12 +153,9 @@
             return;
         }
         self.coordinator.is_write_pending = true;
-        let coordinator_version = self
-            .leaders
-            .table
-            .coordinator
-            .as_ref()
-            .map_or(RowVersion(0), |(_, version)| *version);
+        let held = self.leaders.table.coordinator.as_ref();
+        let coordinator_version = held.map_or(RowVersion(0), |(_, version)| *version);
+        self.grants.note_claim(coordinator_version);
         let record = CoordinatorRecord {
             holder: self.local.vm.clone(),
             incarnation: self.local.incarnation,
--- a/sapphireslip-lead/src/effect.rs
+++ b/sapphireslip-lead/src/effect.rs
@@ -198,7 +198,8 @@
     /// A write to the store. It is done only if all rows that are its conditions have the stated
     /// versions.
     pub enum StoreWrite {
-        /// Renews this daemon's permission, provided that no leader has changed.
+        /// Renews this daemon's permission, provided that no leader has changed and that the
+        /// coordinator still has its role.
         RenewPermission {
             /// The new permission.
             record: PermissionRecord,
@@ -207,6 +208,9 @@
             /// The store version of the last change of a leader; none for a row that gives no
             /// permission.
             generation: Option<RowVersion>,
+            /// The current version of the row of the coordinator's role, if this daemon has the
+            /// role.
+            coordinator_version: Option<RowVersion>,
         },
         /// Gives up this daemon's permission.
         DropPermission {
--- a/sapphireslip-lead/src/grant.rs
+++ b/sapphireslip-lead/src/grant.rs
@@ -38,12 +38,35 @@
         /// The earliest time at which this daemon, as the coordinator, may promote a server: the
         /// end of all grants that it or an earlier coordinator may have given.
         pub(crate) no_promotion_before: Instant,
+        /// The row of the role in the first table of leaders, and when this daemon learned of it, if
+        /// the row names an earlier run on this VM. None once the role was claimed from another row
+        /// or taken.
+        earlier_run: Option<(RowVersion, Instant)>,
         /// When this daemon last asked the coordinator for a grant.
         last_asked: Instant,
     }
 }
 
+impl Grants {
+    /// Records the claim of the coordinator's role from the row of this version.
+    pub(crate) fn note_claim(&mut self, from: RowVersion) {
+        self.earlier_run = self.earlier_run.filter(|(version, _)| *version == from);
+    }
+}
+
 impl State {
+    /// Records the first table of leaders that this daemon read: whether the coordinator is an earlier
+    /// run on this VM.
+    ///
+    /// That run and all coordinators before it have given their last grant by now, as this run could
+    /// start only once that one had ended.
+    pub(crate) fn note_earlier_run(&mut self) {
+        if self.was_coordinator_in_earlier_run() {
+            let coordinator = self.leaders.table.coordinator.as_ref();
+            self.grants.earlier_run = coordinator.map(|(_, version)| (*version, self.now));
+        }
+    }
+
     /// Asks the coordinator for a grant if the permission is about to expire and the store has not
     /// answered the last renewal.
     pub(crate) fn ask_for_grant(&mut self) {
@@ -154,7 +177,19 @@
     }
 
     /// Postpones promotions until all grants of an earlier coordinator must have expired.
+    ///
+    /// Those of an earlier run on this VM, from which this one has taken the role, are counted from
+    /// when this daemon learned that that run had it. `docs/design/08-platform.md` has the proof.
     pub(crate) fn wait_out_earlier_grants(&mut self) {
-        self.grants.no_promotion_before = self.now + GRANT_LENGTH.max(PERMISSION_LENGTH);
+        let has_taken = self.fencing_token().is_some();
+        let earlier_run = self.grants.earlier_run.filter(|_| has_taken);
+        if has_taken {
+            self.grants.earlier_run = None;
+        }
+        let end = match earlier_run {
+            Some((_, learned)) => learned + GRANT_LENGTH + GRANT_MARGIN,
+            None => self.now + GRANT_LENGTH.max(PERMISSION_LENGTH),
+        };
+        self.grants.no_promotion_before = self.grants.no_promotion_before.max(end);
     }
 }
--- a/sapphireslip-lead/src/leaders.rs
+++ b/sapphireslip-lead/src/leaders.rs
@@ -6,7 +6,7 @@
 use sapphireslip_core::{Instant, ServerId, ServiceName, data};
 
 use crate::state::State;
-use crate::{LeaderTable, Record, RecordKind, Role, ServerStatus, Term};
+use crate::{LeaderTable, Record, RecordKind, Role, RowVersion, ServerStatus, Term};
 
 /// How long statements wait for a missing permission before they are refused: the usual time of a
 /// renewal, with a margin for one lost answer.
@@ -18,6 +18,8 @@
     pub(crate) struct Leaders {
         /// The latest table of leaders read from the store.
         pub(crate) table: LeaderTable,
+        /// The highest version of the row of the coordinator's role in any table.
+        last_role: RowVersion,
         /// Whether the table has been read since the daemon started.
         pub(crate) is_known: bool,
         /// For each service, the server that last reported itself as primary while it was the
@@ -114,9 +116,13 @@
     ///
     /// From then on, a server that is no longer named gets no new work for the primary.
     pub(crate) fn on_leaders(&mut self, table: LeaderTable) {
-        if self.leaders.is_known && table.generation < self.leaders.table.generation {
+        let role = table.coordinator.as_ref().map(|(_, version)| *version);
+        let is_earlier = table.generation < self.leaders.table.generation
+            || role.is_some_and(|role| role < self.leaders.last_role);
+        if self.leaders.is_known && is_earlier {
             return;
         }
+        self.leaders.last_role = self.leaders.last_role.max(role.unwrap_or_default());
         for (service, (record, version)) in &table.leaders {
             let before = self.leaders.table.leaders.get(service);
             if before.is_some_and(|(_, known)| known == version) {
@@ -131,6 +137,9 @@
             self.leaders.last_changes.insert(service.clone(), self.now);
         }
         self.leaders.table = table;
+        if !self.leaders.is_known {
+            self.note_earlier_run();
+        }
         self.leaders.is_known = true;
         self.renew_permission();
         self.probe_leaders();
--- a/sapphireslip-lead/src/lib.rs
+++ b/sapphireslip-lead/src/lib.rs
@@ -33,6 +33,7 @@
 mod refusal;
 mod relays;
 mod reply;
+mod role;
 mod server;
 mod server_record;
 mod servers;
--- a/sapphireslip-lead/src/permission.rs
+++ b/sapphireslip-lead/src/permission.rs
@@ -233,6 +233,7 @@
                 record,
                 permission_version: row,
                 generation: needs.then_some(generation),
+                coordinator_version: self.own_role(),
             }));
     }
 
--- a/sapphireslip-lead/tests/fleet_restart.rs
+++ b/sapphireslip-lead/tests/fleet_restart.rs
@@ -5,9 +5,10 @@
 use rstest::rstest;
 use sapphireslip_core::{Incarnation, SessionId};
 use sapphireslip_lead::{
-    ClientEvent, CoordinatorRecord, Effect, Event, PermissionRecord, RowVersion,
+    ClientEvent, CoordinatorRecord, Effect, Event, LeaderRecord, NamedLeader, PermissionRecord,
+    RecordKind, RowVersion, StoreWrite, Term,
 };
-use support::{Daemon, PAYMENTS, at, catalog, presence, vm};
+use support::{Daemon, FakeStore, PAYMENTS, at, catalog, presence, server, service, vm};
 
 /// Returns a daemon that knows the configuration and the servers, and nothing of other daemons.
 fn just_started() -> Daemon {
@@ -192,3 +193,136 @@
     }
     assert_eq!(daemon.state.snapshot().sessions, 1, "served by this daemon");
 }
+
+/// Has a run on a VM take the coordinator's role in the store from the row of a version.
+fn take_role(store: &mut FakeStore, holder: &str, incarnation: u64, from: RowVersion) {
+    let write = StoreWrite::SetCoordinator {
+        record: Some(CoordinatorRecord {
+            holder: vm(holder),
+            incarnation: Incarnation(incarnation),
+        }),
+        coordinator_version: from,
+        ended: None,
+    };
+    store.write(0, &write);
+}
+
+/// Returns a daemon that starts after all daemons were killed while its service had a leader that
+/// was named and not promoted. The coordinator was a run on the VM `holder`.
+fn started_with_a_named_leader(holder: &str) -> Daemon {
+    let mut store = FakeStore::default();
+    take_role(&mut store, holder, 0, RowVersion(0));
+    let name = StoreWrite::NameLeaders {
+        leaders: vec![NamedLeader {
+            service: service(),
+            record: LeaderRecord {
+                leader: server("s-b"),
+                above: Term(1),
+            },
+            version: RowVersion(0),
+        }],
+        coordinator_version: RowVersion(1),
+        generation: RowVersion(0),
+    };
+    store.write(0, &name);
+    let earlier = |name| PermissionRecord {
+        incarnation: Incarnation(0),
+        ..presence(name, "a")
+    };
+    store.add_permission(earlier("vm-1"));
+    store.add_permission(earlier("vm-2"));
+    assert!(store.leaders.leaders.contains_key(&service()));
+    let mut daemon = Daemon::with_store(store);
+    daemon.event(Event::Catalog(catalog(1)));
+    daemon
+}
+
+/// Returns when the daemon took the coordinator's role, and when a server was promoted to a term, in
+/// milliseconds.
+fn taken_and_promoted(daemon: &mut Daemon, term: Term) -> (u64, u64) {
+    let mut taken = None;
+    for _ in 0..800 {
+        daemon.advance(10);
+        let takes = |record: &sapphireslip_lead::Record| {
+            record.kind == RecordKind::CoordinatorChanged && record.detail.starts_with("taken")
+        };
+        if taken.is_none() && daemon.records.iter().any(takes) {
+            taken = Some(daemon.millis);
+        }
+        if daemon
+            .group
+            .servers
+            .iter()
+            .any(|server| server.term == term)
+        {
+            return (taken.expect("a coordinator"), daemon.millis);
+        }
+    }
+    panic!("no server was promoted");
+}
+
+/// Guards against writes that stand still for longer than a grant of the killed coordinator may last:
+/// 1.5 s, counted from when its next run learns that it was the coordinator. Until then a grant may
+/// exist.
+#[rstest]
+#[case::store_answers_at_once(0)]
+#[case::role_taken_late(1_200)]
+fn leader_named_before_all_daemons_were_killed_is_promoted_after_the_last_grant(
+    #[case] outage_ms: u64,
+) {
+    let mut daemon = started_with_a_named_leader("vm-1");
+    daemon.store_answers = false;
+    daemon.advance(outage_ms);
+    daemon.store_answers = true;
+    let (taken, promoted) = taken_and_promoted(&mut daemon, Term(2));
+    assert!(promoted >= 1_550, "promoted after {promoted} ms");
+    let grants_end = 1_550.max(taken + 400);
+    assert!(
+        promoted <= grants_end + 100,
+        "taken after {taken} ms, promoted after {promoted} ms"
+    );
+    let session = daemon.open(PAYMENTS);
+    daemon.advance(100);
+    assert_eq!(daemon.run(session, "1", "WRITE x 1").failure(), None);
+}
+
+/// Guards against a promotion while a daemon relies on a grant of a coordinator on another VM, which
+/// may have ended, or given up the role, just before.
+#[rstest]
+fn grants_of_a_coordinator_on_another_vm_are_waited_out() {
+    let mut daemon = started_with_a_named_leader("vm-2");
+    let (taken, promoted) = taken_and_promoted(&mut daemon, Term(2));
+    assert!(promoted >= taken + 2_000, "{taken}, {promoted}");
+}
+
+/// Guards against a promotion while a daemon relies on a grant of a coordinator that had the role
+/// between the earlier run on this VM and this one.
+#[rstest]
+fn grants_of_a_coordinator_in_between_are_waited_out() {
+    let mut daemon = started_with_a_named_leader("vm-1");
+    let first = daemon.store.leaders.coordinator.clone();
+    let (_, first) = first.expect("a coordinator");
+    let permitted = PermissionRecord {
+        until: daemon.store.now(60_000),
+        ..presence("vm-2", "a")
+    };
+    daemon.store.add_permission(permitted);
+    take_role(&mut daemon.store, "vm-2", 1, first);
+    // This daemon claims the role from the row that it knows, in vain.
+    daemon.advance(300);
+    let second = daemon.store.leaders.coordinator.clone();
+    let (record, second) = second.expect("a coordinator");
+    assert_eq!(record.holder, vm("vm-2"));
+    daemon.advance(1_000);
+    let resign = StoreWrite::SetCoordinator {
+        record: None,
+        coordinator_version: second,
+        ended: None,
+    };
+    daemon.store.write(0, &resign);
+    let leaders = daemon.store.leaders.clone();
+    daemon.event(Event::Leaders(leaders));
+    let resigned = daemon.millis;
+    let (_, promoted) = taken_and_promoted(&mut daemon, Term(2));
+    assert!(promoted >= resigned + 2_000, "{resigned}, {promoted}");
+}
--- a/sapphireslip-lead/tests/permits.rs
+++ b/sapphireslip-lead/tests/permits.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use sapphireslip_core::{Incarnation, SessionId};
 use sapphireslip_lead::{
-    CoordinatorRecord, Effect, Event, PermissionRecord, RowVersion, StoreTime,
+    CoordinatorRecord, Effect, Event, PermissionRecord, RowVersion, StoreTime, StoreWrite,
 };
 use support::{Daemon, PAYMENTS, catalog, presence, vm};
 
@@ -145,3 +145,67 @@
         );
     }
 }
+
+/// Has the daemon `vm-2`, with a permission, take the coordinator's role in the store.
+fn have_other_take_role(daemon: &mut Daemon) {
+    daemon.store.add_permission(PermissionRecord {
+        until: daemon.store.now(60_000),
+        ..presence("vm-2", "b")
+    });
+    let (_, role) = daemon.store.leaders.coordinator.clone().expect("a role");
+    let record = CoordinatorRecord {
+        holder: vm("vm-2"),
+        incarnation: Incarnation(1),
+    };
+    let take = StoreWrite::SetCoordinator {
+        record: Some(record),
+        coordinator_version: role,
+        ended: None,
+    };
+    daemon.store.write(daemon.millis, &take);
+}
+
+/// Returns whether the daemon gives a grant to another one that asks for it.
+fn gives_grant(daemon: &mut Daemon) -> bool {
+    daemon.event(Event::GrantAsked {
+        session: SessionId(900),
+        vm: vm("vm-3"),
+        generation: daemon.store.leaders.generation,
+        servers: Vec::new(),
+    });
+    let granted = daemon.effects.iter().find_map(|effect| match effect {
+        Effect::Grant { length, .. } => Some(!length.is_zero()),
+        _ => None,
+    });
+    granted.expect("an answer")
+}
+
+/// Guards against grants of a coordinator that was cut off from the store until another daemon took
+/// its role, and that has renewed its permission before it learns of that.
+#[rstest]
+#[case::role_kept(false)]
+#[case::role_lost(true)]
+fn coordinator_that_lost_its_role_unnoticed_gives_no_grant(#[case] is_lost: bool) {
+    let mut daemon = Daemon::ready();
+    daemon.store_answers = false;
+    daemon.advance(7_000);
+    if is_lost {
+        have_other_take_role(&mut daemon);
+    }
+    daemon.store_answers = true;
+    daemon.advance(1_000);
+    assert_eq!(gives_grant(&mut daemon), !is_lost);
+}
+
+/// Guards against grants of a former coordinator that is handed an earlier table of the leaders last,
+/// as reads and watches may overtake each other.
+#[rstest]
+fn earlier_table_of_leaders_gives_no_role_back() {
+    let mut daemon = Daemon::ready();
+    let earlier = daemon.store.leaders.clone();
+    have_other_take_role(&mut daemon);
+    let later = daemon.store.leaders.clone();
+    daemon.event(Event::Leaders(later));
+    daemon.event(Event::Leaders(earlier));
+    assert!(!gives_grant(&mut daemon));
+}
--- a/sapphireslip-lead/tests/support/daemon.rs
+++ b/sapphireslip-lead/tests/support/daemon.rs
@@ -92,16 +92,21 @@
 
     /// Returns a daemon that has just started and knows only the leaders.
     pub fn new(zone_name: &str) -> Self {
-        Self::started(zone_name, VM_MILLICORES)
+        Self::started(zone_name, VM_MILLICORES, FakeStore::default())
     }
 
     /// Returns a daemon in zone a that has just started on a VM with a share of a core, in
     /// thousandths.
     pub fn with_millicores(millicores: u32) -> Self {
-        Self::started("a", millicores)
+        Self::started("a", millicores, FakeStore::default())
     }
 
-    fn started(zone_name: &str, millicores: u32) -> Self {
+    /// Returns a daemon in zone a that has just started and knows the leaders of this store.
+    pub fn with_store(store: FakeStore) -> Self {
+        Self::started("a", VM_MILLICORES, store)
+    }
+
+    fn started(zone_name: &str, millicores: u32, store: FakeStore) -> Self {
         let identity = Identity {
             vm: vm("vm-1"),
             zone: zone(zone_name),
@@ -111,7 +116,7 @@
         };
         let mut daemon = Self {
             state: State::new(identity, SERVER_DRAIN_BOUND, 1),
-            store: FakeStore::default(),
+            store,
             group: FakeGroup::new(),
             millis: 0,
             store_answers: true,
--- a/sapphireslip-lead/tests/support/store.rs
+++ b/sapphireslip-lead/tests/support/store.rs
@@ -122,8 +122,10 @@
                 record,
                 permission_version,
                 generation,
+                coordinator_version,
             } => {
                 self.permission_version(&record.vm) == *permission_version
+                    && coordinator_version.is_none_or(|version| present_version == version)
                     && generation.is_none_or(|generation| self.leaders.generation == generation)
             }
             StoreWrite::DropPermission {
