--- a/sapphireslip-lead/src/permission.rs
+++ b/sapphireslip-lead/src/permission.rs
@@ -257,6 +257,7 @@
                 record,
                 permission_version: row,
                 generation: needs.then_some(generation),
+                coordinator_version: self.own_role(),
             }));
     }
 
