Waiting statements are shared fairly among accounts

Cause: a service's waiting statements were one list by priority and arrival, so one account could take the capacity of all others, and each event tried every waiting statement.

Change: one FairQueue per service, by start-time fair queueing among accounts, and by priority, aging and remaining time within an account. A run of the queue stops at the first statement of a class that finds no server or connection. Without accounts the order is by priority and arrival as before, and at most 200 wait; with accounts 2,000, of which the account that is most over its share loses the last.

--- a/sapphireslip-lead/src/choice.rs
+++ b/sapphireslip-lead/src/choice.rs
@@ -39,7 +39,7 @@
 const CONNECTIONS_MIN: usize = 2;
 
 /// How many times servers that stay must have failed a read before it goes to a leader that leaves.
-const FAILURES_BEFORE_LEAVING_LEADER: usize = 2;
+pub(crate) const FAILURES_BEFORE_LEAVING_LEADER: usize = 2;
 
 data! {
     /// The servers that may run a read.
--- a/sapphireslip-lead/src/dispatch.rs
+++ b/sapphireslip-lead/src/dispatch.rs
@@ -8,44 +8,47 @@
 use crate::connection::{AnswerTo, Awaited, Purpose};
 use crate::job::{Job, JobId, Sending, Stage, Work};
 use crate::leaders::LeaderView;
-use crate::refusal::{RETRY_BUSY, RETRY_HANDOVER};
+use crate::refusal::RETRY_HANDOVER;
 use crate::state::State;
-use crate::{Effect, Record, RecordKind, ServerRequest, TermPosition};
-
-/// Limit on the statements that wait for one service at one daemon. With 2 slots per server and
-/// 9 ms per statement, this many complete within a second.
-const QUEUE_LENGTH_MAX: usize = 200;
+use crate::{Effect, FairQueue, Record, RecordKind, ServerRequest, TermPosition};
 
 /// A statement waits for a primary that is being replaced for its timeout divided by this.
-const HANDOVER_WAIT_DIVISOR: u32 = 2;
+pub(crate) const HANDOVER_WAIT_DIVISOR: u32 = 2;
 
 /// The outcome of an attempt to send a queued statement.
 enum Dispatched {
     /// The statement was sent, or no longer exists.
     Sent,
     /// The statement has to stay in the queue.
-    Waiting,
+    Waiting(Obstacle),
     /// The statement can't be served: the cause, and the time after which the client may retry.
     Refused(&'static str, Duration),
 }
 
+/// What stops a statement from being sent, and others with it.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Obstacle {
+    /// No server may be used at present, whatever its load; stops the statement's class.
+    NoServer,
+    /// Each server that may run the statement has enough outstanding statements or may get no new
+    /// work; stops the statement's class.
+    Saturated,
+    /// No connection is free; stops the statements of the account in the class.
+    NoConnection,
+}
+
 impl State {
-    /// Queues a statement by priority and age, and sends the statements of its service that can be
-    /// sent. Refuses the statement if the queue is full.
+    /// Queues a statement and sends the statements of its service that can be sent. Refuses the
+    /// statement, or another one in its place, if too many wait.
     pub(crate) fn enqueue(&mut self, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
         job.stage = Stage::Queued;
         let service = job.service.clone();
-        let rank = (job.priority, id);
-        let queue = self.queues.entry(service.clone()).or_default();
-        if queue.len() >= QUEUE_LENGTH_MAX {
-            return self.refuse(id, "too many statements wait", RETRY_BUSY);
+        if !self.enter_queue(id, &service) {
+            return;
         }
-        let rank_of = |other: &JobId| self.jobs.get(other).map(|job| (job.priority, *other));
-        let index = queue.partition_point(|other| rank_of(other) <= Some(rank));
-        queue.insert(index, id);
         self.run_queue(&service);
     }
 
@@ -60,18 +63,38 @@
 
     /// Sends the waiting statements of a service that can be sent, and refuses those that can't be
     /// served.
+    ///
+    /// Once a statement can't be sent, those that the same obstacle stops are not tried, so that the
+    /// cost of a run does not grow with the statements that have to wait.
     pub(crate) fn run_queue(&mut self, service: &ServiceName) {
-        let Some(queue) = self.queues.get_mut(service) else {
-            return;
-        };
+        let now = self.now;
         let mut refused = Vec::new();
-        for id in std::mem::take(queue) {
-            match self.dispatch(id) {
-                Dispatched::Sent => {}
-                Dispatched::Waiting => self.queues.entry(service.clone()).or_default().push(id),
-                Dispatched::Refused(cause, retry_after) => refused.push((id, cause, retry_after)),
+        while let Some(id) = self.queue_of(service).and_then(|queue| queue.next(now)) {
+            let outcome = self.dispatch(id);
+            let Some(queue) = self.queue_of(service) else {
+                break;
+            };
+            match outcome {
+                Dispatched::Sent => queue.serve(id),
+                Dispatched::Waiting(obstacle) => {
+                    let Some((class, account)) = queue.class_of(id) else {
+                        break;
+                    };
+                    match obstacle {
+                        Obstacle::NoServer | Obstacle::Saturated => queue.hold_class(class),
+                        Obstacle::NoConnection => queue.hold(class, &account),
+                    }
+                }
+                Dispatched::Refused(cause, retry_after) => {
+                    queue.remove(id);
+                    refused.push((id, cause, retry_after));
+                }
             }
         }
+        refused.extend(self.take_impatient(service));
+        if let Some(queue) = self.queue_of(service) {
+            queue.end_run();
+        }
         // A refusal starts the next statement that its client has pipelined, which needs the whole
         // queue to find its place.
         for (id, cause, retry_after) in refused {
@@ -79,14 +102,36 @@
         }
     }
 
-    /// Tries to send one statement that has been taken from its queue.
+    /// Returns the queue of a service; none if it has had no statement yet.
+    fn queue_of(&mut self, service: &ServiceName) -> Option<&mut FairQueue> {
+        self.queues.get_mut(service)
+    }
+
+    /// Takes the statements from a queue that have waited for a pending leader for long enough, and
+    /// returns them with their refusals.
+    fn take_impatient(&mut self, service: &ServiceName) -> Vec<(JobId, &'static str, Duration)> {
+        let now = self.now;
+        let mut refused = Vec::new();
+        if !matches!(self.leader_view(service), LeaderView::Pending(_)) {
+            return refused;
+        }
+        let impatient = self.queue_of(service).map(|queue| queue.impatient(now));
+        for id in impatient.unwrap_or_default() {
+            if let Dispatched::Refused(cause, retry_after) = self.dispatch(id) {
+                if let Some(queue) = self.queue_of(service) {
+                    queue.remove(id);
+                }
+                refused.push((id, cause, retry_after));
+            }
+        }
+        refused
+    }
+
+    /// Tries to send one waiting statement.
     fn dispatch(&mut self, id: JobId) -> Dispatched {
         let Some(job) = self.jobs.get(&id) else {
             return Dispatched::Sent;
         };
-        if self.now < job.earliest_send {
-            return Dispatched::Waiting;
-        }
         if let Some(connection) = self.bound_connection(job) {
             if !self.has_run(job.session) && !self.may_get_new_work_on(connection) {
                 return Dispatched::Refused("the server is leaving", RETRY_HANDOVER);
@@ -102,7 +147,7 @@
     }
 
     /// Returns the connection that the statement's transaction is bound to.
-    fn bound_connection(&self, job: &Job) -> Option<ConnectionId> {
+    pub(crate) fn bound_connection(&self, job: &Job) -> Option<ConnectionId> {
         let session = self.sessions.get(&job.session)?;
         session
             .transaction
@@ -119,16 +164,16 @@
         match self.leader_view(&job.service) {
             LeaderView::Confirmed(server) => {
                 if self.send_to(id, &server, None) {
-                    Dispatched::Sent
-                } else {
-                    self.open_another(&server);
-                    Dispatched::Waiting
+                    return Dispatched::Sent;
                 }
+                let obstacle = self.obstacle_at([&server]);
+                self.open_another(&server);
+                Dispatched::Waiting(obstacle)
             }
             LeaderView::Pending(_) => {
                 let patience = job.deadline.since(job.arrived) / HANDOVER_WAIT_DIVISOR;
                 if self.now.since(job.arrived) < patience {
-                    Dispatched::Waiting
+                    Dispatched::Waiting(Obstacle::NoServer)
                 } else {
                     Dispatched::Refused("the primary is being replaced", RETRY_HANDOVER)
                 }
@@ -146,7 +191,9 @@
         let Candidates { servers, floor } = candidates;
         if servers.is_empty() {
             return match self.leader_view(&job.service) {
-                LeaderView::Pending(_) | LeaderView::Confirmed(_) => Dispatched::Waiting,
+                LeaderView::Pending(_) | LeaderView::Confirmed(_) => {
+                    Dispatched::Waiting(Obstacle::NoServer)
+                }
                 LeaderView::Unavailable(_) => {
                     Dispatched::Refused("no server is fresh enough", RETRY_HANDOVER)
                 }
@@ -158,12 +205,23 @@
                 return Dispatched::Sent;
             }
         }
+        let obstacle = self.obstacle_at(servers.iter().map(|candidate| &candidate.server));
         for candidate in &servers {
             if self.open_another(&candidate.server) {
                 break;
             }
         }
-        Dispatched::Waiting
+        Dispatched::Waiting(obstacle)
+    }
+
+    /// Returns what stops a statement that could be sent to none of these servers.
+    fn obstacle_at<'a>(&self, servers: impl IntoIterator<Item = &'a ServerId>) -> Obstacle {
+        let takes_none =
+            |server: &ServerId| self.is_saturated(server) || !self.may_get_new_work(server);
+        match servers.into_iter().all(takes_none) {
+            true => Obstacle::Saturated,
+            false => Obstacle::NoConnection,
+        }
     }
 
     /// Sends a statement on a free connection to a server.
@@ -366,7 +424,7 @@
             return;
         };
         if let Some(queue) = self.queues.get_mut(&job.service) {
-            queue.retain(|other| *other != id);
+            queue.remove(id);
         }
         if let Some(session) = self.sessions.get_mut(&job.session) {
             session.running = None;
@@ -393,7 +451,7 @@
         if let Some(job) = self.jobs.remove(&id)
             && let Some(queue) = self.queues.get_mut(&job.service)
         {
-            queue.retain(|other| *other != id);
+            queue.remove(id);
         }
     }
 }
--- a/sapphireslip-lead/src/job.rs
+++ b/sapphireslip-lead/src/job.rs
@@ -10,7 +10,7 @@
 
 key! {
     /// Identifies a job; unique within one run of a daemon, and in order of arrival.
-    pub(crate) struct JobId(pub(crate) u64);
+    pub struct JobId(pub u64);
 
     /// What a statement does to the data.
     pub(crate) enum Work {
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -24,7 +24,7 @@
 use crate::store_events::Reads;
 use crate::votes::Votes;
 use crate::waiting_session::WaitingSession;
-use crate::{Catalog, Effect, Event, Floors, PermissionTable, Record};
+use crate::{Catalog, Effect, Event, FairQueue, Floors, PermissionTable, Record};
 
 data! {
     /// The identity of this daemon, which stays the same while it runs.
@@ -113,8 +113,8 @@
         pub(crate) jobs: BTreeMap<JobId, Job>,
         /// The number of the last job; 0 before the first.
         pub(crate) last_job: u64,
-        /// The queued statements of each service, the next one first.
-        pub(crate) queues: BTreeMap<ServiceName, Vec<JobId>>,
+        /// The queued statements of each service.
+        pub(crate) queues: BTreeMap<ServiceName, FairQueue>,
         /// The connections to backend servers.
         pub(crate) pool: Pool,
         /// The floors of each service, by the positions of its primary.
@@ -244,7 +244,7 @@
         Snapshot {
             sessions: self.sessions.len(),
             relays: self.relays.len(),
-            waiting: self.queues.values().map(Vec::len).sum(),
+            waiting: self.queues.values().map(FairQueue::len).sum(),
             connections: self.pool.all().count(),
             servers: self.servers.known.len(),
             leaving_leaders: self.leaving_leaders(),
--- a/sapphireslip-lead/tests/support/mod.rs
+++ b/sapphireslip-lead/tests/support/mod.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod fleet_history;
 mod group;
+mod load;
 mod store;
 
 use std::collections::BTreeMap;
@@ -24,6 +25,7 @@
 pub use self::daemon::*;
 pub use self::fleet::*;
 pub use self::group::*;
+pub use self::load::*;
 pub use self::store::*;
 
 /// The time after which servers that are listed as draining must get no new work.
