Statements that can't be sent in time are refused on arrival

Cause: where accounts share a service, statements beyond its capacity waited for 45% of their target latency before they were refused, with a retry time of 100 ms for all.

Change: CompletionRate measures the work completed per second while statements wait, and the usual work of each kind; decide_admission compares the work ahead of a statement with the time that it may wait. Retry times grow with the work refused before, up to 5 s. Takes effect only where the configuration names accounts. Aged statements keep their place and get every fourth turn besides.

Tests of sapphireslipd were not run.

--- a/sapphireslip-lead/src/completion.rs
+++ b/sapphireslip-lead/src/completion.rs
@@ -177,6 +177,12 @@
             server.note_latency(latency);
         }
         let (session, in_transaction) = (job.session, job.in_transaction);
+        if !reply
+            .failure()
+            .is_some_and(|failure| failure.code.is_not_run())
+        {
+            self.note_completion(id, latency);
+        }
         if in_transaction {
             return self.on_transaction_statement(connection, id, reply);
         }
--- a/sapphireslip-lead/src/dispatch.rs
+++ b/sapphireslip-lead/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Queues of waiting statements, and sending them on connections to backend servers.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use sapphireslip_core::{ConnectionId, ServerId, ServiceName, SessionId, Text};
@@ -69,6 +70,7 @@
     pub(crate) fn run_queue(&mut self, service: &ServiceName) {
         let now = self.now;
         let mut refused = Vec::new();
+        let mut backlogged = BTreeSet::new();
         while let Some(id) = self.queue_of(service).and_then(|queue| queue.next(now)) {
             let outcome = self.dispatch(id);
             let Some(queue) = self.queue_of(service) else {
@@ -80,6 +82,9 @@
                     let Some((class, account)) = queue.class_of(id) else {
                         break;
                     };
+                    if obstacle != Obstacle::NoServer {
+                        backlogged.insert(class);
+                    }
                     match obstacle {
                         Obstacle::NoServer | Obstacle::Saturated => queue.hold_class(class),
                         Obstacle::NoConnection => queue.hold(class, &account),
@@ -95,6 +100,7 @@
         if let Some(queue) = self.queue_of(service) {
             queue.end_run();
         }
+        self.note_backlog(service, &backlogged);
         // A refusal starts the next statement that its client has pipelined, which needs the whole
         // queue to find its place.
         for (id, cause, retry_after) in refused {
--- a/sapphireslip-lead/src/fair_queue.rs
+++ b/sapphireslip-lead/src/fair_queue.rs
@@ -10,12 +10,9 @@
 
 use sapphireslip_core::{AccountName, Instant, data};
 
+use crate::account_flow::{AGED, Flow, Place, Queued, RankedAccounts, VIRTUAL_SCALE};
 use crate::{JobId, StatementClass, WaitingStatement};
 
-/// Virtual time per microsecond of work at weight 1. With weights in thousandths of an operation per
-/// second, a millisecond of work of an account with 100 operations per second still counts 10,000.
-const VIRTUAL_SCALE: u64 = 1 << 20;
-
 /// How far an account with urgent statements may run ahead of the one that has had the least: the
 /// work of a second at its limit, with 25 ms per operation. A shorter lead would let polls of many
 /// accounts, one each, pass before an urgent statement; a longer one would show in the shares.
@@ -26,21 +23,9 @@
 /// bursts loses 4% of them beside one that sends 7.5 times its usual load.
 const CREDIT_MAX: u64 = LEAD_MAX;
 
-/// Of this many statements in a row, one may be an aged one while more urgent ones wait.
+/// Of this many statements in a row, one is taken from the aged ones, whatever their priority.
 const AGED_SPACING: u32 = 4;
 
-/// The level of aged statements.
-const AGED: u16 = 0;
-
-/// A level and a class: the statements in it are sent in one order per account.
-type Place = (u16, StatementClass);
-
-/// Accounts by a virtual time.
-type RankedAccounts = BTreeSet<(u64, Option<AccountName>)>;
-
-/// The statements of one account in one place, in the order in which they are sent.
-type RankedStatements = BTreeSet<(Option<Instant>, JobId)>;
-
 data! {
     /// The waiting statements of one service.
     #[derive(Default)]
@@ -58,6 +43,9 @@
         paused: BTreeSet<(Instant, JobId)>,
         /// The statements that have not aged yet, by when they will.
         aging: BTreeSet<(Instant, JobId)>,
+        /// The work of the aged statements in microseconds, by whether it needs the leader, and by
+        /// level.
+        aged_work: BTreeMap<(bool, u16), u64>,
         /// The statements that need the leader, by the end of their patience.
         patience: BTreeSet<(Instant, JobId)>,
         /// The classes of which no statement can be sent in this run of the queue.
@@ -72,54 +60,6 @@
         scanned: u64,
     }
 
-    /// A statement and its place.
-    struct Queued {
-        /// The statement as it was given.
-        statement: WaitingStatement,
-        /// The level: [`AGED`], or 1 more than the priority.
-        level: u16,
-        /// Whether the statement may not be sent yet, so that it has no place in `Flow::queues`.
-        is_paused: bool,
-    }
-
-    /// The waiting statements of an account.
-    #[derive(Default)]
-    struct Flow {
-        /// The start tag of the next statement.
-        start: u64,
-        /// The weight, at least 1.
-        weight: u64,
-        /// The statements that may be sent, by level and class.
-        queues: BTreeMap<Place, RankedStatements>,
-        /// The waiting work in microseconds, by whether it needs the leader, and by level.
-        work: BTreeMap<(bool, u16), u64>,
-        /// The whole waiting work in microseconds, with that of bound statements.
-        total_work: u64,
-    }
-}
-
-impl Flow {
-    /// Returns the virtual time of some work.
-    fn virtual_time_of(&self, micros: u64) -> u64 {
-        micros.saturating_mul(VIRTUAL_SCALE) / self.weight.max(1)
-    }
-
-    /// Returns the work done in a span of virtual time.
-    fn work_in(&self, virtual_time: u64) -> u64 {
-        let work = u128::from(virtual_time) * u128::from(self.weight) / u128::from(VIRTUAL_SCALE);
-        u64::try_from(work).unwrap_or(u64::MAX)
-    }
-
-    /// Returns the waiting work of the levels that `includes` names.
-    fn work_of(&self, needs_leader: bool, includes: impl Fn(u16) -> bool) -> u64 {
-        let of_group = self
-            .work
-            .range((needs_leader, 0)..=(needs_leader, u16::MAX));
-        of_group
-            .filter(|((_, level), _)| includes(*level))
-            .map(|(_, micros)| *micros)
-            .sum()
-    }
 }
 
 impl FairQueue {
@@ -161,6 +101,7 @@
         let queued = Queued {
             statement,
             level,
+            is_aged: false,
             is_paused: true,
         };
         self.add_work(&queued, true);
@@ -190,8 +131,8 @@
     /// Returns the statement to send next of those that are not held; it stays in the queue.
     ///
     /// Of the accounts that are not ahead of the others by more than a bounded lead, the most urgent
-    /// statements come first; among them those of the account that has had the least. Aged
-    /// statements get at least one turn of four.
+    /// statements come first; among them those of the account that has had the least. Every fourth
+    /// turn is that of the statements that have aged, the first of an account to age first.
     pub fn next(&mut self, now: Instant) -> Option<JobId> {
         self.wake(now);
         self.age(now);
@@ -219,14 +160,18 @@
         }
         let aged = by_level.remove(&AGED);
         let urgent = by_level.into_values().next();
-        let is_turn_of_aged = self.sent_since_aged + 1 >= AGED_SPACING;
-        let chosen = match (urgent, aged) {
-            (Some(urgent), Some(aged)) => Some(if is_turn_of_aged { aged } else { urgent }),
-            (urgent, aged) => urgent.or(aged),
+        let chosen = match self.is_turn_of_aged() {
+            true => aged.or(urgent),
+            false => urgent.or(aged),
         };
         chosen.map(|(_, _, id)| id)
     }
 
+    /// Returns whether the next statement is taken from the aged ones.
+    const fn is_turn_of_aged(&self) -> bool {
+        self.sent_since_aged + 1 >= AGED_SPACING
+    }
+
     /// Returns the classes that are not held, with their accounts.
     fn open(&self) -> impl Iterator<Item = (&Place, &RankedAccounts)> {
         let is_open = |(place, _): &(&Place, _)| !self.held_classes.contains(&place.1);
@@ -238,11 +183,11 @@
         let Some(queued) = self.statements.get(&id) else {
             return;
         };
-        let (level, micros) = (queued.level, queued.statement.micros());
+        let micros = queued.statement.micros();
         let account = queued.statement.account.clone();
-        self.sent_since_aged = match level {
-            AGED => 0,
-            _ => self.sent_since_aged.saturating_add(1),
+        self.sent_since_aged = match queued.is_aged && self.is_turn_of_aged() {
+            true => 0,
+            false => (self.sent_since_aged + 1).min(AGED_SPACING),
         };
         self.detach(&account);
         if let Some(flow) = self.flows.get_mut(&account) {
@@ -263,6 +208,11 @@
             self.aging.remove(&(ages_at, id));
         }
         self.patience.remove(&(statement.patience_end, id));
+        if queued.is_aged {
+            let place = (statement.class == StatementClass::Leader, queued.level);
+            let aged = self.aged_work.entry(place).or_default();
+            *aged = aged.saturating_sub(statement.micros());
+        }
         if queued.is_paused {
             self.paused.remove(&(statement.send_from, id));
         } else {
@@ -358,7 +308,26 @@
                 + later.min(until(turn.saturating_sub(LEAD_MAX)));
         }
         self.scanned += scanned;
-        Duration::from_micros(ahead)
+        // Aged statements with a lower priority take some of the turns.
+        let aged = self.aged_work_of(needs_leader, level + 1);
+        Duration::from_micros(ahead.saturating_add(aged.min(ahead / 2)))
+    }
+
+    /// Returns the work that is done before a statement that ages now is sent, at the latest, by
+    /// the turns of the aged statements.
+    #[must_use]
+    pub fn ahead_of_aged(&self, needs_leader: bool) -> Duration {
+        let aged = self.aged_work_of(needs_leader, 0);
+        Duration::from_micros(aged.saturating_mul(u64::from(AGED_SPACING)))
+    }
+
+    /// Returns the work of the aged statements from a level on, in microseconds.
+    fn aged_work_of(&self, needs_leader: bool, level: u16) -> u64 {
+        let levels = (needs_leader, level)..=(needs_leader, u16::MAX);
+        self.aged_work
+            .range(levels)
+            .map(|(_, micros)| *micros)
+            .sum()
     }
 
     /// Returns the statement to refuse when too many wait: the last one of the account whose waiting
@@ -367,15 +336,7 @@
     pub fn most_over_share(&self) -> Option<JobId> {
         let accounts = self.backlogs.iter().rev();
         let flows = accounts.filter_map(|(_, account)| self.flows.get(account));
-        flows.filter_map(Self::last_of).next()
-    }
-
-    /// Returns the last statement of an account that is not bound.
-    fn last_of(flow: &Flow) -> Option<JobId> {
-        let queues = flow.queues.iter();
-        let open = queues.filter(|((_, class), _)| *class != StatementClass::Bound);
-        let last = open.filter_map(|((level, _), queue)| Some((*level, *queue.last()?)));
-        last.max().map(|(_, (_, id))| id)
+        flows.filter_map(Flow::last).next()
     }
 
     /// Gives places to the statements that may be sent from now on.
@@ -392,7 +353,7 @@
         }
     }
 
-    /// Moves the statements that have aged to the level [`AGED`].
+    /// Gives the statements that have aged their second places.
     fn age(&mut self, now: Instant) {
         while let Some((time, id)) = self.aging.first().copied()
             && time <= now
@@ -404,9 +365,12 @@
             if !queued.is_paused {
                 self.take_out(&queued);
             }
-            self.add_work(&queued, false);
-            queued.level = AGED;
-            self.add_work(&queued, true);
+            queued.is_aged = true;
+            let place = (
+                queued.statement.class == StatementClass::Leader,
+                queued.level,
+            );
+            *self.aged_work.entry(place).or_default() += queued.statement.micros();
             if !queued.is_paused {
                 self.put_in(&queued);
             }
@@ -417,10 +381,8 @@
     /// Gives a statement its place in its account's queue.
     fn put_in(&mut self, queued: &Queued) {
         let statement = &queued.statement;
-        let key = (queued.level, statement.class);
         if let Some(flow) = self.flows.get_mut(&statement.account) {
-            let queue = flow.queues.entry(key).or_default();
-            queue.insert((statement.deadline, statement.id));
+            flow.insert(queued);
         }
         self.attach(&statement.account);
     }
@@ -428,15 +390,9 @@
     /// Takes a statement out of its account's queue.
     fn take_out(&mut self, queued: &Queued) {
         let statement = &queued.statement;
-        let key = (queued.level, statement.class);
         self.detach(&statement.account);
-        if let Some(flow) = self.flows.get_mut(&statement.account)
-            && let Some(queue) = flow.queues.get_mut(&key)
-        {
-            queue.remove(&(statement.deadline, statement.id));
-            if queue.is_empty() {
-                flow.queues.remove(&key);
-            }
+        if let Some(flow) = self.flows.get_mut(&statement.account) {
+            flow.remove(queued);
         }
         self.attach(&statement.account);
     }
--- a/sapphireslip-lead/src/lib.rs
+++ b/sapphireslip-lead/src/lib.rs
@@ -4,13 +4,16 @@
 //! The crate uses no sockets, tasks, clocks or threads.
 
 mod account;
+mod account_flow;
 mod catalog;
 mod choice;
 mod client;
 mod client_account;
 mod completion;
+mod completion_rate;
 mod connection;
 mod coordinator;
+mod deadline_admission;
 mod dispatch;
 mod drain;
 mod effect;
@@ -52,6 +55,8 @@
 
 pub use self::account::*;
 pub use self::catalog::*;
+pub use self::completion_rate::CompletionRate;
+pub use self::deadline_admission::*;
 pub use self::effect::*;
 pub use self::event::*;
 pub use self::fair_queue::*;
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -8,6 +8,7 @@
     Incarnation, Instant, Random, ServiceName, SessionId, Text, VmId, ZoneName, data,
 };
 
+use crate::completion_rate::CompletionRates;
 use crate::coordinator::Coordinator;
 use crate::drain::Drain;
 use crate::grant::Grants;
@@ -115,6 +116,8 @@
         pub(crate) last_job: u64,
         /// The queued statements of each service.
         pub(crate) queues: BTreeMap<ServiceName, FairQueue>,
+        /// The rates at which servers complete work, and the usual work of statements.
+        pub(crate) completion_rates: CompletionRates,
         /// The connections to backend servers.
         pub(crate) pool: Pool,
         /// The floors of each service, by the positions of its primary.
@@ -157,6 +160,7 @@
             jobs: BTreeMap::new(),
             last_job: 0,
             queues: BTreeMap::new(),
+            completion_rates: CompletionRates::default(),
             pool: Pool::default(),
             floors: BTreeMap::new(),
             shapes: Shapes::default(),
--- a/sapphireslip-lead/src/timeouts.rs
+++ b/sapphireslip-lead/src/timeouts.rs
@@ -78,7 +78,7 @@
 
     /// Returns until when a statement may wait in the queue: as long as its operation can still be
     /// answered in time, or for half of its own time while a leader is expected to be usable soon.
-    fn queue_end(&self, job: &Job) -> Instant {
+    pub(crate) fn queue_end(&self, job: &Job) -> Instant {
         let half = job.deadline.since(job.arrived) / 2;
         let is_pending = matches!(self.leader_view(&job.service), LeaderView::Pending(_));
         if is_pending {
--- a/sapphireslip-lead/src/waiting_statement.rs
+++ b/sapphireslip-lead/src/waiting_statement.rs
@@ -41,7 +41,8 @@
         /// When the statement must be answered; within an account the earliest is sent first. None
         /// to send by arrival only.
         pub deadline: Option<Instant>,
-        /// When the statement counts as aged and goes among the most urgent; none for never.
+        /// When the statement counts as aged, so that it also gets turns whatever its priority; none
+        /// for never.
         pub ages_at: Option<Instant>,
         /// The earliest time at which the statement may be sent.
         pub send_from: Instant,
--- a/sapphireslip-lead/tests/fair_queue.rs
+++ b/sapphireslip-lead/tests/fair_queue.rs
@@ -6,7 +6,7 @@
 
 use rstest::rstest;
 use sapphireslip_lead::{FairQueue, JobId, StatementClass, WaitingStatement};
-use support::{PAYMENT, POLL, READ, Served, Source, account, at, serve, waiting};
+use support::{Outcome, PAYMENT, POLL, READ, Source, account, at, serve, waiting};
 
 /// The slots of the fake server, each of which does 1,000 ms of work per second.
 const SLOTS: usize = 6;
@@ -36,13 +36,13 @@
 }
 
 /// Returns the share of its statements that each account had served.
-fn shares(served: &[Served]) -> Vec<f64> {
-    let account = |of: &[Served]| {
-        let asked: usize = of.iter().map(|served| served.asked).sum();
-        let sent: usize = of.iter().map(|served| served.sent).sum();
-        sent as f64 / asked as f64
+fn shares(outcomes: &[Outcome]) -> Vec<f64> {
+    let account = |of: &[Outcome]| {
+        let asked: usize = of.iter().map(|outcome| outcome.asked).sum();
+        let lost: usize = of.iter().map(Outcome::lost).sum();
+        1.0 - lost as f64 / asked as f64
     };
-    served.chunks(3).map(account).collect()
+    outcomes.chunks(3).map(account).collect()
 }
 
 /// Guards against an account that takes the capacity of all others by sending more.
@@ -55,8 +55,8 @@
     for source in &mut raised[greedy * 3..greedy * 3 + 3] {
         source.load = source.load * 15 / 2;
     }
-    let before = shares(&serve(&usual, SLOTS));
-    let after = shares(&serve(&raised, SLOTS));
+    let before = shares(&serve(&usual, SLOTS, &[1])[0]);
+    let after = shares(&serve(&raised, SLOTS, &[1])[0]);
     for number in (0..12).filter(|number| *number != greedy) {
         let lost = before[number] - after[number];
         assert!(lost <= 0.02, "account {number} lost {lost}: {after:?}");
@@ -82,7 +82,7 @@
             });
         }
     }
-    let served = serve(&sources, SLOTS);
+    let served = serve(&sources, SLOTS, &[1]).remove(0);
     for payments in served.iter().step_by(2) {
         assert!(payments.share() >= 0.95, "{payments:?}");
     }
@@ -107,7 +107,7 @@
             load,
         });
     }
-    let served = serve(&sources, SLOTS);
+    let served = serve(&sources, SLOTS, &[1]).remove(0);
     for polls in served.iter().skip(1).step_by(2) {
         assert!(polls.share() >= 0.98, "{polls:?}");
         assert!(polls.wait_max <= POLL.target * 45 / 100, "{polls:?}");
--- a/sapphireslip-lead/tests/support/daemon.rs
+++ b/sapphireslip-lead/tests/support/daemon.rs
@@ -4,7 +4,7 @@
     ConnectionId, Incarnation, ServerId, SessionId, Text, TransactionStatus, VmId,
 };
 use sapphireslip_lead::{
-    ClientEvent, ConnectFailure, Effect, Event, Identity, PromoteOutcome, Record, Reply,
+    ClientEvent, ConnectFailure, Effect, Event, Identity, KeyDigest, PromoteOutcome, Record, Reply,
     ServerEvent, ServerRequest, ServerStatus, State, StoreWrite, TermPosition, WriteOutcome,
     Written,
 };
@@ -156,21 +156,31 @@
 
     /// Opens a session on a database.
     pub fn open(&mut self, database: &str) -> SessionId {
-        self.open_from(database, None)
+        self.open_from(database, None, None)
+    }
+
+    /// Opens a session on a database as the client account of a key.
+    pub fn open_with_key(&mut self, database: &str, key: KeyDigest) -> SessionId {
+        self.open_from(database, Some(key), None)
     }
 
     /// Opens a session on a database that another daemon has forwarded.
     pub fn open_forwarded(&mut self, database: &str) -> SessionId {
-        self.open_from(database, Some(1))
+        self.open_from(database, None, Some(1))
     }
 
-    fn open_from(&mut self, database: &str, forwarder_version: Option<u64>) -> SessionId {
+    fn open_from(
+        &mut self,
+        database: &str,
+        key: Option<KeyDigest>,
+        forwarder_version: Option<u64>,
+    ) -> SessionId {
         self.sessions += 1;
         let session = SessionId(self.sessions);
         self.event(Event::Client(ClientEvent::Opened {
             session,
             database: database.into(),
-            key: None,
+            key,
             forwarder_version,
         }));
         session
@@ -199,6 +209,16 @@
         }
     }
 
+    /// Has the servers answer the oldest requests that they have withheld, up to a number, and
+    /// withhold the next ones.
+    pub fn answer_oldest(&mut self, count: usize) {
+        let count = count.min(self.held.len());
+        let oldest: Vec<_> = self.held.drain(..count).collect();
+        for (connection, request) in oldest {
+            self.serve(connection, &request);
+        }
+    }
+
     /// Breaks all connections to a server; its unanswered requests are lost.
     pub fn break_connections(&mut self, server: &ServerId) {
         let broken: Vec<ConnectionId> = self
--- a/sapphireslip-lead/tests/support/load.rs
+++ b/sapphireslip-lead/tests/support/load.rs
@@ -1,10 +1,13 @@
 //! Load on the queue of one service in front of a fake server with a fixed number of slots.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use sapphireslip_core::{AccountName, Random};
-use sapphireslip_lead::{FairQueue, JobId, StatementClass, WaitingStatement};
+use sapphireslip_lead::{
+    CompletionRate, DeadlineAdmission, FairQueue, JobId, QueueLoad, StatementClass,
+    WaitingStatement, decide_admission,
+};
 
 use super::at;
 
@@ -45,6 +48,13 @@
     timeout: 2_000,
 };
 
+impl Kind {
+    /// Returns how long a statement may wait in the queue, in milliseconds.
+    pub const fn wait_max(&self) -> u64 {
+        self.target * 45 / 100
+    }
+}
+
 /// One client account's statements of one kind.
 #[derive(Clone, Debug)]
 pub struct Source {
@@ -58,21 +68,35 @@
     pub load: u64,
 }
 
-/// What became of the statements of one source.
+/// What became of the statements of one source that came in one phase.
 #[derive(Clone, Debug, Default)]
-pub struct Served {
-    /// The statements asked for.
+pub struct Outcome {
+    /// The statements asked for, without those that came back.
     pub asked: usize,
-    /// The statements that were sent.
-    pub sent: usize,
+    /// The statements that were answered within their timeout.
+    pub in_time: usize,
+    /// The statements that were answered later.
+    pub late: usize,
+    /// The statements that were refused on arrival.
+    pub refused: usize,
+    /// The retry times of those statements.
+    pub retries: Vec<Duration>,
+    /// The statements that left the queue after 45% of their target latency.
+    pub expired: usize,
     /// The longest wait of a statement that was sent, in milliseconds.
     pub wait_max: u64,
 }
 
-impl Served {
-    /// Returns the share of the statements that were sent.
+impl Outcome {
+    /// Returns the statements that were refused, left the queue or were answered late. Those that
+    /// are unanswered at the end of the load are not among them.
+    pub const fn lost(&self) -> usize {
+        self.refused + self.expired + self.late
+    }
+
+    /// Returns the share of the statements that were not lost.
     pub fn share(&self) -> f64 {
-        self.sent as f64 / self.asked.max(1) as f64
+        1.0 - self.lost() as f64 / self.asked.max(1) as f64
     }
 }
 
@@ -103,47 +127,100 @@
     }
 }
 
-/// Serves the sources for 20 s with a queue before a server with `slots`. Statements leave the queue
-/// after 45% of their target latency.
-pub fn serve(sources: &[Source], slots: usize) -> Vec<Served> {
-    let mut random = Random::new(7);
+/// The length of each phase of a load, in milliseconds.
+const PHASE: u64 = 10_000;
+
+/// Serves phases of load with a queue and admission before a server with `slots`, and returns the
+/// outcomes of each phase by source.
+///
+/// `loads` are the multiples of the sources' loads in each phase. Statements leave the queue after
+/// 45% of their target latency. Refused clients come back once, after the time that they were told.
+pub fn serve(sources: &[Source], slots: usize, loads: &[u64]) -> Vec<Vec<Outcome>> {
+    let mut random = Random::new(11);
     let mut queue = FairQueue::default();
-    let mut served = vec![Served::default(); sources.len()];
-    let mut came: BTreeMap<JobId, (usize, u64)> = BTreeMap::new();
-    let mut ends: VecDeque<(u64, JobId)> = VecDeque::new();
-    let mut busy_until = vec![0; slots];
-    let mut last = 0;
-    for now in 0..20_000 {
+    let mut rate = CompletionRate::default();
+    let mut outcomes = vec![vec![Outcome::default(); sources.len()]; loads.len()];
+    let mut came: Vec<(usize, u64)> = Vec::new();
+    let mut returning: BTreeSet<(u64, usize, usize)> = BTreeSet::new();
+    let mut slots: Vec<Option<(u64, JobId)>> = vec![None; slots];
+    for now in 0..PHASE * loads.len() as u64 {
+        let phase = usize::try_from(now / PHASE).expect("a small number");
+        let outcomes = &mut outcomes[phase];
+        let of = |came: &[(usize, u64)], id: JobId| came[usize::try_from(id.0).expect("small")];
+        for slot in &mut slots {
+            if let Some((end, id)) = *slot
+                && end <= now
+            {
+                *slot = None;
+                let (index, arrived) = of(&came, id);
+                let kind = sources[index].kind;
+                rate.note_completed(at(now), Duration::from_millis(kind.work));
+                let is_late = now - arrived > kind.timeout;
+                outcomes[index].late += usize::from(is_late);
+                outcomes[index].in_time += usize::from(!is_late);
+            }
+        }
+        let mut arrivals = Vec::new();
         for (index, source) in sources.iter().enumerate() {
             // The chance of an arrival within this millisecond, in millionths.
-            let chance = source.load * 1_000 / source.kind.work;
+            let chance = source.load * loads[phase] * 1_000 / source.kind.work;
             if random.below(1_000_000) < chance {
-                last += 1;
-                queue.push(at(now), waiting(last, source, now));
-                came.insert(JobId(last), (index, now));
-                ends.push_back((now + source.kind.target * 45 / 100, JobId(last)));
-                served[index].asked += 1;
+                outcomes[index].asked += 1;
+                arrivals.push((index, true));
             }
         }
-        ends.retain(|(end, id)| {
-            if *end <= now {
-                queue.remove(*id);
-            }
-            *end > now
-        });
-        for slot in &mut busy_until {
-            if *slot > now {
-                continue;
+        while let Some(first) = returning.first().copied()
+            && first.0 <= now
+        {
+            returning.remove(&first);
+            arrivals.push((first.1, false));
+        }
+        for (index, is_first) in arrivals {
+            let source = &sources[index];
+            let (kind, account) = (source.kind, Some(source.account.clone()));
+            let load = QueueLoad {
+                ahead: queue.ahead_of(&account, source.weight, kind.priority, true),
+                ahead_of_aged: queue.ahead_of_aged(true),
+                ages_after: Duration::from_millis(kind.target / 4),
+                waiting: queue.len(),
+                rate: rate.per_second(at(now)),
+                returning: rate.returning(at(now)),
+            };
+            let work = Duration::from_millis(kind.work);
+            let deadline = Duration::from_millis(kind.timeout);
+            let wait_max = Duration::from_millis(kind.wait_max());
+            match decide_admission(&load, work, deadline, wait_max, random.below(1_000)) {
+                DeadlineAdmission::Admit => {
+                    queue.push(at(now), waiting(came.len() as u64, source, now));
+                    came.push((index, now));
+                }
+                DeadlineAdmission::Refuse { retry_after } => {
+                    rate.note_refused(at(now), work);
+                    outcomes[index].refused += 1;
+                    outcomes[index].retries.push(retry_after);
+                    if is_first {
+                        let pause = u64::try_from(retry_after.as_millis()).expect("at most 5 s");
+                        returning.insert((now + pause, index, returning.len()));
+                    }
+                }
             }
-            let Some(id) = queue.next(at(now)) else {
+        }
+        for slot in slots.iter_mut().filter(|slot| slot.is_none()) {
+            while let Some(id) = queue.next(at(now)) {
+                let (index, arrived) = of(&came, id);
+                let kind = sources[index].kind;
+                if now - arrived >= kind.wait_max() {
+                    queue.remove(id);
+                    outcomes[index].expired += 1;
+                    continue;
+                }
+                queue.serve(id);
+                outcomes[index].wait_max = outcomes[index].wait_max.max(now - arrived);
+                *slot = Some((now + kind.work, id));
                 break;
-            };
-            queue.serve(id);
-            let (index, arrived) = came[&id];
-            *slot = now + sources[index].kind.work;
-            served[index].sent += 1;
-            served[index].wait_max = served[index].wait_max.max(now - arrived);
+            }
         }
+        rate.note_backlog(at(now), !queue.is_empty());
     }
-    served
+    outcomes
 }
--- a/sapphireslip/src/explain_cause.rs
+++ b/sapphireslip/src/explain_cause.rs
@@ -118,6 +118,8 @@
     ("no server is fresh enough", FRESHNESS_SOURCES),
     ("no server or connection was free", CAPACITY_SOURCES),
     ("too many statements wait", CAPACITY_SOURCES),
+    ("the service is overloaded", CAPACITY_SOURCES),
+    ("the account is over its share", CAPACITY_SOURCES),
     ("the servers answered", CAPACITY_SOURCES),
     ("the connection to the server broke", CONNECTION_SOURCES),
     ("no answer came in time", CONNECTION_SOURCES),
