--- a/sapphireslip-lead/src/connection_opening.rs
+++ b/sapphireslip-lead/src/connection_opening.rs
@@ -114,15 +114,16 @@
         self.connect(server, account)
     }
 
-    /// Returns the account of the first waiting statement that the server could run.
+    /// Returns the account of the statement that has waited longest of those that the server could
+    /// run.
     fn account_waiting_for(&self, server: &ServerId) -> Option<AccountName> {
         let service = &self.servers.get(server)?.record.service;
         let is_leader = self.leaders.named(service) == Some(server);
         let mut waiting = self
             .queues
             .get(service)?
-            .iter()
-            .filter_map(|id| self.jobs.get(id));
+            .by_arrival()
+            .filter_map(|id| self.jobs.get(&id));
         let first = waiting.find(|job| {
             let is_bound = job.in_transaction && job.pending_begin.is_none();
             !is_bound && (is_leader || !job.needs_leader)
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::catalog_relay::CatalogRelay;
+use crate::completion_rate::CompletionRates;
 use crate::coordinator::Coordinator;
 use crate::drain::Drain;
 use crate::grant::Grants;
@@ -26,8 +27,8 @@
 use crate::votes::Votes;
 use crate::waiting_session::WaitingSession;
 use crate::{
-    Catalog, ConnectionCounts, Effect, Event, Floors, PermissionTable, RateBounds, RateLimits,
-    RateShares, Record,
+    Catalog, ConnectionCounts, Effect, Event, FairQueue, Floors, PermissionTable, RateBounds,
+    RateLimits, RateShares, Record,
 };
 
 data! {
@@ -125,8 +126,10 @@
         pub(crate) jobs: BTreeMap<JobId, Job>,
         /// The number of the last job; 0 before the first.
         pub(crate) last_job: u64,
-        /// The queued statements of each service, the next one first.
-        pub(crate) queues: BTreeMap<ServiceName, Vec<JobId>>,
+        /// The queued statements of each service.
+        pub(crate) queues: BTreeMap<ServiceName, FairQueue>,
+        /// The rates at which servers complete work, and the usual work of statements.
+        pub(crate) completion_rates: CompletionRates,
         /// The connections to backend servers.
         pub(crate) pool: Pool,
         /// The floors of each service, by the positions of its primary.
@@ -178,6 +181,7 @@
             jobs: BTreeMap::new(),
             last_job: 0,
             queues: BTreeMap::new(),
+            completion_rates: CompletionRates::default(),
             pool: Pool::default(),
             floors: BTreeMap::new(),
             rate_limits: RateLimits::new(RateBounds::default(), vm, incarnation),
@@ -281,7 +285,7 @@
         Snapshot {
             sessions: self.sessions.len(),
             relays: self.relays.len(),
-            waiting: self.queues.values().map(Vec::len).sum(),
+            waiting: self.queues.values().map(FairQueue::len).sum(),
             connections: self.pool.all().count(),
             connection_counts: self.pool.counts(),
             servers: self.servers.known.len(),
--- a/sapphireslip-lead/tests/support/daemon.rs
+++ b/sapphireslip-lead/tests/support/daemon.rs
@@ -241,6 +241,16 @@
         }
     }
 
+    /// Has the servers answer the oldest requests that they have withheld, up to a number, and
+    /// withhold the next ones.
+    pub fn answer_oldest(&mut self, count: usize) {
+        let count = count.min(self.held.len());
+        let oldest: Vec<_> = self.held.drain(..count).collect();
+        for (connection, request) in oldest {
+            self.serve(connection, &request);
+        }
+    }
+
     /// Breaks all connections to a server; its unanswered requests are lost.
     pub fn break_connections(&mut self, server: &ServerId) {
         let broken: Vec<ConnectionId> = self
--- a/sapphireslip-lead/tests/support/mod.rs
+++ b/sapphireslip-lead/tests/support/mod.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod fleet_history;
 mod group;
+mod load;
 mod store;
 
 use std::collections::BTreeMap;
@@ -26,6 +27,7 @@
 pub use self::daemon::*;
 pub use self::fleet::*;
 pub use self::group::*;
+pub use self::load::*;
 pub use self::store::*;
 
 /// The time after which servers that are listed as draining must get no new work.
