Connections by account: reads stay in the zone, room before replacements, freed connections used at once

Cause: the preference for a replica would have moved the reads of a home in the primary's zone to other zones; a connection was replaced though another replica had room; after a rollback or a status request a statement of the account waited for the next tick. Change: a primary in the daemon's zone has no preference penalty; a server with room that costs at most 15 ms more goes before a replacement; the queue is run when such a connection is free. The test file is split in two.

--- a/sapphireslip-lead/src/choice.rs
+++ b/sapphireslip-lead/src/choice.rs
@@ -28,7 +28,8 @@
 
 /// Cost added for a read of an account to all servers but the one replica that the account prefers,
 /// so that an account needs few connections. The measured latencies of equally good servers differ
-/// by several milliseconds by chance.
+/// by several milliseconds by chance. A primary in the daemon's zone is left out: the daemon would
+/// send all reads to other zones.
 const PREFERENCE_PENALTY: Duration = Duration::from_millis(10);
 
 /// How much more than the best server another one may cost to get a read of an account because it
@@ -205,7 +206,8 @@
             AccountUse::InUse => OPENING_TIME / 2,
             AccountUse::None => OPENING_TIME,
         };
-        if preferred != Some(id) {
+        let is_near = server.record.zone == self.local.zone;
+        if preferred != Some(id) && !(is_leader && is_near) {
             cost += PREFERENCE_PENALTY;
         }
         cost + self.penalty(server, is_leader)
--- a/sapphireslip-lead/src/completion.rs
+++ b/sapphireslip-lead/src/completion.rs
@@ -131,12 +131,16 @@
             }
             AnswerTo::Begin(job) => self.on_begun(id, job, reply),
             AnswerTo::Statement(job) => self.on_statement(id, job, reply, sent),
-            AnswerTo::Rollback => self.free_when_idle(id, reply.transaction),
+            AnswerTo::Rollback => {
+                self.free_when_idle(id, reply.transaction);
+                self.run_queue_of_account(id);
+            }
             AnswerTo::Status => {
                 if let Some(status) = status {
                     self.on_status(&server, status, sent);
                 }
                 self.free_when_idle(id, reply.transaction);
+                self.run_queue_of_account(id);
             }
         }
     }
@@ -319,6 +323,15 @@
         }
     }
 
+    /// Sends the waiting statements after an answer to a request of this daemon, if the connection
+    /// serves an account: it may be the only one that the account's statements can use.
+    fn run_queue_of_account(&mut self, connection: ConnectionId) {
+        let at = self.pool.get(connection);
+        if at.is_some_and(|at| at.account().is_some()) {
+            self.run_queue_of_connection(connection);
+        }
+    }
+
     /// Closes a faulty connection and fails or resends the statements on it.
     pub(crate) fn drop_connection(&mut self, id: ConnectionId, cause: &str) {
         self.effects.push(Effect::Disconnect { connection: id });
--- a/sapphireslip-lead/src/connection_choice.rs
+++ b/sapphireslip-lead/src/connection_choice.rs
@@ -5,6 +5,8 @@
 
 use sapphireslip_core::{ConnectionId, Instant, data};
 
+use crate::choice::Candidate;
+
 /// How long it takes to open a connection: 12 ms of a slot of the server, and a round trip of up to
 /// 3 ms.
 pub(crate) const OPENING_TIME: Duration = Duration::from_millis(15);
@@ -133,3 +135,26 @@
         ConnectionChoice::Unavailable
     }
 }
+
+/// Puts a server where a connection can be opened, or is expected, before the first one where a
+/// connection would have to be replaced, if it costs no more than the account that loses the
+/// connection needs to open it again.
+pub(crate) fn avoid_replacement(choices: &mut [(Candidate, ConnectionChoice)]) {
+    let is_possible = |(_, choice): &(Candidate, ConnectionChoice)| {
+        !matches!(choice, ConnectionChoice::Unavailable)
+    };
+    let Some(first) = choices.iter().position(is_possible) else {
+        return;
+    };
+    let Some((candidate, ConnectionChoice::Replace(_))) = choices.get(first) else {
+        return;
+    };
+    let cost_max = candidate.cost + OPENING_TIME;
+    let other = choices.iter().position(|(candidate, choice)| {
+        let has_room = matches!(choice, ConnectionChoice::Open | ConnectionChoice::Wait);
+        has_room && candidate.cost <= cost_max
+    });
+    if let Some(other) = other {
+        choices.swap(first, other);
+    }
+}
--- a/sapphireslip-lead/src/dispatch.rs
+++ b/sapphireslip-lead/src/dispatch.rs
@@ -4,9 +4,9 @@
 
 use sapphireslip_core::{ConnectionId, ServerId, ServiceName, SessionId, Text};
 
-use crate::choice::{Candidate, Candidates};
+use crate::choice::Candidates;
 use crate::connection::{AnswerTo, Awaited, Purpose};
-use crate::connection_choice::ConnectionChoice;
+use crate::connection_choice::{ConnectionChoice, avoid_replacement};
 use crate::job::{Job, JobId, Sending, Stage, Work};
 use crate::leaders::LeaderView;
 use crate::refusal::{RETRY_BUSY, RETRY_HANDOVER};
@@ -156,20 +156,18 @@
             };
         }
         let mut choices = Vec::new();
-        for Candidate {
-            server, is_leader, ..
-        } in servers
-        {
-            let choice = self.connection_for(job, &server);
+        for candidate in servers {
+            let choice = self.connection_for(job, &candidate.server);
             if let ConnectionChoice::Use(connection) = choice {
-                self.send(id, connection, floor.filter(|_| !is_leader));
+                self.send(id, connection, floor.filter(|_| !candidate.is_leader));
                 return Dispatched::Sent;
             }
-            choices.push((server, choice));
+            choices.push((candidate, choice));
         }
+        avoid_replacement(&mut choices);
         let account = job.account.clone();
-        for (server, choice) in choices {
-            if self.prepare_connection(&server, account.clone(), &choice) {
+        for (candidate, choice) in choices {
+            if self.prepare_connection(&candidate.server, account.clone(), &choice) {
                 break;
             }
         }
--- a/sapphireslip-lead/tests/connections_by_account.rs
+++ b/sapphireslip-lead/tests/connections_by_account.rs
@@ -3,72 +3,20 @@
 mod support;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
 
 use rstest::{fixture, rstest};
-use sapphireslip_core::{AccountName, ConnectionId, Random, SessionId};
-use sapphireslip_lead::{
-    Account, Accounts, Catalog, Event, KeyDigest, RecordKind, ServerRequest, ServiceSpec,
+use sapphireslip_core::{AccountName, Random};
+use sapphireslip_lead::{Event, RecordKind, ServerRequest, ServiceSpec};
+use support::{
+    BALANCES, CONNECTIONS_MAX, Daemon, PAYMENTS, POLLS, account_key, account_name, account_of,
+    assert_on_own_connections, catalog_with_accounts, daemon_with_accounts, run_as, server,
+    service,
 };
-use support::{BALANCES, Daemon, PAYMENTS, catalog, server, service};
-
-/// A database whose statements go to the primary and wait behind those of [`PAYMENTS`].
-const POLLS: &str = "polls";
-
-/// The connections that one server accepts: this daemon's share is 3, and it has at most twice as
-/// many.
-const CONNECTIONS: usize = 4;
-
-/// The most connections of this daemon to one server.
-const CONNECTIONS_MAX: usize = 6;
-
-fn key(account: u8) -> KeyDigest {
-    KeyDigest([account; 16])
-}
-
-fn name(account: u8) -> AccountName {
-    AccountName::try_from(format!("account-{account}").as_str()).expect("a valid name")
-}
-
-/// Returns a configuration with these accounts.
-fn accounts(version: u64, numbers: impl IntoIterator<Item = u8>) -> Catalog {
-    let mut accounts = Accounts::default();
-    for number in numbers {
-        let account = Account {
-            name: name(number),
-            limit: None,
-        };
-        accounts.add(account, [key(number)]);
-    }
-    let mut catalog = catalog(version);
-    let mut polls = catalog.routes[PAYMENTS].clone();
-    polls.priority = 2;
-    polls.target_latency = Duration::from_millis(600);
-    polls.timeout = Duration::from_millis(2_000);
-    catalog.routes.insert(POLLS.into(), polls);
-    let spec = ServiceSpec {
-        connections: CONNECTIONS,
-    };
-    catalog.services = BTreeMap::from([(service(), spec)]);
-    Catalog {
-        accounts,
-        ..catalog
-    }
-}
 
 /// Returns a ready daemon whose configuration names 60 accounts.
 #[fixture]
 fn daemon() -> Daemon {
-    let mut daemon = Daemon::ready();
-    daemon.event(Event::Catalog(accounts(2, 1..=60)));
-    daemon.opened.clear();
-    daemon
-}
-
-/// Returns the account of a connection that was opened.
-fn account_of(daemon: &Daemon, connection: ConnectionId) -> Option<AccountName> {
-    let opened = daemon.opened.iter().find(|(id, ..)| *id == connection);
-    opened.and_then(|(.., account)| account.clone())
+    daemon_with_accounts("a")
 }
 
 /// Returns the accounts whose connections the daemon has closed, and forgets them.
@@ -77,14 +25,6 @@
     closed.iter().map(|id| account_of(daemon, *id)).collect()
 }
 
-/// Opens a session of an account, and runs a statement in it.
-fn run_as(daemon: &mut Daemon, account: u8) -> SessionId {
-    let session = daemon.open_with_key(PAYMENTS, key(account));
-    let reply = daemon.run(session, &format!("{account}/first"), "READ x");
-    assert_eq!(reply.failure(), None);
-    session
-}
-
 /// Fills the daemon's connections to the primary with those of the accounts from 1 on, 20 ms apart.
 fn fill(daemon: &mut Daemon) {
     for account in 1..=CONNECTIONS_MAX {
@@ -96,20 +36,6 @@
     daemon.records.clear();
 }
 
-/// Asserts that each statement was sent on a connection of its account, by the number before the
-/// slash of its identifier.
-fn assert_on_own_connections(daemon: &Daemon) {
-    assert!(!daemon.sent_on.is_empty());
-    for (connection, request) in &daemon.sent_on {
-        let ServerRequest::Forward { id, .. } = request else {
-            panic!("unexpected request {request:?}");
-        };
-        let (account, _) = id.split_once('/').expect("an account and a number");
-        let account = name(account.parse().expect("a number"));
-        assert_eq!(account_of(daemon, *connection), Some(account), "{id}");
-    }
-}
-
 /// Guards against a statement that the server counts for another account, as the server knows a
 /// statement's account only by its connection.
 #[rstest]
@@ -117,7 +43,10 @@
     let sessions: Vec<_> = (1..=6)
         .map(|account| {
             let database = [PAYMENTS, BALANCES, POLLS][usize::from(account) % 3];
-            (account, daemon.open_with_key(database, key(account)))
+            (
+                account,
+                daemon.open_with_key(database, account_key(account)),
+            )
         })
         .collect();
     let texts = [
@@ -145,7 +74,10 @@
     run_as(&mut daemon, 1);
     run_as(&mut daemon, 7);
     run_as(&mut daemon, 8);
-    assert_eq!(closed(&mut daemon), [Some(name(2)), Some(name(3))]);
+    assert_eq!(
+        closed(&mut daemon),
+        [Some(account_name(2)), Some(account_name(3))]
+    );
     assert_eq!(daemon.connections_to(&server("s-a")), CONNECTIONS_MAX);
     let replaced = daemon
         .records
@@ -164,21 +96,21 @@
 #[rstest]
 fn connection_in_a_transaction_is_not_replaced(mut daemon: Daemon) {
     let sessions: Vec<_> = (1..=6)
-        .map(|account| daemon.open_with_key(PAYMENTS, key(account)))
+        .map(|account| daemon.open_with_key(PAYMENTS, account_key(account)))
         .collect();
     for (n, session) in (1..).zip(&sessions) {
         daemon.run(*session, &format!("{n}/begin"), "BEGIN");
         daemon.run(*session, &format!("{n}/read"), "READ x");
     }
     daemon.disconnected.clear();
-    let waiting = daemon.open_with_key(POLLS, key(7));
+    let waiting = daemon.open_with_key(POLLS, account_key(7));
     daemon.submit(waiting, "7/read", "READ x");
     daemon.advance(100);
     assert!(closed(&mut daemon).is_empty());
     assert!(daemon.answers.is_empty());
     daemon.run(sessions[3], "4/commit", "COMMIT");
     daemon.advance(10);
-    assert_eq!(closed(&mut daemon), [Some(name(4))]);
+    assert_eq!(closed(&mut daemon), [Some(account_name(4))]);
     assert_on_own_connections(&daemon);
 }
 
@@ -190,7 +122,7 @@
     let sessions: Vec<_> = (1..=count)
         .map(|n| {
             let n = u8::try_from(n).expect("few accounts");
-            (n, daemon.open_with_key(POLLS, key(n)))
+            (n, daemon.open_with_key(POLLS, account_key(n)))
         })
         .collect();
     daemon.opened.clear();
@@ -221,7 +153,7 @@
 fn overload_by_three_accounts_per_connection_keeps_the_pace_of_openings(mut daemon: Daemon) {
     let accounts = 1..=u8::try_from(3 * CONNECTIONS_MAX).expect("few accounts");
     let sessions: Vec<_> = accounts
-        .map(|n| (n, daemon.open_with_key(POLLS, key(n))))
+        .map(|n| (n, daemon.open_with_key(POLLS, account_key(n))))
         .collect();
     daemon.opened.clear();
     daemon.withholds_connects = true;
@@ -262,7 +194,7 @@
     daemon.opened.clear();
     for (database, accounts) in [(POLLS, 11..=14), (PAYMENTS, 21..=22)] {
         for account in accounts {
-            let session = daemon.open_with_key(database, key(account));
+            let session = daemon.open_with_key(database, account_key(account));
             daemon.submit(session, &format!("{account}/1"), "READ x");
         }
     }
@@ -275,7 +207,7 @@
     }
     let order: Vec<_> = daemon.opened.iter().map(|(.., a)| a.clone()).collect();
     // The first poll began its opening before the others arrived.
-    let expected = [11, 21, 22, 12, 13, 14].map(|n| Some(name(n)));
+    let expected = [11, 21, 22, 12, 13, 14].map(|n| Some(account_name(n)));
     assert_eq!(order, expected);
 }
 
@@ -288,13 +220,13 @@
     daemon.advance(20);
     daemon.connections_max = Some(daemon.connections_to(&server("s-a")));
     daemon.disconnected.clear();
-    let session = daemon.open_with_key(PAYMENTS, key(3));
+    let session = daemon.open_with_key(PAYMENTS, account_key(3));
     let reply = daemon.run(session, "3/1", "READ x");
     assert_eq!(reply.failure(), None);
     // The connection from before the configuration, which serves no account, is the oldest.
     assert_eq!(closed(&mut daemon), [None]);
     run_as(&mut daemon, 4);
-    assert_eq!(closed(&mut daemon), [Some(name(1))]);
+    assert_eq!(closed(&mut daemon), [Some(account_name(1))]);
 }
 
 /// Guards against connections that stay open for an account that is gone or has another name.
@@ -304,8 +236,8 @@
         run_as(&mut daemon, account);
     }
     daemon.disconnected.clear();
-    daemon.event(Event::Catalog(accounts(3, [1, 3])));
-    assert_eq!(closed(&mut daemon), [Some(name(2))]);
+    daemon.event(Event::Catalog(catalog_with_accounts(3, [1, 3])));
+    assert_eq!(closed(&mut daemon), [Some(account_name(2))]);
 }
 
 /// Guards against a connection that stays open because it was in use when its account was removed.
@@ -316,11 +248,11 @@
     daemon.withholds_answers = true;
     daemon.submit(session, "2/2", "READ x");
     daemon.disconnected.clear();
-    daemon.event(Event::Catalog(accounts(3, [1])));
+    daemon.event(Event::Catalog(catalog_with_accounts(3, [1])));
     assert!(closed(&mut daemon).is_empty());
     daemon.answer_all();
     daemon.advance(10);
-    assert_eq!(closed(&mut daemon), [Some(name(2))]);
+    assert_eq!(closed(&mut daemon), [Some(account_name(2))]);
 }
 
 /// Guards against an opening of 12 ms for a connection that is free within a few milliseconds, and
@@ -334,7 +266,7 @@
     #[case] expected: usize,
 ) {
     let first = run_as(&mut daemon, 1);
-    let second = daemon.open_with_key(PAYMENTS, key(1));
+    let second = daemon.open_with_key(PAYMENTS, account_key(1));
     daemon.withholds_answers = true;
     daemon.submit(first, "1/a", "READ x");
     daemon.submit(second, "1/b", "READ x");
@@ -344,49 +276,77 @@
     assert_eq!(daemon.opened.len(), expected);
 }
 
-/// Guards against accounts that need a connection to each replica for their reads.
+/// Guards against a statement that waits for a tick though the rollback that it waited for is
+/// answered.
 #[rstest]
-fn reads_of_an_account_keep_to_one_replica(mut daemon: Daemon) {
-    let mut accounts_by_server: BTreeMap<_, BTreeSet<_>> = BTreeMap::new();
-    for account in 1..=40 {
-        let session = daemon.open_with_key(BALANCES, key(account));
-        for n in 0..10 {
-            let reply = daemon.run(session, &format!("{account}/{n}"), "READ x");
-            assert_eq!(reply.failure(), None);
-            daemon.advance(10);
-        }
+fn connection_that_was_rolled_back_is_used_at_once(mut daemon: Daemon) {
+    let sessions: Vec<_> = (1..=6)
+        .map(|account| daemon.open_with_key(PAYMENTS, account_key(account)))
+        .collect();
+    for (n, session) in (1..).zip(&sessions) {
+        daemon.run(*session, &format!("{n}/begin"), "BEGIN");
+        daemon.run(*session, &format!("{n}/read"), "READ x");
     }
-    for (_, server, account) in &daemon.opened {
-        let accounts = accounts_by_server.entry(server.to_string()).or_default();
-        accounts.insert(account.clone());
+    let waiting = daemon.open_with_key(PAYMENTS, account_key(7));
+    daemon.submit(waiting, "7/1", "READ x");
+    daemon.submit(sessions[0], "1/rollback", "ROLLBACK");
+    let answered: BTreeSet<_> = daemon.answers.iter().map(|(session, _)| *session).collect();
+    assert_eq!(answered, BTreeSet::from([sessions[0], waiting]));
+    assert_on_own_connections(&daemon);
+}
+
+/// Guards against an urgent statement that waits for the pace because less urgent ones have used it
+/// up.
+#[rstest]
+fn urgent_statement_gets_a_connection_though_the_pace_is_used_up(mut daemon: Daemon) {
+    fill(&mut daemon);
+    for account in 11..=16 {
+        let session = daemon.open_with_key(POLLS, account_key(account));
+        daemon.submit(session, &format!("{account}/1"), "READ x");
     }
-    let counts: Vec<_> = accounts_by_server
-        .iter()
-        .map(|(server, accounts)| (server.as_str(), accounts.len()))
-        .collect();
-    let [("s-b", of_b), ("s-c", of_c)] = counts[..] else {
-        panic!("reads went to other servers: {counts:?}");
-    };
-    assert_eq!(of_b + of_c, 40, "each account uses one replica: {counts:?}");
-    assert!(of_b.min(of_c) >= 10, "{counts:?}");
+    assert_eq!(daemon.answers.len(), 2, "the other polls wait for the pace");
+    run_as(&mut daemon, 21);
+    assert_eq!(daemon.answers.len(), 2);
 }
 
-/// Guards against a preferred replica that gets more statements than it can run while others are
-/// idle.
+/// Guards against statements that are refused by the pace when many accounts send at once.
 #[rstest]
-fn reads_leave_a_busy_replica(mut daemon: Daemon) {
-    daemon.withholds_answers = true;
-    for n in 0..12 {
-        let session = daemon.open_with_key(BALANCES, key(1));
-        daemon.submit(session, &format!("1/{n}"), "READ x");
-        daemon.advance(20);
+fn twelve_accounts_that_send_at_once_are_served(mut daemon: Daemon) {
+    fill(&mut daemon);
+    for account in 11..=22 {
+        let session = daemon.open_with_key(POLLS, account_key(account));
+        daemon.submit(session, &format!("{account}/1"), "READ x");
     }
-    let servers: BTreeSet<_> = daemon
-        .statements()
-        .into_iter()
-        .map(|(server, _)| server)
-        .collect();
-    assert!(servers.len() >= 2, "{servers:?}");
+    daemon.advance(130);
+    assert_eq!(daemon.answers.len(), 12);
+    for (session, reply) in &daemon.answers {
+        assert_eq!(reply.failure(), None, "{session:?}");
+    }
+}
+
+/// Guards against a connection without an account, which the statement that waits can't use.
+#[rstest]
+fn first_connection_to_a_server_serves_the_statement_that_waits(mut daemon: Daemon) {
+    daemon.group.get_mut(&server("s-a")).is_isolated = true;
+    daemon.break_connections(&server("s-a"));
+    let session = daemon.open_with_key(POLLS, account_key(5));
+    daemon.submit(session, "5/1", "READ x");
+    daemon.opened.clear();
+    daemon.group.get_mut(&server("s-a")).is_isolated = false;
+    daemon.advance(100);
+    let accounts: Vec<_> = daemon.opened.iter().map(|(.., a)| a.clone()).collect();
+    assert_eq!(accounts, [Some(account_name(5))]);
+    assert_eq!(daemon.answers.len(), 1);
+}
+
+/// Guards against a request for the status with each opening, where every account has some.
+#[rstest]
+fn opening_for_an_account_is_not_followed_by_a_status_request(mut daemon: Daemon) {
+    daemon.sent.clear();
+    fill(&mut daemon);
+    let is_probe = |(_, request): &&(_, ServerRequest)| *request == ServerRequest::Status;
+    let probes = daemon.sent.iter().filter(is_probe).count();
+    assert!(probes <= 1, "{probes} in 120 ms");
 }
 
 /// Guards against connections that are opened only to ask a server for its status.
@@ -407,7 +367,7 @@
 /// Guards against small accounts that need a new connection for each of their operations.
 #[rstest]
 fn unused_connections_within_half_of_the_share_are_kept(mut daemon: Daemon) {
-    let mut catalog = accounts(3, 1..=60);
+    let mut catalog = catalog_with_accounts(3, 1..=60);
     catalog.services = BTreeMap::from([(service(), ServiceSpec { connections: 16 })]);
     daemon.event(Event::Catalog(catalog));
     for account in 1..=10 {
@@ -424,12 +384,12 @@
     let before = daemon.state.snapshot().connection_counts;
     assert_eq!((before.free, before.replacements), (3, 0));
     fill(&mut daemon);
-    let session = daemon.open_with_key(PAYMENTS, key(1));
+    let session = daemon.open_with_key(PAYMENTS, account_key(1));
     daemon.run(session, "1/begin", "BEGIN");
     daemon.run(session, "1/read", "READ x");
     run_as(&mut daemon, 7);
     daemon.withholds_answers = true;
-    let session = daemon.open_with_key(PAYMENTS, key(7));
+    let session = daemon.open_with_key(PAYMENTS, account_key(7));
     daemon.submit(session, "7/2", "READ x");
     let counts = daemon.state.snapshot().connection_counts;
     let by_use = (
--- a/sapphireslip-lead/tests/support/mod.rs
+++ b/sapphireslip-lead/tests/support/mod.rs
@@ -7,6 +7,7 @@
     reason = "each test file uses only some of the fakes"
 )]
 
+mod accounts;
 mod daemon;
 mod fleet;
 mod fleet_history;
@@ -21,6 +22,7 @@
     Accounts, Catalog, Freshness, Query, Route, ServiceSpec, Shape, Statement,
 };
 
+pub use self::accounts::*;
 pub use self::daemon::*;
 pub use self::fleet::*;
 pub use self::group::*;
