--- a/sapphireslip-lead/src/rate_limits.rs
+++ b/sapphireslip-lead/src/rate_limits.rs
@@ -30,7 +30,7 @@
 const BUCKET_WAIT_MAX: Duration = Duration::from_millis(100);
 
 /// How long no token is expected after the coordinator gave fewer than were wanted.
-const EMPTY_PAUSE: Duration = Duration::from_millis(100);
+const EMPTY_PAUSE: Duration = Duration::from_millis(60);
 
 data! {
     /// The answer to an operation that has arrived.
--- a/sapphireslip-lead/src/rate_shares.rs
+++ b/sapphireslip-lead/src/rate_shares.rs
@@ -20,15 +20,30 @@
 /// The most of a limit that is lent while demand exceeds it, in millionths.
 const LENT_AT_HIGH_DEMAND: u64 = 900_000;
 
-/// The rate per borrower, in thousandths of an operation per second, at which half of these parts is
-/// lent. A bucket that yields less than a token in some seconds is mostly full when none asks and
+/// The limit or demand per borrower, in thousandths of an operation per second, at which half of these
+/// parts is lent. A bucket that yields less than a token in some seconds is mostly full when none asks and
 /// empty when one does, so that small accounts are served better by tokens.
-const HALF_LENT_RATE: u64 = 1_000;
+const HALF_LENT_RATE: u64 = 1_500;
 
 /// The part of a limit, as a divisor, that is divided equally among borrowers while demand exceeds
 /// the limit, so that none is left without a share while the coordinator is lost.
 const EQUAL_PART_DIVISOR: u64 = 10;
 
+/// A share is kept as it is if the change would be less than this divisor of it: until the borrower
+/// has confirmed a change, the larger share counts.
+const CHANGE_DIVISOR: u32 = 16;
+
+/// The least demand that each borrower counts with, in thousandths of an operation per second: a
+/// second without an operation says little about the next one.
+const EQUAL_PART_MIN: u64 = 500;
+
+/// A demand of at least this, in thousandths of an operation per second, that is followed by none counts
+/// as ended: the clients may have moved to other daemons.
+const CEASED_MIN: u64 = 500;
+
+/// The weight of the earlier demand in the average with a newer one, which has the weight 1.
+const SMOOTHING: u64 = 3;
+
 data! {
     /// The shares and tokens that this daemon lends as the coordinator.
     pub struct RateShares {
@@ -108,19 +123,40 @@
         if rate == 0 {
             return 0;
         }
-        let per_borrower = rate / count;
-        let lent =
-            lent_at(demand, rate) * per_borrower / (per_borrower + u128::from(HALF_LENT_RATE));
+        let per_borrower = rate.max(demand) / count;
+        let square = |n: u128| n.saturating_mul(n);
+        let (above, half) = (square(per_borrower), square(u128::from(HALF_LENT_RATE)));
+        let lent = lent_at(demand, rate).saturating_mul(above) / above.saturating_add(half);
         // The equal part brings the sum of the targets up to what is lent while demand is lower.
         let lent_rate = rate * lent / u128::from(WHOLE_SHARE);
         let unasked = lent_rate.saturating_sub(demand) / count;
-        let equal = unasked.max(rate / u128::from(EQUAL_PART_DIVISOR) / count);
+        let equal = unasked
+            .max(rate / u128::from(EQUAL_PART_DIVISOR) / count)
+            .max(u128::from(EQUAL_PART_MIN));
         let total = demand + equal * count;
         let target = lent * (u128::from(own) + equal) / total.max(1);
         u32::try_from(target).unwrap_or(WHOLE_SHARE)
     }
 }
 
+/// Returns the demand to reckon with, in thousandths of an operation per second, after `told`
+/// followed `known`.
+///
+/// A difference that a steady stream of random arrivals shows as well is averaged over complete
+/// requests. A share that follows it back and forth is counted at its larger value for most of the
+/// time, so that a part of the limit is used by nobody.
+fn smoothed(known: u64, told: u64, is_complete: bool) -> u64 {
+    let deviation = known.max(told).saturating_mul(1_000).isqrt();
+    let has_ceased = told == 0 && known >= CEASED_MIN;
+    if has_ceased || known.abs_diff(told) > 2 * deviation + 1_000 {
+        told
+    } else if is_complete {
+        (known * SMOOTHING + told) / (SMOOTHING + 1)
+    } else {
+        known
+    }
+}
+
 /// Returns the part of a limit to be lent, in millionths, which rises as demand nears the limit.
 fn lent_at(demand: u128, rate: u128) -> u128 {
     let (low, high) = (
@@ -262,7 +298,7 @@
             loans.push(lend(
                 lending,
                 now,
-                &request.vm,
+                request,
                 ask,
                 limit_or_none,
                 may_change,
@@ -330,17 +366,21 @@
 fn lend(
     lending: &mut Lending,
     now: Instant,
-    vm: &VmId,
+    request: &ShareRequest,
     ask: &AccountAsk,
     limit: RateLimit,
     may_change: bool,
     bounds: &RateBounds,
 ) -> AccountLoan {
+    let vm = &request.vm;
     lending.leases.retain(|_, lease| now < lease.end);
     let lease = Lease {
         in_use: ask.share,
         answered: ask.share,
-        demand_millis: ask.demand_millis,
+        demand_millis: match lending.leases.get(vm) {
+            Some(known) => smoothed(known.demand_millis, ask.demand_millis, request.is_complete),
+            None => ask.demand_millis,
+        },
         end: now + SHARE_LEASE,
     };
     lending.leases.insert(vm.clone(), lease);
@@ -350,11 +390,12 @@
         let others_count =
             others_count.filter(|(other, lease)| *other != vm && lease.counted() > 0);
         let may_borrow = (others_count.count() as u64) < bounds.borrowers_max();
-        match ask.share > 0 || may_borrow {
-            true => lending
-                .target(vm, limit)
-                .min(WHOLE_SHARE.saturating_sub(others)),
-            false => 0,
+        let target = lending.target(vm, limit);
+        let is_close = target.abs_diff(ask.share) < ask.share / CHANGE_DIVISOR;
+        match () {
+            () if is_close => ask.share,
+            () if ask.share > 0 || may_borrow => target.min(WHOLE_SHARE.saturating_sub(others)),
+            () => 0,
         }
     } else {
         ask.share
--- a/sapphireslip-lead/src/rate_use.rs
+++ b/sapphireslip-lead/src/rate_use.rs
@@ -31,6 +31,10 @@
 /// How far ahead tokens are wanted for demand beyond the share.
 const WANTED_AHEAD: Duration = Duration::from_millis(100);
 
+/// A share that shrinks by less than this, in thousandths of an operation per second, is returned with
+/// the next complete request only.
+const RETURN_MIN: u64 = 200;
+
 /// A change of demand by less than this, in thousandths of an operation per second, is told with the
 /// next complete request only.
 const CHANGE_MIN: u64 = 2_000;
@@ -213,6 +217,9 @@
     /// Returns whether demand differs by more than half from what the coordinator was told.
     pub(crate) fn has_changed(&mut self, now: Instant) -> bool {
         let demand = self.demand.per_second_millis(now);
+        if demand == 0 && self.told_demand > 0 && self.bucket.share() > 0 {
+            return true;
+        }
         let (low, high) = (demand.min(self.told_demand), demand.max(self.told_demand));
         high - low > CHANGE_MIN.max(high / 2)
     }
@@ -259,7 +266,9 @@
         if loan.tokens > 0 && now < tokens_end {
             self.issued.push_back((tokens_end, loan.tokens));
         }
-        share < before - before / 10
+        let lost =
+            u64::from(before.saturating_sub(share)) * limit.per_second.min(u64::from(u32::MAX));
+        share < before - before / 10 && lost >= RETURN_MIN * u64::from(WHOLE_SHARE)
     }
 
     /// Drops the share once its lease has ended, and the tokens whose time has ended.
--- a/sapphireslip-lead/src/timeouts.rs
+++ b/sapphireslip-lead/src/timeouts.rs
@@ -8,6 +8,7 @@
 use crate::connection::{AnswerTo, Connection};
 use crate::job::{Job, JobId, Stage, Work};
 use crate::leaders::LeaderView;
+use crate::rate_exchange::TokenState;
 use crate::refusal::RETRY_BUSY;
 use crate::state::State;
 use crate::{ErrorCode, Failure, Record, RecordKind};
@@ -68,6 +69,9 @@
         let is_late = job.deadline <= self.now;
         match &job.stage {
             Stage::Queued if self.now >= self.queue_end(job) => {
+                if !matches!(self.token_state(id), TokenState::Present) {
+                    return self.refuse_waiting(id);
+                }
                 self.refuse(id, "no server or connection was free", RETRY_BUSY);
             }
             Stage::Queued => {}
--- a/sapphireslip-lead/tests/rate_model.rs
+++ b/sapphireslip-lead/tests/rate_model.rs
@@ -1,10 +1,14 @@
-//! The bound on an account's operations over all daemons, under random faults.
+//! The bound on an account's operations over all daemons, under random faults, and what accounts are
+//! guaranteed.
 
 #![expect(clippy::cast_precision_loss, reason = "counts of a test are small")]
 
 #[path = "rate_support/mod.rs"]
 mod rate_support;
 
+#[path = "rate_support/loads.rs"]
+mod loads;
+
 use proptest::prelude::*;
 use rate_support::{Fleet, ZONES, limit};
 
--- a/sapphireslip-lead/tests/support/daemon.rs
+++ b/sapphireslip-lead/tests/support/daemon.rs
@@ -261,7 +261,10 @@
             }
             Effect::ReadLeaders => {
                 let leaders = self.store.leaders.clone();
+                let coordinator = leaders.coordinator.clone();
+                let sent = at(self.millis);
                 self.event(Event::Leaders(leaders));
+                self.event(Event::CoordinatorRead { coordinator, sent });
             }
             Effect::ReadPermissions => {
                 let table = self
--- a/sapphireslipd/tests/lead_settings.rs
+++ b/sapphireslipd/tests/lead_settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use sapphireslip_lead::RateBounds;
 use sapphireslipd::{
     LeadSettings, MILLICORES_DEFAULT, SERVER_DRAIN_BOUND_DEFAULT, SETTLE_TIME_DEFAULT,
 };
@@ -64,3 +65,23 @@
     let expected = format!("`{value}` is no share of a processor");
     assert!(err.to_string().contains(&expected), "{err}");
 }
+
+#[rstest]
+#[case::left_out("", RateBounds::default())]
+#[case::all(
+    "rate_window = \"10s\"\nrate_overshoot = \"0.25\"\nrate_slack = \"40\"",
+    RateBounds { window: Duration::from_secs(10), overshoot_millis: 250, slack: 40 },
+)]
+fn rate_bounds_are_read(#[case] lines: &str, #[case] expected: RateBounds) {
+    let settings = LeadSettings::try_from(with_line(lines).as_bytes()).expect("without a fault");
+    assert_eq!(settings.rates, expected);
+}
+
+#[rstest]
+#[case::negative("rate_overshoot = \"-0.1\"", "`-0.1` is no number from 0 to 10")]
+#[case::not_a_number("rate_slack = \"NaN\"", "`NaN` is no number from 0 to 1000000")]
+#[case::too_short("rate_window = \"10ms\"", "must be at least 1s, is `10ms`")]
+fn rate_bounds_are_refused(#[case] line: &str, #[case] expected: &str) {
+    let err = LeadSettings::try_from(with_line(line).as_bytes()).expect_err("a fault");
+    assert!(err.to_string().contains(expected), "{err}");
+}
