Limits: a new coordinator issues tokens at once; new connections last until their first statement

In the reducer with the fair queue a statement that waited for a token was refused for want of a connection. Change: at most three quarters of a limit are lent, and a new coordinator issues tokens from the rest at once. A daemon whose earlier row says that it may hold shares writes a new one at once.

--- a/sapphireslip-lead/src/connection.rs
+++ b/sapphireslip-lead/src/connection.rs
@@ -13,6 +13,10 @@
 /// Limit on the statements prepared on one connection; a connection that reaches it is reset.
 const PREPARED_MAX: usize = 128;
 
+/// How long a connection is kept for the statement that it was opened for: several statements at a
+/// server.
+const FIRST_USE_TIME: Duration = Duration::from_millis(200);
+
 data! {
     /// A connection to a backend server.
     pub(crate) struct Connection {
@@ -39,6 +43,8 @@
         /// When the last statement was sent on the connection; before the first, when its opening
         /// began.
         pub(crate) last_used: Instant,
+        /// Whether a statement was sent on the connection.
+        has_carried_statement: bool,
     }
 
     /// What a connection is used for.
@@ -93,6 +99,7 @@
             prepared: BTreeSet::new(),
             last_heard: now,
             last_used: now,
+            has_carried_statement: false,
         }
     }
 
@@ -111,6 +118,18 @@
         }
     }
 
+    /// Returns whether the connection has carried a statement, or has been open for
+    /// [`FIRST_USE_TIME`] without one.
+    pub(crate) fn was_used(&self, now: Instant) -> bool {
+        self.has_carried_statement || now.since(self.last_used) >= FIRST_USE_TIME
+    }
+
+    /// Records that a statement is sent on the connection.
+    pub(crate) const fn note_statement(&mut self, now: Instant) {
+        self.last_used = now;
+        self.has_carried_statement = true;
+    }
+
     /// Returns the use of the connection. A statement usually takes `latency`.
     pub(crate) fn usage(&self, latency: Duration, now: Instant) -> Usage {
         if !self.is_open {
--- a/sapphireslip-lead/src/connection_choice.rs
+++ b/sapphireslip-lead/src/connection_choice.rs
@@ -25,6 +25,8 @@
         pub(crate) is_own: bool,
         /// The present use.
         pub(crate) usage: Usage,
+        /// Whether the connection has carried a statement, or has had the time to.
+        pub(crate) was_used: bool,
         /// When the last statement was sent on the connection; before the first, when its opening
         /// began.
         pub(crate) last_used: Instant,
@@ -80,6 +82,9 @@
 
 /// Decides how a statement that has waited for `waited` gets a connection.
 ///
+/// A new connection is not replaced before the statement that it was opened for could use it: while the
+/// server is saturated, an account would open connections and lose each again.
+///
 /// A free connection of the account is taken: the one that needs the fewest requests to take over
 /// the state of the session, and of equals the one that answered last, as it is the least likely to
 /// be dead. Each account has at most one connection being opened, so that one with many statements
@@ -123,7 +128,7 @@
     }
     let idle = held
         .iter()
-        .filter(|held| !held.is_own && held.usage == Usage::Free);
+        .filter(|held| !held.is_own && held.usage == Usage::Free && held.was_used);
     let Some(oldest) = idle.min_by_key(|held| held.last_used) else {
         return ConnectionChoice::Unavailable;
     };
--- a/sapphireslip-lead/src/dispatch.rs
+++ b/sapphireslip-lead/src/dispatch.rs
@@ -328,7 +328,7 @@
         let Some(at) = self.pool.get_mut(connection) else {
             return;
         };
-        at.last_used = self.now;
+        at.note_statement(self.now);
         let shape = shape_number.zip(job.shape.as_ref());
         let mut requests = match job.work {
             Work::Commit => Vec::new(),
--- a/sapphireslip-lead/src/permission.rs
+++ b/sapphireslip-lead/src/permission.rs
@@ -324,8 +324,11 @@
             self.permission.had_earlier_row = own.is_some();
             if let Some((record, _)) = own {
                 let alive = record.alive.0.saturating_sub(table.now.0);
-                self.permission.next_renewal =
-                    self.now + self.random.jitter(alive.min(RESTART_SPREAD) / 2);
+                // While a row says that an earlier run may hold shares, the coordinator has to count them.
+                self.permission.next_renewal = match record.holds_shares {
+                    true => self.now,
+                    false => self.now + self.random.jitter(alive.min(RESTART_SPREAD) / 2),
+                };
             }
         }
         self.rate_shares.on_rows(self.now, sent, &table);
--- a/sapphireslip-lead/src/pool.rs
+++ b/sapphireslip-lead/src/pool.rs
@@ -148,6 +148,7 @@
                 id: connection.id,
                 is_own,
                 usage: connection.usage(latency, now),
+                was_used: connection.was_used(now),
                 last_used: connection.last_used,
                 last_heard: connection.last_heard,
                 setup_count: if is_own { setup_count(connection) } else { 0 },
--- a/sapphireslip-lead/src/rate_exchange.rs
+++ b/sapphireslip-lead/src/rate_exchange.rs
@@ -118,6 +118,14 @@
         }
     }
 
+    /// Returns whether this daemon, as the coordinator, waits for rows and reports that tell which
+    /// shares an earlier coordinator has lent.
+    pub(crate) fn awaits_share_reports(&self) -> bool {
+        self.rate_limits.has_limits()
+            && self.rate_shares.is_lending()
+            && !self.rate_shares.is_complete()
+    }
+
     /// Takes the token of a statement that is sent for the first time.
     pub(crate) fn take_token(&mut self, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id).filter(|job| job.needs_token) else {
--- a/sapphireslip-lead/src/rate_shares.rs
+++ b/sapphireslip-lead/src/rate_shares.rs
@@ -13,15 +13,12 @@
     ShareAnswer, ShareRequest, StoreTime,
 };
 
-/// The most of a limit that is lent while demand is low, in millionths. The rest stays with the
-/// coordinator for tokens.
-const LENT_AT_LOW_DEMAND: u64 = 750_000;
+/// The most of a limit that is lent, in millionths. The rest stays with the coordinator for tokens. A
+/// new coordinator may use it at once, as its predecessor can't have lent it.
+const LENT_MAX: u32 = 750_000;
 
-/// The most of a limit that is lent while demand exceeds it, in millionths.
-const LENT_AT_HIGH_DEMAND: u64 = 900_000;
-
-/// The limit or demand per borrower, in thousandths of an operation per second, at which half of these
-/// parts is lent. A bucket that yields less than a token in some seconds is mostly full when none asks and
+/// The limit or demand per borrower, in thousandths of an operation per second, at which half of this
+/// part is lent. A bucket that yields less than a token in some seconds is mostly full when none asks and
 /// empty when one does, so that small accounts are served better by tokens.
 const HALF_LENT_RATE: u64 = 1_500;
 
@@ -104,11 +101,11 @@
         shares.fold(0, u32::saturating_add)
     }
 
-    /// Sets the rest to what is not lent, or to nothing while `is_known` is false.
+    /// Sets the rest to what is not lent, or while `is_known` is false to what is never lent.
     fn set_rest(&mut self, now: Instant, limit: RateLimit, is_known: bool) {
         let rest = match is_known {
             true => WHOLE_SHARE.saturating_sub(self.lent()),
-            false => 0,
+            false => WHOLE_SHARE - LENT_MAX,
         };
         self.rest.set(now, limit, rest);
     }
@@ -126,7 +123,7 @@
         let per_borrower = rate.max(demand) / count;
         let square = |n: u128| n.saturating_mul(n);
         let (above, half) = (square(per_borrower), square(u128::from(HALF_LENT_RATE)));
-        let lent = lent_at(demand, rate).saturating_mul(above) / above.saturating_add(half);
+        let lent = u128::from(LENT_MAX).saturating_mul(above) / above.saturating_add(half);
         // The equal part brings the sum of the targets up to what is lent while demand is lower.
         let lent_rate = rate * lent / u128::from(WHOLE_SHARE);
         let unasked = lent_rate.saturating_sub(demand) / count;
@@ -157,17 +154,6 @@
     }
 }
 
-/// Returns the part of a limit to be lent, in millionths, which rises as demand nears the limit.
-fn lent_at(demand: u128, rate: u128) -> u128 {
-    let (low, high) = (
-        u128::from(LENT_AT_LOW_DEMAND),
-        u128::from(LENT_AT_HIGH_DEMAND),
-    );
-    let whole = u128::from(WHOLE_SHARE);
-    let excess = (demand * whole / rate).saturating_sub(whole);
-    (low + excess).min(high)
-}
-
 impl RateShares {
     /// Returns the state of a daemon that is not the coordinator.
     #[must_use]
@@ -394,7 +380,7 @@
         let is_close = target.abs_diff(ask.share) < ask.share / CHANGE_DIVISOR;
         match () {
             () if is_close => ask.share,
-            () if ask.share > 0 || may_borrow => target.min(WHOLE_SHARE.saturating_sub(others)),
+            () if ask.share > 0 || may_borrow => target.min(LENT_MAX.saturating_sub(others)),
             () => 0,
         }
     } else {
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -148,6 +148,7 @@
         });
         let every = match (self.fencing_token().is_some(), is_leader_unreachable) {
             (true, true) => PERMISSIONS_EVERY_LEADER_UNREACHABLE,
+            (true, false) if self.awaits_share_reports() => PERMISSIONS_EVERY_LEADER_UNREACHABLE,
             (true, false) => PERMISSIONS_EVERY_COORDINATOR,
             (false, _) if self.permissions.is_none() => PERMISSIONS_EVERY_UNREAD,
             (false, _) if self.now.since_start < START_PHASE => PERMISSIONS_EVERY_START,
--- a/sapphireslip-lead/src/timeouts.rs
+++ b/sapphireslip-lead/src/timeouts.rs
@@ -66,6 +66,22 @@
         self.abort_idle_transactions();
     }
 
+    /// Refuses a statement that waited too long and may have waited for a token, unless a token that
+    /// has come meanwhile lets it be sent now.
+    fn expire_limited(&mut self, id: JobId) {
+        let is_limited = !matches!(self.token_state(id), TokenState::Present);
+        let service = self.jobs.get(&id).map(|job| job.service.clone());
+        if let Some(service) = service.filter(|_| !is_limited) {
+            self.run_queue(&service);
+        }
+        let is_queued = |job: &Job| job.stage == Stage::Queued;
+        match self.jobs.get(&id).is_some_and(is_queued) {
+            true if is_limited => self.refuse_waiting(id),
+            true => self.refuse(id, "no server or connection was free", RETRY_BUSY),
+            false => {}
+        }
+    }
+
     /// Refuses a statement that waited too long, times out one that ran too long, and hedges one
     /// that is slow.
     fn expire_job(&mut self, id: JobId) {
@@ -75,8 +91,8 @@
         let is_late = job.deadline <= self.now;
         match &job.stage {
             Stage::Queued if self.now >= self.queue_end(job) => {
-                if !matches!(self.token_state(id), TokenState::Present) {
-                    return self.refuse_waiting(id);
+                if job.needs_token && job.account.is_some() {
+                    return self.expire_limited(id);
                 }
                 self.refuse(id, "no server or connection was free", RETRY_BUSY);
             }
