--- a/sapphireslip-lead/src/rate_shares.rs
+++ b/sapphireslip-lead/src/rate_shares.rs
@@ -15,7 +15,7 @@
 
 /// The most of a limit that is lent, in millionths. The rest stays with the coordinator for tokens. A
 /// new coordinator may use it at once, as its predecessor can't have lent it.
-const LENT_MAX: u32 = 750_000;
+const LENT_MAX: u32 = 800_000;
 
 /// The limit or demand per borrower, in thousandths of an operation per second, at which half of this
 /// part is lent. A bucket that yields less than a token in some seconds is mostly full when none asks and
