Tests: the model of limits checks at each step that no more than the limit is in use

Cause: overshoot and slack hid a coordinator that counts only the last answered share from the bound on operations. One check for a configuration that names accounts instead of two.

--- a/sapphireslip-lead/src/queue_entry.rs
+++ b/sapphireslip-lead/src/queue_entry.rs
@@ -24,8 +24,8 @@
 /// keep those of all others out. Admission by deadline usually refuses before.
 const ACCOUNTS_QUEUE_LENGTH_MAX: usize = 2_000;
 
-/// The weight of an account without a limit, and of statements without an account: the average limit
-/// of the accounts, in thousandths of an operation per second.
+/// The weight of an account without a limit, and of statements without an account: that of a limit of
+/// 13 operations per second, as thousandths.
 const DEFAULT_WEIGHT: u64 = 13_000;
 
 /// The share of a route's target latency, in percent, after which a waiting statement gets turns
@@ -34,19 +34,13 @@
 const AGED_PERCENT: u32 = 25;
 
 impl State {
-    /// Returns whether the configuration names accounts, which share the queues.
-    pub(crate) fn names_accounts(&self) -> bool {
-        let catalog = self.catalog.as_ref();
-        catalog.is_some_and(|catalog| !catalog.accounts.is_empty())
-    }
-
     /// Puts a statement into its service's queue; returns whether it is there.
     ///
     /// Where the configuration names accounts, a statement that can't be sent in time is refused.
     /// If too many wait, the statement is refused or, where the configuration names accounts, the
     /// last statement of the account that is most over its share.
     pub(crate) fn enter_queue(&mut self, id: JobId, service: &ServiceName) -> bool {
-        let names_accounts = self.names_accounts();
+        let names_accounts = self.has_accounts();
         let Some(statement) = self.waiting_statement(id) else {
             return false;
         };
@@ -77,7 +71,7 @@
     /// Returns a statement with its rank among those that wait.
     fn waiting_statement(&self, id: JobId) -> Option<WaitingStatement> {
         let job = self.jobs.get(&id)?;
-        let has_accounts = self.names_accounts();
+        let has_accounts = self.has_accounts();
         let patience = job.deadline.since(job.arrived) / HANDOVER_WAIT_DIVISOR;
         let aged_after = job.target_latency * AGED_PERCENT / 100;
         Some(WaitingStatement {
@@ -153,7 +147,7 @@
         service: &ServiceName,
         backlogged: &BTreeSet<StatementClass>,
     ) {
-        if !self.names_accounts() {
+        if !self.has_accounts() {
             return;
         }
         for needs_leader in [true, false] {
@@ -169,7 +163,7 @@
     /// Later statements of a transaction don't wait in the queue, so that they don't count for its
     /// rate.
     pub(crate) fn note_completion(&mut self, id: JobId, latency: Duration) {
-        if !self.names_accounts() {
+        if !self.has_accounts() {
             return;
         }
         let Some(job) = self.jobs.get(&id) else {
--- a/sapphireslip-lead/src/rate_limits.rs
+++ b/sapphireslip-lead/src/rate_limits.rs
@@ -122,6 +122,14 @@
         held.filter(|account| account.has_share(now)).count()
     }
 
+    /// Returns the share of an account's limit that this daemon may use, in millionths.
+    #[must_use]
+    pub fn share(&self, now: Instant, account: &AccountName) -> u32 {
+        self.accounts
+            .get(account)
+            .map_or(0, |account| account.share(now))
+    }
+
     /// Applies the limits of a configuration. Accounts without a limit are forgotten.
     pub fn on_limits(&mut self, now: Instant, accounts: &Accounts) {
         self.has_limits = accounts.all().any(|account| account.limit.is_some());
--- a/sapphireslip-lead/src/rate_shares.rs
+++ b/sapphireslip-lead/src/rate_shares.rs
@@ -184,6 +184,13 @@
         self.accounts.clear();
     }
 
+    /// Returns the part of an account's limit from which this daemon issues tokens, in millionths.
+    #[must_use]
+    pub fn rest(&self, account: &AccountName) -> u32 {
+        let lending = self.accounts.get(account);
+        lending.map_or(0, |lending| lending.rest.share())
+    }
+
     /// Returns whether this daemon answers requests.
     #[must_use]
     pub const fn is_lending(&self) -> bool {
--- a/sapphireslip-lead/src/rate_use.rs
+++ b/sapphireslip-lead/src/rate_use.rs
@@ -100,7 +100,15 @@
 
     /// Returns whether the daemon has a share.
     pub(crate) fn has_share(&self, now: Instant) -> bool {
-        now < self.lease_end && self.bucket.share() > 0
+        self.share(now) > 0
+    }
+
+    /// Returns the share that the daemon may use, in millionths of the limit.
+    pub(crate) fn share(&self, now: Instant) -> u32 {
+        match now < self.lease_end {
+            true => self.bucket.share(),
+            false => 0,
+        }
     }
 
     /// Records that a client uses the account.
--- a/sapphireslip-lead/tests/rate_support/mod.rs
+++ b/sapphireslip-lead/tests/rate_support/mod.rs
@@ -7,6 +7,7 @@
 use sapphireslip_lead::{
     Account, Accounts, Admission, PermissionRecord, PermissionTable, RateBounds, RateLimit,
     RateLimits, RateShares, RowVersion, SHARE_LEASE, ShareAnswer, ShareRequest, StoreTime,
+    WHOLE_SHARE,
 };
 
 /// The length of a step, in milliseconds.
@@ -202,6 +203,7 @@
                     self.step(n);
                 }
             }
+            self.check_shares();
         }
     }
 
@@ -457,6 +459,21 @@
         ran as f64 * 1e6 / (self.limit.per_second as f64 * millis as f64)
     }
 
+    /// Panics if more than the whole limit may be in use at this moment.
+    fn check_shares(&self) {
+        let now = at(self.now);
+        let running = self.daemons.iter().filter(|d| self.now >= d.dead_until);
+        let shares = running.map(|daemon| {
+            let rest = match self.now < daemon.row_until {
+                true => daemon.shares.rest(&account()),
+                false => 0,
+            };
+            u64::from(daemon.limits.share(now, &account())) + u64::from(rest)
+        });
+        let sum: u64 = shares.sum();
+        assert!(sum <= u64::from(WHOLE_SHARE), "{sum} at {} ms", self.now);
+    }
+
     /// Checks the bound in every window: returns the first one that exceeds it.
     pub fn violation(&self) -> Option<String> {
         let bounds = RateBounds::default();
