Homes: each VM bears its share of the services, and weak VMs none while two strong ones suffice

Change: a VM is home of no more services than its share of the preferred VMs' processors, and a VM with less than half of the strongest's share is preferred only beyond two stronger ones, or if those can't bear all services. Homes of other zones are chosen by the same code.

--- a/sapphireslip-lead/src/home_elsewhere.rs
+++ b/sapphireslip-lead/src/home_elsewhere.rs
@@ -9,7 +9,6 @@
 use sapphireslip_core::placement::rendezvous_weight;
 use sapphireslip_core::{ServiceName, SessionId};
 
-use crate::home_ranks::rank_in_zone;
 use crate::homes::RemoteHome;
 use crate::state::State;
 
@@ -25,15 +24,15 @@
     /// The daemons of this zone spread over the other zones by their VM, and each keeps to one.
     pub(crate) fn home_elsewhere(&self, service: &ServiceName) -> Option<RemoteHome> {
         let table = self.permissions.as_ref()?;
-        let services = self.catalog.as_ref().map_or(0, |c| c.services.len());
         let rows = table.permissions.iter().map(|(record, _)| &record.zone);
         let zones: BTreeSet<_> = rows.filter(|zone| **zone != self.local.zone).collect();
         let homes = zones.into_iter().filter_map(|zone| {
-            let ranked = rank_in_zone(zone, service, table, services);
+            let ranked = self.daemons_of(zone, table).ranked(service);
             let mut records = ranked
                 .into_iter()
-                .filter_map(|place| Some(&table.permissions.get(place)?.0));
-            let record = records.find(|record| self.may_forward_to(record, service))?;
+                .filter_map(|place| Some(&table.permissions.get(place?)?.0));
+            let record = records
+                .find(|record| table.now < record.until && self.may_forward_to(record, service))?;
             let own = format!("{}/{service}", self.local.vm);
             Some((rendezvous_weight(&own, zone.as_str()), record))
         });
--- a/sapphireslip-lead/src/home_ranks.rs
+++ b/sapphireslip-lead/src/home_ranks.rs
@@ -18,6 +18,9 @@
 /// only a part of the sessions.
 const PREFERRED_VMS_MIN: usize = 3;
 
+/// The same number before a VM is preferred that has less than half of the share of the strongest.
+const PREFERRED_STRONG_VMS_MIN: usize = 2;
+
 /// The share of a processor core, in thousandths, that is set aside for each home.
 const HOME_MILLICORES: u32 = 60;
 
@@ -53,89 +56,111 @@
     }
 }
 
-/// The daemons of this zone, from which the homes of all services are chosen.
+/// The daemons of a zone, from which the homes of all services are chosen.
 pub(crate) struct ZoneDaemons<'a> {
-    /// This daemon.
-    own: Candidate<'a>,
-    /// The other daemons, each with its index in the permission table.
-    others: Vec<(Candidate<'a>, usize)>,
+    candidates: Vec<Candidate<'a>>,
+    /// The VM that is to be the home of each service.
+    homes: BTreeMap<&'a ServiceName, &'a VmId>,
 }
 
 /// A daemon that may be a home.
-#[derive(Clone, Copy)]
 struct Candidate<'a> {
     vm: &'a VmId,
     millicores: u32,
+    /// The index in the permission table; none for this daemon.
+    place: Option<usize>,
     is_preferred: bool,
 }
 
 impl<'a> ZoneDaemons<'a> {
-    /// Returns the daemons of the zone of `local`, with those marked that are preferred as homes of
-    /// `services` services.
-    pub(crate) fn new(local: &'a Identity, table: &'a PermissionTable, services: usize) -> Self {
+    /// Returns the daemons of a zone, with this one if it is there, and chooses the homes of
+    /// `services` among those that are alive.
+    pub(crate) fn new(
+        zone: &ZoneName,
+        local: &'a Identity,
+        table: &'a PermissionTable,
+        services: impl IntoIterator<Item = &'a ServiceName>,
+    ) -> Self {
         let rows = table.permissions.iter().enumerate();
         let rows = rows
             .map(|(place, (record, _))| (record, place))
-            .filter(|(record, _)| record.zone == local.zone && record.vm != local.vm);
-        let mut alive = vec![(&local.vm, local.millicores)];
-        alive.extend(
-            rows.clone()
-                .filter(|(record, _)| table.now < record.alive)
-                .map(|(record, _)| (&record.vm, record.millicores)),
-        );
-        let preferred = preferred(alive, services);
-        let candidate = |vm: &'a VmId, millicores| Candidate {
+            .filter(|(record, _)| record.zone == *zone && record.vm != local.vm);
+        let own = (local.zone == *zone).then_some((&local.vm, local.millicores));
+        let alive = rows
+            .clone()
+            .filter(|(record, _)| table.now < record.alive)
+            .map(|(record, _)| (&record.vm, record.millicores));
+        let services: Vec<_> = services.into_iter().collect();
+        let preferred = preferred(own.into_iter().chain(alive).collect(), services.len());
+        let others = rows.map(|(record, place)| (&record.vm, record.millicores, Some(place)));
+        let own = own
+            .into_iter()
+            .map(|(vm, millicores)| (vm, millicores, None));
+        let candidates = own.chain(others).map(|(vm, millicores, place)| Candidate {
             vm,
             millicores,
+            place,
             is_preferred: preferred.contains(vm),
+        });
+        let mut daemons = Self {
+            candidates: candidates.collect(),
+            homes: BTreeMap::new(),
         };
-        Self {
-            own: candidate(&local.vm, local.millicores),
-            others: rows
-                .map(|(record, place)| (candidate(&record.vm, record.millicores), place))
-                .collect(),
+        daemons.choose_homes(&services);
+        daemons
+    }
+
+    /// Chooses the home of each service: the preferred VM of the best rank that is not yet the home
+    /// of its share of the services.
+    ///
+    /// By ranks alone, the weakest of three VMs became the home of half of eight services, and
+    /// answers waited behind its processor and its link.
+    fn choose_homes(&mut self, services: &[&'a ServiceName]) {
+        let preferred: Vec<_> = self.candidates.iter().filter(|c| c.is_preferred).collect();
+        let total: u64 = preferred.iter().map(|c| u64::from(c.millicores)).sum();
+        let count = u64::try_from(services.len()).unwrap_or(u64::MAX);
+        let share = |c: &Candidate<'_>| (count * u64::from(c.millicores)).div_ceil(total.max(1));
+        let mut free: BTreeMap<_, _> = preferred.iter().map(|c| (c.vm, share(c))).collect();
+        for service in services {
+            let has_room = |c: &&&Candidate<'a>| free.get(c.vm).is_some_and(|left| *left > 0);
+            let best = preferred
+                .iter()
+                .filter(has_room)
+                .max_by_key(|c| c.rank(service));
+            if let Some(best) = best {
+                self.homes.insert(service, best.vm);
+                free.entry(best.vm).and_modify(|left| *left -= 1);
+            }
         }
     }
-}
 
-/// Returns the daemons of another zone with a permission, as indexes in the permission table, the best
-/// home of a service first.
-pub(crate) fn rank_in_zone(
-    zone: &ZoneName,
-    service: &ServiceName,
-    table: &PermissionTable,
-    services: usize,
-) -> Vec<usize> {
-    let rows = table.permissions.iter().enumerate();
-    let alive = rows.filter(|(_, (r, _))| r.zone == *zone && table.now < r.alive);
-    let vms = alive.clone().map(|(_, (r, _))| (&r.vm, r.millicores));
-    let preferred = preferred(vms.collect(), services);
-    let permitted = alive.filter(|(_, (record, _))| table.now < record.until);
-    let mut ranked: Vec<_> = permitted
-        .map(|(place, (record, _))| {
-            let candidate = Candidate {
-                vm: &record.vm,
-                millicores: record.millicores,
-                is_preferred: preferred.contains(&record.vm),
-            };
-            (candidate.rank(service), place)
-        })
-        .collect();
-    ranked.sort_unstable_by(|one, other| other.cmp(one));
-    ranked.into_iter().map(|(_, place)| place).collect()
+    /// Returns the places of the daemons in the permission table, the best home of a service first.
+    /// The place of this daemon is none.
+    pub(crate) fn ranked(&self, service: &ServiceName) -> Vec<Option<usize>> {
+        let home = self.homes.get(service);
+        let key = |c: &Candidate<'a>| Reverse((home == Some(&c.vm), c.rank(service)));
+        let mut ranked: Vec<_> = self.candidates.iter().map(|c| (key(c), c.place)).collect();
+        ranked.sort_unstable_by(|(one, _), (other, _)| one.cmp(other));
+        ranked.into_iter().map(|(_, place)| place).collect()
+    }
 }
 
-/// Returns the strongest of the VMs: at least [`PREFERRED_VMS_MIN`], and as many as together have
-/// [`HOME_MILLICORES`] for each service.
+/// Returns the strongest of the VMs: as many as together have [`HOME_MILLICORES`] for each service,
+/// and at least [`PREFERRED_VMS_MIN`] of those that are about as strong as the strongest.
 fn preferred(mut vms: Vec<(&VmId, u32)>, services: usize) -> BTreeSet<&VmId> {
     vms.sort_unstable_by_key(|(vm, millicores)| {
         (Reverse(*millicores), rendezvous_weight("", vm.as_str()))
     });
+    let strong = vms.first().map_or(0, |(_, millicores)| millicores / 2);
     let needed = u64::from(HOME_MILLICORES) * u64::try_from(services).unwrap_or(u64::MAX);
     let mut preferred = BTreeSet::new();
     let mut sum = 0_u64;
     for (vm, millicores) in vms {
-        if preferred.len() >= PREFERRED_VMS_MIN && sum >= needed {
+        let is_enough = match millicores >= strong {
+            true => preferred.len() >= PREFERRED_VMS_MIN,
+            false => preferred.len() >= PREFERRED_STRONG_VMS_MIN,
+        };
+        if is_enough && sum >= needed {
             break;
         }
         preferred.insert(vm);
@@ -162,19 +187,14 @@
 }
 
 impl HomeRank {
-    /// Computes the order for a service. Preferred daemons come first; the order changes little
+    /// Returns the order for a service. Preferred daemons come first; the order changes little
     /// when daemons come and go.
     pub(crate) fn new(service: &ServiceName, daemons: &ZoneDaemons<'_>) -> Self {
-        let own = daemons.own.rank(service);
-        let mut others: Vec<_> = daemons
-            .others
-            .iter()
-            .map(|(candidate, place)| (candidate.rank(service), *place))
-            .collect();
-        others.sort_unstable_by(|one, other| other.cmp(one));
+        let ranked = daemons.ranked(service);
+        let before_own = ranked.iter().position(Option::is_none);
         Self {
-            before_own: others.partition_point(|(rank, _)| *rank > own),
-            others: others.into_iter().map(|(_, place)| place).collect(),
+            before_own: before_own.unwrap_or(ranked.len()),
+            others: ranked.into_iter().flatten().collect(),
         }
     }
 }
@@ -187,6 +207,19 @@
 }
 
 impl State {
+    /// Returns the daemons of a zone with the homes of the configuration's services.
+    pub(crate) fn daemons_of<'a>(
+        &'a self,
+        zone: &ZoneName,
+        table: &'a PermissionTable,
+    ) -> ZoneDaemons<'a> {
+        let services = self
+            .catalog
+            .iter()
+            .flat_map(|catalog| catalog.services.keys());
+        ZoneDaemons::new(zone, &self.local, table, services)
+    }
+
     /// Computes the orders anew if the daemons or services have changed.
     pub(crate) fn rank_homes(&mut self) {
         let (Some(table), Some(catalog)) = (&self.permissions, &self.catalog) else {
@@ -209,7 +242,7 @@
         if has_services && basis == self.home_ranks.basis {
             return;
         }
-        let daemons = ZoneDaemons::new(&self.local, table, catalog.services.len());
+        let daemons = self.daemons_of(&self.local.zone, table);
         let rank = |service: &ServiceName| (service.clone(), HomeRank::new(service, &daemons));
         self.home_ranks = HomeRanks {
             basis,
--- a/sapphireslip-lead/src/homes.rs
+++ b/sapphireslip-lead/src/homes.rs
@@ -10,7 +10,7 @@
 use sapphireslip_core::{ServiceName, SessionId, VmId, data};
 
 use crate::drain::CLIENT_PAUSE;
-use crate::home_ranks::{HomeRank, ZoneDaemons};
+use crate::home_ranks::HomeRank;
 use crate::session::Session;
 use crate::state::State;
 use crate::{Effect, PermissionRecord, Record, RecordKind};
@@ -53,8 +53,7 @@
         let rank = if let Some(rank) = self.home_ranks.get(service) {
             rank
         } else {
-            let services = self.catalog.as_ref().map_or(0, |c| c.services.len());
-            computed = HomeRank::new(service, &ZoneDaemons::new(&self.local, table, services));
+            computed = HomeRank::new(service, &self.daemons_of(&self.local.zone, table));
             &computed
         };
         let others = rank.others.iter().enumerate();
--- a/sapphireslip-lead/tests/home_placement.rs
+++ b/sapphireslip-lead/tests/home_placement.rs
@@ -65,9 +65,14 @@
 
 /// Returns a daemon on a weak VM that knows three strong and fifty weak VMs of its zone.
 fn in_a_zone_of_mixed_vms(services: usize) -> Daemon {
+    in_a_zone_with_strong_vms(3, services)
+}
+
+/// Returns a daemon on a weak VM that knows that many strong and fifty weak VMs of its zone.
+fn in_a_zone_with_strong_vms(strong: usize, services: usize) -> Daemon {
     let mut daemon = Daemon::with_millicores(WEAK);
-    add_daemons(&mut daemon, 0..3, STRONG);
-    add_daemons(&mut daemon, 3..53, WEAK);
+    add_daemons(&mut daemon, 0..strong, STRONG);
+    add_daemons(&mut daemon, strong..strong + 50, WEAK);
     daemon.event(Event::Catalog(many_services(services)));
     daemon.advance_coarsely(3_000);
     daemon
@@ -103,6 +108,28 @@
     }
 }
 
+/// The pattern: eight services in a zone of two large and many small VMs. A small VM was home of four of
+/// them by the luck of the ranks, and answers that were ready waited for a second behind its processor.
+#[rstest]
+fn homes_leave_weak_vms_out_while_two_strong_ones_bear_them() {
+    let mut daemon = in_a_zone_with_strong_vms(2, 8);
+    let homes = homes(&mut daemon, 8);
+    let expected = [(Some(address(0)), 4), (Some(address(1)), 4)];
+    assert_eq!(homes, BTreeMap::from(expected));
+}
+
+/// The pattern: as many services as equal VMs. No VM is the home of two while another has none.
+#[rstest]
+#[case(3, 3)]
+#[case(3, 20)]
+#[case(4, 8)]
+fn homes_of_equal_vms_differ_by_one_at_most(#[case] strong: usize, #[case] services: usize) {
+    let mut daemon = in_a_zone_with_strong_vms(strong, services);
+    let homes = homes(&mut daemon, services);
+    let most = homes.values().max().copied().unwrap_or_default();
+    assert!(most <= services.div_ceil(3.min(strong)), "{homes:?}");
+}
+
 /// The pattern: more services than the large VMs can bear; the strongest of the others take a part.
 #[rstest]
 fn homes_spread_to_weaker_vms_when_the_strong_ones_are_full() {
