Drain: sessions of clients with short pauses end in the second half of the grace period

Cause: a stopping daemon closed a session only once its client had paused for 150 ms. A pooled client that never pauses for so long kept its session until the exit, which cut off its statement.

Change: from half of the grace period on, a session is closed as soon as it is idle; a statement that has arrived is still answered. The test fails without the change.

--- a/sapphireslip-lead/src/drain.rs
+++ b/sapphireslip-lead/src/drain.rs
@@ -64,14 +64,13 @@
             has_closed_transactions: false,
             is_finished: false,
         });
-        self.close_idle_sessions();
+        self.close_idle_sessions(CLIENT_PAUSE);
     }
 
-    /// Closes the sessions, served here or forwarded, that have been idle for [`CLIENT_PAUSE`].
-    fn close_idle_sessions(&mut self) {
-        let is_idle = |session: &Session| {
-            session.is_idle() && self.now.since(session.last_answer) >= CLIENT_PAUSE
-        };
+    /// Closes the sessions, served here or forwarded, that have been idle for `pause`.
+    fn close_idle_sessions(&mut self, pause: Duration) {
+        let is_idle =
+            |session: &Session| session.is_idle() && self.now.since(session.last_answer) >= pause;
         let idle: Vec<SessionId> = self
             .sessions
             .iter()
@@ -81,7 +80,7 @@
         for id in idle {
             self.close_when_idle(id);
         }
-        for id in self.relays.idle(self.now, CLIENT_PAUSE) {
+        for id in self.relays.idle(self.now, pause) {
             self.relays.mark_closing(id);
             self.effects.push(Effect::CloseWhenIdle { session: id });
         }
@@ -108,9 +107,16 @@
             return;
         };
         let passed = self.now.since(drain.started);
-        self.close_idle_sessions();
+        let is_half_over = passed * 2 >= drain.grace;
+        // A client that always pauses for less would have a statement cut off at the end.
+        let pause = if is_half_over {
+            Duration::ZERO
+        } else {
+            CLIENT_PAUSE
+        };
+        self.close_idle_sessions(pause);
         let has_time = passed + EXIT_MARGIN < drain.grace;
-        if passed * 2 >= drain.grace && !drain.has_closed_transactions {
+        if is_half_over && !drain.has_closed_transactions {
             self.close_idle_transactions();
         }
         let is_empty = self.sessions.is_empty() && self.relays.is_empty();
--- a/sapphireslip-lead/tests/stops.rs
+++ b/sapphireslip-lead/tests/stops.rs
@@ -163,3 +163,21 @@
     assert!(failure.text.contains("retry after"), "{}", failure.text);
     assert_eq!(daemon.closed, [session]);
 }
+
+/// Guards against a statement that is cut off when the daemon exits: a client whose pauses are short
+/// was never idle for long enough to be told that its session ends.
+#[rstest]
+fn session_of_a_client_with_short_pauses_is_closed_in_time() {
+    let (mut daemon, session) = Daemon::with_session();
+    daemon.event(Event::Drain { grace: GRACE });
+    let mut statements = 0;
+    while daemon.closed.is_empty() && !has_exited(&daemon) {
+        daemon.advance(50);
+        if daemon.closed.is_empty() {
+            statements += 1;
+            daemon.run(session, &statements.to_string(), "READ x");
+        }
+    }
+    assert_eq!(daemon.closed, [session]);
+    assert!(!has_exited(&daemon), "closed by the exit");
+}
