Readiness: a zone that is cut off reports that it is not ready, and its sessions go elsewhere

Cause: a zone that is partitioned from the others keeps its clients, often the store and sometimes the coordinator's grants.

Change: reach.rs decides for each service whether a daemon has a place for new sessions: a home of the zone that has not refused lately, this daemon, or a home of another zone. A leader that this zone can't reach and more zones reach than not gives no place; without the store, neither does one while no server of another zone answers. Without a place for most services the daemon is not ready, refuses forwarded sessions and, once the load balancer knows, closes those that it can't serve. A home by rank needs its permission to be ready also while it can't reach the leader.

--- a/sapphireslip-lead/src/client.rs
+++ b/sapphireslip-lead/src/client.rs
@@ -45,7 +45,8 @@
     /// Serves, forwards or refuses a new session, or lets it wait until the daemon can place it.
     ///
     /// `forwarder_version` is the configuration version of the daemon that forwarded the session. A
-    /// daemon with an older configuration refuses it, and so does one that may not take sessions.
+    /// daemon with an older configuration refuses it, and so does one that may not take sessions or
+    /// has no place for most of them, so that all daemons of a zone that is cut off learn of it.
     fn open_session(
         &mut self,
         session: SessionId,
@@ -61,7 +62,8 @@
             }),
             Some(forwarder_version) => {
                 let version = self.catalog.as_ref().map(|catalog| catalog.version);
-                if version < Some(forwarder_version) || !self.may_take_sessions() {
+                let is_cut_off = self.reach.cut_off_for(self.now).is_some();
+                if version < Some(forwarder_version) || !self.may_take_sessions() || is_cut_off {
                     let failure = busy("another daemon should serve this session", RETRY_ELSEWHERE);
                     self.refuse_session(session, failure);
                 } else if self.admit_session(session, &client).is_some() {
--- a/sapphireslip-lead/src/home_ranks.rs
+++ b/sapphireslip-lead/src/home_ranks.rs
@@ -140,7 +140,7 @@
         let home = self.homes.get(service);
         let key = |c: &Candidate<'a>| Reverse((home == Some(&c.vm), c.rank(service)));
         let mut ranked: Vec<_> = self.candidates.iter().map(|c| (key(c), c.place)).collect();
-        ranked.sort_unstable_by(|(one, _), (other, _)| one.cmp(other));
+        ranked.sort_unstable_by_key(|(key, _)| *key);
         ranked.into_iter().map(|(_, place)| place).collect()
     }
 }
--- a/sapphireslip-lead/src/homes.rs
+++ b/sapphireslip-lead/src/homes.rs
@@ -24,9 +24,9 @@
 /// The pause between moving two sessions, so that clients do not reconnect all at once.
 const MOVE_SPACING: Duration = Duration::from_millis(40);
 
-/// How long the permission may be missing before clients are sent to other daemons: by then the
-/// platform's load balancer knows that this daemon is not ready.
-const NO_PERMISSION_MAX: Duration = Duration::from_millis(2_300);
+/// How long a daemon is not ready before its clients are sent to other daemons: by then the
+/// platform's load balancer knows of it.
+const NOT_READY_MAX: Duration = Duration::from_millis(2_300);
 
 /// How long the permission may be missing before sessions that another daemon forwarded are closed:
 /// that daemon finds another home at once.
@@ -91,7 +91,7 @@
     /// Returns whether this daemon has lacked its permission for so long that its clients are sent
     /// to other daemons. Its connections are then of no use to it, and other daemons need them.
     pub(crate) fn lacks_permission_for_long(&self) -> bool {
-        self.permission.lacked_for(self.now) >= NO_PERMISSION_MAX
+        self.permission.lacked_for(self.now) >= NOT_READY_MAX
     }
 
     /// Returns whether other daemons may forward sessions to this one.
@@ -128,17 +128,29 @@
         {
             return true;
         }
-        let services = self
-            .catalog
-            .iter()
-            .flat_map(|catalog| catalog.services.keys());
-        services.into_iter().any(|service| self.is_home(service))
+        self.services().any(|service| self.is_home(service))
+    }
+
+    /// Returns whether this daemon is to be the home of a service by its rank, whether or not it
+    /// reaches the leader. It then has to have its permission to be ready.
+    pub(crate) fn is_home_by_rank(&self) -> bool {
+        let is_first = |service| {
+            let rank = self.home_ranks.get(service);
+            rank.is_some_and(|rank| rank.before_own == 0)
+        };
+        self.knows_others() && self.services().any(is_first)
+    }
+
+    /// Returns the services of the configuration.
+    fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        let catalog = self.catalog.iter();
+        catalog.flat_map(|catalog| catalog.services.keys())
     }
 
     /// Closes idle sessions that other daemons serve better.
     ///
     /// Once the permission has been missing for `NO_PERMISSION_FORWARDED_MAX`, those are all
-    /// forwarded sessions, and after `NO_PERMISSION_MAX` all sessions. Otherwise they are sessions
+    /// forwarded sessions, and after `NOT_READY_MAX` all sessions. Otherwise they are sessions
     /// that clients opened here although the home is another daemon; those are closed one by one.
     pub(crate) fn move_sessions(&mut self) {
         if self.is_leaving() {
@@ -147,7 +159,10 @@
         let lacked = self.permission.lacked_for(self.now);
         if lacked >= NO_PERMISSION_FORWARDED_MAX {
             let all = self.lacks_permission_for_long();
-            return self.move_idle_sessions(|session| all || session.is_forwarded);
+            return self.move_idle_sessions(|_, session| all || session.is_forwarded);
+        }
+        if self.is_cut_off_for_long() {
+            self.move_idle_sessions(|state, session| !state.has_place_for(session));
         }
         if self.relays.last_move + MOVE_SPACING > self.now {
             return;
@@ -177,14 +192,14 @@
 
     /// Closes the sessions for which `matches` holds and that have been idle for [`CLIENT_PAUSE`].
     /// Those that have not are closed with their next answer.
-    fn move_idle_sessions(&mut self, matches: impl Fn(&Session) -> bool) {
+    fn move_idle_sessions(&mut self, matches: impl Fn(&Self, &Session) -> bool) {
         let idle: Vec<SessionId> = self
             .sessions
             .iter()
             .filter(|(_, session)| {
                 session.is_idle()
                     && self.now.since(session.last_answer) >= CLIENT_PAUSE
-                    && matches(session)
+                    && matches(self, session)
             })
             .map(|(id, _)| *id)
             .collect();
@@ -200,15 +215,29 @@
         let is_refused = |session: &Session| {
             let lacked_max = match session.is_forwarded {
                 true => NO_PERMISSION_FORWARDED_MAX,
-                false => NO_PERMISSION_MAX,
+                false => NOT_READY_MAX,
             };
-            lacked >= lacked_max && session.is_idle()
+            let is_cut_off = self.is_cut_off_for_long() && !self.has_place_for(session);
+            (lacked >= lacked_max || is_cut_off) && session.is_idle()
         };
         if !self.is_leaving() && self.sessions.get(&id).is_some_and(is_refused) {
             self.close_for_reconnect(id);
         }
     }
 
+    /// Returns whether this daemon has had no place for most sessions for so long that the platform's
+    /// load balancer sends the clients that reconnect to another zone.
+    fn is_cut_off_for_long(&self) -> bool {
+        let cut_off_for = self.reach.cut_off_for(self.now);
+        cut_off_for.is_some_and(|time| time >= NOT_READY_MAX)
+    }
+
+    /// Returns whether a new session on the same database would have a place.
+    fn has_place_for(&self, session: &Session) -> bool {
+        let route = self.route_to(&session.database);
+        route.is_none_or(|route| self.has_place(&route.service))
+    }
+
     /// Closes an idle session, so that its client reconnects.
     fn close_for_reconnect(&mut self, id: SessionId) {
         self.log_session_moved(id);
--- a/sapphireslip-lead/src/lib.rs
+++ b/sapphireslip-lead/src/lib.rs
@@ -44,6 +44,7 @@
 mod rate_request;
 mod rate_shares;
 mod rate_use;
+mod reach;
 mod record;
 mod refusal;
 mod relays;
--- a/sapphireslip-lead/src/permission.rs
+++ b/sapphireslip-lead/src/permission.rs
@@ -333,6 +333,7 @@
         }
         self.rate_shares.on_rows(self.now, sent, &table);
         self.votes = Votes::count(&table, &self.local.vm);
+        self.reach.learn(&table, self.now);
         self.permissions = Some(table);
         self.rank_homes();
         self.open_waiting_sessions();
--- a/sapphireslip-lead/src/relays.rs
+++ b/sapphireslip-lead/src/relays.rs
@@ -131,6 +131,14 @@
             .is_some_and(|avoided| now < avoided.until)
     }
 
+    /// Returns whether a daemon refused a session or could not be reached lately: at present, or so
+    /// short a time ago that it has not been tried again since.
+    pub(crate) fn is_doubted(&self, vm: &VmId, now: Instant) -> bool {
+        self.avoided
+            .get(vm)
+            .is_some_and(|avoided| now < avoided.until + avoided.pause)
+    }
+
     /// Returns the sessions that have had no statement or transaction for at least `pause`.
     pub(crate) fn idle(&self, now: Instant, pause: Duration) -> Vec<SessionId> {
         self.ids(|relay| relay.has_paused(now, pause))
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -20,6 +20,7 @@
 use crate::permission::Permission;
 use crate::pool::Pool;
 use crate::probes::Shapes;
+use crate::reach::Reach;
 use crate::relays::Relays;
 use crate::servers::Servers;
 use crate::session::Session;
@@ -108,6 +109,8 @@
         pub(crate) home_ranks: HomeRanks,
         /// The reports of other daemons on the leaders.
         pub(crate) votes: Votes,
+        /// The reports of all zones on the leaders.
+        pub(crate) reach: Reach,
         /// The grants that this daemon gave and asked for.
         pub(crate) grants: Grants,
         /// This daemon's work as the coordinator.
@@ -171,6 +174,7 @@
             permissions: None,
             home_ranks: HomeRanks::default(),
             votes: Votes::default(),
+            reach: Reach::default(),
             grants: Grants::default(),
             coordinator: Coordinator::default(),
             reads: Reads::default(),
@@ -247,6 +251,8 @@
         self.coordinate();
         self.keep_shares();
         self.close_silent_relays();
+        self.probe_other_zones();
+        self.note_reach();
         self.move_sessions();
         self.keep_connections();
         self.run_all_queues();
@@ -256,11 +262,13 @@
     /// Returns whether this daemon is ready for clients.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let has_permission = self.permission.is_valid(self.now) || !self.needs_permission();
+        let needs_permission = self.needs_permission() || self.is_home_by_rank();
+        let has_permission = self.permission.is_valid(self.now) || !needs_permission;
         self.catalog.is_some()
             && self.servers.last_read.is_some()
             && self.permissions.is_some()
             && has_permission
+            && self.reach.cut_off_for(self.now).is_none()
             && !self.is_leaving()
     }
 
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -155,6 +155,10 @@
             (false, _) if is_idle && self.now.since_start < SETTLING_PHASE => {
                 PERMISSIONS_EVERY_IDLE
             }
+            (false, true) => PERMISSIONS_EVERY_COORDINATOR,
+            (false, _) if self.reach.cut_off_for(self.now).is_some() => {
+                PERMISSIONS_EVERY_COORDINATOR
+            }
             (false, _) if is_idle => {
                 self.idle_interval(PERMISSIONS_EVERY_IDLE, PERMISSIONS_EVERY_IDLE_MAX)
             }
