--- a/sapphireslip-lead/src/reach.rs
+++ b/sapphireslip-lead/src/reach.rs
@@ -12,10 +12,10 @@
 
 use sapphireslip_core::{Instant, ServerId, ServiceName, ZoneName, data};
 
-use crate::PermissionTable;
 use crate::homes::RemoteHome;
 use crate::server::KnownServer;
 use crate::state::State;
+use crate::{PermissionTable, Record, RecordKind};
 
 /// How long the reports of a table count. Daemons that work with servers read a table each 2 s, and
 /// more often while a leader can't be reached.
@@ -159,13 +159,21 @@
             return;
         }
         self.reach.next_check = self.now + CHECK_EVERY;
-        let services = catalog.services.keys();
-        let lacked = services.filter(|service| !self.has_place(service)).count();
-        if lacked * 2 > catalog.services.len() {
-            self.reach.cut_off_since.get_or_insert(self.now);
-        } else {
-            self.reach.cut_off_since = None;
+        let services = catalog.services.len();
+        let lacked = catalog.services.keys();
+        let lacked = lacked.filter(|service| !self.has_place(service)).count();
+        let is_cut_off = lacked * 2 > services;
+        if is_cut_off == self.reach.cut_off_since.is_some() {
+            return;
         }
+        self.reach.cut_off_since = is_cut_off.then_some(self.now);
+        let detail = match is_cut_off {
+            true => {
+                format!("no place for new sessions of {lacked} of {services} services; not ready")
+            }
+            false => "there is a place for new sessions again".to_owned(),
+        };
+        self.log(Record::new(RecordKind::PlacesChanged, detail.into()));
     }
 
     /// Returns whether a daemon is expected to take new sessions of a service from this one and to
--- a/sapphireslip-lead/src/record.rs
+++ b/sapphireslip-lead/src/record.rs
@@ -70,6 +70,9 @@
         SessionMoved,
         /// No session is forwarded to another daemon for a while.
         DaemonAvoided,
+        /// There is no place for new sessions of most services, so that the daemon is not ready, or
+        /// there is again.
+        PlacesChanged,
         /// The graceful stop began, or is complete so that the process exits.
         Drain,
     }
@@ -124,7 +127,7 @@
 
 impl RecordKind {
     /// All kinds.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 23] = [
         Self::RequestSent,
         Self::RequestAnswered,
         Self::RequestRetried,
@@ -146,6 +149,7 @@
         Self::AccountLimited,
         Self::StoreReachable,
         Self::DaemonAvoided,
+        Self::PlacesChanged,
         Self::Drain,
     ];
 
@@ -199,6 +203,7 @@
             Self::ConnectionReplaced => "connection_replaced",
             Self::SessionMoved => "session_moved",
             Self::DaemonAvoided => "daemon_avoided",
+            Self::PlacesChanged => "places_changed",
             Self::Drain => "drain",
         }
     }
--- a/sapphireslip/src/explain_cause.rs
+++ b/sapphireslip/src/explain_cause.rs
@@ -100,6 +100,7 @@
 /// Evidence for a daemon that stops or avoids another one.
 const DAEMON_SOURCES: &[EvidenceSource] = &[
     source("daemon_avoided", Scope::Vm),
+    source("places_changed", Scope::Vm),
     source("drain", Scope::Vm),
     source("store_reachable", Scope::Vm),
 ];
--- a/sapphireslipd/src/lead_log.rs
+++ b/sapphireslipd/src/lead_log.rs
@@ -8,7 +8,8 @@
 /// Writes a record to the log.
 ///
 /// Refused requests, requests with an unknown outcome, promotions and changes of leaders, of the
-/// permission or of the coordinator are warnings; all other records are infos.
+/// permission, of the coordinator or of the places for sessions are warnings; all other records are
+/// infos.
 pub(crate) fn log_record(record: &Record) {
     let level = match record.kind {
         RecordKind::RequestUnknown
@@ -16,6 +17,7 @@
         | RecordKind::CoordinatorChanged
         | RecordKind::Promotion
         | RecordKind::PermissionChanged
+        | RecordKind::PlacesChanged
         | RecordKind::LeaderChanged => log::Level::Warn,
         _ => log::Level::Info,
     };
