--- a/sapphireslip-lead/src/homes.rs
+++ b/sapphireslip-lead/src/homes.rs
@@ -232,10 +232,10 @@
         cut_off_for.is_some_and(|time| time >= NOT_READY_MAX)
     }
 
-    /// Returns whether a new session on the same database would have a place.
+    /// Returns whether a new session on the same database would most likely have a place.
     fn has_place_for(&self, session: &Session) -> bool {
         let route = self.route_to(&session.database);
-        route.is_none_or(|route| self.has_place(&route.service))
+        route.is_none_or(|route| self.reach.had_place(&route.service))
     }
 
     /// Closes an idle session, so that its client reconnects.
--- a/sapphireslip-lead/src/reach.rs
+++ b/sapphireslip-lead/src/reach.rs
@@ -40,6 +40,8 @@
         read: Instant,
         /// When it is next checked whether there is a place for the sessions of each service.
         next_check: Instant,
+        /// The services for whose sessions there was no place at the last check.
+        without_place: BTreeSet<ServiceName>,
         /// Since when there is no place for the sessions of most services; none if there is.
         cut_off_since: Option<Instant>,
     }
@@ -72,6 +74,11 @@
         }
     }
 
+    /// Returns whether there was a place for the sessions of a service at the last check.
+    pub(crate) fn had_place(&self, service: &ServiceName) -> bool {
+        !self.without_place.contains(service)
+    }
+
     /// Returns for how long there has been no place for the sessions of most services; none if there
     /// is.
     pub(crate) fn cut_off_for(&self, now: Instant) -> Option<Duration> {
@@ -160,8 +167,13 @@
         }
         self.reach.next_check = self.now + CHECK_EVERY;
         let services = catalog.services.len();
-        let lacked = catalog.services.keys();
-        let lacked = lacked.filter(|service| !self.has_place(service)).count();
+        let without_place = catalog.services.keys();
+        let without_place: BTreeSet<_> = without_place
+            .filter(|service| !self.has_place(service))
+            .cloned()
+            .collect();
+        let lacked = without_place.len();
+        self.reach.without_place = without_place;
         let is_cut_off = lacked * 2 > services;
         if is_cut_off == self.reach.cut_off_since.is_some() {
             return;
@@ -178,7 +190,7 @@
 
     /// Returns whether a daemon is expected to take new sessions of a service from this one and to
     /// reach the leader: a home of this zone, this daemon, or a home of another zone.
-    pub(crate) fn has_place(&self, service: &ServiceName) -> bool {
+    fn has_place(&self, service: &ServiceName) -> bool {
         let is_trusted = |home: RemoteHome| !self.relays.is_doubted(&home.vm, self.now);
         self.other_home(service).is_some_and(is_trusted)
             || (self.can_get_permission() && !self.is_leader_only_elsewhere(service))
