Homes: ranks alone decide while the homes of a VM take less than half of its processor

An even split of few services over equal VMs moves services of other VMs whenever a VM comes or goes.

Change: a VM may be home of as many services as take half of its processor, if that is more than its share. Two VMs of half a core still have four of eight services each; three of a quarter are ranked as before.

--- a/sapphireslip-lead/src/home_ranks.rs
+++ b/sapphireslip-lead/src/home_ranks.rs
@@ -111,7 +111,8 @@
     }
 
     /// Chooses the home of each service: the preferred VM of the best rank that is not yet the home
-    /// of its share of the services.
+    /// of its share of the services, or of as many as take half of its processor if that is more.
+    /// Ranks alone move the fewest sessions when VMs come and go, so they decide while there is room.
     ///
     /// By ranks alone, the weakest of three VMs became the home of half of eight services, and
     /// answers waited behind its processor and its link.
@@ -119,7 +120,10 @@
         let preferred: Vec<_> = self.candidates.iter().filter(|c| c.is_preferred).collect();
         let total: u64 = preferred.iter().map(|c| u64::from(c.millicores)).sum();
         let count = u64::try_from(services.len()).unwrap_or(u64::MAX);
-        let share = |c: &Candidate<'_>| (count * u64::from(c.millicores)).div_ceil(total.max(1));
+        let share = |c: &Candidate<'_>| {
+            let share = (count * u64::from(c.millicores)).div_ceil(total.max(1));
+            share.max(u64::from(c.millicores / HOME_MILLICORES / 2))
+        };
         let mut free: BTreeMap<_, _> = preferred.iter().map(|c| (c.vm, share(c))).collect();
         for service in services {
             let has_room = |c: &&&Candidate<'a>| free.get(c.vm).is_some_and(|left| *left > 0);
