Review: one iterator over valid permissions, one test of a session's pause, one name for a daemon that is cut off

No behaviour changes. PermissionTable::permitted serves the coordinator, votes, reach and the return of sessions, which each had the filter; Session::is_idle_for serves drain and homes; Reach::is_cut_off stands for four checks of its time; two arms of the interval of reads are one; a home in another zone is looked up only if the session may go there. home_placement opens a session and sees where it goes in one place; its assertions are unchanged.

--- a/sapphireslip-lead/src/client.rs
+++ b/sapphireslip-lead/src/client.rs
@@ -62,8 +62,8 @@
             }),
             Some(forwarder_version) => {
                 let version = self.catalog.as_ref().map(|catalog| catalog.version);
-                let is_cut_off = self.reach.cut_off_for(self.now).is_some();
-                if version < Some(forwarder_version) || !self.may_take_sessions() || is_cut_off {
+                let may_take = self.may_take_sessions() && !self.reach.is_cut_off();
+                if version < Some(forwarder_version) || !may_take {
                     let failure = busy("another daemon should serve this session", RETRY_ELSEWHERE);
                     self.refuse_session(session, failure);
                 } else if self.admit_session(session, &client).is_some() {
--- a/sapphireslip-lead/src/coordinator.rs
+++ b/sapphireslip-lead/src/coordinator.rs
@@ -9,8 +9,8 @@
 use crate::handover::{Handover, Reason};
 use crate::state::State;
 use crate::{
-    CoordinatorRecord, Effect, LeaderRecord, NamedLeader, PermissionRecord, Record, RecordKind,
-    Role, RowVersion, StoreWrite, Term, WriteOutcome,
+    CoordinatorRecord, Effect, LeaderRecord, NamedLeader, PermissionRecord, PermissionTable,
+    Record, RecordKind, Role, RowVersion, StoreWrite, Term, WriteOutcome,
 };
 
 /// The pause between the attempts of two daemons to claim the vacant role.
@@ -216,13 +216,8 @@
 
     /// Returns the daemons whose permission was valid when the permissions were last read.
     fn daemons_with_permission(&self) -> impl Iterator<Item = &PermissionRecord> {
-        let table = self.permissions.as_ref();
-        let permissions = table.into_iter().flat_map(|table| {
-            let is_permitted =
-                |(record, _): &&(PermissionRecord, RowVersion)| table.now < record.until;
-            table.permissions.iter().filter(is_permitted)
-        });
-        permissions.map(|(record, _)| record)
+        let table = self.permissions.iter();
+        table.flat_map(PermissionTable::permitted)
     }
 
     /// Returns the number of leaders in a zone.
@@ -334,13 +329,13 @@
             return None;
         }
         let named_server = self.servers.get(leader)?;
-        let is_replica = named_server.status.as_ref()?.role == Role::Replica
+        let stays_replica = named_server.status.as_ref()?.role == Role::Replica
             && named_server.status_request_sent >= self.promotions_settled(service);
         let newer = self.servers.of(service).find(|(id, server)| {
             let status = server.status.as_ref();
             *id != leader && status.is_some_and(|s| s.role == Role::Primary && s.term > named.above)
         });
-        let (id, server) = newer.filter(|_| is_replica)?;
+        let (id, server) = newer.filter(|_| stays_replica)?;
         Some((id.clone(), server.status.as_ref()?.term))
     }
 
--- a/sapphireslip-lead/src/drain.rs
+++ b/sapphireslip-lead/src/drain.rs
@@ -69,12 +69,10 @@
 
     /// Closes the sessions, served here or forwarded, that have been idle for `pause`.
     fn close_idle_sessions(&mut self, pause: Duration) {
-        let is_idle =
-            |session: &Session| session.is_idle() && self.now.since(session.last_answer) >= pause;
         let idle: Vec<SessionId> = self
             .sessions
             .iter()
-            .filter(|(_, session)| is_idle(session))
+            .filter(|(_, session)| session.is_idle_for(self.now, pause))
             .map(|(id, _)| *id)
             .collect();
         for id in idle {
--- a/sapphireslip-lead/src/home_elsewhere.rs
+++ b/sapphireslip-lead/src/home_elsewhere.rs
@@ -49,8 +49,8 @@
     pub(crate) fn session_to_return(&self) -> Option<SessionId> {
         let table = self.permissions.as_ref()?;
         let has_permission = |home: &RemoteHome| {
-            let mut rows = table.permissions.iter();
-            rows.any(|(record, _)| record.vm == home.vm && table.now < record.until)
+            let mut permitted = table.permitted();
+            permitted.any(|record| record.vm == home.vm)
         };
         self.relays.idle_elsewhere(self.now).find(|id| {
             let service = self.service_of_relay(*id);
--- a/sapphireslip-lead/src/home_ranks.rs
+++ b/sapphireslip-lead/src/home_ranks.rs
@@ -126,11 +126,10 @@
         };
         let mut free: BTreeMap<_, _> = preferred.iter().map(|c| (c.vm, share(c))).collect();
         for service in services {
-            let has_room = |c: &&&Candidate<'a>| free.get(c.vm).is_some_and(|left| *left > 0);
-            let best = preferred
+            let with_room = preferred
                 .iter()
-                .filter(has_room)
-                .max_by_key(|c| c.rank(service));
+                .filter(|c| free.get(c.vm).is_some_and(|left| *left > 0));
+            let best = with_room.max_by_key(|c| c.rank(service));
             if let Some(best) = best {
                 self.homes.insert(service, best.vm);
                 free.entry(best.vm).and_modify(|left| *left -= 1);
--- a/sapphireslip-lead/src/homes.rs
+++ b/sapphireslip-lead/src/homes.rs
@@ -180,8 +180,7 @@
         };
         let quiet = self.sessions.iter().find(|(_, session)| {
             !session.is_forwarded
-                && session.is_idle()
-                && self.now.since(session.last_answer) >= MOVE_IDLE_MIN
+                && session.is_idle_for(self.now, MOVE_IDLE_MIN)
                 && is_elsewhere(session)
         });
         if let Some(id) = quiet.map(|(id, _)| *id) {
@@ -197,9 +196,7 @@
             .sessions
             .iter()
             .filter(|(_, session)| {
-                session.is_idle()
-                    && self.now.since(session.last_answer) >= CLIENT_PAUSE
-                    && matches(self, session)
+                session.is_idle_for(self.now, CLIENT_PAUSE) && matches(self, session)
             })
             .map(|(id, _)| *id)
             .collect();
--- a/sapphireslip-lead/src/lead_record.rs
+++ b/sapphireslip-lead/src/lead_record.rs
@@ -84,3 +84,11 @@
         pub now: StoreTime,
     }
 }
+
+impl PermissionTable {
+    /// Returns the daemons whose permission was valid at the read.
+    pub(crate) fn permitted(&self) -> impl Iterator<Item = &PermissionRecord> {
+        let records = self.permissions.iter().map(|(record, _)| record);
+        records.filter(|record| self.now < record.until)
+    }
+}
--- a/sapphireslip-lead/src/reach.rs
+++ b/sapphireslip-lead/src/reach.rs
@@ -61,8 +61,7 @@
     pub(crate) fn learn(&mut self, table: &PermissionTable, now: Instant) {
         self.by_leader.clear();
         self.read = now;
-        let permissions = table.permissions.iter().map(|(record, _)| record);
-        for record in permissions.filter(|record| table.now < record.until) {
+        for record in table.permitted() {
             for leader in &record.reached {
                 let reports = self.by_leader.entry(leader.clone()).or_default();
                 reports.reached.insert(record.zone.clone());
@@ -79,6 +78,11 @@
         !self.without_place.contains(service)
     }
 
+    /// Returns whether there is no place for the sessions of most services.
+    pub(crate) const fn is_cut_off(&self) -> bool {
+        self.cut_off_since.is_some()
+    }
+
     /// Returns for how long there has been no place for the sessions of most services; none if there
     /// is.
     pub(crate) fn cut_off_for(&self, now: Instant) -> Option<Duration> {
@@ -175,7 +179,7 @@
         let lacked = without_place.len();
         self.reach.without_place = without_place;
         let is_cut_off = lacked * 2 > services;
-        if is_cut_off == self.reach.cut_off_since.is_some() {
+        if is_cut_off == self.reach.is_cut_off() {
             return;
         }
         self.reach.cut_off_since = is_cut_off.then_some(self.now);
--- a/sapphireslip-lead/src/relays.rs
+++ b/sapphireslip-lead/src/relays.rs
@@ -239,7 +239,7 @@
             let in_zone = self.other_home(&service);
             in_zone.filter(|_| refusals < REFUSALS_MAX).or_else(|| {
                 let may_go = refusals < REFUSALS_IN_ALL_MAX && !self.can_get_permission();
-                self.home_elsewhere(&service).filter(|_| may_go)
+                may_go.then(|| self.home_elsewhere(&service)).flatten()
             })
         });
         match next {
--- a/sapphireslip-lead/src/session.rs
+++ b/sapphireslip-lead/src/session.rs
@@ -1,6 +1,7 @@
 //! A client's session: its variables, prepared statements and transaction.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 
 use sapphireslip_core::{
     ConnectionId, Instant, ServiceName, SessionId, Text, TransactionStatus, data,
@@ -109,6 +110,11 @@
             && self.pipelined.is_empty()
     }
 
+    /// Returns whether the session can be closed and was last answered at least `pause` ago.
+    pub(crate) fn is_idle_for(&self, now: Instant, pause: Duration) -> bool {
+        self.is_idle() && now.since(self.last_answer) >= pause
+    }
+
     /// Returns the log position of the session's last write if that went to `service`.
     pub(crate) fn last_write_to(&self, service: &ServiceName) -> Option<TermPosition> {
         let (service_written, position) = self.last_write.as_ref()?;
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -268,7 +268,7 @@
             && self.servers.last_read.is_some()
             && self.permissions.is_some()
             && has_permission
-            && self.reach.cut_off_for(self.now).is_none()
+            && !self.reach.is_cut_off()
             && !self.is_leaving()
     }
 
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -61,7 +61,8 @@
 /// small fleet: daemons that start together write their rows within this time.
 const SETTLING_PHASE: Duration = Duration::from_secs(8);
 
-/// How often the coordinator reads permissions, which also report unreachable leaders.
+/// How often the coordinator reads permissions, which also report unreachable leaders, and how often
+/// another daemon does while it can't reach a leader or has no place for most sessions.
 const PERMISSIONS_EVERY_COORDINATOR: Duration = Duration::from_millis(500);
 
 /// How often the coordinator reads permissions while it can't reach a leader itself.
@@ -155,8 +156,7 @@
             (false, _) if is_idle && self.now.since_start < SETTLING_PHASE => {
                 PERMISSIONS_EVERY_IDLE
             }
-            (false, true) => PERMISSIONS_EVERY_COORDINATOR,
-            (false, _) if self.reach.cut_off_for(self.now).is_some() => {
+            (false, _) if is_leader_unreachable || self.reach.is_cut_off() => {
                 PERMISSIONS_EVERY_COORDINATOR
             }
             (false, _) if is_idle => {
--- a/sapphireslip-lead/src/votes.rs
+++ b/sapphireslip-lead/src/votes.rs
@@ -28,8 +28,7 @@
     /// Counts the reports of all daemons whose permission is valid, except those of `own`.
     pub(crate) fn count(table: &PermissionTable, own: &VmId) -> Self {
         let mut votes = Self::default();
-        let permissions = table.permissions.iter().map(|(record, _)| record);
-        for record in permissions.filter(|record| record.vm != *own && table.now < record.until) {
+        for record in table.permitted().filter(|record| record.vm != *own) {
             for leader in &record.unreachable {
                 votes
                     .by_leader
--- a/sapphireslip-lead/tests/home_placement.rs
+++ b/sapphireslip-lead/tests/home_placement.rs
@@ -78,18 +78,23 @@
     daemon
 }
 
+/// Opens a session on the database with a number, and returns the daemon to which it was forwarded;
+/// none if it is served here.
+fn home_of(daemon: &mut Daemon, n: usize) -> Option<SocketAddr> {
+    daemon.effects.clear();
+    daemon.open(&format!("ledger-{n}"));
+    daemon.effects.iter().find_map(|effect| match effect {
+        Effect::Relay { address, .. } => Some(*address),
+        _ => None,
+    })
+}
+
 /// Opens a session on each of the databases, and returns how many were forwarded to each daemon;
 /// those served here are counted under none.
 fn homes(daemon: &mut Daemon, services: usize) -> BTreeMap<Option<SocketAddr>, usize> {
     let mut homes = BTreeMap::new();
     for n in 0..services {
-        daemon.effects.clear();
-        daemon.open(&format!("ledger-{n}"));
-        let to = daemon.effects.iter().find_map(|effect| match effect {
-            Effect::Relay { address, .. } => Some(*address),
-            _ => None,
-        });
-        *homes.entry(to).or_default() += 1;
+        *homes.entry(home_of(daemon, n)).or_default() += 1;
     }
     homes
 }
@@ -136,16 +141,8 @@
 fn lost_vm_moves_no_service_of_another_one() {
     let home = |strong| {
         let mut daemon = in_a_zone_with_strong_vms(strong, 3);
-        (0..3)
-            .map(|n| {
-                daemon.effects.clear();
-                daemon.open(&format!("ledger-{n}"));
-                daemon.effects.iter().find_map(|effect| match effect {
-                    Effect::Relay { address, .. } => Some(*address),
-                    _ => None,
-                })
-            })
-            .collect::<Vec<_>>()
+        let homes = (0..3).map(|n| home_of(&mut daemon, n));
+        homes.collect::<Vec<_>>()
     };
     for (before, after) in home(3).into_iter().zip(home(2)) {
         assert!(
