Readers: idle daemons learn the configuration and the permissions from a home of their zone

A home of the zone now holds a request of each idle daemon and answers it when the configuration changes, at the latest after a second. A reader that the store turns away says so; without a reader a daemon reads for itself, as all did before.

--- a/sapphireslip-lead/src/catalog_relay.rs
+++ b/sapphireslip-lead/src/catalog_relay.rs
@@ -109,7 +109,7 @@
     }
 
     /// Returns whether the store has stopped answering this daemon.
-    fn has_store_failed(&self) -> bool {
+    pub(crate) fn has_store_failed(&self) -> bool {
         self.catalog_relay.has_watch_failed
             || self.reads.is_store_away()
             || self.permission.is_outcome_unknown()
@@ -121,7 +121,8 @@
     /// that answers, since the watch would have returned a newer one.
     fn is_catalog_certain(&self) -> bool {
         let age = self.catalog_relay.age(self.now);
-        age.is_some_and(|age| age <= CERTAIN_AGE_MAX || !self.has_store_failed())
+        let is_watched = self.follows_reader() || !self.has_store_failed();
+        age.is_some_and(|age| age <= CERTAIN_AGE_MAX || is_watched)
     }
 
     /// Returns the refusal of a new session whose key the configuration does not name: `failure`, or
@@ -142,7 +143,8 @@
         let is_needed = self.catalog.as_ref().is_none_or(names_accounts)
             && (self.has_store_failed() || self.catalog_relay.is_row_malformed)
             && age.is_none_or(|age| age > ASK_FROM_AGE)
-            && !self.is_drain_finished();
+            && !self.is_drain_finished()
+            && !self.follows_reader();
         if !is_needed || self.catalog_relay.is_pending {
             return;
         }
@@ -203,13 +205,18 @@
 
     /// Answers a daemon that has this version of the configuration, or none, and asks for a newer one.
     pub(crate) fn on_catalog_asked(&mut self, session: SessionId, version: Option<u64>) {
+        let told = self.told_catalog(version);
+        self.effects.push(Effect::TellCatalog { session, told });
+    }
+
+    /// Returns what a daemon is told that has this version of the configuration, or none.
+    pub(crate) fn told_catalog(&self, version: Option<u64>) -> ToldCatalog {
         let is_newer = |catalog: &&Catalog| Some(catalog.version) > version;
-        let told = ToldCatalog {
+        ToldCatalog {
             version: self.catalog.as_ref().map(|catalog| catalog.version),
             age: self.catalog_relay.age(self.now),
             newer: self.catalog.as_ref().filter(is_newer).cloned(),
-        };
-        self.effects.push(Effect::TellCatalog { session, told });
+        }
     }
 
     /// Applies the answer of another daemon to the request that was sent at `sent`; `told` is none if
@@ -219,9 +226,14 @@
     /// if this one knew no more.
     pub(crate) fn on_catalog_told(&mut self, told: Option<ToldCatalog>, sent: Instant) {
         self.catalog_relay.is_pending = false;
-        let Some(told) = told else {
-            return;
-        };
+        if told.is_some_and(|told| self.apply_told_catalog(told, sent)) {
+            self.catalog_relay.left_in_round = 0;
+        }
+    }
+
+    /// Applies what another daemon told of its configuration after the request that was sent at `sent`;
+    /// returns whether it knew more than this one.
+    pub(crate) fn apply_told_catalog(&mut self, told: ToldCatalog, sent: Instant) -> bool {
         let version = self.catalog.as_ref().map(|catalog| catalog.version);
         let mut knew_more = false;
         if let Some(newer) = told.newer.filter(|newer| Some(newer.version) > version) {
@@ -235,8 +247,6 @@
             // The age was told after the request was sent, so it is no lower than at that time.
             knew_more |= self.catalog_relay.confirm(self.now, age, sent);
         }
-        if knew_more {
-            self.catalog_relay.left_in_round = 0;
-        }
+        knew_more
     }
 }
--- a/sapphireslip-lead/src/effect.rs
+++ b/sapphireslip-lead/src/effect.rs
@@ -9,7 +9,8 @@
 
 use crate::{
     CoordinatorRecord, Failure, KeyDigest, LeaderRecord, PermissionRecord, Record, Reply,
-    RowVersion, Shape, ShareAnswer, ShareRequest, StayingServers, TermPosition, ToldCatalog,
+    RowVersion, Shape, ShareAnswer, ShareRequest, StayingServers, TablesRequest, TermPosition,
+    ToldCatalog, ToldTables,
 };
 
 data! {
@@ -132,6 +133,20 @@
             /// The answer.
             told: ToldCatalog,
         },
+        /// Asks a reader for tables of the store.
+        AskTables {
+            /// The address at which the reader accepts requests of other daemons.
+            address: SocketAddr,
+            /// The request.
+            request: TablesRequest,
+        },
+        /// Answers a daemon that asked for tables, and closes its connection.
+        TellTables {
+            /// The connection on which the other daemon waits.
+            session: SessionId,
+            /// The answer.
+            told: ToldTables,
+        },
         /// Asks the platform to promote a server.
         Promote {
             /// The service that the server belongs to.
--- a/sapphireslip-lead/src/event.rs
+++ b/sapphireslip-lead/src/event.rs
@@ -8,7 +8,8 @@
 
 use crate::{
     Catalog, CoordinatorRecord, KeyDigest, LeaderTable, PermissionTable, Query, Reply, RowVersion,
-    ServerRecord, ServerStatus, ShareAnswer, ShareRequest, StayingServers, StoreTime, ToldCatalog,
+    ServerRecord, ServerStatus, ShareAnswer, ShareRequest, StayingServers, StoreTime,
+    TablesRequest, ToldCatalog, ToldTables,
 };
 
 data! {
@@ -39,6 +40,20 @@
             /// When the request was sent.
             sent: Instant,
         },
+        /// An idle daemon asks this one for tables of the store.
+        TablesAsked {
+            /// The connection on which the other daemon waits for the answer.
+            session: SessionId,
+            /// The request.
+            request: TablesRequest,
+        },
+        /// A reader was asked for tables of the store.
+        TablesTold {
+            /// The answer; none if there was none.
+            told: Option<ToldTables>,
+            /// When the request was sent.
+            sent: Instant,
+        },
         /// The list of backend servers was read from the store.
         Servers {
             /// The list; none if the store did not answer.
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -25,6 +25,7 @@
 use crate::servers::Servers;
 use crate::session::Session;
 use crate::store_events::Reads;
+use crate::told_tables::TableRelay;
 use crate::votes::Votes;
 use crate::waiting_session::WaitingSession;
 use crate::{
@@ -95,6 +96,8 @@
         pub(crate) catalog_applied: Instant,
         /// How current `catalog` is, and the requests to other daemons for it.
         pub(crate) catalog_relay: CatalogRelay,
+        /// The requests to readers of the store, and those that wait here.
+        pub(crate) table_relay: TableRelay,
         /// The known backend servers.
         pub(crate) servers: Servers,
         /// How long a server may get new work after the last read that showed that it stays.
@@ -167,6 +170,7 @@
             catalog: None,
             catalog_applied: Instant::default(),
             catalog_relay: CatalogRelay::default(),
+            table_relay: TableRelay::default(),
             servers: Servers::default(),
             new_work_time: new_work_time(server_drain_bound),
             leaders: Leaders::default(),
@@ -210,9 +214,11 @@
             Event::CatalogWatch(progress) => self.on_catalog_watch(progress),
             Event::CatalogAsked { session, version } => self.on_catalog_asked(session, version),
             Event::CatalogTold { told, sent } => self.on_catalog_told(told, sent),
+            Event::TablesAsked { session, request } => self.on_tables_asked(session, request),
+            Event::TablesTold { told, sent } => self.on_tables_told(told, sent),
             Event::Servers { list, sent } => self.on_servers(list, sent),
             Event::Leaders(table) => self.on_leaders(table),
-            Event::Permissions { table, sent } => self.on_permission_table(table, sent),
+            Event::Permissions { table, sent } => self.on_permissions_read(table, sent),
             Event::Written(written) => self.on_written(written),
             Event::Promoted { service, outcome } => self.on_promoted(&service, &outcome),
             Event::GrantAsked {
@@ -246,6 +252,8 @@
         self.renew_permission();
         self.ask_for_grant();
         self.ask_for_catalog();
+        self.ask_reader();
+        self.answer_held_requests();
         self.read_store();
         self.probe_leaders();
         self.coordinate();
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -159,17 +159,20 @@
             (false, _) if is_leader_unreachable || self.reach.is_cut_off() => {
                 PERMISSIONS_EVERY_COORDINATOR
             }
-            (false, _) if is_idle => {
-                self.idle_interval(PERMISSIONS_EVERY_IDLE, PERMISSIONS_EVERY_IDLE_MAX)
-            }
+            (false, _) if is_idle => self.idle_permissions_interval(),
             (false, _) => PERMISSIONS_EVERY,
         };
-        if self.reads.permissions.is_due(self.now, every) {
+        if !self.follows_reader() && self.reads.permissions.is_due(self.now, every) {
             self.reads.permissions.ask(self.now);
             self.effects.push(Effect::ReadPermissions);
         }
     }
 
+    /// Returns the interval at which an idle daemon learns the permissions of all daemons.
+    pub(crate) fn idle_permissions_interval(&self) -> Duration {
+        self.idle_interval(PERMISSIONS_EVERY_IDLE, PERMISSIONS_EVERY_IDLE_MAX)
+    }
+
     /// Returns the interval at which this daemon reads the list of servers at present.
     fn servers_interval(&self) -> Duration {
         if self.needs_permission() {
@@ -195,6 +198,9 @@
 
     /// Reads permissions, as another daemon did not take a session.
     pub(crate) fn read_permissions_for_lost_home(&mut self) {
+        if self.follows_reader() {
+            return self.table_relay.want_permissions(self.now);
+        }
         self.read_permissions_unless_read_within(PERMISSIONS_EVERY_HOME_LOST);
     }
 
@@ -211,9 +217,18 @@
 
     /// Records the outcome of a read of the permissions that was sent at `sent`; `table` is none if
     /// the store did not answer.
-    pub(crate) fn on_permission_table(&mut self, table: Option<PermissionTable>, sent: Instant) {
+    pub(crate) fn on_permissions_read(&mut self, table: Option<PermissionTable>, sent: Instant) {
         self.reads.permissions.is_pending = false;
         self.note_store(table.is_some());
+        if table.is_some() {
+            self.table_relay.note_permissions_read(sent);
+        }
+        self.on_permission_table(table, sent);
+    }
+
+    /// Applies a table of permissions that was read from the store by a call that was sent at `sent`, or
+    /// by a daemon that told it.
+    pub(crate) fn on_permission_table(&mut self, table: Option<PermissionTable>, sent: Instant) {
         self.on_permissions(table, sent);
         self.count_acknowledgements();
         self.coordinate();
@@ -280,6 +295,7 @@
         self.close_revoked_sessions();
         self.close_connections_of_removed_accounts();
         self.open_waiting_sessions();
+        self.answer_held_requests();
     }
 
     /// Records the outcome of a conditional write.
--- a/sapphireslipd/src/lead_clients.rs
+++ b/sapphireslipd/src/lead_clients.rs
@@ -235,6 +235,13 @@
                     let _stopping = task.events.send_async(event).await;
                     return task.serve().await.map(|_| ());
                 }
+                PeerOpening::TablesRequest(request) => {
+                    let session = id;
+                    let event = Event::TablesAsked { session, request };
+                    // Fails only if the daemon is already stopping.
+                    let _stopping = task.events.send_async(event).await;
+                    return task.serve().await.map(|_| ());
+                }
             }
         }
         let line = task.first_line().await?;
--- a/sapphireslipd/src/lead_run.rs
+++ b/sapphireslipd/src/lead_run.rs
@@ -57,24 +57,26 @@
     let is_ready = Arc::new(AtomicBool::new(false));
     tokio::spawn(readiness_page::serve(readiness, Arc::clone(&is_ready)));
     let needs_leaders = Arc::new(AtomicBool::new(false));
+    let needs_catalog = Arc::new(AtomicBool::new(true));
     let configuration = Watch {
         table: Table::Operator,
         decode: |rows| decode_catalog(rows).map(Event::Catalog),
         is_one_row: true,
         is_configuration: true,
-        is_needed: Arc::new(AtomicBool::new(true)),
+        wait: store_watch::catalog_wait_within(settings.settle_time),
+        is_needed: Arc::clone(&needs_catalog),
     };
     let leaders = Watch {
         table: Table::Leads,
         decode: |rows| decode_leaders(rows).map(Event::Leaders),
         is_one_row: false,
         is_configuration: false,
+        wait: store_watch::wait_within(settings.settle_time),
         is_needed: Arc::clone(&needs_leaders),
     };
-    let wait = store_watch::wait_within(settings.settle_time);
     for watch in [configuration, leaders] {
         let (client, events) = (store.store.clone(), store.events.clone());
-        tokio::spawn(store_watch::watch(client, watch, wait, clock, events));
+        tokio::spawn(store_watch::watch(client, watch, clock, events));
     }
     tokio::spawn(stop_on_signals(settings.drain_bound, events_tx.clone())?);
     let incarnation = new_incarnation();
@@ -100,6 +102,7 @@
         shares,
         is_ready,
         needs_leaders,
+        needs_catalog,
         metrics,
         last_session: 0,
         last_metrics_update: tokio::time::Instant::now(),
--- a/sapphireslipd/src/lead_runner.rs
+++ b/sapphireslipd/src/lead_runner.rs
@@ -9,7 +9,7 @@
 use sapphireslip_lead::{Effect, Event, State};
 use sapphireslip_platform::{
     encode_failure, encode_forward, encode_grant, encode_reply, encode_session_opened,
-    encode_share_answer, encode_told_catalog, promote_call,
+    encode_share_answer, encode_told_catalog, encode_told_tables, promote_call,
 };
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until};
@@ -55,6 +55,8 @@
     pub(crate) is_ready: Arc<AtomicBool>,
     /// Whether the leaders have to be watched in the store.
     pub(crate) needs_leaders: Arc<AtomicBool>,
+    /// Whether the configuration has to be watched in the store.
+    pub(crate) needs_catalog: Arc<AtomicBool>,
     pub(crate) metrics: Arc<LeadMetrics>,
     /// The number of the last session, counted from 1; 0 if there was none.
     pub(crate) last_session: u64,
@@ -134,6 +136,8 @@
             .store(self.state.is_ready(), Ordering::Relaxed);
         let needs_leaders = self.state.needs_leaders();
         self.needs_leaders.store(needs_leaders, Ordering::Relaxed);
+        let needs_catalog = !self.state.follows_reader();
+        self.needs_catalog.store(needs_catalog, Ordering::Relaxed);
         should_exit
     }
 
@@ -245,6 +249,15 @@
                 self.clients.send(session, bytes);
                 self.clients.close(session);
             }
+            Effect::AskTables { address, request } => {
+                tokio::spawn(self.store.clone().ask_tables(address, request));
+            }
+            Effect::TellTables { session, told } => {
+                let mut bytes = Vec::new();
+                encode_told_tables(&told, &mut bytes);
+                self.clients.send(session, bytes);
+                self.clients.close(session);
+            }
             Effect::Log(record) => {
                 self.metrics.record(&record);
                 log_record(&record);
--- a/sapphireslipd/src/store_edge.rs
+++ b/sapphireslipd/src/store_edge.rs
@@ -5,15 +5,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::BytesMut;
 use sapphireslip_core::{ServerId, ServiceName, VmId};
 use sapphireslip_lead::{
     Event, PermissionTable, PromoteOutcome, RowVersion, ServerRecord, StayingServers, StoreWrite,
-    ToldCatalog, WriteOutcome, Written,
+    TablesRequest, ToldCatalog, WriteOutcome, Written,
 };
 use sapphireslip_platform::{
     Call, PlatformError, Rows, TOLD_CATALOG_MAX_BYTES, Table, decode_grant, decode_leaders,
-    decode_permissions, decode_promote, decode_servers, decode_told_catalog, decode_write,
-    encode_catalog_request, encode_grant_request, write_call,
+    decode_permissions, decode_promote, decode_servers, decode_told_catalog, decode_told_tables,
+    decode_write, encode_catalog_request, encode_grant_request, encode_tables_request, write_call,
 };
 
 use tokio::io::AsyncWriteExt;
@@ -169,6 +170,22 @@
         self.send_event(Event::CatalogTold { told, sent }).await;
     }
 
+    /// Asks the reader at the address for tables of the store.
+    pub(crate) async fn ask_tables(self, address: SocketAddr, request: TablesRequest) {
+        let sent = self.clock.now();
+        let mut line = Vec::new();
+        encode_tables_request(&request, &mut line);
+        let answered = request_lines(address, &line, request.wait);
+        let limit = CATALOG_TIMEOUT + request.wait;
+        let asked = tokio::time::timeout(limit, answered).await;
+        let told = asked.unwrap_or_else(|err| Err(io::Error::other(err)));
+        let told = told
+            .and_then(|(first, rest)| decode_told_tables(&first, &rest).map_err(io::Error::other))
+            .inspect_err(|err| log::debug!("asking `{address}` for tables: {err}"))
+            .ok();
+        self.send_event(Event::TablesTold { told, sent }).await;
+    }
+
     /// Sends an event to the reducer.
     async fn send_event(&self, event: Event) {
         // Fails only if the daemon is already stopping.
@@ -195,13 +212,24 @@
 async fn request_catalog(address: SocketAddr, version: Option<u64>) -> io::Result<ToldCatalog> {
     let mut request = Vec::new();
     encode_catalog_request(version, &mut request);
+    let (first, rest) = request_lines(address, &request, Duration::ZERO).await?;
+    decode_told_catalog(&first, &rest).map_err(io::Error::other)
+}
+
+/// Sends a request to another daemon, which may hold it for `wait`, and returns the first line of the
+/// answer and the others, joined, up to the end of the connection.
+async fn request_lines(
+    address: SocketAddr,
+    request: &[u8],
+    wait: Duration,
+) -> io::Result<(BytesMut, Vec<u8>)> {
     let first_line = async {
         let (mut lines, mut writer) = split(TcpStream::connect(address).await?)?;
-        writer.write_all(&request).await?;
+        writer.write_all(request).await?;
         let line = lines.next().await?.ok_or(io::ErrorKind::UnexpectedEof)?;
         io::Result::Ok((line, lines, writer))
     };
-    let answered = tokio::time::timeout(CATALOG_ANSWER_TIMEOUT, first_line).await;
+    let answered = tokio::time::timeout(CATALOG_ANSWER_TIMEOUT + wait, first_line).await;
     // The writer is kept: the other daemon takes the end of the request for the end of the session.
     let (first, mut lines, _writer) = answered.map_err(io::Error::other)??;
     let mut rest = Vec::new();
@@ -211,5 +239,5 @@
         }
         rest.extend_from_slice(&line);
     }
-    decode_told_catalog(&first, &rest).map_err(io::Error::other)
+    Ok((first, rest))
 }
--- a/sapphireslipd/src/store_watch.rs
+++ b/sapphireslipd/src/store_watch.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use sapphireslip_core::Instant;
-use sapphireslip_lead::{AnswerTimes, CatalogWatch, Event, RowVersion, StoreTime};
+use sapphireslip_lead::{AnswerTimes, CatalogWatch, Event, RowVersion, StoreTime, TABLES_WAIT};
 use sapphireslip_platform::{PlatformError, Rows, Table, WatchReply, decode_watch, watch_call};
 
 use crate::BootClock;
@@ -32,6 +32,8 @@
     pub(crate) is_one_row: bool,
     /// Whether the reducer is told of each answer and failure, as the table is the configuration's.
     pub(crate) is_configuration: bool,
+    /// How long each call of the watch may wait for a change.
+    pub(crate) wait: Duration,
     /// Whether the table has to be watched at the moment.
     pub(crate) is_needed: Arc<AtomicBool>,
 }
@@ -44,16 +46,29 @@
     settle_time.saturating_sub(WATCH_MARGIN)
 }
 
-/// Watches a table, with calls that may each wait for `wait`, until the receiver of `events` is
-/// dropped.
+/// Returns how long the store may wait before it answers a watch of the configuration, which other
+/// daemons learn from this one.
+pub(crate) const fn catalog_wait_within(settle_time: Duration) -> Duration {
+    wait_within(settle_time).saturating_sub(FOLLOWERS_MARGIN)
+}
+
+/// The time in which the daemons that follow this one learn of a new configuration: their requests
+/// are held for [`TABLES_WAIT`], and an answer takes a round trip.
+const FOLLOWERS_MARGIN: Duration = TABLES_WAIT.saturating_add(Duration::from_millis(200));
+
+/// Watches a table until the receiver of `events` is dropped.
 pub(crate) async fn watch(
     client: StoreClient,
     watch: Watch,
-    wait: Duration,
     clock: BootClock,
     events: flume::Sender<Event>,
 ) {
-    let Watch { table, decode, .. } = watch;
+    let Watch {
+        table,
+        decode,
+        wait,
+        ..
+    } = watch;
     let mut progress = Progress {
         is_told: watch.is_configuration,
         clock,
