--- a/sapphireslip-lead/src/handover.rs
+++ b/sapphireslip-lead/src/handover.rs
@@ -32,6 +32,10 @@
 /// How often permissions are read while daemons have to acknowledge the new leader.
 const ACKNOWLEDGEMENT_POLL_EVERY: Duration = Duration::from_millis(40);
 
+/// The time that daemons have had to acknowledge the new leader, as a multiple of the pause until the
+/// next read: a leader that all have acknowledged is promoted late by at most this part.
+const ACKNOWLEDGEMENT_POLLS_PER_WAIT: u32 = 16;
+
 /// The longest time that the new leader may take to receive the rest of the old one's log.
 const CATCH_UP_MAX: Duration = Duration::from_millis(2_500);
 
@@ -85,8 +89,6 @@
         step: Step,
         /// When the current step began.
         since: Instant,
-        /// When permissions were last read for this handover.
-        last_poll: Instant,
         /// The last position of the new leader's log that was seen while it caught up.
         received: Option<TermPosition>,
         /// When `received` last changed.
@@ -134,7 +136,6 @@
             above,
             step: Step::Choosing,
             since: self.now,
-            last_poll: self.now,
             received: None,
             last_progress: self.now,
         };
@@ -155,7 +156,6 @@
             above: record.above,
             step: Step::Acknowledging(*version),
             since: self.now,
-            last_poll: Instant::default(),
             received: None,
             last_progress: self.now,
         };
@@ -200,7 +200,7 @@
         match handover.step {
             Step::Choosing => self.choose(service, &handover),
             Step::Naming => {}
-            Step::Acknowledging(_) => self.poll_permissions(service, &handover),
+            Step::Acknowledging(_) => self.poll_permissions(&handover),
             Step::CatchingUp => self.catch_up(service, &handover),
             Step::Promoting(asked) => self.promote(service, &handover, asked),
         }
@@ -350,14 +350,12 @@
         }
     }
 
-    /// Reads the permissions if a read is due.
-    fn poll_permissions(&mut self, service: &ServiceName, handover: &Handover) {
-        if self.now.since(handover.last_poll) >= ACKNOWLEDGEMENT_POLL_EVERY
-            && self.read_permissions()
-            && let Some(handover) = self.coordinator.handovers.get_mut(service)
-        {
-            handover.last_poll = self.now;
-        }
+    /// Reads the permissions if no read was sent lately, for whatever handover. Daemons that are in
+    /// touch acknowledge at once; the longer one takes, the more likely its permission has to end.
+    fn poll_permissions(&mut self, handover: &Handover) {
+        let waited = self.now.since(handover.since);
+        let pause = ACKNOWLEDGEMENT_POLL_EVERY.max(waited / ACKNOWLEDGEMENT_POLLS_PER_WAIT);
+        self.read_permissions_unless_read_within(pause);
     }
 
     /// Continues handovers that every daemon with a permission acknowledged, once grants are over.
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -191,11 +191,6 @@
         interval.saturating_mul(times.max(1)).min(max)
     }
 
-    /// Reads permissions now; returns false if a read is under way already.
-    pub(crate) fn read_permissions(&mut self) -> bool {
-        self.read_permissions_unless_read_within(Duration::ZERO)
-    }
-
     /// Reads permissions, as another daemon did not take a session.
     pub(crate) fn read_permissions_for_lost_home(&mut self) {
         if self.follows_reader() {
@@ -204,15 +199,12 @@
         self.read_permissions_unless_read_within(PERMISSIONS_EVERY_HOME_LOST);
     }
 
-    /// Reads permissions unless the last read was sent less than `pause` ago or is under way;
-    /// returns whether they are read.
-    fn read_permissions_unless_read_within(&mut self, pause: Duration) -> bool {
-        let is_due = self.reads.permissions.is_due(self.now, pause);
-        if is_due {
+    /// Reads permissions unless the last read was sent less than `pause` ago or is under way.
+    pub(crate) fn read_permissions_unless_read_within(&mut self, pause: Duration) {
+        if self.reads.permissions.is_due(self.now, pause) {
             self.reads.permissions.ask(self.now);
             self.effects.push(Effect::ReadPermissions);
         }
-        is_due
     }
 
     /// Records the outcome of a read of the permissions that was sent at `sent`; `table` is none if
