Homes: forwarded sessions return to the home of their zone

A session whose home refused it once stayed at the next daemon in rank for as long as its client stayed.

--- a/sapphireslip-lead/src/home_elsewhere.rs
+++ b/sapphireslip-lead/src/home_elsewhere.rs
@@ -9,7 +9,7 @@
 use sapphireslip_core::placement::rendezvous_weight;
 use sapphireslip_core::{ServiceName, SessionId};
 
-use crate::homes::RemoteHome;
+use crate::homes::{MOVE_IDLE_MIN, RemoteHome};
 use crate::state::State;
 
 impl State {
@@ -45,19 +45,34 @@
     }
 
     /// Returns an idle session that is forwarded to another zone although a daemon of this zone can
-    /// serve it again.
+    /// serve it again, or that is not at the daemon of this zone that is first in rank and can serve it
+    /// again.
+    ///
+    /// Left there, the sessions of a home that was lost for a moment keep another daemon at work with the
+    /// servers for as long as they last.
     pub(crate) fn session_to_return(&self) -> Option<SessionId> {
         let table = self.permissions.as_ref()?;
         let has_permission = |home: &RemoteHome| {
             let mut permitted = table.permitted();
             permitted.any(|record| record.vm == home.vm)
         };
-        self.relays.idle_elsewhere(self.now).find(|id| {
-            let service = self.service_of_relay(*id);
-            service.is_some_and(|service| match self.other_home(&service) {
-                Some(home) => has_permission(&home),
-                None => self.permission.is_valid(self.now),
-            })
+        let mut idle = self.relays.idle(self.now, MOVE_IDLE_MIN).into_iter();
+        idle.find(|id| {
+            let Some(service) = self.service_of_relay(*id) else {
+                return false;
+            };
+            let home = self.other_home(&service);
+            let vm = home.as_ref().map_or(&self.local.vm, |home| &home.vm);
+            let is_better = match self.relays.place(*id) {
+                Some((_, true)) => true,
+                Some((at, false)) => at != vm && self.is_first_in_rank(&service, vm),
+                None => false,
+            };
+            is_better
+                && match &home {
+                    Some(home) => has_permission(home),
+                    None => self.permission.is_valid(self.now),
+                }
         })
     }
 }
--- a/sapphireslip-lead/src/homes.rs
+++ b/sapphireslip-lead/src/homes.rs
@@ -69,6 +69,19 @@
         })
     }
 
+    /// Returns whether a daemon is the first in rank for a service of those of this zone that are alive,
+    /// whether or not it takes sessions.
+    pub(crate) fn is_first_in_rank(&self, service: &ServiceName, vm: &VmId) -> bool {
+        let Some((table, rank)) = self.permissions.as_ref().zip(self.home_ranks.get(service))
+        else {
+            return false;
+        };
+        let others = rank.others.iter().take(rank.before_own);
+        let mut before_own = others.filter_map(|place| table.permissions.get(*place));
+        let first = before_own.find(|(record, _)| table.now < record.alive);
+        first.map_or(&self.local.vm, |(record, _)| &record.vm) == vm
+    }
+
     /// Returns whether sessions of a service may be forwarded to a daemon: it has not refused any
     /// lately, and reports no leader of the service as unreachable.
     pub(crate) fn may_forward_to(&self, record: &PermissionRecord, service: &ServiceName) -> bool {
--- a/sapphireslip-lead/src/relays.rs
+++ b/sapphireslip-lead/src/relays.rs
@@ -6,7 +6,7 @@
 
 use sapphireslip_core::{Instant, ServiceName, SessionId, Text, TransactionStatus, VmId, data};
 
-use crate::homes::{MOVE_IDLE_MIN, RemoteHome};
+use crate::homes::RemoteHome;
 use crate::session::Opening;
 use crate::state::State;
 use crate::{Effect, ErrorCode, Failure, Record, RecordKind, Reply};
@@ -103,12 +103,10 @@
         }
     }
 
-    /// Returns the sessions at daemons of other zones whose clients have paused for
-    /// [`MOVE_IDLE_MIN`].
-    pub(crate) fn idle_elsewhere(&self, now: Instant) -> impl Iterator<Item = SessionId> {
-        let elsewhere = self.sessions.iter().filter(|(_, relay)| relay.is_elsewhere);
-        let idle = elsewhere.filter(move |(_, relay)| relay.has_paused(now, MOVE_IDLE_MIN));
-        idle.map(|(id, _)| *id)
+    /// Returns the daemon that a session is forwarded to, and whether it is in another zone.
+    pub(crate) fn place(&self, id: SessionId) -> Option<(&VmId, bool)> {
+        let relay = self.sessions.get(&id)?;
+        Some((&relay.vm, relay.is_elsewhere))
     }
 
     /// Returns the sessions, not closing yet, whose client's opening matches a predicate.
--- a/sapphireslip-lead/tests/home_elsewhere.rs
+++ b/sapphireslip-lead/tests/home_elsewhere.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use sapphireslip_core::{SessionId, TransactionStatus};
 use sapphireslip_lead::{ClientEvent, Effect, Event, PermissionRecord, StoreTime};
-use support::{Daemon, PAYMENTS, presence};
+use support::{Daemon, PAYMENTS, catalog, presence};
 
 /// Returns a daemon in zone a that the store has turned away for so long that its permission has
 /// ended, and that knows a daemon with a permission in zone b.
@@ -77,3 +77,37 @@
     daemon.advance(6_000);
     assert_eq!(daemon.closed, [session]);
 }
+
+/// Guards against daemons that work with servers long after a fault: a session that another daemon took
+/// while its home was lost for a moment used to stay there for as long as its client did.
+#[rstest]
+fn idle_session_returns_to_its_home_in_the_zone() {
+    let mut daemon = Daemon::with_millicores(50);
+    for n in 0..5 {
+        daemon.store.add_permission(PermissionRecord {
+            until: StoreTime(Duration::from_secs(500)),
+            alive: StoreTime(Duration::from_secs(500)),
+            ..presence(&format!("home-{n}"), "a")
+        });
+    }
+    daemon.event(Event::Catalog(catalog(1)));
+    daemon.advance(2_000);
+    let session = daemon.open(PAYMENTS);
+    let is_refused = true;
+    daemon.event(Event::Client(ClientEvent::RelayFailed {
+        session,
+        is_refused,
+    }));
+    let forwarded = daemon.effects.iter();
+    let forwarded = forwarded.filter(|e| matches!(e, Effect::Relay { .. }));
+    assert_eq!(forwarded.count(), 2, "to the home and to the next in rank");
+    let status = TransactionStatus::Idle;
+    daemon.event(Event::Client(ClientEvent::RelayAnswered {
+        session,
+        status,
+    }));
+    daemon.advance(300);
+    assert_eq!(daemon.closed, []);
+    daemon.advance(1_000);
+    assert_eq!(daemon.closed, [session]);
+}
