--- a/sapphireslip-lead/src/coordinator.rs
+++ b/sapphireslip-lead/src/coordinator.rs
@@ -399,17 +399,13 @@
         })
     }
 
-    /// Returns whether more daemons, including this one, report a leader as unreachable than as
-    /// reached.
+    /// Returns whether a leader can't be reached from more zones than it can be, by the reports of all
+    /// daemons and of this one.
     fn is_lost(&self, leader: &ServerId) -> bool {
         let server = self.servers.get(leader);
-        let mut vote = self.votes.on(leader);
-        if server.is_none_or(|server| server.is_unreachable(self.now)) {
-            vote.unreachable_from += 1;
-        } else {
-            vote.reachable_from += 1;
-        }
-        self.permissions.is_some() && vote.unreachable_from > vote.reachable_from
+        let is_reached = server.is_some_and(|server| !server.is_unreachable(self.now));
+        let zone = &self.local.zone;
+        self.permissions.is_some() && self.votes.is_lost(leader, zone, is_reached)
     }
 
     /// Adds a leader to those that the next write names.
--- a/sapphireslip-lead/tests/handover.rs
+++ b/sapphireslip-lead/tests/handover.rs
@@ -2,9 +2,13 @@
 
 mod support;
 
+use std::time::Duration;
+
 use rstest::rstest;
-use sapphireslip_lead::{Effect, ErrorCode, Event, Record, RecordKind};
-use support::{Daemon, PAYMENTS, at, server, service};
+use sapphireslip_lead::{
+    Effect, ErrorCode, Event, PermissionRecord, Record, RecordKind, StoreTime,
+};
+use support::{Daemon, PAYMENTS, at, presence, server, service};
 
 #[rstest]
 fn draining_primary_hands_over_all_of_its_log() {
@@ -180,3 +184,34 @@
             .any(|effect| matches!(effect, Effect::Promote { .. }))
     );
 }
+
+/// Guards against the loss of healthy primaries when a zone of many daemons was cut off: all of them report
+/// that they can't reach the primaries of the other zones, whose homes are few.
+#[rstest]
+#[case::cut_off_zone(["c"].as_slice(), true)]
+#[case::lost_to_most_zones([].as_slice(), false)]
+fn primary_is_kept_while_most_zones_reach_it(#[case] reached_from: &[&str], #[case] is_kept: bool) {
+    let mut daemon = Daemon::ready();
+    let report = |name: &str, zone: &str, is_reached: bool| {
+        let leader = vec![server("s-a")];
+        let (reached, unreachable) = match is_reached {
+            true => (leader, Vec::new()),
+            false => (Vec::new(), leader),
+        };
+        PermissionRecord {
+            until: StoreTime(Duration::from_secs(500)),
+            reached,
+            unreachable,
+            ..presence(name, zone)
+        }
+    };
+    for n in 0..9 {
+        let record = report(&format!("b-{n}"), "b", false);
+        daemon.store.add_permission(record);
+    }
+    let record = report("c-1", "c", reached_from.contains(&"c"));
+    daemon.store.add_permission(record);
+    daemon.advance(3_000);
+    let leader = &daemon.store.leaders.leaders[&service()].0.leader;
+    assert_eq!(*leader == server("s-a"), is_kept);
+}
