--- a/sapphireslip-lead/src/permission.rs
+++ b/sapphireslip-lead/src/permission.rs
@@ -56,6 +56,10 @@
 /// The time after which an unanswered renewal is sent again.
 const RENEWAL_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// The longest pause of an idle daemon after a renewal that got no answer, well within the time for which
+/// its earlier row shows it as alive.
+const IDLE_RENEWAL_RETRY_MAX: Duration = Duration::from_secs(4);
+
 /// The least time between a renewal and a following one that only reports a change of the
 /// unreachable leaders.
 const REPORT_EVERY_MIN: Duration = Duration::from_millis(150);
@@ -85,6 +89,8 @@
         is_renewal_pending: bool,
         /// Whether the last renewal ended without an answer, so that it may have been done.
         is_outcome_unknown: bool,
+        /// How many renewals in a row got no answer.
+        unanswered_renewals: u32,
         /// When the next regular renewal is due.
         next_renewal: Instant,
         /// The earliest time for another renewal while the permission is missing.
@@ -271,7 +277,11 @@
     ) {
         self.permission.is_renewal_pending = false;
         self.permission.is_outcome_unknown = outcome == WriteOutcome::Unknown;
-        if outcome != WriteOutcome::Unknown {
+        if outcome == WriteOutcome::Unknown {
+            let unanswered = &mut self.permission.unanswered_renewals;
+            *unanswered = unanswered.saturating_add(1);
+        } else {
+            self.permission.unanswered_renewals = 0;
             self.permission.last_renewal_duration = self.now.since(sent);
         }
         match outcome {
@@ -300,12 +310,27 @@
                 }
                 self.permission.next_renewal = self.now + RENEWAL_RETRY_AFTER / 4;
             }
-            WriteOutcome::Unknown => self.permission.next_renewal = self.now + RENEWAL_RETRY_AFTER,
+            WriteOutcome::Unknown => {
+                self.permission.next_renewal = self.now + self.renewal_retry_pause();
+            }
         }
         self.note_permission_change();
         self.run_all_queues();
     }
 
+    /// Returns the pause after a renewal that got no answer. The row of an idle daemon only shows that it
+    /// is alive, so that it tries less and less often.
+    fn renewal_retry_pause(&self) -> Duration {
+        if self.needs_permission() {
+            return RENEWAL_RETRY_AFTER;
+        }
+        let doublings = self.permission.unanswered_renewals.saturating_sub(1);
+        let factor = 2_u32.saturating_pow(doublings);
+        RENEWAL_RETRY_AFTER
+            .saturating_mul(factor)
+            .min(IDLE_RENEWAL_RETRY_MAX)
+    }
+
     /// Records the permissions of all daemons; `table` is none if the store did not answer.
     ///
     /// The first table tells whether an earlier run on this VM left a row.
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -133,7 +133,7 @@
     /// Sends the reads of the store that are due.
     pub(crate) fn read_store(&mut self) {
         let is_idle = !self.needs_permission();
-        let is_list_due = if self.servers.is_list_overdue(self.now) {
+        let is_list_due = if !is_idle && self.servers.is_list_overdue(self.now) {
             self.reads.servers.is_retry_due(self.now)
         } else {
             self.reads.servers.is_due(self.now, self.servers_interval())
--- a/sapphireslip-lead/tests/told_tables.rs
+++ b/sapphireslip-lead/tests/told_tables.rs
@@ -244,3 +244,20 @@
     let now = daemon.store.now(daemon.millis);
     assert_eq!(table.now.0 + age, now.0);
 }
+
+/// Guards against calls to a store that turns a third of a large fleet away: each of its idle daemons used
+/// to write its row four times and to read the list of servers twice and a half times a second.
+#[rstest]
+fn idle_daemon_that_is_turned_away_calls_less_and_less_often() {
+    let mut daemon = idle();
+    follow(&mut daemon, 10_000);
+    daemon.store_answers = false;
+    follow(&mut daemon, 10_000);
+    let calls = daemon.store_calls;
+    follow(&mut daemon, 10_000);
+    assert!(
+        daemon.store_calls - calls <= 5,
+        "{}",
+        daemon.store_calls - calls
+    );
+}
--- a/sapphireslipd/src/store_watch.rs
+++ b/sapphireslipd/src/store_watch.rs
@@ -21,6 +21,10 @@
 /// The pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
+/// The longest pause after several failures in a row of the watch of the configuration. A new leader is
+/// waited for by clients, a new configuration has seconds to take effect.
+const CATALOG_RETRY_PAUSE_MAX: Duration = Duration::from_secs(1);
+
 /// A table to be watched.
 #[derive(Debug)]
 pub(crate) struct Watch {
@@ -76,6 +80,11 @@
         is_valid: false,
     };
     let mut is_unreachable = false;
+    let pause_max = match watch.is_configuration {
+        true => CATALOG_RETRY_PAUSE_MAX,
+        false => RETRY_PAUSE,
+    };
+    let mut pause = RETRY_PAUSE;
     while !events.is_disconnected() {
         if !watch.is_needed.load(Ordering::Relaxed) {
             tokio::time::sleep(NEED_CHECK_INTERVAL).await;
@@ -86,9 +95,11 @@
         log_reachability(&mut is_unreachable, table, rows.is_some());
         let Some(rows) = rows else {
             progress.tell_failure(&events).await;
-            tokio::time::sleep(RETRY_PAUSE).await;
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(pause_max);
             continue;
         };
+        pause = RETRY_PAUSE;
         let mut version = rows.version();
         progress.is_valid = send_event(&events, decode(&rows)).await;
         progress.tell_answer(&events, sent, rows.now()).await;
