Restart: sessions wait for homes that are starting instead of scattering

A home that had not read its tables refused forwarded sessions, and all daemons of the fleet left it out. After a restart of all 81 VMs 53 of them took permissions, connections and parts of limits. Now a forwarded session waits up to 0.3 s, and a refused one is offered to the same home three times.

--- a/sapphireslip-lead/src/client.rs
+++ b/sapphireslip-lead/src/client.rs
@@ -42,7 +42,7 @@
         }
     }
 
-    /// Serves, forwards or refuses a new session, or lets it wait until the daemon can place it.
+    /// Serves, forwards or refuses a new session, or lets it wait until the daemon can place or take it.
     ///
     /// `forwarder_version` is the configuration version of the daemon that forwarded the session. A
     /// daemon with an older configuration refuses it, and so does one that may not take sessions or
@@ -54,27 +54,40 @@
         forwarder_version: Option<u64>,
     ) {
         match forwarder_version {
-            None if self.can_place_sessions() => self.place_session(session, client),
-            None => self.waiting_sessions.push(WaitingSession {
+            None if self.can_place_sessions() => self.place_session(session, client, 0),
+            Some(version) if !self.should_wait_for_start() => {
+                self.take_forwarded_session(session, client, version);
+            }
+            forwarder_version => self.waiting_sessions.push(WaitingSession {
                 session,
                 client,
-                arrived: self.now,
+                forwarder_version,
+                refusals: 0,
+                from: self.now,
             }),
-            Some(forwarder_version) => {
-                let version = self.catalog.as_ref().map(|catalog| catalog.version);
-                let may_take = self.may_take_sessions() && !self.reach.is_cut_off();
-                if version < Some(forwarder_version) || !may_take {
-                    let failure = busy("another daemon should serve this session", RETRY_ELSEWHERE);
-                    self.refuse_session(session, failure);
-                } else if self.admit_session(session, &client).is_some() {
-                    self.serve_session(session, client, true);
-                }
-            }
         }
     }
 
-    /// Forwards a client's session to the home of its service, or serves it on this daemon.
-    pub(crate) fn place_session(&mut self, session: SessionId, client: Opening) {
+    /// Serves a session that a daemon with this version of the configuration forwarded, or refuses it.
+    pub(crate) fn take_forwarded_session(
+        &mut self,
+        session: SessionId,
+        client: Opening,
+        forwarder_version: u64,
+    ) {
+        let version = self.catalog.as_ref().map(|catalog| catalog.version);
+        let may_take = self.may_take_sessions() && !self.reach.is_cut_off();
+        if version < Some(forwarder_version) || !may_take {
+            let failure = busy("another daemon should serve this session", RETRY_ELSEWHERE);
+            self.refuse_session(session, failure);
+        } else if self.admit_session(session, &client).is_some() {
+            self.serve_session(session, client, true);
+        }
+    }
+
+    /// Forwards a client's session, which was refused `refusals` times, to the home of its service, or
+    /// serves it on this daemon.
+    pub(crate) fn place_session(&mut self, session: SessionId, client: Opening, refusals: u8) {
         let Some(service) = self.admit_session(session, &client) else {
             return;
         };
@@ -84,7 +97,7 @@
             home => home,
         };
         match home {
-            Some(home) => self.forward_session(session, client, home, 0),
+            Some(home) => self.forward_session(session, client, home, refusals),
             None => self.serve_session(session, client, false),
         }
     }
--- a/sapphireslip-lead/src/relays.rs
+++ b/sapphireslip-lead/src/relays.rs
@@ -225,12 +225,15 @@
         let Some(relay) = self.relays.sessions.remove(&id) else {
             return;
         };
+        let refusals = relay.refusals + 1;
+        if is_refused && self.offer_again(id, &relay.client, refusals) {
+            return;
+        }
         if is_refused {
             self.avoid(&relay.vm, AVOID_REFUSING);
         } else if !self.relays.has_answered_lately(&relay.vm, self.now) {
             self.avoid(&relay.vm, AVOID_SILENT);
         }
-        let refusals = relay.refusals + 1;
         let route = self.route_to(&relay.client.database);
         let service = route.map(|route| route.service.clone());
         let next = service.and_then(|service| {
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -130,6 +130,11 @@
 }
 
 impl State {
+    /// Returns whether this daemon has just started, so that others may be starting too.
+    pub(crate) fn is_starting(&self) -> bool {
+        self.now.since_start < START_PHASE
+    }
+
     /// Sends the reads of the store that are due.
     pub(crate) fn read_store(&mut self) {
         let is_idle = !self.needs_permission();
@@ -152,7 +157,7 @@
             (true, false) if self.awaits_share_reports() => PERMISSIONS_EVERY_LEADER_UNREACHABLE,
             (true, false) => PERMISSIONS_EVERY_COORDINATOR,
             (false, _) if self.permissions.is_none() => PERMISSIONS_EVERY_UNREAD,
-            (false, _) if self.now.since_start < START_PHASE => PERMISSIONS_EVERY_START,
+            (false, _) if self.is_starting() => PERMISSIONS_EVERY_START,
             (false, _) if is_idle && self.now.since_start < SETTLING_PHASE => {
                 PERMISSIONS_EVERY_IDLE
             }
