--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -173,8 +173,12 @@
         }
     }
 
-    /// Returns the interval at which an idle daemon learns the permissions of all daemons.
+    /// Returns the interval at which an idle daemon learns the permissions of all daemons: often while it
+    /// has no place for most sessions, which the reports in them may change.
     pub(crate) fn idle_permissions_interval(&self) -> Duration {
+        if self.reach.is_cut_off() {
+            return PERMISSIONS_EVERY_COORDINATOR;
+        }
         self.idle_interval(PERMISSIONS_EVERY_IDLE, PERMISSIONS_EVERY_IDLE_MAX)
     }
 
--- a/sapphireslip-lead/src/told_tables.rs
+++ b/sapphireslip-lead/src/told_tables.rs
@@ -114,9 +114,10 @@
         let Some((vm, address)) = self.choose_reader() else {
             return;
         };
-        let wants_permissions = self.table_relay.permissions_due <= self.now;
-        let wait = match self.follows_reader() && !wants_permissions {
-            true => TABLES_WAIT,
+        let due = self.table_relay.permissions_due;
+        let wants_permissions = due <= self.now;
+        let wait = match self.follows_reader() {
+            true => due.since(self.now).min(TABLES_WAIT),
             false => Duration::ZERO,
         };
         self.table_relay.reader = Some(vm);
@@ -176,8 +177,7 @@
     ///
     /// They may be older than those that this daemon has read since.
     fn on_told_permissions(&mut self, table: PermissionTable, age: Duration, sent: Instant) {
-        let every = self.idle_permissions_interval();
-        self.table_relay.permissions_due = self.now + every;
+        self.table_relay.permissions_due = self.now + self.idle_permissions_interval();
         let is_newer = self
             .permissions
             .as_ref()
