--- a/sapphireslip-lead/src/told_tables.rs
+++ b/sapphireslip-lead/src/told_tables.rs
@@ -13,7 +13,7 @@
 use sapphireslip_core::{Instant, SessionId, VmId, data};
 
 use crate::state::State;
-use crate::{Effect, PermissionRecord, PermissionTable, RowVersion, ToldCatalog};
+use crate::{Effect, PermissionTable, ToldCatalog};
 
 /// How long a reader holds a request while the configuration does not change.
 pub const TABLES_WAIT: Duration = Duration::from_secs(1);
@@ -94,13 +94,6 @@
         !self.needs_permission() && last.is_some_and(|at| self.now.since(at) < ANSWER_AGE_MAX)
     }
 
-    /// Returns the permissions of all daemons as this one knows them, each with its row's version.
-    #[must_use]
-    pub fn permission_rows(&self) -> Option<&[(PermissionRecord, RowVersion)]> {
-        let table = self.permissions.as_ref();
-        table.map(|table| table.permissions.as_slice())
-    }
-
     /// Returns whether this daemon reads the tables from a store that answers.
     fn is_reader(&self) -> bool {
         self.needs_permission() && self.permission.is_valid(self.now) && !self.has_store_failed()
