Watch of the configuration: a short settling time leaves a wait of at least 0.4 s

With a settling time of 1.8 s or less, the margin for followers left no wait at all, and the store would have been asked without a pause.

--- a/sapphireslipd/src/store_watch.rs
+++ b/sapphireslipd/src/store_watch.rs
@@ -15,6 +15,14 @@
 /// may wait: the timeout of the call and a read on a new connection.
 const WATCH_MARGIN: Duration = Duration::from_millis(600);
 
+/// The time in which the daemons that follow this one learn of a new configuration: their requests
+/// are held for [`TABLES_WAIT`], and an answer takes a round trip.
+const FOLLOWERS_MARGIN: Duration = TABLES_WAIT.saturating_add(Duration::from_millis(200));
+
+/// The least time for which the store may wait before it answers a watch, however short the settling
+/// time is: without a wait, the calls would follow one another without a pause.
+const WATCH_WAIT_MIN: Duration = Duration::from_millis(400);
+
 /// How often it is checked whether a table has to be watched, while it need not be.
 const NEED_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -52,14 +60,11 @@
 
 /// Returns how long the store may wait before it answers a watch of the configuration, which other
 /// daemons learn from this one.
-pub(crate) const fn catalog_wait_within(settle_time: Duration) -> Duration {
-    wait_within(settle_time).saturating_sub(FOLLOWERS_MARGIN)
+pub(crate) fn catalog_wait_within(settle_time: Duration) -> Duration {
+    let wait = wait_within(settle_time).saturating_sub(FOLLOWERS_MARGIN);
+    wait.max(WATCH_WAIT_MIN)
 }
 
-/// The time in which the daemons that follow this one learn of a new configuration: their requests
-/// are held for [`TABLES_WAIT`], and an answer takes a round trip.
-const FOLLOWERS_MARGIN: Duration = TABLES_WAIT.saturating_add(Duration::from_millis(200));
-
 /// Watches a table until the receiver of `events` is dropped.
 pub(crate) async fn watch(
     client: StoreClient,
