Review: one way to pass on another daemon's request, one limit on an account's connections

Three openings of other daemons sent their event and served the connection in the same lines, and the connections that are kept unused were counted by a second formula with the value of the limit. No behaviour changes.

--- a/sapphireslip-lead/src/timeouts.rs
+++ b/sapphireslip-lead/src/timeouts.rs
@@ -289,7 +289,7 @@
             let is_used = service.is_some_and(|service| self.works_with(service));
             let kept_min = if is_used { UNUSED_CONNECTIONS_KEPT } else { 0 };
             let kept = if is_used && self.has_accounts() {
-                (self.connections_share(&server) / 2).max(kept_min)
+                self.connections_max(&server)
             } else {
                 kept_min
             };
--- a/sapphireslipd/src/lead_clients.rs
+++ b/sapphireslipd/src/lead_clients.rs
@@ -221,26 +221,16 @@
                         generation,
                         servers,
                     };
-                    // Fails only if the daemon is already stopping.
-                    let _stopping = task.events.send_async(event).await;
-                    return task.serve().await.map(|_| ());
+                    return task.ask(event).await;
                 }
                 PeerOpening::ShareRequest(request) => return task.serve_shares(request).await,
                 PeerOpening::CatalogRequest(version) => {
-                    let event = Event::CatalogAsked {
-                        session: id,
-                        version,
-                    };
-                    // Fails only if the daemon is already stopping.
-                    let _stopping = task.events.send_async(event).await;
-                    return task.serve().await.map(|_| ());
+                    let session = id;
+                    return task.ask(Event::CatalogAsked { session, version }).await;
                 }
                 PeerOpening::TablesRequest(request) => {
                     let session = id;
-                    let event = Event::TablesAsked { session, request };
-                    // Fails only if the daemon is already stopping.
-                    let _stopping = task.events.send_async(event).await;
-                    return task.serve().await.map(|_| ());
+                    return task.ask(Event::TablesAsked { session, request }).await;
                 }
             }
         }
@@ -388,6 +378,13 @@
         let _stopping = self.events.send_async(Event::Client(event)).await;
     }
 
+    /// Passes on another daemon's request, and serves the connection until it is answered.
+    async fn ask(&mut self, request: Event) -> io::Result<()> {
+        // Fails only if the daemon is already stopping.
+        let _stopping = self.events.send_async(request).await;
+        self.serve().await.map(|_| ())
+    }
+
     /// Sends the client a failure with the code for malformed input, and closes the connection.
     async fn refuse(&mut self, text: &str) -> io::Result<()> {
         let mut bytes = Vec::new();
