--- a/review/common/members.rs
+++ b/review/common/members.rs
@@ -454,6 +454,11 @@
         };
         state.runs.push(run.clone());
         drop(state);
+        let shape = run.shape.as_ref().map_or_else(String::new, |shape| format!(" (prepared as `{shape}`)"));
+        self.record.line(&format!(
+            "member {}: ran {} `{}`{shape} on connection {}: {}",
+            run.member, run.id, run.text, run.connection, run.outcome
+        ));
         if run.outcome.starts_with("ERROR") {
             return format!("{}\r\n", run.outcome);
         }
