--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -36,7 +36,7 @@
     store.put("op", "config", &configuration(7, &routes, &[("huvo11a", 16)]));
     let settings = GroupSettings {
         service: "huvo11a", slots: 2, connections: 16,
-        work: Duration::from_millis(3), promote: Duration::from_millis(300),
+        work: Duration::from_millis(3), promote: Duration::from_millis(300), sync_replicas: 0,
     };
     let group = Group::start(settings, &["a", "b", "c"], &store, &record)?;
     let mut daemons = Vec::new();
--- a/review/common/members.rs
+++ b/review/common/members.rs
@@ -26,6 +26,9 @@
     /// How long a read, write or commit takes a slot.
     pub work: Duration,
     pub promote: Duration,
+    /// `sync_replicas` of the service: how many replicas must have received a commit before it is
+    /// acknowledged.
+    pub sync_replicas: usize,
 }
 
 /// One statement of a client that a member has run.
@@ -78,6 +81,11 @@
     busy: usize,
     waiting: VecDeque<u64>,
     open: usize,
+    /// Whether the member receives nothing from the primary.
+    is_deaf: bool,
+    /// Whether the member is down: it accepts no connection.
+    is_down: bool,
+    streams: Vec<TcpStream>,
 }
 
 #[derive(Default)]
@@ -115,6 +123,9 @@
                 busy: 0,
                 waiting: VecDeque::new(),
                 open: 0,
+                is_deaf: false,
+                is_down: false,
+                streams: Vec::new(),
             });
             listeners.push(listener);
         }
@@ -147,7 +158,9 @@
             beating.register(n);
             std::thread::spawn(move || loop {
                 std::thread::sleep(Duration::from_millis(1_200));
-                beating.register(n);
+                if !beating.state.lock().unwrap().members[n].is_down {
+                    beating.register(n);
+                }
             });
         }
         Ok(group)
@@ -186,10 +199,27 @@
         self.register(n);
     }
 
+    /// Has a replica receive nothing from now on.
+    pub fn deafen(&self, n: usize) {
+        let mut state = self.state.lock().unwrap();
+        state.members[n].is_deaf = true;
+        self.record.line(&format!("member {}: receives nothing from now on", state.members[n].id));
+    }
+
+    /// Ends a member's process: its connections break, and new ones are refused.
+    pub fn crash(&self, n: usize) {
+        let mut state = self.state.lock().unwrap();
+        state.members[n].is_down = true;
+        self.record.line(&format!("member {}: crashes", state.members[n].id));
+        for stream in state.members[n].streams.drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
     /// Carries out `POST /promote`; returns false if the group has no such member.
     pub fn promote(self: &Arc<Self>, id: &str) -> bool {
         let mut state = self.state.lock().unwrap();
-        let Some(n) = state.members.iter().position(|member| member.id == id) else {
+        let Some(n) = state.members.iter().position(|member| member.id == id && !member.is_down) else {
             return false;
         };
         let newest = state.members.iter().map(|member| member.term).max();
@@ -230,7 +260,7 @@
             }
             if member.is_primary {
                 old.push(other);
-            } else {
+            } else if !member.is_down {
                 member.term = newest + 1;
                 member.log.clone_from(&log);
                 changed.push(other);
@@ -288,6 +318,12 @@
     fn serve(self: Arc<Self>, n: usize, stream: TcpStream) {
         let number = {
             let mut state = self.state.lock().unwrap();
+            if state.members[n].is_down {
+                return;
+            }
+            if let Ok(clone) = stream.try_clone() {
+                state.members[n].streams.push(clone);
+            }
             state.connections += 1;
             state.members[n].open += 1;
             state.connections
@@ -524,10 +560,17 @@
             return Err(format!("READONLY {}", state.members[n].id));
         }
         let term = state.members[n].term;
-        for member in state.members.iter_mut().filter(|member| member.term == term) {
-            member.log.extend(writes.iter().cloned());
+        let mut received = 0;
+        for (other, member) in state.members.iter_mut().enumerate() {
+            if other == n || (member.term == term && !member.is_deaf && !member.is_down) {
+                member.log.extend(writes.iter().cloned());
+                received += usize::from(other != n);
+            }
+        }
+        match received < self.settings.sync_replicas {
+            true => Err("TIMEOUT no replica has received the commit".to_owned()),
+            false => Ok((Vec::new(), writes)),
         }
-        Ok((Vec::new(), writes))
     }
 
     fn leads(&self, n: usize) -> bool {
--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -47,6 +47,11 @@
 /// Returns the operator's configuration with routes and services; each of the latter with its
 /// highest number of connections.
 pub fn configuration(version: u64, routes: &[Route], services: &[(&str, usize)]) -> String {
+    configuration_with_sync(version, routes, services, 0)
+}
+
+/// Returns the same with `sync_replicas` for all services.
+pub fn configuration_with_sync(version: u64, routes: &[Route], services: &[(&str, usize)], sync: usize) -> String {
     let route = |route: &Route| {
         format!(
             "{{\"name\":\"r-{0}\",\"database_name\":\"{0}\",\"prefix\":\"/\",\"type\":\"{1}\",\"timeout_ms\":{2},\"target_latency_ms\":{3},\"priority\":1,\"service\":\"{4}\",\"max_attempts\":2,\"max_staleness_ms\":{5}}}",
@@ -55,7 +60,7 @@
     };
     let routes: Vec<String> = routes.iter().map(route).collect();
     let service = |(name, connections): &(&str, usize)| {
-        format!("{{\"name\":\"{name}\",\"health_path\":\"/healthz\",\"max_connections\":{connections},\"protocol\":\"h1\",\"tls\":false,\"sync_replicas\":0}}")
+        format!("{{\"name\":\"{name}\",\"health_path\":\"/healthz\",\"max_connections\":{connections},\"protocol\":\"h1\",\"tls\":false,\"sync_replicas\":{sync}}}")
     };
     let services: Vec<String> = services.iter().map(service).collect();
     format!(
