--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -1,17 +1,32 @@
-//! The primary of a service with `sync_replicas` crashes while the only replica that has all of its
-//! commits is draining.
+//! A planned stop while clients send one statement after the other.
 
 #[path = "../common/mod.rs"]
 mod common;
 
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
-use common::daemons::{Client, Daemon, wait_for_daemons};
+use common::daemons::{Client, Daemon, SIGTERM, wait_for_daemons};
 use common::members::{wait_until, Group, GroupSettings};
 use common::record::Record;
 use common::store::Store;
-use common::{configuration_with_sync, has_trouble, Folder, Route};
+use common::{configuration, has_trouble, Folder, Route};
+
+/// `grace_s`.
+const GRACE_MS: f64 = 6_000.0;
+
+/// The clients of the daemon that is stopped. Each sends its next statement when it has the answer to
+/// the one before.
+const CLIENTS: usize = 5;
+
+/// A statement that was sent and whose connection ended without a complete answer.
+struct Unanswered {
+    id: String,
+    sent_ms: f64,
+    ended_ms: f64,
+}
 
 fn main() -> ExitCode {
     match run() {
@@ -30,13 +45,13 @@
     let folder = Folder::create("5")?;
     let store = Store::new(record.clone());
     let routes = [Route {
-        database: "lepu270", service: "huvo11a", kind: "primary",
-        timeout_ms: 800, target_ms: 100, staleness_ms: 0,
+        database: "xapu221ny95", service: "huvo11a", kind: "bounded_staleness",
+        timeout_ms: 1_200, target_ms: 300, staleness_ms: 1_500,
     }];
-    store.put("op", "config", &configuration_with_sync(7, &routes, &[("huvo11a", 16)], 1));
+    store.put("op", "config", &configuration(7, &routes, &[("huvo11a", 16)]));
     let settings = GroupSettings {
         service: "huvo11a", slots: 2, connections: 16,
-        work: Duration::from_millis(3), promote: Duration::from_millis(300), sync_replicas: 1,
+        work: Duration::from_millis(90), promote: Duration::from_millis(300), sync_replicas: 0,
     };
     let group = Group::start(settings, &["a", "b", "c"], &store, &record)?;
     let mut daemons = Vec::new();
@@ -45,35 +60,81 @@
     }
     wait_for_daemons(&daemons, &record)?;
     std::thread::sleep(Duration::from_secs(2));
-    let mut client = Client::open("c1", daemons[1].callers, "lepu270", &record)?;
-    // Planned work: one replica is about to be replaced. It goes on for `drain_ms` and longer.
-    group.drain(2);
-    std::thread::sleep(Duration::from_millis(2_500));
+    let (first, other) = (daemons[1].callers, daemons[2].callers);
+    let is_over = Arc::new(AtomicBool::new(false));
+    let mut workers = Vec::new();
+    for n in 0..CLIENTS {
+        let (record, is_over) = (record.clone(), Arc::clone(&is_over));
+        workers.push(std::thread::spawn(move || {
+            let mut unanswered = Vec::new();
+            let mut answered = 0;
+            let mut sessions = 0;
+            while !is_over.load(Ordering::Relaxed) {
+                sessions += 1;
+                let to = if sessions == 1 { first } else { other };
+                let name = format!("c{n}.{sessions}");
+                let Ok(mut client) = Client::open(&name, to, "xapu221ny95", &record) else {
+                    std::thread::sleep(Duration::from_millis(50));
+                    continue;
+                };
+                while !is_over.load(Ordering::Relaxed) {
+                    let sent_ms = record.now();
+                    let Ok(id) = client.send("READ 1a4") else { break };
+                    if client.answer().is_err() {
+                        unanswered.push(Unanswered { id, sent_ms, ended_ms: record.now() });
+                        break;
+                    }
+                    answered += 1;
+                }
+            }
+            (unanswered, answered)
+        }));
+    }
+    std::thread::sleep(Duration::from_secs(3));
+    let stopped_ms = record.now();
     if has_trouble() {
-        group.deafen(1);
+        record.say("the daemon vm-b gets SIGTERM");
+        daemons[1].signal(SIGTERM);
     }
-    // Writes for two seconds; an answer is a success if the commit is acknowledged.
-    let mut acknowledged = Vec::new();
-    for n in 0..40 {
-        let data = format!("paid-{n}");
-        let (_, answer) = client.ask(&format!("WRITE {n:x} {data}"))?;
-        if answer.is_success() {
-            acknowledged.push((format!("{n:x}"), data));
-        }
-        std::thread::sleep(Duration::from_millis(50));
+    let stopped = &mut daemons[1];
+    let has_ended = wait_until(Duration::from_millis(GRACE_MS as u64), || stopped.has_ended());
+    if has_ended {
+        record.say(&format!("the daemon vm-b ended {:.0} ms after SIGTERM", record.now() - stopped_ms));
     }
-    record.say(&format!("{} writes were acknowledged", acknowledged.len()));
-    if has_trouble() {
-        group.crash(0);
-        if !wait_until(Duration::from_secs(7), || !group.promotes().is_empty()) {
-            record.say("no promote took effect within 7 s");
-        }
+    std::thread::sleep(Duration::from_secs(2));
+    is_over.store(true, Ordering::Relaxed);
+    let (mut unanswered, mut answered) = (Vec::new(), 0);
+    for worker in workers {
+        let (some, count) = worker.join().unwrap();
+        unanswered.extend(some);
+        answered += count;
     }
-    let log = group.log();
-    let lost: Vec<_> = acknowledged.iter().filter(|entry| !log.contains(entry)).collect();
-    if !group.promotes().is_empty() && !lost.is_empty() {
-        record.say(&format!("LOST: the promoted member lacks {} of {} acknowledged commits", lost.len(), acknowledged.len()));
-        return Ok(true);
+    std::thread::sleep(Duration::from_millis(300));
+    let runs = group.runs();
+    let mut broken = 0;
+    for Unanswered { id, sent_ms, ended_ms } in &unanswered {
+        let Some(run) = runs.iter().find(|run| run.id == *id) else {
+            record.say(&format!("{id} has no answer and was run by no member: not counted"));
+            continue;
+        };
+        let after = sent_ms - stopped_ms;
+        let excuse = match () {
+            () if !has_trouble() || after < 0.0 => "sent before the stop",
+            () if ended_ms - stopped_ms > GRACE_MS + 1_000.0 => "later than 1 s after the grace time",
+            () if after <= 3_000.0 => "sent within 3 s after SIGTERM and at work at the end",
+            () if ended_ms - sent_ms >= 1_200.0 => "the route's timeout was reached",
+            () => "",
+        };
+        if excuse.is_empty() {
+            broken += 1;
+            record.say(&format!(
+                "LOST: {id}, sent {after:.0} ms after SIGTERM, was passed on to {}, and the connection ended {:.0} ms later without an answer",
+                run.member, ended_ms - sent_ms,
+            ));
+        } else {
+            record.say(&format!("{id} has no answer: not counted, {excuse}"));
+        }
     }
-    Ok(false)
+    record.say(&format!("{answered} statements were answered, {broken} lost"));
+    Ok(broken > 0)
 }
