--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -3,6 +3,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 
+use std::collections::BTreeMap;
 use std::process::ExitCode;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -14,40 +15,20 @@
 use common::store::{Store, Treatment};
 use common::{configuration, has_trouble, Folder, Route};
 
-/// How often the coordinator reads the list of members.
-const LIST_READ_EVERY: Duration = Duration::from_millis(1_500);
-
-/// How often a daemon renews its permission.
-const RENEWAL_EVERY: Duration = Duration::from_millis(720);
-
-/// How long after the first lost renewal a daemon sends its third; it may be 0.24 s later.
-const THIRD_AFTER_FIRST: Duration = Duration::from_millis(2_790);
+/// The clients, each with one transaction.
+const CLIENTS: usize = 7;
 
-/// The time from that third renewal until the coordinator reads the list of members.
-const GAP_MIN: Duration = Duration::from_millis(290);
-const GAP_MAX: Duration = Duration::from_millis(440);
+/// The pause between two statements of a transaction.
+const STATEMENT_PAUSE: Duration = Duration::from_millis(300);
 
-const CLIENTS: usize = 7;
+/// How long after the promote has taken effect the store serves the daemon again.
+const BACK_AFTER: Duration = Duration::from_millis(50);
 
 /// The pause between the commits of two clients.
-const COMMIT_SPACING: Duration = Duration::from_millis(80);
-
-/// How much later the store does the writes whose answers it loses.
-const LATE: Duration = Duration::from_millis(4_000);
+const COMMIT_SPACING: Duration = Duration::from_millis(90);
 
-/// The most answers that the store loses.
-const LOST_MAX: usize = 3;
-
-/// What the store has lost, shared with its threads.
-#[derive(Default)]
-struct Losses {
-    /// The daemon whose writes get no answers; none before the losses begin.
-    of: Option<String>,
-    /// When each lost write came.
-    at: Vec<Instant>,
-    /// All writes since the losses began.
-    writes: usize,
-}
+/// The longest time for which the store may turn the daemon away.
+const AWAY_MAX: Duration = Duration::from_secs(9);
 
 fn main() -> ExitCode {
     match run() {
@@ -102,23 +83,12 @@
         clients.push(Client::open(&format!("c{n}"), entry.callers, "lepu270", &record)?);
     }
     std::thread::sleep(Duration::from_millis(1_500));
-    let losses = Arc::new(Mutex::new(Losses::default()));
-    let counts = Arc::new(Mutex::new(std::collections::BTreeMap::<String, (usize, Instant)>::new()));
+    // Count the renewals of the zone's daemons.
+    let counts = Arc::new(Mutex::new(BTreeMap::<String, usize>::new()));
     {
-        let (losses, counts) = (Arc::clone(&losses), Arc::clone(&counts));
+        let counts = Arc::clone(&counts);
         store.set_treatment(Box::new(move |daemon, _| {
-            let mut losses = losses.lock().unwrap();
-            let mut counts = counts.lock().unwrap();
-            let entry = counts.entry(daemon.to_owned()).or_insert((0, Instant::now()));
-            entry.0 += 1;
-            entry.1 = Instant::now();
-            if losses.of.is_some() {
-                losses.writes += 1;
-                if losses.of.as_deref() == Some(daemon) && losses.at.len() < LOST_MAX {
-                    losses.at.push(Instant::now());
-                    return Treatment::LoseAndDoLater(LATE);
-                }
-            }
+            *counts.lock().unwrap().entry(daemon.to_owned()).or_default() += 1;
             Treatment::Answer
         }));
     }
@@ -126,61 +96,46 @@
     let home = {
         let counts = counts.lock().unwrap();
         let of_zone = counts.iter().filter(|(name, _)| name.contains(zone));
-        of_zone.max_by_key(|(_, (count, _))| *count).map(|(name, _)| name.clone())
+        of_zone.max_by_key(|(_, count)| **count).map(|(name, _)| name.clone())
     };
     let home = home.ok_or_else(|| std::io::Error::other("no daemon of the zone renews its permission"))?;
-    record.say(&format!("the coordinator is {coordinator}, the session is served by {home}"));
+    record.say(&format!("the coordinator is {coordinator}, the sessions are served by {home}"));
 
-    // The disruption: the store loses the answers to this daemon's writes. It begins at a renewal whose
-    // third attempt comes shortly before the coordinator's next read of the list of members.
-    if has_trouble() {
-        let began = Instant::now();
-        loop {
-            let renewed = counts.lock().unwrap().get(&home).map(|(_, at)| *at).unwrap();
-            let read = store.list_reads.lock().unwrap().get(&coordinator).copied().unwrap();
-            let third = renewed + RENEWAL_EVERY + THIRD_AFTER_FIRST;
-            let mut next_read = read + LIST_READ_EVERY;
-            while next_read < third {
-                next_read += LIST_READ_EVERY;
-            }
-            let gap = next_read - third;
-            if (GAP_MIN..GAP_MAX).contains(&gap) && renewed.elapsed() < Duration::from_millis(500) {
-                record.line(&format!("the gap should be {} ms", gap.as_millis()));
-                break;
-            }
-            if began.elapsed() > Duration::from_secs(60) {
-                return Err(std::io::Error::other("no such renewal came"));
-            }
-            std::thread::sleep(Duration::from_millis(5));
-        }
-        losses.lock().unwrap().of = Some(home.clone());
-        if !wait_until(Duration::from_secs(8), || losses.lock().unwrap().at.len() >= 3) {
-            return Err(std::io::Error::other("the daemon did not repeat its renewal twice"));
-        }
-    }
-    // The primary reports that it is draining, and each client begins a transaction and writes.
-    group.drain(0);
+    // Each client begins a transaction and writes, and goes on with reads.
     for client in &mut clients {
         let (_, begun) = client.ask("BEGIN")?;
         let (_, written) = client.ask(&format!("WRITE {0} paid-{0}", client.name))?;
         if !begun.is_success() || !written.is_success() {
-            record.say(&format!("client {} began no transaction: {}", client.name, written.end));
+            return Err(std::io::Error::other(format!("no transaction began: {written:?}")));
         }
     }
-    if !wait_until(Duration::from_secs(15), || !group.promotes().is_empty()) {
-        return Err(std::io::Error::other("no promote took effect"));
+    // The disruption: the store turns the daemon away.
+    let away = Instant::now();
+    if has_trouble() {
+        store.turn_away(Some(&home));
+    }
+    // Planned work, in both runs: the primary is to be replaced.
+    std::thread::sleep(STATEMENT_PAUSE);
+    group.drain(0);
+    while group.promotes().is_empty() && away.elapsed() < AWAY_MAX {
+        let next = Instant::now() + STATEMENT_PAUSE;
+        for client in &mut clients {
+            client.ask(&format!("READ {}", client.name))?;
+        }
+        wait_until(next.saturating_duration_since(Instant::now()), || !group.promotes().is_empty());
     }
-    let promoted = group.promotes()[0];
+    let Some(promoted) = group.promotes().first().copied() else {
+        return Err(std::io::Error::other("no promote took effect"));
+    };
+    std::thread::sleep(BACK_AFTER);
+    store.turn_away(None);
+    record.say(&format!("the store turned {home} away for {} ms", away.elapsed().as_millis()));
     let mut commits = Vec::new();
     for client in &mut clients {
         std::thread::sleep(COMMIT_SPACING);
         commits.push((client.name.clone(), client.ask("COMMIT")?));
     }
     std::thread::sleep(Duration::from_secs(2));
-    {
-        let losses = losses.lock().unwrap();
-        record.say(&format!("the store lost the answers of {} of {} writes", losses.at.len(), losses.writes));
-    }
     let runs = group.runs();
     let log = group.log();
     let mut broken = 0;
--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -19,7 +19,7 @@
 
 /// The clients of the daemon that is stopped. Each sends its next statement when it has the answer to
 /// the one before.
-const CLIENTS: usize = 5;
+const CLIENTS: usize = 10;
 
 /// A statement that was sent and whose connection ended without a complete answer.
 struct Unanswered {
--- a/review/common/store.rs
+++ b/review/common/store.rs
@@ -38,6 +38,8 @@
     changed: Condvar,
     started: Instant,
     treat: Mutex<Treat>,
+    /// The daemon that the store turns away with 503.
+    turned_away: Mutex<Option<String>>,
     /// When each daemon last asked for the list of members.
     pub list_reads: Mutex<BTreeMap<String, Instant>>,
     groups: Mutex<Vec<Arc<Group>>>,
@@ -58,6 +60,7 @@
             changed: Condvar::new(),
             started: Instant::now(),
             treat: Mutex::new(Box::new(|_, _| Treatment::Answer)),
+            turned_away: Mutex::default(),
             list_reads: Mutex::default(),
             groups: Mutex::default(),
             record,
@@ -72,6 +75,17 @@
         *self.treat.lock().unwrap() = treat;
     }
 
+    /// Answers all calls of a daemon with 503 from now on, also open watches, or of none.
+    pub fn turn_away(&self, daemon: Option<&str>) {
+        *self.turned_away.lock().unwrap() = daemon.map(str::to_owned);
+        self.record.line(&format!("store: turns away {daemon:?}"));
+        self.changed.notify_all();
+    }
+
+    fn is_turned_away(&self, daemon: &str) -> bool {
+        self.turned_away.lock().unwrap().as_deref() == Some(daemon)
+    }
+
     /// Writes a row of the operator or of a member.
     pub fn put(&self, table: &str, key: &str, value: &str) {
         let mut rows = self.rows.lock().unwrap();
@@ -132,9 +146,16 @@
 
     /// Answers a request; returns none if its answer is lost.
     fn answer(self: &Arc<Self>, daemon: &str, request: &Request) -> Option<(u16, String)> {
+        let is_store_call = request.path.starts_with("/-/");
+        if is_store_call && self.is_turned_away(daemon) {
+            return Some((503, "{}".to_owned()));
+        }
         match request.path.as_str() {
             "/-/rows-get" => Some((200, self.rows_get(daemon, request))),
-            "/-/rows-feed" => Some((200, self.rows_feed(request))),
+            "/-/rows-feed" => Some(match self.rows_feed(daemon, request) {
+                Some(body) => (200, body),
+                None => (503, "{}".to_owned()),
+            }),
             "/-/rows-tx" => {
                 let body = Json::parse(&request.body);
                 let treatment = (self.treat.lock().unwrap())(daemon, &body);
@@ -186,7 +207,8 @@
         self.page(&found, rows.version)
     }
 
-    fn rows_feed(&self, request: &Request) -> String {
+    /// Waits for a change; returns none if the daemon is turned away meanwhile.
+    fn rows_feed(&self, daemon: &str, request: &Request) -> Option<String> {
         let number = |name: &str| {
             let text = request.query.get(name);
             text.and_then(|text| text.parse::<u64>().ok()).unwrap_or_default()
@@ -199,8 +221,11 @@
             let changed = rows.rows.iter().filter(|((t, _, _), (_, version))| *t == table && *version > after);
             let found: Vec<String> = changed.map(|(key, row)| row_text(key, row)).collect();
             let left = until.saturating_duration_since(Instant::now());
+            if self.is_turned_away(daemon) {
+                return None;
+            }
             if !found.is_empty() || left.is_zero() {
-                return self.page(&found, rows.version);
+                return Some(self.page(&found, rows.version));
             }
             rows = self.changed.wait_timeout(rows, left).unwrap().0;
         }
