--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 use std::process::ExitCode;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -16,7 +17,7 @@
 use common::{configuration, has_trouble, Folder, Route};
 
 /// The clients, each with one transaction.
-const CLIENTS: usize = 7;
+const CLIENTS: usize = 14;
 
 /// The pause between two statements of a transaction.
 const STATEMENT_PAUSE: Duration = Duration::from_millis(300);
@@ -25,7 +26,10 @@
 const BACK_AFTER: Duration = Duration::from_millis(50);
 
 /// The pause between the commits of two clients.
-const COMMIT_SPACING: Duration = Duration::from_millis(90);
+const COMMIT_SPACING: Duration = Duration::from_millis(45);
+
+/// The longest pause between two renewals that the store rejects.
+const RENEWAL_MAX: Duration = Duration::from_millis(400);
 
 /// The longest time for which the store may turn the daemon away.
 const AWAY_MAX: Duration = Duration::from_secs(9);
@@ -50,10 +54,10 @@
         database: "lepu270", service: "huvo11a", kind: "primary",
         timeout_ms: 800, target_ms: 200, staleness_ms: 0,
     }];
-    store.put("op", "config", &configuration(7, &routes, &[("huvo11a", 16)]));
+    store.put("op", "config", &configuration(7, &routes, &[("huvo11a", 30)]));
     let settings = GroupSettings {
-        service: "huvo11a", slots: 2, connections: 16,
-        work: Duration::from_millis(3), promote: Duration::from_millis(300), sync_replicas: 0,
+        service: "huvo11a", slots: 2, connections: 30,
+        work: Duration::from_millis(3), promote: Duration::from_millis(1_000), sync_replicas: 0,
     };
     let group = Group::start(settings, &["a", "b", "c"], &store, &record)?;
     let mut daemons = Vec::new();
@@ -128,6 +132,13 @@
         return Err(std::io::Error::other("no promote took effect"));
     };
     std::thread::sleep(BACK_AFTER);
+    if has_trouble() {
+        // It serves the daemon again between two of its renewals, so that the daemon learns of the new
+        // leader before it renews its permission. A renewal that came first would be refused.
+        let before = store.rejected_writes.load(Ordering::Relaxed);
+        wait_until(RENEWAL_MAX, || store.rejected_writes.load(Ordering::Relaxed) > before);
+        std::thread::sleep(Duration::from_millis(5));
+    }
     store.turn_away(None);
     record.say(&format!("the store turned {home} away for {} ms", away.elapsed().as_millis()));
     let mut commits = Vec::new();
--- a/review/common/daemons.rs
+++ b/review/common/daemons.rs
@@ -1,5 +1,6 @@
 //! The daemons, as processes with the command of the deploy file, and clients.
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -10,13 +11,15 @@
 use super::members::{Lines, wait_until};
 use super::record::Record;
 use super::store::Store;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
 pub const SIGTERM: i32 = 15;
+pub const SIGCONT: i32 = 18;
+pub const SIGSTOP: i32 = 19;
 
 /// A running daemon; it is killed when this is dropped.
 pub struct Daemon {
@@ -30,9 +33,15 @@
 /// Returns a free port of a loopback address that this process has to itself: on 127.0.0.1 the port
 /// could be taken by an outgoing connection before the daemon listens on it.
 fn free_address() -> std::io::Result<SocketAddr> {
+    static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
     let [_, _, high, low] = std::process::id().to_be_bytes();
     let ip = std::net::Ipv4Addr::new(127, 78, high, low.clamp(1, 254));
-    TcpListener::bind((ip, 0))?.local_addr()
+    loop {
+        let address = TcpListener::bind((ip, 0))?.local_addr()?;
+        if GIVEN.lock().unwrap().insert(address) {
+            return Ok(address);
+        }
+    }
 }
 
 /// Waits until all daemons are ready; fails with the log of one that is not.
--- a/review/common/store.rs
+++ b/review/common/store.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -31,6 +32,15 @@
     version: u64,
     /// The value in Base64, none for a removed row, and the version of the last change.
     rows: BTreeMap<Key, (Option<String>, u64)>,
+    /// All changes in order.
+    history: Vec<(Key, (Option<String>, u64))>,
+}
+
+impl Rows {
+    fn set(&mut self, key: Key, value: Option<String>, version: u64) {
+        self.rows.insert(key.clone(), (value.clone(), version));
+        self.history.push((key, (value, version)));
+    }
 }
 
 pub struct Store {
@@ -40,6 +50,8 @@
     treat: Mutex<Treat>,
     /// The daemon that the store turns away with 503.
     turned_away: Mutex<Option<String>>,
+    /// How many writes of that daemon got 503.
+    pub rejected_writes: AtomicUsize,
     /// When each daemon last asked for the list of members.
     pub list_reads: Mutex<BTreeMap<String, Instant>>,
     groups: Mutex<Vec<Arc<Group>>>,
@@ -61,6 +73,7 @@
             started: Instant::now(),
             treat: Mutex::new(Box::new(|_, _| Treatment::Answer)),
             turned_away: Mutex::default(),
+            rejected_writes: AtomicUsize::new(0),
             list_reads: Mutex::default(),
             groups: Mutex::default(),
             record,
@@ -92,7 +105,7 @@
         rows.version += 1;
         let version = rows.version;
         let key = (table.to_owned(), String::new(), key.to_owned());
-        rows.rows.insert(key, (Some(base64(value.as_bytes())), version));
+        rows.set(key, Some(base64(value.as_bytes())), version);
         drop(rows);
         self.changed.notify_all();
     }
@@ -148,6 +161,9 @@
     fn answer(self: &Arc<Self>, daemon: &str, request: &Request) -> Option<(u16, String)> {
         let is_store_call = request.path.starts_with("/-/");
         if is_store_call && self.is_turned_away(daemon) {
+            if request.path == "/-/rows-tx" {
+                self.rejected_writes.fetch_add(1, Ordering::Relaxed);
+            }
             return Some((503, "{}".to_owned()));
         }
         match request.path.as_str() {
@@ -218,7 +234,7 @@
         let until = Instant::now() + wait;
         let mut rows = self.rows.lock().unwrap();
         loop {
-            let changed = rows.rows.iter().filter(|((t, _, _), (_, version))| *t == table && *version > after);
+            let changed = rows.history.iter().filter(|((t, _, _), (_, version))| *t == table && *version > after);
             let found: Vec<String> = changed.map(|(key, row)| row_text(key, row)).collect();
             let left = until.saturating_duration_since(Instant::now());
             if self.is_turned_away(daemon) {
@@ -262,10 +278,10 @@
                 self.record.line(&format!("store: {daemon} writes `{}` = {value}, version {version}", key.2));
             }
             let value = put.get("value").text().to_owned();
-            rows.rows.insert(key, (Some(value), version));
+            rows.set(key, Some(value), version);
         }
         for removed in body.get("remove").list() {
-            rows.rows.insert(entry_key(removed), (None, version));
+            rows.set(entry_key(removed), None, version);
         }
         drop(rows);
         self.changed.notify_all();
