--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -32,7 +32,7 @@
 const RENEWAL_MAX: Duration = Duration::from_millis(400);
 
 /// The longest time for which the store may turn the daemon away.
-const AWAY_MAX: Duration = Duration::from_secs(9);
+const AWAY_MAX: Duration = Duration::from_millis(8_500);
 
 fn main() -> ExitCode {
     match run() {
