--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -165,8 +165,5 @@
     }
     let acknowledged = commits.iter().filter(|(_, (_, answer))| answer.is_success()).count();
     record.say(&format!("{acknowledged} of {CLIENTS} commits were acknowledged, {broken} of them at a replaced primary"));
-    if std::env::var("KEEP").is_ok() {
-        println!("{}", folder.0.display());
-    }
     Ok(broken > 0)
 }
--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -28,9 +28,7 @@
 
 impl Drop for Folder {
     fn drop(&mut self) {
-        if std::env::var("KEEP").is_err() {
-            let _ = std::fs::remove_dir_all(&self.0);
-        }
+        let _ = std::fs::remove_dir_all(&self.0);
     }
 }
 
