--- a/sapphireslip-lead/src/dispatch.rs
+++ b/sapphireslip-lead/src/dispatch.rs
@@ -394,6 +394,7 @@
             connection,
             server,
             sent_at: self.now,
+            term: self.leaders.term(&job.service),
         };
         match &mut job.stage {
             Stage::Sent(sendings) => sendings.push(sending),
@@ -409,6 +410,7 @@
         let session = self.sessions.get_mut(&session);
         if let Some(transaction) = session.and_then(|s| s.transaction.as_mut()) {
             transaction.connection = Some(connection);
+            transaction.term = self.leaders.term(&transaction.route.service);
         }
     }
 
--- a/sapphireslip-lead/src/grant.rs
+++ b/sapphireslip-lead/src/grant.rs
@@ -107,7 +107,9 @@
     /// Extends the permission by a grant of `length` that was asked for at `sent`, and records which
     /// servers stay.
     ///
-    /// A grant for another generation of the leaders or of length zero extends nothing.
+    /// A grant for another generation of the leaders or of length zero extends nothing. Work that was
+    /// sent to a replaced leader is ended first: the coordinator gives grants once it has promoted the
+    /// new leaders, so a commit of the old one that is acknowledged under the grant may be rolled back.
     pub(crate) fn on_granted(
         &mut self,
         generation: RowVersion,
@@ -124,7 +126,9 @@
             }
         }
         if generation == self.leaders.table.generation && !length.is_zero() {
+            self.stop_work_at_old_leaders(Duration::ZERO);
             self.permission.extend(sent + length);
+            self.note_permission_change();
         }
         self.run_all_queues();
     }
--- a/sapphireslip-lead/src/job.rs
+++ b/sapphireslip-lead/src/job.rs
@@ -6,7 +6,7 @@
     AccountName, ConnectionId, Instant, ServerId, ServiceName, SessionId, data, key,
 };
 
-use crate::{Freshness, Query, ServerRequest, Shape, TermPosition};
+use crate::{Freshness, Query, ServerRequest, Shape, Term, TermPosition};
 
 key! {
     /// Identifies a job; unique within one run of a daemon, and in order of arrival.
@@ -93,6 +93,9 @@
         pub(crate) server: ServerId,
         /// When the statement was sent.
         pub(crate) sent_at: Instant,
+        /// The term of the service's confirmed leader when the statement was sent; none if there was
+        /// no confirmed leader.
+        pub(crate) term: Option<Term>,
     }
 }
 
--- a/sapphireslip-lead/src/leaders.rs
+++ b/sapphireslip-lead/src/leaders.rs
@@ -57,6 +57,18 @@
         (record.leader == *server && *term > record.above).then_some(*term)
     }
 
+    /// Returns whether the store's row of a service no longer covers work that was sent to `server`
+    /// in `term`: it names another leader, or the same one for a later term.
+    pub(crate) fn has_replaced(
+        &self,
+        service: &ServiceName,
+        server: &ServerId,
+        term: Option<Term>,
+    ) -> bool {
+        let row = self.table.leaders.get(service);
+        row.is_none_or(|(record, _)| record.leader != *server || term <= Some(record.above))
+    }
+
     /// Discards a server's confirmation as leader until it reports itself as primary again.
     pub(crate) fn unconfirm(&mut self, server: &ServerId) {
         self.confirmed_terms
--- a/sapphireslip-lead/src/permission.rs
+++ b/sapphireslip-lead/src/permission.rs
@@ -204,7 +204,7 @@
         if !(is_unacknowledged || is_news || is_missing || is_due) {
             return;
         }
-        if is_unacknowledged && !self.stop_work_at_old_leaders() {
+        if is_unacknowledged && !self.stop_work_at_old_leaders(OLD_LEADER_WORK_MAX) {
             return;
         }
         let Some(latest) = self.permission.clock.latest(self.now) else {
@@ -366,14 +366,18 @@
     }
 
     /// Logs whether the permission has begun or ended since the last call.
-    fn note_permission_change(&mut self) {
+    pub(crate) fn note_permission_change(&mut self) {
         let is_valid = self.permission.is_valid(self.now);
         if is_valid != self.permission.was_valid {
             self.permission.was_valid = is_valid;
-            let what = if is_valid { "begins" } else { "has ended" };
+            let what = match (is_valid, self.permission.is_row_valid(self.now)) {
+                (true, true) => "begins by its row",
+                (true, false) => "begins by a grant",
+                (false, _) => "has ended",
+            };
             let detail = format!(
-                "{what}; generation {}",
-                self.permission.acknowledged_generation.0
+                "{what}; generation {}, acknowledged {}",
+                self.leaders.table.generation.0, self.permission.acknowledged_generation.0
             );
             self.log(Record::new(RecordKind::PermissionChanged, detail.into()));
         }
@@ -416,9 +420,9 @@
         }
     }
 
-    /// Ends transactions and writes at servers that are no longer named as leaders, once they have
-    /// had `OLD_LEADER_WORK_MAX` to finish; returns whether none is left.
-    fn stop_work_at_old_leaders(&mut self) -> bool {
+    /// Ends the transactions and writes at replaced leaders whose replacement this daemon learned of
+    /// at least `grace` ago; returns whether none is left.
+    pub(crate) fn stop_work_at_old_leaders(&mut self, grace: Duration) -> bool {
         let mut has_stopped = true;
         for session in self.sessions_at_old_leaders() {
             let service = self
@@ -426,7 +430,7 @@
                 .get(&session)
                 .and_then(|s| s.transaction.as_ref());
             let changed = service.and_then(|t| self.leaders.changed_at(&t.route.service));
-            if changed.is_some_and(|at| self.now.since(at) < OLD_LEADER_WORK_MAX) {
+            if changed.is_some_and(|at| self.now.since(at) < grace) {
                 has_stopped = false;
             } else {
                 self.abort_transaction(session, "the primary is being replaced");
@@ -434,7 +438,7 @@
         }
         let writes: Vec<_> = self.writes_at_old_leaders();
         for (job, at) in writes {
-            if self.now.since(at) < OLD_LEADER_WORK_MAX {
+            if self.now.since(at) < grace {
                 has_stopped = false;
             } else {
                 self.answer_unknown(job, "the primary was replaced before it answered");
@@ -443,16 +447,16 @@
         has_stopped
     }
 
-    /// Returns the sessions with an open transaction that may write at a server that is no longer
-    /// named as the leader.
+    /// Returns the sessions with an open transaction that may write at a replaced leader.
     fn sessions_at_old_leaders(&self) -> Vec<sapphireslip_core::SessionId> {
         let of_transaction = |connection: &crate::connection::Connection| {
             let Purpose::Transaction(session) = connection.purpose else {
                 return None;
             };
             let transaction = self.sessions.get(&session)?.transaction.as_ref()?;
-            let named = self.leaders.named(&transaction.route.service)?;
-            (!transaction.reads_only && *named != connection.server).then_some(session)
+            let (service, term) = (&transaction.route.service, transaction.term);
+            let is_old = self.leaders.has_replaced(service, &connection.server, term);
+            (!transaction.reads_only && is_old).then_some(session)
         };
         self.pool.all().filter_map(of_transaction).collect()
     }
--- a/sapphireslip-lead/src/session.rs
+++ b/sapphireslip-lead/src/session.rs
@@ -9,7 +9,7 @@
 
 use crate::job::JobId;
 use crate::state::State;
-use crate::{KeyDigest, Query, Route, Shape, TermPosition};
+use crate::{KeyDigest, Query, Route, Shape, Term, TermPosition};
 
 /// Limit on the variables of one session, and separately on its prepared statements.
 pub(crate) const SESSION_NAMES_MAX: usize = 256;
@@ -64,6 +64,9 @@
         /// The server connection that the transaction is bound to; none before its first statement
         /// is sent, and none once the transaction has failed.
         pub(crate) connection: Option<ConnectionId>,
+        /// The term of the service's confirmed leader when the transaction was bound to its
+        /// connection.
+        pub(crate) term: Option<Term>,
         /// Whether a statement of the transaction has run at its server.
         pub(crate) has_run: bool,
         /// The state that the client is told.
--- a/sapphireslip-lead/src/session_statement.rs
+++ b/sapphireslip-lead/src/session_statement.rs
@@ -108,6 +108,7 @@
                 reads_only,
                 has_sent_write: false,
                 connection: None,
+                term: None,
                 has_run: false,
                 status: TransactionStatus::Open,
                 idle_since,
--- a/sapphireslip-lead/src/timeouts.rs
+++ b/sapphireslip-lead/src/timeouts.rs
@@ -6,7 +6,7 @@
 use sapphireslip_core::{ConnectionId, Instant, ServerId};
 
 use crate::connection::{AnswerTo, Connection};
-use crate::job::{Job, JobId, Stage, Work};
+use crate::job::{Job, JobId, Sending, Stage, Work};
 use crate::leaders::LeaderView;
 use crate::rate_exchange::TokenState;
 use crate::refusal::RETRY_BUSY;
@@ -259,8 +259,8 @@
         }
     }
 
-    /// Returns the writes outside transactions that run at servers that are no longer named as
-    /// leaders, each with the time at which the leader changed.
+    /// Returns the writes outside transactions that run at replaced leaders, each with the time at
+    /// which the leader changed.
     pub(crate) fn writes_at_old_leaders(&self) -> Vec<(JobId, Instant)> {
         let mut writes = Vec::new();
         for (id, job) in &self.jobs {
@@ -268,11 +268,11 @@
                 continue;
             };
             let changed = self.leaders.changed_at(&job.service).unwrap_or_default();
-            let is_old = |server: &ServerId| self.leaders.named(&job.service) != Some(server);
-            if job.work == Work::Write
-                && !job.in_transaction
-                && sendings.iter().any(|sending| is_old(&sending.server))
-            {
+            let is_old = |sending: &Sending| {
+                let Sending { server, term, .. } = sending;
+                self.leaders.has_replaced(&job.service, server, *term)
+            };
+            if job.work == Work::Write && !job.in_transaction && sendings.iter().any(is_old) {
                 writes.push((*id, changed));
             }
         }
