--- a/sapphireslipd/src/store_watch.rs
+++ b/sapphireslipd/src/store_watch.rs
@@ -39,8 +39,8 @@
     pub(crate) table: Table,
     /// Turns the rows of the table into an event.
     pub(crate) decode: fn(&Rows) -> Result<Event, PlatformError>,
-    /// Whether the table has a single row, so that a change holds the whole state; otherwise the
-    /// table is read again after a change.
+    /// Whether the state is a single row, so that each change holds all of it; otherwise the table is
+    /// read again after a change.
     pub(crate) is_one_row: bool,
     /// Whether the reducer is told of each answer and failure, as the table is the configuration's.
     pub(crate) is_configuration: bool,
@@ -117,8 +117,11 @@
                 }
                 WaitOutcome::Changed(rows) if watch.is_one_row => {
                     version = rows.version();
-                    progress.is_valid = send_event(&events, decode(&rows)).await;
-                    progress.tell_answer(&events, sent, rows.now()).await;
+                    let now = rows.now();
+                    if let Some(is_valid) = send_newest(&events, rows, decode).await {
+                        progress.is_valid = is_valid;
+                    }
+                    progress.tell_answer(&events, sent, now).await;
                 }
                 WaitOutcome::Changed(_) | WaitOutcome::HistoryGone => break,
                 WaitOutcome::Failed => {
@@ -176,6 +179,27 @@
     Failed,
 }
 
+/// Sends the newest of the changed states of a table of one row that can be decoded. Returns whether it
+/// is the newest of all; none if no state changed, since the rows are other rows of the table.
+async fn send_newest(
+    events: &flume::Sender<Event>,
+    mut rows: Rows,
+    decode: fn(&Rows) -> Result<Event, PlatformError>,
+) -> Option<bool> {
+    let mut is_valid = None;
+    while let Some(row) = rows.take_newest() {
+        let state = decode(&row);
+        if matches!(state, Err(PlatformError::Missing(_))) {
+            continue;
+        }
+        if send_event(events, state).await {
+            return is_valid.or(Some(true));
+        }
+        is_valid = Some(false);
+    }
+    is_valid
+}
+
 /// Sends the event to the reducer; logs rows that could not be decoded, and returns false for them.
 async fn send_event(events: &flume::Sender<Event>, event: Result<Event, PlatformError>) -> bool {
     match event {
--- a/sapphireslipd/tests/lead_catalog.rs
+++ b/sapphireslipd/tests/lead_catalog.rs
@@ -19,12 +19,16 @@
 /// The longest time until a key that was taken away gives no right to new work.
 const REVOCATION_BOUND: Duration = Duration::from_secs(5);
 
-/// Writes a configuration with one account that has a key.
-fn write_config(store: &LineStore, version: u64, key: &str) {
+/// Returns a configuration with one account that has a key.
+fn config(version: u64, key: &str) -> String {
     let text = line_configuration(version, DATABASE, SERVICE);
     let account = format!(r#"{{"tenants":[{{"name":"mill","api_keys":["{key}"]}}],"#);
-    let text = text.replacen('{', &account, 1);
-    store.put("op", "config", text.as_bytes());
+    text.replacen('{', &account, 1)
+}
+
+/// Writes a configuration with one account that has a key.
+fn write_config(store: &LineStore, version: u64, key: &str) {
+    store.put("op", "config", config(version, key).as_bytes());
 }
 
 /// Returns the settings of a daemon at its own loopback address.
@@ -34,6 +38,18 @@
     LeadSettings::try_from(text.as_bytes()).expect("without a fault")
 }
 
+/// Starts a daemon and waits until it takes sessions with a key.
+async fn start_daemon(daemon: &LeadSettings, key: &str) {
+    tokio::spawn(serve_lead(daemon.clone()));
+    let until = Instant::now() + WAIT_TIMEOUT;
+    let ready = async || http_get(daemon.readiness, "/-/readyz").await;
+    while !ready().await.is_ok_and(|page| page.status == 200) {
+        assert!(Instant::now() < until, "not ready in time");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    wait_until_answered(daemon, key, "READY", WAIT_TIMEOUT).await;
+}
+
 /// Opens a session with a key and returns the daemon's answer.
 async fn open(daemon: &LeadSettings, key: &str) -> (LineSession, String) {
     let session = LineSession::connect(daemon.clients).await;
@@ -73,16 +89,7 @@
         settings("vm-2", 2, link.address()),
     ];
     for daemon in &daemons {
-        tokio::spawn(serve_lead(daemon.clone()));
-    }
-    for daemon in &daemons {
-        let until = Instant::now() + WAIT_TIMEOUT;
-        let ready = async || http_get(daemon.readiness, "/-/readyz").await;
-        while !ready().await.is_ok_and(|page| page.status == 200) {
-            assert!(Instant::now() < until, "not ready in time");
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-        wait_until_answered(daemon, "old-key", "READY", WAIT_TIMEOUT).await;
+        start_daemon(daemon, "old-key").await;
     }
     // The daemons learn of each other's rows.
     tokio::time::sleep(Duration::from_secs(3)).await;
@@ -99,3 +106,23 @@
     let (_, refused) = open(&daemons[1], "old-key").await;
     assert!(refused.starts_with("ERROR"), "{refused}");
 }
+
+/// Guards against a daemon that stays at an earlier configuration: of several that one answer of the
+/// store brings, the newest that can be decoded counts. Other rows of the table change nothing.
+#[tokio::test]
+async fn daemon_takes_the_newest_of_several_configurations() {
+    let site = start_line_site(DATABASE, SERVICE).await;
+    let (_group, store) = site.expect("servers and a store");
+    write_config(&store, 2, "key-2");
+    let daemon = settings("vm-1", 3, store.address());
+    start_daemon(&daemon, "key-2").await;
+    let versions = [3, 4, 5].map(|n| config(n, &format!("key-{n}")));
+    store.put_each("op", "config", &versions.each_ref().map(String::as_bytes));
+    wait_until_answered(&daemon, "key-5", "READY", REVOCATION_BOUND).await;
+    let (_, refused) = open(&daemon, "key-3").await;
+    assert!(refused.starts_with("ERROR"), "{refused}");
+    store.put("op", "note", b"of the operator");
+    let sixth = config(6, "key-6");
+    store.put_each("op", "config", &[sixth.as_bytes(), b"{\"version\":"]);
+    wait_until_answered(&daemon, "key-6", "READY", REVOCATION_BOUND).await;
+}
--- a/standins/src/line_store.rs
+++ b/standins/src/line_store.rs
@@ -53,8 +53,9 @@
     version: u64,
     /// The rows, each with its value in Base64 and the version of its last change.
     rows: BTreeMap<Key, (String, u64)>,
-    /// The version of the last change of each table.
-    tables: BTreeMap<String, u64>,
+    /// All changes, the oldest first, each with the row's new value in Base64, or none if the row was
+    /// removed, and the version.
+    changes: Vec<(Key, Option<String>, u64)>,
     /// Whether the store answers every request with 503 (service unavailable).
     is_down: bool,
     /// Whether watches are never answered.
@@ -98,12 +99,18 @@
 
     /// Writes a row with an empty part, as operators and servers do.
     pub fn put(&self, table: &str, key: &str, value: &[u8]) {
+        self.put_each(table, key, &[value]);
+    }
+
+    /// Writes a row several times before any watch is answered, as when the watching process is
+    /// suspended meanwhile.
+    pub fn put_each(&self, table: &str, key: &str, values: &[&[u8]]) {
         let mut rows = self.shared.rows();
-        rows.version += 1;
-        let version = rows.version;
-        let key = (table.to_owned(), String::new(), key.to_owned());
-        rows.rows.insert(key, (STANDARD.encode(value), version));
-        rows.tables.insert(table.to_owned(), version);
+        for value in values {
+            rows.version += 1;
+            let key = (table.to_owned(), String::new(), key.to_owned());
+            rows.change(key, Some(STANDARD.encode(value)));
+        }
         self.shared.changed.notify_waiters();
     }
 
@@ -132,6 +139,34 @@
     }
 }
 
+impl Rows {
+    /// Writes a row, or removes it, at the present version.
+    fn change(&mut self, key: Key, value: Option<String>) {
+        let version = self.version;
+        match &value {
+            Some(value) => self.rows.insert(key.clone(), (value.clone(), version)),
+            None => self.rows.remove(&key),
+        };
+        self.changes.push((key, value, version));
+    }
+
+    /// Returns a row for each change of a table after a version, in their order.
+    fn changes_after(&self, table: &str, after: u64) -> Vec<Value> {
+        let first = self
+            .changes
+            .partition_point(|(_, _, version)| *version <= after);
+        let later = self.changes.get(first..).unwrap_or_default().iter();
+        let of_table = later.filter(|(key, _, _)| key.0 == table);
+        let change = |(key, value, version): &(Key, Option<String>, u64)| {
+            let present = (value.clone().unwrap_or_default(), *version);
+            let mut change = row(key, &present);
+            change["tombstone"] = value.is_none().into();
+            change
+        };
+        of_table.map(change).collect()
+    }
+}
+
 impl Shared {
     /// Locks the rows and switches, even if a thread panicked while it held the lock.
     fn rows(&self) -> std::sync::MutexGuard<'_, Rows> {
@@ -197,7 +232,7 @@
 }
 
 /// Answers a watch: waits up to `wait_ms` for a change of a table after the version `after`, and
-/// returns the rows changed since then.
+/// returns a row for each change since then.
 async fn rows_feed(
     State(shared): State<Arc<Shared>>,
     Query(query): Query<BTreeMap<String, String>>,
@@ -216,25 +251,9 @@
         if shared.is_down() {
             return unavailable();
         }
-        let last = shared
-            .rows()
-            .tables
-            .get(&table)
-            .copied()
-            .unwrap_or_default();
-        if last > after {
-            let changed: Vec<Value> = {
-                let rows = shared.rows();
-                let is_changed = |(key, (_, version)): &(&Key, &(String, u64))| {
-                    key.0 == table && *version > after
-                };
-                rows.rows
-                    .iter()
-                    .filter(is_changed)
-                    .map(|(key, value)| row(key, value))
-                    .collect()
-            };
-            return shared.answer(StatusCode::OK, changed);
+        let changes = shared.rows().changes_after(&table, after);
+        if !changes.is_empty() {
+            return shared.answer(StatusCode::OK, changes);
         }
         let left = until.saturating_duration_since(Instant::now());
         if left.is_zero() || tokio::time::timeout(left, changed).await.is_err() {
@@ -268,17 +287,12 @@
             .all(|entry| entry["row_version"].as_u64() == Some(current_version(&entry_key(entry))));
         if conditions_hold {
             rows.version += 1;
-            let version = rows.version;
             for entry in list("puts") {
-                let key = entry_key(&entry);
                 let value = entry["value"].as_str().unwrap_or_default().to_owned();
-                rows.tables.insert(key.0.clone(), version);
-                rows.rows.insert(key, (value, version));
+                rows.change(entry_key(&entry), Some(value));
             }
             for entry in list("remove") {
-                let key = entry_key(&entry);
-                rows.tables.insert(key.0.clone(), version);
-                rows.rows.remove(&key);
+                rows.change(entry_key(&entry), None);
             }
             None
         } else {
