--- a/sapphireslip-lead/src/client.rs
+++ b/sapphireslip-lead/src/client.rs
@@ -146,7 +146,10 @@
     /// Serves a session on this daemon and renews the permission if that is due.
     pub(crate) fn serve_session(&mut self, id: SessionId, client: Opening, is_forwarded: bool) {
         self.add_session(id, Session::new(client, self.now, is_forwarded));
-        self.effects.push(Effect::Welcome { session: id });
+        self.effects.push(Effect::Welcome {
+            session: id,
+            is_forwarded,
+        });
         self.note_session_account(id);
         self.renew_permission();
     }
--- a/sapphireslip-lead/src/effect.rs
+++ b/sapphireslip-lead/src/effect.rs
@@ -16,10 +16,12 @@
 data! {
     /// An effect. The daemon carries out effects in order.
     pub enum Effect {
-        /// Tells a client that its session is open.
+        /// Tells a client, or the daemon that forwarded the session, that its session is open.
         Welcome {
             /// The session that was opened.
             session: SessionId,
+            /// Whether another daemon forwarded the session.
+            is_forwarded: bool,
         },
         /// Forwards a session to another daemon.
         Relay {
--- a/sapphireslipd/src/lead_clients.rs
+++ b/sapphireslipd/src/lead_clients.rs
@@ -12,7 +12,7 @@
 use sapphireslip_lead::{ClientEvent, ErrorCode, Event, Failure};
 use sapphireslip_platform::{
     ClientMessage, PeerOpening, decode_client, decode_forwarded_start, decode_peer_opening,
-    encode_failure,
+    encode_failure, has_bare_line_feed, reads_whole_lines,
 };
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -171,6 +171,8 @@
     pub(crate) unanswered: usize,
     /// Whether the session ends as soon as no answer is owed.
     is_closing: bool,
+    /// Whether answers are read by a daemon that takes a line feed within a line for its end.
+    is_read_by_earlier_build: bool,
 }
 
 /// Why a session is no longer served here.
@@ -203,6 +205,7 @@
             is_served_here: false,
             unanswered: 0,
             is_closing: false,
+            is_read_by_earlier_build: false,
         };
         let mut forwarder_version = None;
         if client.is_peer {
@@ -237,7 +240,10 @@
         let line = task.first_line().await?;
         let _running = running.token();
         let start = match forwarder_version {
-            Some(_) => decode_forwarded_start(&line),
+            Some(_) => {
+                task.is_read_by_earlier_build = !reads_whole_lines(&line);
+                decode_forwarded_start(&line)
+            }
             None => decode_client(&line),
         };
         let Ok(ClientMessage::Start { database, key }) = start else {
@@ -325,11 +331,20 @@
 
     /// Executes a command of the runner. A session that is forwarded already is closed instead of
     /// being forwarded again.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error, for which the connection is closed, if writing fails or the other daemon would
+    /// take the answer for a different one.
     pub(crate) async fn execute(&mut self, command: Command) -> io::Result<()> {
         match command {
             Command::Send(bytes) => self.write(bytes).await,
             Command::Answer(bytes) => {
                 self.unanswered = self.unanswered.saturating_sub(1);
+                if self.is_read_by_earlier_build && has_bare_line_feed(&bytes) {
+                    let text = "an answer with a line feed for a daemon of an earlier build";
+                    return Err(io::Error::new(io::ErrorKind::InvalidData, text));
+                }
                 self.write(bytes).await
             }
             Command::CloseWhenIdle | Command::Forward(..) => {
@@ -386,7 +401,7 @@
     }
 
     /// Sends the client a failure with the code for malformed input, and closes the connection.
-    async fn refuse(&mut self, text: &str) -> io::Result<()> {
+    pub(crate) async fn refuse(&mut self, text: &str) -> io::Result<()> {
         let mut bytes = Vec::new();
         encode_failure(&Failure::new(ErrorCode::Malformed, text), &mut bytes);
         self.writer.write_all(&bytes).await?;
--- a/sapphireslipd/src/lead_forwarding.rs
+++ b/sapphireslipd/src/lead_forwarding.rs
@@ -9,7 +9,8 @@
 use sapphireslip_core::{Text, TransactionStatus};
 use sapphireslip_lead::ClientEvent;
 use sapphireslip_platform::{
-    LINE_END, decode_query_id, decode_ready_status, encode_session_opened, may_write,
+    LINE_END, decode_query_id, decode_ready_status, encode_session_opened, has_bare_line_feed,
+    may_write, reads_whole_lines,
 };
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -25,12 +26,20 @@
 /// used up its processor share is not scheduled for the rest of 100 ms, also several times in a row.
 const RELAY_OPEN_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The connection to the daemon that serves a forwarded session.
+struct Peer {
+    lines: LineReader,
+    writer: OwnedWriteHalf,
+    /// Whether that daemon accepts a line feed within a line.
+    reads_whole_lines: bool,
+}
+
 impl SessionTask {
     /// Forwards the session to its end; returns false if the other daemon does not accept it.
     pub(crate) async fn forward(&mut self, to: SocketAddr, opening: Vec<u8>) -> io::Result<bool> {
         let opened = tokio::time::timeout(RELAY_OPEN_TIMEOUT, open_relay(to, &opening)).await;
         let is_refused = match opened.unwrap_or_else(|err| Err(io::Error::other(err))) {
-            Ok(Some((lines, writer))) => {
+            Ok(Some(peer)) => {
                 let mut bytes = Vec::new();
                 encode_session_opened(&mut bytes);
                 self.send_event(ClientEvent::RelayAnswered {
@@ -39,7 +48,7 @@
                 })
                 .await;
                 self.write(bytes).await?;
-                self.relay(lines, writer).await?;
+                self.relay(peer).await?;
                 return Ok(true);
             }
             Ok(None) => true,
@@ -58,14 +67,14 @@
 
     /// Relays lines in both directions until the client closes its connection or the session is to
     /// be closed.
-    async fn relay(&mut self, lines: LineReader, writer: OwnedWriteHalf) -> io::Result<()> {
-        let mut peer = Some((lines, writer));
+    async fn relay(&mut self, peer: Peer) -> io::Result<()> {
+        let mut peer = Some(peer);
         loop {
             if self.is_finished() {
                 // A statement that has arrived meanwhile is forwarded before the session ends.
                 match self.lines.next().now_or_never() {
                     Some(Ok(Some(line))) => {
-                        self.forward_lines(line, &mut peer).await;
+                        self.forward_lines(line, &mut peer).await?;
                         continue;
                     }
                     Some(_) => return Ok(()),
@@ -74,7 +83,7 @@
             }
             let from_peer = async {
                 match &mut peer {
-                    Some((lines, _)) => lines.next().await,
+                    Some(peer) => peer.lines.next().await,
                     None => std::future::pending().await,
                 }
             };
@@ -85,7 +94,7 @@
                     Err(_) => return self.writer.shutdown().await,
                 },
                 line = from_peer => {
-                    let Some((lines, _)) = &mut peer else {
+                    let Some(Peer { lines, .. }) = &mut peer else {
                         continue;
                     };
                     let Ok(Some(line)) = line else {
@@ -111,18 +120,19 @@
                     let Some(line) = line? else {
                         return Ok(());
                     };
-                    self.forward_lines(line, &mut peer).await;
+                    self.forward_lines(line, &mut peer).await?;
                 }
             }
         }
     }
 
     /// Sends the other daemon a line of the client and all lines that are buffered after it.
-    async fn forward_lines(
-        &mut self,
-        line: BytesMut,
-        peer: &mut Option<(LineReader, OwnedWriteHalf)>,
-    ) {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error, and has sent nothing and refused the lines, if the other daemon would take
+    /// one of them for several.
+    async fn forward_lines(&mut self, line: BytesMut, peer: &mut Option<Peer>) -> io::Result<()> {
         let mut first = None;
         let mut writes = false;
         let unanswered = &mut self.unanswered;
@@ -133,6 +143,11 @@
                 writes |= may_write(line);
             }
         });
+        if peer.as_ref().is_some_and(|peer| !peer.reads_whole_lines) && has_bare_line_feed(&bytes) {
+            let text = "a daemon of an earlier build serves the session and accepts no line feed";
+            self.refuse(text).await?;
+            return Err(io::Error::new(io::ErrorKind::InvalidData, text));
+        }
         if let Some(request) = first {
             self.send_event(ClientEvent::RelayQuery {
                 session: self.id,
@@ -142,28 +157,30 @@
             .await;
         }
         // If the write fails, the connection is broken, and reading from it reports that.
-        if let Some((_, writer)) = peer
-            && let Err(err) = writer.write_all(&bytes).await
+        if let Some(peer) = peer
+            && let Err(err) = peer.writer.write_all(&bytes).await
         {
             log::debug!(
                 target: LOG_TARGET, session = self.id.0;
                 "forwarding statements: {err}"
             );
         }
+        Ok(())
     }
 }
 
 /// Opens a forwarded session at another daemon; returns none if that daemon refuses it.
-async fn open_relay(
-    to: SocketAddr,
-    opening: &[u8],
-) -> io::Result<Option<(LineReader, OwnedWriteHalf)>> {
+async fn open_relay(to: SocketAddr, opening: &[u8]) -> io::Result<Option<Peer>> {
     let stream = tokio::time::timeout(RELAY_CONNECT_TIMEOUT, TcpStream::connect(to)).await??;
     let (mut lines, mut writer) = split(stream)?;
     writer.write_all(opening).await?;
     let line = lines.next().await?;
     let line = line.ok_or(io::ErrorKind::UnexpectedEof)?;
-    Ok(decode_ready_status(&line).map(|_| (lines, writer)))
+    Ok(decode_ready_status(&line).map(|_| Peer {
+        lines,
+        writer,
+        reads_whole_lines: reads_whole_lines(&line),
+    }))
 }
 
 /// Joins a line and all lines that are buffered after it, each with its line end, and calls
--- a/sapphireslipd/src/lead_runner.rs
+++ b/sapphireslipd/src/lead_runner.rs
@@ -8,8 +8,9 @@
 use sapphireslip_core::SessionId;
 use sapphireslip_lead::{Effect, Event, State};
 use sapphireslip_platform::{
-    encode_failure, encode_forward, encode_grant, encode_reply, encode_session_opened,
-    encode_share_answer, encode_told_catalog, encode_told_tables, promote_call,
+    encode_failure, encode_forward, encode_forwarded_opened, encode_grant, encode_reply,
+    encode_session_opened, encode_share_answer, encode_told_catalog, encode_told_tables,
+    promote_call,
 };
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until};
@@ -144,9 +145,15 @@
     /// Carries out an effect; returns true if the process is to end.
     fn carry_out(&mut self, effect: Effect) -> bool {
         match effect {
-            Effect::Welcome { session } => {
+            Effect::Welcome {
+                session,
+                is_forwarded,
+            } => {
                 let mut bytes = Vec::new();
-                encode_session_opened(&mut bytes);
+                match is_forwarded {
+                    true => encode_forwarded_opened(&mut bytes),
+                    false => encode_session_opened(&mut bytes),
+                }
                 self.clients.send(session, bytes);
             }
             Effect::Relay {
--- a/sapphireslipd/src/line_stream.rs
+++ b/sapphireslipd/src/line_stream.rs
@@ -3,8 +3,8 @@
 use std::io;
 use std::time::Duration;
 
-use bytes::{Buf, BytesMut};
-use sapphireslip_platform::LINE_MAX_BYTES;
+use bytes::BytesMut;
+use sapphireslip_platform::LineBuffer;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -26,10 +26,8 @@
 #[derive(Debug)]
 pub(crate) struct LineReader {
     stream: OwnedReadHalf,
-    /// The bytes that have been read and not yet returned.
-    buf: BytesMut,
-    /// The number of bytes at the start of `buf` that are known to hold no line end.
-    scanned: usize,
+    /// What has been read and not yet returned.
+    lines: LineBuffer,
 }
 
 /// Sets the options of a connection and splits it into its reading and its writing half.
@@ -38,8 +36,7 @@
     let (read, write) = stream.into_split();
     let reader = LineReader {
         stream: read,
-        buf: BytesMut::new(),
-        scanned: 0,
+        lines: LineBuffer::default(),
     };
     Ok((reader, write))
 }
@@ -63,37 +60,28 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if reading fails or a line is longer than [`LINE_MAX_BYTES`].
+    /// Returns an error if reading fails or a line is longer than
+    /// [`LINE_MAX_BYTES`](sapphireslip_platform::LINE_MAX_BYTES).
     pub(crate) async fn next(&mut self) -> io::Result<Option<BytesMut>> {
         loop {
-            if let Some(line) = self.next_buffered() {
-                return Ok(Some(line));
+            let line = self.lines.next_line();
+            let line = line.map_err(|err| io::Error::new(io::ErrorKind::InvalidData, err))?;
+            if line.is_some() {
+                return Ok(line);
             }
-            if self.buf.len() > LINE_MAX_BYTES {
-                let text = format!("a line is longer than {LINE_MAX_BYTES} bytes");
-                return Err(io::Error::new(io::ErrorKind::InvalidData, text));
-            }
-            self.buf.reserve(READ_CAPACITY_BYTES);
-            if self.stream.read_buf(&mut self.buf).await? == 0 {
+            let buf = self.lines.bytes();
+            buf.reserve(READ_CAPACITY_BYTES);
+            if self.stream.read_buf(buf).await? == 0 {
                 return Ok(None);
             }
         }
     }
 
     /// Returns the next line without its line end if all of it has been read already.
+    ///
+    /// None too for a line that is too long, for which [`Self::next`] returns the error.
     pub(crate) fn next_buffered(&mut self) -> Option<BytesMut> {
-        let unscanned = self.buf.get(self.scanned..).unwrap_or_default();
-        let Some(line_end) = unscanned.iter().position(|byte| *byte == b'\n') else {
-            self.scanned = self.buf.len();
-            return None;
-        };
-        let mut line = self.buf.split_to(self.scanned + line_end);
-        self.buf.advance(1);
-        self.scanned = 0;
-        if line.last() == Some(&b'\r') {
-            line.truncate(line.len() - 1);
-        }
-        Some(line)
+        self.lines.next_line().ok().flatten()
     }
 }
 
--- a/sapphireslipd/tests/lead_daemon.rs
+++ b/sapphireslipd/tests/lead_daemon.rs
@@ -391,3 +391,46 @@
     site.store.set_down(false);
     assert_eq!(site.group.written().len(), n);
 }
+
+impl Site {
+    /// Opens a session at a daemon as another daemon that forwards it, with the last field of `START`.
+    async fn forwarded_client(&self, n: usize, last_field: &str) -> Client {
+        let mut client = Client::connect(self.daemons[n].peers).await;
+        client.session.send("PASS 1").await.expect("sent");
+        let start = format!("START fees sapphireslip{last_field}");
+        assert_eq!(client.send(&start).await, "READY I - crlf");
+        client
+    }
+}
+
+/// Guards against a statement that no client sent: a line feed in the data of a statement ended its
+/// line, and what follows ran as another statement.
+#[tokio::test]
+async fn line_feed_in_data_begins_no_statement() {
+    let site = Site::start(&["vm-1"]).await;
+    let data = "paid\nQUERY smuggled WRITE y never-sent";
+    let mut clients = [
+        site.client(0).await,
+        site.forwarded_client(0, " crlf").await,
+    ];
+    for (n, client) in clients.iter_mut().enumerate() {
+        let (id, write) = (format!("c{n}"), format!("WRITE x {data}"));
+        assert_eq!(client.run(&id, &write).await, format!("COMPLETE {id} I"));
+        let read = client.run("read", "READ x").await;
+        assert_eq!(read, format!("ROW {data} COMPLETE read I"));
+    }
+    let expected = ("x".to_owned(), data.to_owned());
+    assert_eq!(site.group.written(), [expected.clone(), expected]);
+}
+
+/// Guards against an answer that a daemon of an earlier build would split into several: it does not
+/// say in its `START` line that it reads whole lines.
+#[tokio::test]
+async fn answer_with_a_line_feed_is_not_sent_to_an_earlier_build() {
+    let site = Site::start(&["vm-1"]).await;
+    let mut client = site.client(0).await;
+    client.run("1", "WRITE x one\nREADY I -").await;
+    let mut earlier = site.forwarded_client(0, "").await;
+    assert_eq!(earlier.run("2", "READ y").await, "COMPLETE read I");
+    assert_eq!(earlier.send("QUERY 3 READ x").await, "closed");
+}
--- a/standins/src/line_group.rs
+++ b/standins/src/line_group.rs
@@ -5,10 +5,12 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 
+use crate::line_session::read_line;
+
 /// How long a replaced primary still acts as primary before it follows the new one.
 const OLD_PRIMARY_OVERLAP: Duration = Duration::from_secs(3);
 
@@ -320,8 +322,8 @@
     stream: TcpStream,
 ) -> std::io::Result<()> {
     let (read, mut write) = stream.into_split();
-    let mut lines = BufReader::new(read).lines();
-    let start = lines.next_line().await?.unwrap_or_default();
+    let mut reader = BufReader::new(read);
+    let start = read_line(&mut reader).await?.unwrap_or_default();
     let words: Vec<&str> = start.split(' ').collect();
     match words[..] {
         ["START", to, client, id] if to == service && id == group.lock().servers[n].id => {
@@ -332,7 +334,7 @@
     let greeting = format!("READY I {}\r\n", group.position(n));
     write.write_all(greeting.as_bytes()).await?;
     let mut connection = Connection::default();
-    while let Some(line) = lines.next_line().await? {
+    while let Some(line) = read_line(&mut reader).await? {
         let answer = group.answer(n, &mut connection, &line);
         let state = if connection.is_open { "T" } else { "I" };
         let answer = format!("{answer}READY {state} {}\r\n", group.position(n));
--- a/standins/src/line_session.rs
+++ b/standins/src/line_session.rs
@@ -3,15 +3,15 @@
 use std::io;
 use std::net::SocketAddr;
 
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
 /// A client's connection to a daemon or a server.
 #[derive(Debug)]
 pub struct LineSession {
-    /// The lines received.
-    lines: Lines<BufReader<OwnedReadHalf>>,
+    /// The receiving side of the connection.
+    reader: BufReader<OwnedReadHalf>,
     /// The sending side of the connection.
     writer: OwnedWriteHalf,
 }
@@ -33,8 +33,8 @@
     /// Returns an error if the connection is refused.
     pub async fn connect(address: SocketAddr) -> io::Result<Self> {
         let (read, writer) = TcpStream::connect(address).await?.into_split();
-        let lines = BufReader::new(read).lines();
-        Ok(Self { lines, writer })
+        let reader = BufReader::new(read);
+        Ok(Self { reader, writer })
     }
 
     /// Connects and opens a session on a database.
@@ -78,7 +78,7 @@
     ///
     /// Returns an error if the connection is broken, and `UnexpectedEof` if it was closed.
     pub async fn line(&mut self) -> io::Result<String> {
-        let line = self.lines.next_line().await?;
+        let line = read_line(&mut self.reader).await?;
         line.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
     }
 
@@ -105,3 +105,16 @@
         }
     }
 }
+
+/// Reads a line up to a carriage return and a line feed, and returns it without them; none once the
+/// connection is closed.
+pub(crate) async fn read_line(reader: &mut BufReader<OwnedReadHalf>) -> io::Result<Option<String>> {
+    let mut line = String::new();
+    while !line.ends_with("\r\n") {
+        if reader.read_line(&mut line).await? == 0 {
+            return Ok(None);
+        }
+    }
+    line.truncate(line.len() - 2);
+    Ok(Some(line))
+}
