--- a/sapphireslip-lead/src/client.rs
+++ b/sapphireslip-lead/src/client.rs
@@ -2,6 +2,7 @@
 
 use sapphireslip_core::{ServiceName, SessionId, Text, TransactionStatus};
 
+use crate::drain::STOPPING;
 use crate::job::{Begin, Job, JobId, Stage, Work};
 use crate::refusal::{RETRY_ELSEWHERE, busy};
 use crate::session::{Opening, PIPELINED_STATEMENTS_MAX, Session};
@@ -53,6 +54,9 @@
         client: Opening,
         forwarder_version: Option<u64>,
     ) {
+        if self.is_past_last_statement() {
+            return self.refuse_session(session, busy(STOPPING, RETRY_ELSEWHERE));
+        }
         match forwarder_version {
             None if self.can_place_sessions() => self.place_session(session, client, 0),
             Some(version) if !self.should_wait_for_start() => {
--- a/sapphireslip-lead/src/drain.rs
+++ b/sapphireslip-lead/src/drain.rs
@@ -1,6 +1,7 @@
-//! Graceful stop: closes sessions as they become idle, and gives open transactions half of the
-//! grace period.
+//! Graceful stop: closes sessions as they become idle. After half of the grace period open transactions
+//! end, and the next statement of each session that is left is refused.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use sapphireslip_core::{Instant, SessionId, data};
@@ -21,6 +22,9 @@
 /// Time reserved for the last effects before the process is killed at the end of the grace period.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
+/// The cause that clients are told.
+pub(crate) const STOPPING: &str = "the daemon is stopping";
+
 data! {
     /// A graceful stop in progress.
     pub(crate) struct Drain {
@@ -28,8 +32,8 @@
         started: Instant,
         /// The time from `started` until the process is killed.
         grace: Duration,
-        /// Whether the transactions that were idle at half of the grace period have been closed.
-        has_closed_transactions: bool,
+        /// The sessions whose next statement is refused.
+        refused: BTreeSet<SessionId>,
         /// Whether the daemon has asked for the process to exit.
         is_finished: bool,
     }
@@ -61,7 +65,7 @@
         self.drain = Some(Drain {
             started: self.now,
             grace,
-            has_closed_transactions: false,
+            refused: BTreeSet::new(),
             is_finished: false,
         });
         self.close_idle_sessions(CLIENT_PAUSE);
@@ -97,25 +101,27 @@
         }
     }
 
-    /// Advances the stop: closes idle sessions, closes idle transactions after half of the grace
-    /// period, and exits once no session is left and the load balancer has noticed, or
-    /// [`EXIT_MARGIN`] before the end of the grace period.
+    /// Returns whether the daemon takes no more statements: half of the grace period is over, the rest
+    /// of which is for those that run.
+    pub(crate) fn is_past_last_statement(&self) -> bool {
+        self.drain
+            .as_ref()
+            .is_some_and(|drain| self.now.since(drain.started) * 2 >= drain.grace)
+    }
+
+    /// Advances the stop: closes idle sessions, and after half of the grace period idle transactions
+    /// too, and has the next statement of each session that is left refused. Exits once no session is
+    /// left and the load balancer has noticed, or [`EXIT_MARGIN`] before the end of the grace period.
     pub(crate) fn continue_drain(&mut self) {
-        let Some(drain) = self.drain.clone().filter(|drain| !drain.is_finished) else {
+        let Some(drain) = self.drain.as_ref().filter(|drain| !drain.is_finished) else {
             return;
         };
         let passed = self.now.since(drain.started);
-        let is_half_over = passed * 2 >= drain.grace;
-        // A client that always pauses for less would have a statement cut off at the end.
-        let pause = if is_half_over {
-            Duration::ZERO
-        } else {
-            CLIENT_PAUSE
-        };
-        self.close_idle_sessions(pause);
         let has_time = passed + EXIT_MARGIN < drain.grace;
-        if is_half_over && !drain.has_closed_transactions {
-            self.close_idle_transactions();
+        self.close_idle_sessions(CLIENT_PAUSE);
+        if self.is_past_last_statement() {
+            self.close_idle_transactions(CLIENT_PAUSE);
+            self.refuse_next_statements();
         }
         let is_empty = self.sessions.is_empty() && self.relays.is_empty();
         let is_done = is_empty && passed >= BALANCER_DETECTION_TIME;
@@ -124,6 +130,31 @@
         }
     }
 
+    /// Has the next statement of each open session refused.
+    ///
+    /// A client that sends its next statement at once after each answer is never found idle, and the
+    /// exit would cut off a statement that runs.
+    fn refuse_next_statements(&mut self) {
+        let Some(drain) = self.drain.as_mut() else {
+            return;
+        };
+        let open = self.sessions.keys().chain(self.relays.open());
+        let fresh: Vec<SessionId> = open
+            .filter(|id| !drain.refused.contains(id))
+            .copied()
+            .collect();
+        if fresh.is_empty() {
+            return;
+        }
+        drain.refused.extend(&fresh);
+        let detail = format!("the next statement of {} sessions is refused", fresh.len());
+        self.log(Record::new(RecordKind::Drain, detail.into()));
+        for session in fresh {
+            let failure = busy(STOPPING, RETRY_ELSEWHERE);
+            self.effects.push(Effect::RefuseNext { session, failure });
+        }
+    }
+
     /// Closes an idle session; a statement that its client has just sent is answered first.
     pub(crate) fn close_when_idle(&mut self, id: SessionId) {
         if let Some(session) = self.sessions.get_mut(&id) {
@@ -132,27 +163,29 @@
         }
     }
 
-    /// Closes the sessions with an open transaction and no running statement.
-    fn close_idle_transactions(&mut self) {
-        if let Some(drain) = self.drain.as_mut() {
-            drain.has_closed_transactions = true;
-        }
-        for id in self.relays.idle_in_transaction() {
+    /// Closes the sessions with an open transaction that have had no running statement for `pause`.
+    fn close_idle_transactions(&mut self, pause: Duration) {
+        for id in self.relays.idle_in_transaction(self.now, pause) {
             self.close_relay(id);
         }
-        let open: Vec<SessionId> = self.sessions.keys().copied().collect();
-        for id in open {
-            let is_idle_in_transaction =
-                |session: &Session| session.running.is_none() && session.transaction.is_some();
-            if self.sessions.get(&id).is_some_and(is_idle_in_transaction) {
-                self.end_transaction(id);
-                self.remove_session(id);
-                let failure = Some(busy("the daemon is stopping", RETRY_ELSEWHERE));
-                self.effects.push(Effect::CloseSession {
-                    session: id,
-                    failure,
-                });
-            }
+        let is_idle_in_transaction = |session: &Session| {
+            session.running.is_none()
+                && session.transaction.is_some()
+                && self.now.since(session.last_answer) >= pause
+        };
+        let sessions = self.sessions.iter();
+        let idle: Vec<SessionId> = sessions
+            .filter(|(_, session)| is_idle_in_transaction(session))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in idle {
+            self.end_transaction(id);
+            self.remove_session(id);
+            let failure = Some(busy(STOPPING, RETRY_ELSEWHERE));
+            self.effects.push(Effect::CloseSession {
+                session: id,
+                failure,
+            });
         }
     }
 
--- a/sapphireslip-lead/src/effect.rs
+++ b/sapphireslip-lead/src/effect.rs
@@ -23,6 +23,15 @@
             /// Whether another daemon forwarded the session.
             is_forwarded: bool,
         },
+        /// Answers the next statement of a session, served here or forwarded, with a failure that
+        /// promises that it has not run, and closes the session. Statements that have been read are
+        /// answered first, and a statement that ends a transaction still runs.
+        RefuseNext {
+            /// The session to be closed.
+            session: SessionId,
+            /// The failure.
+            failure: Failure,
+        },
         /// Forwards a session to another daemon.
         Relay {
             /// The session to forward.
--- a/sapphireslip-lead/src/relays.rs
+++ b/sapphireslip-lead/src/relays.rs
@@ -142,13 +142,21 @@
         self.ids(|relay| relay.has_paused(now, pause))
     }
 
-    /// Returns the sessions with an open transaction and no running statement.
-    pub(crate) fn idle_in_transaction(&self) -> Vec<SessionId> {
+    /// Returns the sessions with an open transaction that have had no running statement for `pause`.
+    pub(crate) fn idle_in_transaction(&self, now: Instant, pause: Duration) -> Vec<SessionId> {
         self.ids(|relay| {
-            relay.unanswered_since.is_none() && relay.status != TransactionStatus::Idle
+            relay.unanswered_since.is_none()
+                && relay.status != TransactionStatus::Idle
+                && now.since(relay.last_answer) >= pause
         })
     }
 
+    /// Returns the sessions that the other daemon has accepted.
+    pub(crate) fn open(&self) -> impl Iterator<Item = &SessionId> {
+        let open = self.sessions.iter().filter(|(_, relay)| relay.is_open);
+        open.map(|(id, _)| id)
+    }
+
     /// Returns the sessions whose relay matches a predicate.
     fn ids(&self, matches: impl Fn(&Relay) -> bool) -> Vec<SessionId> {
         let matching = self.sessions.iter().filter(|(_, relay)| matches(relay));
--- a/sapphireslip-lead/tests/stops.rs
+++ b/sapphireslip-lead/tests/stops.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use sapphireslip_lead::{ClientEvent, Effect, ErrorCode, Event};
-use support::{Daemon, PAYMENTS};
+use sapphireslip_core::SessionId;
+use sapphireslip_lead::{ClientEvent, Effect, ErrorCode, Event, Reply};
+use support::{Daemon, PAYMENTS, server};
 
 /// The time from the request to stop until the process would be killed.
 const GRACE: Duration = Duration::from_secs(6);
@@ -181,3 +182,77 @@
     assert_eq!(daemon.closed, [session]);
     assert!(!has_exited(&daemon), "closed by the exit");
 }
+
+/// Has the client of a session send `next` at once after each answer, each of which takes 90 ms, until
+/// the session is closed or the daemon exits. Returns the last answer.
+fn run_without_pauses(
+    daemon: &mut Daemon,
+    session: SessionId,
+    next: impl Fn(&Daemon) -> &'static str,
+) -> Reply {
+    daemon.withholds_answers = true;
+    let mut sent = 0;
+    while !daemon.closed.contains(&session) && !has_exited(daemon) {
+        sent += 1;
+        let text = next(daemon);
+        daemon.submit(session, &sent.to_string(), text);
+        daemon.advance(90);
+        if !daemon.closed.contains(&session) && !has_exited(daemon) {
+            daemon.answer_oldest(1);
+        }
+    }
+    let is_closed = daemon.closed.contains(&session);
+    assert!(is_closed, "a statement was cut off by the exit");
+    daemon.answers.last().expect("an answer").1.clone()
+}
+
+/// Guards against a statement that is cut off when the daemon exits: a client that sends its next
+/// statement at once after each answer was never found without a running one, and got new work until the
+/// end.
+#[rstest]
+fn session_of_a_client_without_pauses_is_closed_in_time() {
+    let (mut daemon, session) = Daemon::with_session();
+    daemon.event(Event::Drain { grace: GRACE });
+    let last = run_without_pauses(&mut daemon, session, |_| "READ x");
+    let failure = last.failure().expect("a refusal");
+    assert_eq!(failure.code, ErrorCode::Busy);
+    assert!(failure.text.contains("retry after"), "{}", failure.text);
+    assert!(daemon.millis < 2_000 + 3_500, "closed at {}", daemon.millis);
+}
+
+/// Guards against a transaction that goes on to the exit because a statement ran at half of the grace
+/// period, and against one that may not end then.
+#[rstest]
+#[case::that_commits("COMMIT")]
+#[case::that_goes_on("READ x")]
+fn transaction_without_pauses_ends_in_time(#[case] last: &'static str) {
+    let (mut daemon, session) = Daemon::with_session();
+    daemon.run(session, "begin", "BEGIN");
+    daemon.run(session, "write", "WRITE x 1");
+    let length = |daemon: &Daemon| daemon.group.get(&server("s-a")).log.len();
+    let before = length(&daemon);
+    daemon.event(Event::Drain { grace: GRACE });
+    let end = daemon.millis + 3_000;
+    let next = |daemon: &Daemon| if daemon.millis < end { "READ x" } else { last };
+    let answer = run_without_pauses(&mut daemon, session, next);
+    let code = answer.failure().map(|failure| failure.code.clone());
+    assert_eq!(code, Some(ErrorCode::Busy));
+    let commits = length(&daemon) - before;
+    assert_eq!(commits, usize::from(last == "COMMIT"));
+}
+
+/// Guards against a session that is opened shortly before the exit and cut off by it.
+#[rstest]
+fn session_that_is_opened_late_is_refused() {
+    let (mut daemon, busy) = Daemon::with_session();
+    daemon.run(busy, "begin", "BEGIN");
+    daemon.event(Event::Drain { grace: GRACE });
+    daemon.advance(2_900);
+    let early = daemon.open(PAYMENTS);
+    assert!(!daemon.closed.contains(&early));
+    daemon.withholds_answers = true;
+    daemon.submit(early, "1", "READ x");
+    daemon.advance(200);
+    let late = daemon.open(PAYMENTS);
+    assert!(daemon.closed.contains(&late));
+}
--- a/sapphireslip-lead/tests/support/daemon.rs
+++ b/sapphireslip-lead/tests/support/daemon.rs
@@ -10,7 +10,8 @@
 };
 
 use super::{
-    FakeGroup, FakeStore, PAYMENTS, SERVER_DRAIN_BOUND, VM_MILLICORES, at, catalog, query, vm, zone,
+    Closing, FakeGroup, FakeStore, PAYMENTS, SERVER_DRAIN_BOUND, VM_MILLICORES, at, catalog, query,
+    vm, zone,
 };
 
 /// One daemon with a fake store and fake servers, both of which answer at once unless told
@@ -72,10 +73,8 @@
     opening: Vec<(ConnectionId, ServerId)>,
     /// The number of the last session that was opened.
     sessions: u64,
-    /// The number of unanswered statements of each session.
-    unanswered: BTreeMap<SessionId, usize>,
-    /// The sessions that are to be closed once their statements are answered.
-    closing: BTreeSet<SessionId>,
+    /// The sessions that are to be closed.
+    closing: Closing,
 }
 
 impl Daemon {
@@ -154,8 +153,7 @@
             connections: BTreeMap::new(),
             opening: Vec::new(),
             sessions: 0,
-            unanswered: BTreeMap::new(),
-            closing: BTreeSet::new(),
+            closing: Closing::default(),
         };
         let leaders = daemon.store.leaders.clone();
         daemon.event(Event::Leaders(leaders));
@@ -220,7 +218,10 @@
     /// Sends a statement without waiting for its answer.
     pub fn submit(&mut self, session: SessionId, id: &str, text: &str) {
         let query = query(id, text);
-        *self.unanswered.entry(session).or_default() += 1;
+        if let Some(reply) = self.closing.refusal(session, text) {
+            self.answers.push((session, reply));
+            return self.close(session);
+        }
         self.event(Event::Client(ClientEvent::Query { session, query }));
     }
 
@@ -370,14 +371,17 @@
             }
             Effect::Answer { session, reply } => {
                 self.answers.push((session, reply));
-                if let Some(unanswered) = self.unanswered.get_mut(&session) {
-                    *unanswered = unanswered.saturating_sub(1);
+                if self.closing.note_answer(session) {
+                    self.close(session);
                 }
-                self.close_if_idle(session);
+            }
+            Effect::RefuseNext { session, failure } => {
+                self.closing.refuse_next(session, failure);
             }
             Effect::CloseWhenIdle { session } => {
-                self.closing.insert(session);
-                self.close_if_idle(session);
+                if self.closing.close_when_idle(session) {
+                    self.close(session);
+                }
             }
             Effect::CloseSession { session, .. } => {
                 self.closed.push(session);
@@ -389,13 +393,10 @@
         }
     }
 
-    /// Closes a session that is to be closed if all its statements are answered.
-    fn close_if_idle(&mut self, session: SessionId) {
-        let is_idle = self.unanswered.get(&session).is_none_or(|n| *n == 0);
-        if is_idle && self.closing.remove(&session) {
-            self.closed.push(session);
-            self.event(Event::Client(ClientEvent::Closed { session }));
-        }
+    /// Closes a session at the daemon's request.
+    fn close(&mut self, session: SessionId) {
+        self.closed.push(session);
+        self.event(Event::Client(ClientEvent::Closed { session }));
     }
 
     fn write(&mut self, write: StoreWrite) {
--- a/sapphireslip-lead/tests/support/mod.rs
+++ b/sapphireslip-lead/tests/support/mod.rs
@@ -8,6 +8,7 @@
 )]
 
 mod accounts;
+mod closing;
 mod daemon;
 mod fleet;
 mod fleet_history;
@@ -24,6 +25,7 @@
 };
 
 pub use self::accounts::*;
+pub use self::closing::*;
 pub use self::daemon::*;
 pub use self::fleet::*;
 pub use self::group::*;
--- a/sapphireslipd/src/lead_clients.rs
+++ b/sapphireslipd/src/lead_clients.rs
@@ -12,7 +12,7 @@
 use sapphireslip_lead::{ClientEvent, ErrorCode, Event, Failure};
 use sapphireslip_platform::{
     ClientMessage, PeerOpening, decode_client, decode_forwarded_start, decode_peer_opening,
-    encode_failure, has_bare_line_feed, reads_whole_lines,
+    encode_failure, ends_transaction, has_bare_line_feed, reads_whole_lines,
 };
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -44,6 +44,9 @@
     Answer(Vec<u8>),
     /// Ends the session once every statement that has been read is answered.
     CloseWhenIdle,
+    /// Answers the next statement with these bytes, unless it ends a transaction, and ends the
+    /// session.
+    RefuseNext(Vec<u8>),
     /// Forwards the session to the daemon at the address, with these bytes as the opening.
     Forward(SocketAddr, Vec<u8>),
 }
@@ -121,6 +124,12 @@
         self.command(id, Command::CloseWhenIdle);
     }
 
+    /// Answers the next statement of a session with `refusal`, unless it ends a transaction, and ends
+    /// the session.
+    pub(crate) fn refuse_next(&mut self, id: SessionId, refusal: Vec<u8>) {
+        self.command(id, Command::RefuseNext(refusal));
+    }
+
     /// Forwards a session to another daemon, with `opening` as the first bytes.
     pub(crate) fn forward(&mut self, id: SessionId, to: SocketAddr, opening: Vec<u8>) {
         self.command(id, Command::Forward(to, opening));
@@ -171,10 +180,19 @@
     pub(crate) unanswered: usize,
     /// Whether the session ends as soon as no answer is owed.
     is_closing: bool,
+    /// The answer to the next statement that is read.
+    refusal: Option<Refusal>,
     /// Whether answers are read by a daemon that takes a line feed within a line for its end.
     is_read_by_earlier_build: bool,
 }
 
+/// The answer to the next statement of a session that is to end.
+struct Refusal {
+    answer: Vec<u8>,
+    /// Whether the session's transaction may still be ended before.
+    may_end_transaction: bool,
+}
+
 /// Why a session is no longer served here.
 enum Served {
     /// The session has ended.
@@ -205,6 +223,7 @@
             is_served_here: false,
             unanswered: 0,
             is_closing: false,
+            refusal: None,
             is_read_by_earlier_build: false,
         };
         let mut forwarder_version = None;
@@ -302,7 +321,7 @@
                         self.execute(command).await?;
                     }
                 },
-                line = self.lines.next(), if self.is_served_here => {
+                line = self.lines.next(), if self.is_served_here && self.may_read() => {
                     if !self.take_line(line?).await? {
                         return Ok(Served::Ended);
                     }
@@ -317,6 +336,9 @@
         let Some(line) = line else {
             return Ok(false);
         };
+        if self.refuse_stopping(&line).await? {
+            return Ok(false);
+        }
         let is_handled = self.handle_line(&line).await;
         if !is_handled {
             self.refuse("the line is no message").await?;
@@ -329,6 +351,30 @@
         self.is_closing && self.unanswered == 0
     }
 
+    /// Returns whether the client's next line may be read: once the next statement is to be refused,
+    /// only after all statements before it are answered.
+    pub(crate) const fn may_read(&self) -> bool {
+        self.refusal.is_none() || self.unanswered == 0
+    }
+
+    /// Refuses a line of the client, and those that have arrived after it, if the next statement is to
+    /// be refused; returns whether the session has ended.
+    pub(crate) async fn refuse_stopping(&mut self, line: &[u8]) -> io::Result<bool> {
+        let Some(refusal) = self.refusal.as_mut() else {
+            return Ok(false);
+        };
+        if ends_transaction(line) && std::mem::take(&mut refusal.may_end_transaction) {
+            return Ok(false);
+        }
+        let mut bytes = refusal.answer.clone();
+        while let Some(Ok(Some(_))) = self.lines.next().now_or_never() {
+            bytes.extend_from_slice(&refusal.answer);
+        }
+        self.write(bytes).await?;
+        self.writer.shutdown().await?;
+        Ok(true)
+    }
+
     /// Executes a command of the runner. A session that is forwarded already is closed instead of
     /// being forwarded again.
     ///
@@ -347,6 +393,13 @@
                 }
                 self.write(bytes).await
             }
+            Command::RefuseNext(answer) => {
+                self.refusal = Some(Refusal {
+                    answer,
+                    may_end_transaction: true,
+                });
+                Ok(())
+            }
             Command::CloseWhenIdle | Command::Forward(..) => {
                 self.is_closing = true;
                 Ok(())
--- a/sapphireslipd/src/lead_forwarding.rs
+++ b/sapphireslipd/src/lead_forwarding.rs
@@ -74,6 +74,9 @@
                 // A statement that has arrived meanwhile is forwarded before the session ends.
                 match self.lines.next().now_or_never() {
                     Some(Ok(Some(line))) => {
+                        if self.refuse_stopping(&line).await? {
+                            return Ok(());
+                        }
                         self.forward_lines(line, &mut peer).await?;
                         continue;
                     }
@@ -116,10 +119,13 @@
                     }
                     self.write(bytes).await?;
                 }
-                line = self.lines.next() => {
+                line = self.lines.next(), if self.may_read() => {
                     let Some(line) = line? else {
                         return Ok(());
                     };
+                    if self.refuse_stopping(&line).await? {
+                        return Ok(());
+                    }
                     self.forward_lines(line, &mut peer).await?;
                 }
             }
--- a/sapphireslipd/src/lead_runner.rs
+++ b/sapphireslipd/src/lead_runner.rs
@@ -5,8 +5,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use sapphireslip_core::SessionId;
-use sapphireslip_lead::{Effect, Event, State};
+use sapphireslip_core::{SessionId, TransactionStatus};
+use sapphireslip_lead::{Effect, Event, Reply, State};
 use sapphireslip_platform::{
     encode_failure, encode_forward, encode_forwarded_opened, encode_grant, encode_reply,
     encode_session_opened, encode_share_answer, encode_told_catalog, encode_told_tables,
@@ -156,6 +156,12 @@
                 }
                 self.clients.send(session, bytes);
             }
+            Effect::RefuseNext { session, failure } => {
+                let mut bytes = Vec::new();
+                let refusal = Reply::failed(failure, TransactionStatus::Idle);
+                encode_reply(&refusal, &mut bytes);
+                self.clients.refuse_next(session, bytes);
+            }
             Effect::Relay {
                 session,
                 address,
--- a/sapphireslipd/tests/lead_process.rs
+++ b/sapphireslipd/tests/lead_process.rs
@@ -5,6 +5,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use rstest::rstest;
 use rustix::process::{Pid, Signal, kill_process};
 use standins::{LineSession, line_settings, start_line_site};
 use tempfile::TempDir;
@@ -24,6 +25,12 @@
 /// How long sessions are idle before the stop: longer than a daemon takes for a client's pause.
 const IDLE_TIME: Duration = Duration::from_millis(400);
 
+/// How long daemons that start together take to discover each other: two reads of the permissions.
+const DISCOVERY_TIME: Duration = Duration::from_millis(4_200);
+
+/// The number of sessions whose clients never pause.
+const BUSY_SESSIONS: usize = 10;
+
 /// Starts a daemon with the settings; nobody reads its output.
 fn start(folder: &TempDir, text: &str) -> Child {
     let path = folder.path().join("settings.toml");
@@ -129,6 +136,62 @@
     assert!(ended.success(), "{ended}");
 }
 
+/// Runs statements on one session, each at once after the answer to the one before, until one is refused;
+/// returns an error if the connection ends while a statement is unanswered.
+async fn run_until_refused(mut session: LineSession) -> std::io::Result<String> {
+    for n in 0.. {
+        session.send(&format!("QUERY q{n} READ x")).await?;
+        loop {
+            let line = session.line().await?;
+            if line.starts_with("ERROR") {
+                return Ok(line);
+            }
+            if line.starts_with("READY") {
+                break;
+            }
+        }
+    }
+    unreachable!("a statement is refused before their numbers end")
+}
+
+/// Guards against statements that a planned stop cuts off because their clients never pause, at the
+/// daemon that serves the sessions and at one that forwards them.
+#[rstest]
+#[tokio::test]
+async fn stop_answers_clients_that_never_pause(#[values(1, 2)] stopped: u8) {
+    let site = start_line_site("fees", "ledger").await;
+    let (_group, store) = site.expect("servers and a store");
+    let [.., low] = std::process::id().to_be_bytes();
+    let ip = |n: u8| Ipv4Addr::new(127, 79, low, 10 * stopped + n);
+    let folders = [1, 2].map(|_| TempDir::new().expect("a folder"));
+    let mut daemons = Vec::new();
+    for (n, folder) in (1..).zip(&folders) {
+        let settings = line_settings(&format!("vm-{n}"), ip(n), store.address());
+        daemons.push(start(folder, &settings));
+    }
+    wait_until_served(ip(1)).await;
+    wait_until_served(ip(2)).await;
+    tokio::time::sleep(DISCOVERY_TIME).await;
+    let mut clients = tokio::task::JoinSet::new();
+    for _ in 0..BUSY_SESSIONS {
+        let session = LineSession::open((ip(stopped), 5432).into(), "fees").await;
+        clients.spawn(run_until_refused(session.expect("a session")));
+    }
+    tokio::time::sleep(IDLE_TIME).await;
+    let daemon = &mut daemons[usize::from(stopped) - 1];
+    signal(daemon, Signal::TERM);
+    while let Some(ended) = clients.join_next().await {
+        let refusal = ended.expect("no panic").expect("no statement is cut off");
+        assert!(refusal.starts_with("ERROR BUSY"), "{refusal}");
+    }
+    assert!(daemon.wait().expect("a process").success());
+    for daemon in &mut daemons {
+        // Fails for the one that has ended.
+        let _ended = daemon.kill();
+        daemon.wait().expect("a process");
+    }
+}
+
 #[test]
 fn check_names_all_invalid_settings() {
     let folder = TempDir::new().expect("a folder");
