--- a/sapphireslip-lead/src/coordinator.rs
+++ b/sapphireslip-lead/src/coordinator.rs
@@ -192,6 +192,10 @@
             return (!self.is_coordinator()).then_some(None);
         }
         let table = self.permissions.as_ref()?;
+        if table.unreadable_row_of(&record.holder).is_some() {
+            let ended = self.unreadable_rows.ended_row_of_coordinator(self.now);
+            return ended.map(|version| Some((record.holder.clone(), version)));
+        }
         let permission = table
             .permissions
             .iter()
--- a/sapphireslip-lead/src/event.rs
+++ b/sapphireslip-lead/src/event.rs
@@ -9,7 +9,7 @@
 use crate::{
     Catalog, CoordinatorRecord, KeyDigest, LeaderTable, PermissionTable, Query, Reply, RowVersion,
     ServerRecord, ServerStatus, ShareAnswer, ShareRequest, StayingServers, StoreTime,
-    TablesRequest, ToldCatalog, ToldTables,
+    TablesRequest, ToldCatalog, ToldTables, UnreadableRow,
 };
 
 data! {
@@ -61,6 +61,8 @@
             /// When the read was sent.
             sent: Instant,
         },
+        /// The list of backend servers was read, and these entries can't be used.
+        UnreadableServers(Vec<UnreadableRow>),
         /// The leaders that the store names were read, or have changed.
         Leaders(LeaderTable),
         /// The permissions of all daemons were read from the store.
--- a/sapphireslip-lead/src/handover.rs
+++ b/sapphireslip-lead/src/handover.rs
@@ -10,6 +10,7 @@
 
 use crate::server::KnownServer;
 use crate::state::State;
+use crate::unreadable_rows::UNREADABLE_PERMISSION_MAX;
 use crate::{Effect, PromoteOutcome, Record, RecordKind, Role, RowVersion, Term, TermPosition};
 
 /// How long the coordinator waits for the status of the servers that could take over.
@@ -366,20 +367,24 @@
         let Some(table) = &self.permissions else {
             return;
         };
-        let is_acknowledged = |version: RowVersion| {
+        let is_acknowledged = |version: RowVersion, named: Instant| {
             // Whether a daemon has left the old leader: it has no permission, or a newer one.
             let has_left = |(record, row): &(crate::PermissionRecord, RowVersion)| {
                 record.until <= table.now || *row > version
             };
+            // The permission of a daemon whose row can't be read was written before the naming, unless
+            // that daemon knows of it.
+            let are_others_over =
+                table.unreadable.is_empty() || self.now.since(named) >= UNREADABLE_PERMISSION_MAX;
             // A table older than the naming may lack the row of a daemon that has just started.
-            table.version >= version && table.permissions.iter().all(has_left)
+            table.version >= version && table.permissions.iter().all(has_left) && are_others_over
         };
         let done: Vec<ServiceName> = self
             .coordinator
             .handovers
             .iter()
             .filter(|(_, handover)| {
-                matches!(handover.step, Step::Acknowledging(version) if is_acknowledged(version))
+                matches!(handover.step, Step::Acknowledging(version) if is_acknowledged(version, handover.since))
             })
             .map(|(service, _)| service.clone())
             .collect();
--- a/sapphireslip-lead/src/lead_record.rs
+++ b/sapphireslip-lead/src/lead_record.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use sapphireslip_core::{Incarnation, ServerId, ServiceName, VmId, ZoneName, data, key};
+use sapphireslip_core::{Incarnation, ServerId, ServiceName, Text, VmId, ZoneName, data, key};
 
 use crate::Term;
 
@@ -74,10 +74,23 @@
         pub coordinator: Option<(CoordinatorRecord, RowVersion)>,
     }
 
+    /// A row that can't be read: another writer wrote it, or a daemon of another build.
+    pub struct UnreadableRow {
+        /// The row's key.
+        pub key: Text,
+        /// The row's version.
+        pub version: RowVersion,
+        /// Why it can't be read; empty if that was found by another daemon.
+        pub fault: Text,
+    }
+
     /// The permission rows of all daemons as of one read of the store.
+    #[derive(Default)]
     pub struct PermissionTable {
         /// The rows, each with its version.
         pub permissions: Vec<(PermissionRecord, RowVersion)>,
+        /// The rows that can't be read, under the name of a VM. A daemon there may have a permission.
+        pub unreadable: Vec<UnreadableRow>,
         /// The version of the store at the read.
         pub version: RowVersion,
         /// The store's clock at the read.
@@ -91,4 +104,11 @@
         let records = self.permissions.iter().map(|(record, _)| record);
         records.filter(|record| self.now < record.until)
     }
+
+    /// Returns the version of a VM's row if that can't be read.
+    pub(crate) fn unreadable_row_of(&self, vm: &VmId) -> Option<RowVersion> {
+        let mut rows = self.unreadable.iter();
+        let row = rows.find(|row| *row.key == *vm.as_str());
+        row.map(|row| row.version)
+    }
 }
--- a/sapphireslip-lead/src/lib.rs
+++ b/sapphireslip-lead/src/lib.rs
@@ -62,6 +62,7 @@
 mod timeouts;
 mod told_tables;
 mod transaction;
+mod unreadable_rows;
 mod votes;
 mod waiting_session;
 mod waiting_statement;
--- a/sapphireslip-lead/src/permission.rs
+++ b/sapphireslip-lead/src/permission.rs
@@ -343,7 +343,9 @@
             .permissions
             .iter()
             .find(|(record, _)| record.vm == self.local.vm);
-        let version = own.map_or(RowVersion(0), |(_, version)| *version);
+        let unreadable = table.unreadable_row_of(&self.local.vm);
+        let version = own.map(|(_, version)| *version).or(unreadable);
+        let version = version.unwrap_or_default();
         if self.permission.stored_version.is_none() {
             self.permission.stored_version = Some(version);
             self.permission.had_earlier_row = own.is_some();
@@ -356,6 +358,8 @@
                 };
             }
         }
+        self.note_unreadable_rows("the permissions", &table.unreadable);
+        self.note_unreadable_coordinator(&table);
         self.rate_shares.on_rows(self.now, sent, &table);
         self.votes = Votes::count(&table, &self.local.vm);
         self.reach.learn(&table, self.now);
--- a/sapphireslip-lead/src/rate_shares.rs
+++ b/sapphireslip-lead/src/rate_shares.rs
@@ -205,11 +205,15 @@
     }
 
     /// Learns from rows that were read at or after `sent` which daemons may hold leases. Rows that
-    /// were read before the term began are ignored: they may lack a daemon that got a lease since.
+    /// were read before the term began are ignored: they may lack a daemon that got a lease since. So are
+    /// those with an unreadable one, whose daemon may hold a lease.
     pub fn on_rows(&mut self, now: Instant, sent: Instant, table: &PermissionTable) {
         let Some(term) = self.term.as_mut().filter(|term| term.begun <= sent) else {
             return;
         };
+        if !table.unreadable.is_empty() {
+            return;
+        }
         let may_hold = |record: &&crate::PermissionRecord| {
             record.holds_shares && table.now < StoreTime(record.until.0 + SHARE_LEASE)
         };
--- a/sapphireslip-lead/src/record.rs
+++ b/sapphireslip-lead/src/record.rs
@@ -54,6 +54,8 @@
         CatalogTaken,
         /// An account or a key of the configuration was left out.
         AccountIgnored,
+        /// A row of the store can't be read and was left out.
+        RowIgnored,
         /// The limit of an account was reached at this daemon, or is no longer.
         AccountLimited,
         /// A backend server's row in the list appeared, changed or is missing.
@@ -127,7 +129,7 @@
 
 impl RecordKind {
     /// All kinds.
-    pub const ALL: [Self; 23] = [
+    pub const ALL: [Self; 24] = [
         Self::RequestSent,
         Self::RequestAnswered,
         Self::RequestRetried,
@@ -146,6 +148,7 @@
         Self::Promotion,
         Self::CatalogTaken,
         Self::AccountIgnored,
+        Self::RowIgnored,
         Self::AccountLimited,
         Self::StoreReachable,
         Self::DaemonAvoided,
@@ -195,6 +198,7 @@
             Self::Promotion => "promotion",
             Self::CatalogTaken => "catalog_taken",
             Self::AccountIgnored => "account_ignored",
+            Self::RowIgnored => "row_ignored",
             Self::AccountLimited => "account_limited",
             Self::ServerListed => "server_listed",
             Self::ServerReachable => "server_reachable",
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -26,6 +26,7 @@
 use crate::session::Session;
 use crate::store_events::Reads;
 use crate::told_tables::TableRelay;
+use crate::unreadable_rows::UnreadableRows;
 use crate::votes::Votes;
 use crate::waiting_session::WaitingSession;
 use crate::{
@@ -110,6 +111,8 @@
         pub(crate) permissions: Option<PermissionTable>,
         /// The order in which daemons of this zone become the home of each service.
         pub(crate) home_ranks: HomeRanks,
+        /// The rows of the store that can't be read.
+        pub(crate) unreadable_rows: UnreadableRows,
         /// The reports of other daemons on the leaders.
         pub(crate) votes: Votes,
         /// The reports of all zones on the leaders.
@@ -177,6 +180,7 @@
             permission: Permission::default(),
             permissions: None,
             home_ranks: HomeRanks::default(),
+            unreadable_rows: UnreadableRows::default(),
             votes: Votes::default(),
             reach: Reach::default(),
             grants: Grants::default(),
@@ -217,6 +221,7 @@
             Event::TablesAsked { session, request } => self.on_tables_asked(session, request),
             Event::TablesTold { told, sent } => self.on_tables_told(told, sent),
             Event::Servers { list, sent } => self.on_servers(list, sent),
+            Event::UnreadableServers(rows) => self.note_unreadable_rows("the servers", &rows),
             Event::Leaders(table) => self.on_leaders(table),
             Event::Permissions { table, sent } => self.on_permissions_read(table, sent),
             Event::Written(written) => self.on_written(written),
--- a/sapphireslip-lead/tests/rate_support/mod.rs
+++ b/sapphireslip-lead/tests/rate_support/mod.rs
@@ -381,6 +381,7 @@
         let rows = self.daemons.iter().enumerate().map(row);
         PermissionTable {
             permissions: rows.map(|row| (row, RowVersion(1))).collect(),
+            unreadable: Vec::new(),
             version: RowVersion(1),
             now: StoreTime(Duration::from_millis(self.now)),
         }
--- a/sapphireslip-lead/tests/support/store.rs
+++ b/sapphireslip-lead/tests/support/store.rs
@@ -6,7 +6,7 @@
 use sapphireslip_core::{Incarnation, VmId};
 use sapphireslip_lead::{
     LeaderTable, NamedLeader, PermissionRecord, PermissionTable, RowVersion, StoreTime, StoreWrite,
-    WriteOutcome,
+    UnreadableRow, WriteOutcome,
 };
 
 use super::{VM_MILLICORES, at, vm, zone};
@@ -38,6 +38,8 @@
     pub leader_writes: usize,
     /// The permission rows of all daemons, each with its version.
     permissions: BTreeMap<VmId, (PermissionRecord, RowVersion)>,
+    /// The permission rows that another writer has overwritten with something else.
+    unreadable: Vec<UnreadableRow>,
 }
 
 impl FakeStore {
@@ -51,6 +53,7 @@
     pub fn permissions(&self, millis: u64) -> PermissionTable {
         PermissionTable {
             permissions: self.permissions.values().cloned().collect(),
+            unreadable: self.unreadable.clone(),
             version: RowVersion(self.version),
             now: self.now(millis),
         }
@@ -64,11 +67,25 @@
             .insert(record.vm.clone(), (record, version));
     }
 
+    /// Has another writer overwrite a VM's permission row with something that can't be read.
+    pub fn spoil_permission(&mut self, vm: &VmId) {
+        self.version += 1;
+        self.permissions.remove(vm);
+        self.unreadable.retain(|row| *row.key != *vm.as_str());
+        self.unreadable.push(UnreadableRow {
+            key: vm.as_str().into(),
+            version: RowVersion(self.version),
+            fault: "cannot parse it".into(),
+        });
+    }
+
     /// Returns the version of a VM's permission row; 0 if there is none.
     fn permission_version(&self, vm: &VmId) -> RowVersion {
+        let unreadable = self.unreadable.iter().find(|row| *row.key == *vm.as_str());
+        let unreadable = unreadable.map_or(RowVersion(0), |row| row.version);
         self.permissions
             .get(vm)
-            .map_or(RowVersion(0), |(_, version)| *version)
+            .map_or(unreadable, |(_, version)| *version)
     }
 
     /// Carries out a write at `millis` if its conditions hold, and returns its outcome.
@@ -91,6 +108,8 @@
         match write {
             StoreWrite::RenewPermission { record, .. } => {
                 let row = (record.clone(), version);
+                self.unreadable
+                    .retain(|row| *row.key != *record.vm.as_str());
                 self.permissions.insert(record.vm.clone(), row);
             }
             StoreWrite::DropPermission { vm, .. } => {
--- a/sapphireslipd/src/store_edge.rs
+++ b/sapphireslipd/src/store_edge.rs
@@ -8,8 +8,8 @@
 use bytes::BytesMut;
 use sapphireslip_core::{ServerId, ServiceName, VmId};
 use sapphireslip_lead::{
-    Event, PermissionTable, PromoteOutcome, RowVersion, ServerRecord, StayingServers, StoreWrite,
-    TablesRequest, ToldCatalog, WriteOutcome, Written,
+    Event, PromoteOutcome, RowVersion, StayingServers, StoreWrite, TablesRequest, ToldCatalog,
+    WriteOutcome, Written,
 };
 use sapphireslip_platform::{
     Call, PlatformError, Rows, TOLD_CATALOG_MAX_BYTES, Table, decode_grant, decode_leaders,
@@ -54,14 +54,11 @@
     pub(crate) async fn read_servers(self) {
         let sent = self.clock.now();
         let rows = self.store.read(Table::Servers).await;
-        let list: Option<Vec<ServerRecord>> = rows.map(|rows| {
-            let (records, faults) = decode_servers(&rows);
-            for (key, err) in faults {
-                log::debug!("the row of server `{key}` is ignored: {err}");
-            }
-            records
-        });
+        let (list, unreadable) = rows.map(|rows| decode_servers(&rows)).unzip();
         self.send_event(Event::Servers { list, sent }).await;
+        if let Some(rows) = unreadable {
+            self.send_event(Event::UnreadableServers(rows)).await;
+        }
     }
 
     /// Reads the leaders of all services and who the coordinator is; reports nothing if that fails.
@@ -78,7 +75,8 @@
     /// Reads the permissions of all daemons.
     pub(crate) async fn read_permissions(self) {
         let sent = self.clock.now();
-        let table: Option<PermissionTable> = self.read(Table::Permits, decode_permissions).await;
+        let rows = self.store.read(Table::Permits).await;
+        let table = rows.map(|rows| decode_permissions(&rows));
         self.send_event(Event::Permissions { table, sent }).await;
     }
 
--- a/sapphireslipd/tests/lead_daemon.rs
+++ b/sapphireslipd/tests/lead_daemon.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
+use rstest::rstest;
 use sapphireslipd::{LeadSettings, serve_lead};
 use socket2::Socket;
 use standins::{
@@ -200,9 +201,31 @@
     }
 }
 
+/// Writes odd entries among those of the servers and of the daemons, as another writer may.
+fn write_odd_entries(store: &LineStore) {
+    let deep = "[".repeat(100_000);
+    let number = r#"{"service":"ledger","capacity":1e400}"#;
+    let port = r#"{"service":"ledger","address":"127.0.0.1:70000"}"#;
+    for (n, odd) in [deep.as_str(), number, port].iter().enumerate() {
+        store.put("servers", &format!("a-{n}"), odd.as_bytes());
+        let vm = format!("odd-{n}");
+        store.put_in_part(
+            "sapphireslip-permits",
+            "sapphireslip",
+            &vm,
+            &[odd.as_bytes()],
+        );
+    }
+}
+
+/// Guards against a process that ends, or stops following its lists, for an odd entry of another writer.
+#[rstest]
 #[tokio::test]
-async fn writes_succeed_again_after_the_primary_is_lost() {
+async fn writes_succeed_again_after_the_primary_is_lost(#[values(false, true)] has_odd: bool) {
     let site = Site::start(&["vm-1", "vm-2"]).await;
+    if has_odd {
+        write_odd_entries(&site.store);
+    }
     let mut client = site.client(0).await;
     assert_eq!(client.run("1", "WRITE x 1").await, "COMPLETE 1 I");
     site.group.kill_primary();
--- a/standins/src/line_store.rs
+++ b/standins/src/line_store.rs
@@ -105,10 +105,15 @@
     /// Writes a row several times before any watch is answered, as when the watching process is
     /// suspended meanwhile.
     pub fn put_each(&self, table: &str, key: &str, values: &[&[u8]]) {
+        self.put_in_part(table, "", key, values);
+    }
+
+    /// Writes a row of a part of a table several times.
+    pub fn put_in_part(&self, table: &str, part: &str, key: &str, values: &[&[u8]]) {
         let mut rows = self.shared.rows();
         for value in values {
             rows.version += 1;
-            let key = (table.to_owned(), String::new(), key.to_owned());
+            let key = (table.to_owned(), part.to_owned(), key.to_owned());
             rows.change(key, Some(STANDARD.encode(value)));
         }
         self.shared.changed.notify_waiters();
