--- a/sapphireslip-lead/src/client.rs
+++ b/sapphireslip-lead/src/client.rs
@@ -228,15 +228,17 @@
             .map(|transaction| Begin {
                 reads_only: transaction.reads_only,
             });
+        let last_write = session.last_write_to(&route.service);
+        let in_transaction = transaction.is_some();
         let job = Job {
             session: id,
             account: self.account_of(id),
-            shape,
+            shape: shape.map(|shape| self.shapes.numbered(&shape)),
             work,
-            in_transaction: transaction.is_some(),
+            in_transaction,
             pending_begin,
             needs_leader: !reads_only || route.freshness == Freshness::Primary,
-            last_write: session.last_write_to(&route.service),
+            last_write,
             priority: route.priority,
             arrived: self.now,
             deadline: self.now + route.timeout,
@@ -250,9 +252,6 @@
             freshness: route.freshness,
             query,
         };
-        if let Some(shape) = &job.shape {
-            self.shapes.add(shape);
-        }
         self.last_job += 1;
         let job_id = JobId(self.last_job);
         self.jobs.insert(job_id, job);
--- a/sapphireslip-lead/src/connection.rs
+++ b/sapphireslip-lead/src/connection.rs
@@ -1,6 +1,7 @@
 //! One connection to a backend server: its use, its outstanding requests and its session state.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 use std::time::Duration;
 
 use sapphireslip_core::{AccountName, ConnectionId, Instant, ServerId, SessionId, Text, data};
@@ -8,7 +9,7 @@
 use crate::connection_choice::Usage;
 use crate::job::JobId;
 use crate::session::Session;
-use crate::{ServerRequest, Shape};
+use crate::{NumberedShape, ServerRequest, ShapeNumber};
 
 /// Limit on the statements prepared on one connection; a connection that reaches it is reset.
 const PREPARED_MAX: usize = 128;
@@ -35,8 +36,8 @@
         pub(crate) awaited: VecDeque<Awaited>,
         /// The session variables that are set on the connection; none if they are unknown.
         variables: Option<BTreeMap<Text, Text>>,
-        /// The numbers of the shapes that are prepared on the connection.
-        prepared: BTreeSet<u32>,
+        /// The shapes that are prepared on the connection.
+        prepared: BTreeMap<ShapeNumber, Arc<NumberedShape>>,
         /// When the connection was opened or last carried an answer; until then, when its opening
         /// began.
         pub(crate) last_heard: Instant,
@@ -96,7 +97,7 @@
             purpose: Purpose::Free,
             awaited: VecDeque::new(),
             variables: Some(BTreeMap::new()),
-            prepared: BTreeSet::new(),
+            prepared: BTreeMap::new(),
             last_heard: now,
             last_used: now,
             has_carried_statement: false,
@@ -157,9 +158,10 @@
 
     /// Returns about how many requests would bring the connection to a session's state.
     ///
-    /// `shape_number` is the number of the prepared statement that is to run.
-    pub(crate) fn setup_count(&self, session: &Session, shape_number: Option<u32>) -> usize {
-        let prepare = usize::from(shape_number.is_some_and(|n| !self.prepared.contains(&n)));
+    /// `shape` is that of the prepared statement that is to run.
+    pub(crate) fn setup_count(&self, session: &Session, shape: Option<&NumberedShape>) -> usize {
+        let is_missing = |shape: &NumberedShape| !self.prepared.contains_key(&shape.number);
+        let prepare = usize::from(shape.is_some_and(is_missing));
         match &self.variables {
             Some(variables)
                 if variables
@@ -169,18 +171,18 @@
                 let missing = |(name, value): &(&Text, &Text)| variables.get(*name) != Some(*value);
                 prepare + session.variables.iter().filter(missing).count()
             }
-            _ => 1 + usize::from(shape_number.is_some()) + session.variables.len(),
+            _ => 1 + usize::from(shape.is_some()) + session.variables.len(),
         }
     }
 
     /// Returns the requests that bring the connection to a session's state, and records that state
     /// as reached.
     ///
-    /// `shape` is the prepared statement that is to run, with its number.
+    /// `shape` is that of the prepared statement that is to run.
     pub(crate) fn setup_for(
         &mut self,
         session: &Session,
-        shape: Option<(u32, &Shape)>,
+        shape: Option<&Arc<NumberedShape>>,
     ) -> Vec<ServerRequest> {
         let mut requests = Vec::new();
         let has_extra = |variables: &BTreeMap<Text, Text>| {
@@ -204,11 +206,14 @@
                 variables.insert(Text::clone(name), Text::clone(value));
             }
         }
-        if let Some((number, shape)) = shape
-            && self.prepared.insert(number)
+        if let Some(shape) = shape
+            && self
+                .prepared
+                .insert(shape.number, Arc::clone(shape))
+                .is_none()
         {
-            let shape = shape.clone();
-            requests.push(ServerRequest::Prepare { number, shape });
+            let shape = Arc::clone(shape);
+            requests.push(ServerRequest::Prepare { shape });
         }
         requests
     }
--- a/sapphireslip-lead/src/connection_opening.rs
+++ b/sapphireslip-lead/src/connection_opening.rs
@@ -44,11 +44,10 @@
         if statements_left == 0 && !is_own_opening {
             return ConnectionChoice::Unavailable;
         }
-        let shape_number = job.shape.as_ref().map(|shape| self.shapes.number(shape));
         let held = self.pool.held(
             server,
             job.account.as_ref(),
-            |connection| connection.setup_count(session, shape_number),
+            |connection| connection.setup_count(session, job.shape.as_deref()),
             known.latency(),
             self.now,
         );
--- a/sapphireslip-lead/src/dispatch.rs
+++ b/sapphireslip-lead/src/dispatch.rs
@@ -323,13 +323,12 @@
         let Some(session) = self.sessions.get(&job.session) else {
             return;
         };
-        let shape_number = job.shape.as_ref().map(|shape| self.shapes.number(shape));
-        let statement = job.request(floor, shape_number);
+        let statement = job.request(floor);
         let Some(at) = self.pool.get_mut(connection) else {
             return;
         };
         at.note_statement(self.now);
-        let shape = shape_number.zip(job.shape.as_ref());
+        let shape = job.shape.as_ref();
         let mut requests = match job.work {
             Work::Commit => Vec::new(),
             Work::Read | Work::Write => at.setup_for(session, shape),
--- a/sapphireslip-lead/src/effect.rs
+++ b/sapphireslip-lead/src/effect.rs
@@ -1,6 +1,7 @@
 //! Effects: the outputs of the reducer, as data.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use sapphireslip_core::{
@@ -8,9 +9,9 @@
 };
 
 use crate::{
-    CoordinatorRecord, Failure, KeyDigest, LeaderRecord, PermissionRecord, Record, Reply,
-    RowVersion, Shape, ShareAnswer, ShareRequest, StayingServers, TablesRequest, TermPosition,
-    ToldCatalog, ToldTables,
+    CoordinatorRecord, Failure, KeyDigest, LeaderRecord, NumberedShape, PermissionRecord, Record,
+    Reply, RowVersion, ShapeNumber, ShareAnswer, ShareRequest, StayingServers, TablesRequest,
+    TermPosition, ToldCatalog, ToldTables,
 };
 
 data! {
@@ -199,10 +200,9 @@
         },
         /// Prepares a statement on the connection.
         Prepare {
-            /// The number that this daemon uses for the shape on all connections.
-            number: u32,
-            /// The statement to prepare.
-            shape: Shape,
+            /// The statement to prepare, with the number that this daemon uses for it on all
+            /// connections.
+            shape: Arc<NumberedShape>,
         },
         /// Runs a client's statement, with its text unchanged.
         Forward {
@@ -220,7 +220,7 @@
             /// The least log position that the server must have; none if any will do.
             floor: Option<TermPosition>,
             /// The number of the prepared shape.
-            number: u32,
+            number: ShapeNumber,
             /// The text after the prepared statement's name, unchanged.
             arguments: Text,
         },
--- a/sapphireslip-lead/src/job.rs
+++ b/sapphireslip-lead/src/job.rs
@@ -1,12 +1,13 @@
 //! A statement that needs a backend server, from its arrival to its answer.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use sapphireslip_core::{
     AccountName, ConnectionId, Instant, ServerId, ServiceName, SessionId, data, key,
 };
 
-use crate::{Freshness, Query, ServerRequest, Shape, Term, TermPosition};
+use crate::{Freshness, NumberedShape, Query, ServerRequest, Term, TermPosition};
 
 key! {
     /// Identifies a job; unique within one run of a daemon, and in order of arrival.
@@ -33,7 +34,7 @@
         /// The statement.
         pub(crate) query: Query,
         /// The prepared statement that an `EXECUTE` runs.
-        pub(crate) shape: Option<Shape>,
+        pub(crate) shape: Option<Arc<NumberedShape>>,
         /// What the statement does to the data.
         pub(crate) work: Work,
         /// Whether the statement is part of a transaction.
@@ -118,21 +119,16 @@
         matches!(self.work, Work::Read) && !self.in_transaction
     }
 
-    /// Returns the request that runs the statement at a backend server.
-    ///
-    /// `shape_number` is the number of the job's shape; a statement without one is sent as text.
-    pub(crate) fn request(
-        &self,
-        floor: Option<TermPosition>,
-        shape_number: Option<u32>,
-    ) -> ServerRequest {
+    /// Returns the request that runs the statement at a backend server; a statement without a shape is
+    /// sent as text.
+    pub(crate) fn request(&self, floor: Option<TermPosition>) -> ServerRequest {
         let id = sapphireslip_core::Text::clone(&self.query.id);
-        match (&self.query.statement, shape_number) {
-            (Some(crate::Statement::Execute { arguments, .. }), Some(shape_number)) => {
+        match (&self.query.statement, &self.shape) {
+            (Some(crate::Statement::Execute { arguments, .. }), Some(shape)) => {
                 ServerRequest::Execute {
                     id,
                     floor,
-                    number: shape_number,
+                    number: shape.number,
                     arguments: sapphireslip_core::Text::clone(arguments),
                 }
             }
--- a/sapphireslip-lead/src/probes.rs
+++ b/sapphireslip-lead/src/probes.rs
@@ -1,14 +1,12 @@
-//! Probes: requests for the status of servers. Also the numbers by which the shapes of prepared
-//! statements are known on connections to servers.
+//! Probes: requests for the status of servers.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
-use sapphireslip_core::{Instant, ServerId, ServiceName, Text, data};
+use sapphireslip_core::{Instant, ServerId, ServiceName, Text};
 
+use crate::ServerRequest;
 use crate::connection::{AnswerTo, Purpose};
 use crate::state::State;
-use crate::{ServerRequest, Shape};
 
 /// How old the newest floor sample and the last probe of a primary may be before it is probed: a
 /// fraction of the staleness that any route allows, so that floors stay recent.
@@ -17,42 +15,6 @@
 /// How often a leader is probed that is not confirmed yet or is failing.
 const PROBE_PENDING_EVERY: Duration = Duration::from_millis(40);
 
-data! {
-    /// The statement shapes that sessions have prepared, each with one number that is the same on
-    /// all connections.
-    #[derive(Default)]
-    pub(crate) struct Shapes {
-        /// The number of each known shape.
-        numbers: BTreeMap<Shape, u32>,
-        /// The number that was given last; 0 before the first.
-        last_number: u32,
-    }
-}
-
-/// The most shapes whose numbers are remembered.
-const SHAPES_MAX: usize = 4_096;
-
-impl Shapes {
-    /// Returns the number of a shape, or 0 if it has none.
-    pub(crate) fn number(&self, shape: &Shape) -> u32 {
-        self.numbers.get(shape).copied().unwrap_or_default()
-    }
-
-    /// Gives a shape a number unless it has one.
-    ///
-    /// No number is given twice, so forgetting all of them at the limit is safe.
-    pub(crate) fn add(&mut self, shape: &Shape) {
-        if self.numbers.contains_key(shape) {
-            return;
-        }
-        if self.numbers.len() >= SHAPES_MAX {
-            self.numbers.clear();
-        }
-        self.last_number += 1;
-        self.numbers.insert(shape.clone(), self.last_number);
-    }
-}
-
 impl State {
     /// Probes the leaders that this daemon works with and that have not answered recently.
     pub(crate) fn probe_leaders(&mut self) {
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -19,7 +19,6 @@
 use crate::new_work::new_work_time;
 use crate::permission::Permission;
 use crate::pool::Pool;
-use crate::probes::Shapes;
 use crate::reach::Reach;
 use crate::relays::Relays;
 use crate::servers::Servers;
@@ -31,7 +30,7 @@
 use crate::waiting_session::WaitingSession;
 use crate::{
     Catalog, ConnectionCounts, Effect, Event, FairQueue, Floors, PermissionTable, RateBounds,
-    RateLimits, RateShares, Record,
+    RateLimits, RateShares, Record, Shapes,
 };
 
 data! {
@@ -204,6 +203,13 @@
         }
     }
 
+    /// Returns the state with a registry that forgets unused shapes beyond `kept`.
+    #[must_use]
+    pub fn with_shapes_kept(mut self, kept: usize) -> Self {
+        self.shapes = Shapes::keeping(kept);
+        self
+    }
+
     /// Applies one event and returns the effects to carry out, in order.
     ///
     /// `now` must include time during which the machine was suspended: permissions depend on it.
--- a/sapphireslip-lead/tests/session_state.rs
+++ b/sapphireslip-lead/tests/session_state.rs
@@ -12,7 +12,9 @@
     let sent = std::mem::take(&mut daemon.sent);
     let name = |request: &ServerRequest| match request {
         ServerRequest::Set { name, value } => format!("SET {name} {value}"),
-        ServerRequest::Prepare { number, shape } => format!("PREPARE {number} {}", shape.text),
+        ServerRequest::Prepare { shape } => {
+            format!("PREPARE {} {}", shape.number, shape.shape.text)
+        }
         ServerRequest::Forward { text, .. } => text.to_string(),
         ServerRequest::Execute {
             number, arguments, ..
--- a/sapphireslip-lead/tests/support/daemon.rs
+++ b/sapphireslip-lead/tests/support/daemon.rs
@@ -10,8 +10,8 @@
 };
 
 use super::{
-    Closing, FakeGroup, FakeStore, PAYMENTS, SERVER_DRAIN_BOUND, VM_MILLICORES, at, catalog, query,
-    vm, zone,
+    Closing, FakeGroup, FakeStore, PAYMENTS, Prepared, SERVER_DRAIN_BOUND, VM_MILLICORES, at,
+    catalog, query, vm, zone,
 };
 
 /// One daemon with a fake store and fake servers, both of which answer at once unless told
@@ -55,6 +55,8 @@
     /// When servers got single statements or the first ones of transactions, in milliseconds, the
     /// oldest first.
     pub new_work: Vec<(u64, ServerId)>,
+    /// What the servers' connections hold under prepared names.
+    pub prepared: Prepared,
     /// The position that servers report in place of their own.
     pub reported_position: Option<TermPosition>,
     /// The number of calls to the store.
@@ -144,6 +146,7 @@
             effects: Vec::new(),
             sent: Vec::new(),
             new_work: Vec::new(),
+            prepared: Prepared::default(),
             reported_position: None,
             store_calls: 0,
             records: Vec::new(),
@@ -165,6 +168,11 @@
         vm("vm-1")
     }
 
+    /// Changes the reducer's settings.
+    pub fn change_state(&mut self, change: impl FnOnce(State) -> State) {
+        self.state = change(self.state.clone());
+    }
+
     /// Advances the time in ticks of 10 ms.
     pub fn advance(&mut self, millis: u64) {
         for _ in 0..millis / 10 {
@@ -439,6 +447,7 @@
         if is_first || (is_clients && status == TransactionStatus::Idle) {
             self.new_work.push((self.millis, server.clone()));
         }
+        self.prepared.note(connection, &request);
         self.sent.push((server.clone(), request.clone()));
         if is_clients {
             self.sent_on.push((connection, request.clone()));
--- a/sapphireslip-lead/tests/support/mod.rs
+++ b/sapphireslip-lead/tests/support/mod.rs
@@ -14,6 +14,7 @@
 mod fleet_history;
 mod group;
 mod load;
+mod prepared;
 mod store;
 
 use std::collections::BTreeMap;
@@ -30,6 +31,7 @@
 pub use self::fleet::*;
 pub use self::group::*;
 pub use self::load::*;
+pub use self::prepared::*;
 pub use self::store::*;
 
 /// The time after which servers that are listed as draining must get no new work.
@@ -123,6 +125,7 @@
                 text: value.into(),
             },
         },
+        "DEALLOCATE" => Statement::Deallocate { name: name.into() },
         "EXECUTE" => Statement::Execute {
             name: name.into(),
             arguments: value.into(),
