Leaders: where a service waits for replicas, no server that may lack acknowledged commits is chosen

Callers of a service with sync_replicas 1 lost acknowledged commits when the primary crashed while one replica received nothing and the other, which had them all, left or was unreachable for some seconds.

Cause: nothing read the field. Servers that stay were chosen before servers that leave, whatever they had received, and others were waited for 0.25 s.

The field is decoded and told.

With 0 nothing changes.

Not done: the same with processes.

--- a/sapphireslip-lead/src/catalog.rs
+++ b/sapphireslip-lead/src/catalog.rs
@@ -60,9 +60,12 @@
     }
 
     /// A service: one group of backend servers.
+    #[derive(Default)]
     pub struct ServiceSpec {
         /// The most connections that one server accepts from all daemons together.
         pub connections: usize,
+        /// How many replicas have received a commit before the primary acknowledges it.
+        pub sync_replicas: usize,
     }
 }
 
--- a/sapphireslip-lead/src/handover.rs
+++ b/sapphireslip-lead/src/handover.rs
@@ -10,22 +10,9 @@
 
 use crate::server::KnownServer;
 use crate::state::State;
+use crate::sync_replicas::Commits;
 use crate::unreadable_rows::UNREADABLE_PERMISSION_MAX;
-use crate::{Effect, PromoteOutcome, Record, RecordKind, Role, RowVersion, Term, TermPosition};
-
-/// How long the coordinator waits for the status of the servers that could take over.
-const STATUS_WAIT_MAX: Duration = Duration::from_millis(250);
-
-/// How long a lost primary that had more of the log than the best replica may take to come back:
-/// a promotion without it would lose acknowledged writes.
-const RETURN_WAIT_MAX: Duration = Duration::from_millis(2_000);
-
-/// The most records that a new leader may lack of a primary that still answers. These few usually
-/// arrive while writes go on, but may not arrive after the last write.
-const LAG_MAX_RECORDS: u64 = 20;
-
-/// How long a replica that lacks more records is waited for, while the primary continues to serve.
-const LAG_WAIT_MAX: Duration = Duration::from_millis(3_500);
+use crate::{Effect, PromoteOutcome, Record, RecordKind, RowVersion, Term, TermPosition};
 
 /// How long a new leader may receive nothing before the rest of the log is given up.
 const CATCH_UP_STALL_MAX: Duration = Duration::from_millis(700);
@@ -83,13 +70,15 @@
         /// The server that takes over; none until it is chosen.
         pub(crate) new: Option<ServerId>,
         /// Why the primary is replaced.
-        reason: Reason,
+        pub(crate) reason: Reason,
         /// The term that the new leader's term has to exceed.
-        above: Term,
+        pub(crate) above: Term,
         /// The current step.
         step: Step,
+        /// When the handover began.
+        pub(crate) began: Instant,
         /// When the current step began.
-        since: Instant,
+        pub(crate) since: Instant,
         /// The last position of the new leader's log that was seen while it caught up.
         received: Option<TermPosition>,
         /// When `received` last changed.
@@ -99,7 +88,7 @@
 
 impl Handover {
     /// Returns whether the old leader is available again, so that it need not be replaced.
-    fn is_unnecessary(&self, state: &State) -> bool {
+    pub(crate) fn is_unnecessary(&self, state: &State) -> bool {
         let old = self.old.as_ref().and_then(|old| state.servers.get(old));
         match self.reason {
             Reason::Lost => state.is_back(self),
@@ -136,6 +125,7 @@
             reason,
             above,
             step: Step::Choosing,
+            began: self.now,
             since: self.now,
             received: None,
             last_progress: self.now,
@@ -156,6 +146,7 @@
             reason: Reason::NoPrimary,
             above: record.above,
             step: Step::Acknowledging(*version),
+            began: self.now,
             since: self.now,
             received: None,
             last_progress: self.now,
@@ -207,133 +198,18 @@
         }
     }
 
-    /// Chooses the server with the longest log as the new leader and has it named, or drops the
-    /// handover if it is unnecessary. Servers that stay go before servers that leave.
-    fn choose(&mut self, service: &ServiceName, handover: &Handover) {
-        if handover.is_unnecessary(self) {
-            self.log(
-                Record::new(RecordKind::Promotion, "the primary is kept".into()).service(service),
-            );
-            self.coordinator.handovers.remove(service);
-            return;
-        }
-        let others: Vec<ServerId> = self
-            .servers
-            .of(service)
-            .filter(|(id, server)| {
-                Some(*id) != handover.old.as_ref() && !server.is_unreachable(self.now)
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
-        let has_answered = |state: &Self, id: &ServerId| {
-            let asked = state
-                .servers
-                .get(id)
-                .and_then(|server| server.status_request_sent);
-            asked >= Some(handover.since)
-        };
-        for id in &others {
-            let status = self
-                .servers
-                .get(id)
-                .and_then(|server| server.status_request_sent);
-            if status.is_none_or(|asked| self.now.since(asked) >= STATUS_WAIT_MAX) {
-                self.probe(id);
-            }
-        }
-        let unanswered: Vec<_> = others
-            .iter()
-            .filter(|id| !has_answered(self, id))
-            .cloned()
-            .collect();
-        for id in &unanswered {
-            self.probe(id);
-        }
-        let waited = self.now.since(handover.since);
-        if !unanswered.is_empty() && waited < STATUS_WAIT_MAX {
-            return;
-        }
-        let rank = |id: &&ServerId| {
-            let server = self.servers.get(id);
-            let received = server
-                .and_then(|s| s.status.as_ref())
-                .map(|status| status.received);
-            (server.is_some_and(KnownServer::is_staying), received)
-        };
-        let may_adopt = self.may_adopt(service);
-        let is_fit =
-            |id: &&ServerId| has_answered(self, id) && (may_adopt || self.led_term(id).is_none());
-        let Some(best) = others.iter().filter(is_fit).max_by_key(rank) else {
-            return;
-        };
-        let best = best.clone();
-        let above = match self.led_term(&best) {
-            Some(term) => Term(term.0.saturating_sub(1)),
-            None => handover.above,
-        };
-        if handover.reason == Reason::Lost
-            && self.would_lose_records(handover, &best)
-            && waited < RETURN_WAIT_MAX
-        {
-            return;
-        }
-        if self.lags_too_far(handover, &best) && waited < LAG_WAIT_MAX {
-            return;
-        }
-        if !self.name_leader(service, &best, above) {
+    /// Has the chosen server named as the new leader, unless that has to be tried again later.
+    pub(crate) fn name_chosen(&mut self, service: &ServiceName, new: ServerId, above: Term) {
+        if !self.name_leader(service, &new, above) {
             return;
         }
         if let Some(handover) = self.coordinator.handovers.get_mut(service) {
-            handover.new = Some(best);
+            handover.new = Some(new);
             handover.above = above;
         }
         self.set_step(service, Step::Naming);
     }
 
-    /// Returns the term that a server reports to lead; none if it reported to be a replica.
-    fn led_term(&self, id: &ServerId) -> Option<Term> {
-        let status = self.servers.get(id)?.status.as_ref()?;
-        (status.role == Role::Primary).then_some(status.term)
-    }
-
-    /// Returns whether a server that is already a primary may be named. The platform changes
-    /// nothing for it, so no earlier request to promote another server may still be able to take
-    /// effect.
-    fn may_adopt(&self, service: &ServiceName) -> bool {
-        Some(self.now) >= self.promotions_settled(service)
-    }
-
-    /// Returns whether the old leader has answered since the current step began and is not failing.
-    fn is_back(&self, handover: &Handover) -> bool {
-        let old = handover.old.as_ref().and_then(|old| self.servers.get(old));
-        old.is_some_and(|server| !server.is_failing() && server.last_answer > Some(handover.since))
-    }
-
-    /// Returns whether the old leader is known to have had records that `new` lacks.
-    fn would_lose_records(&self, handover: &Handover, new: &ServerId) -> bool {
-        let old = handover.old.as_ref().and_then(|old| self.servers.get(old));
-        old.and_then(|server| server.position) > self.received(new)
-    }
-
-    /// Returns the last position that a server reported to have received.
-    fn received(&self, id: &ServerId) -> Option<TermPosition> {
-        let status = self.servers.get(id)?.status.as_ref()?;
-        Some(status.received)
-    }
-
-    /// Returns whether `new` lacks more than `LAG_MAX_RECORDS` records of an old leader that still
-    /// answers.
-    fn lags_too_far(&self, handover: &Handover, new: &ServerId) -> bool {
-        let old = handover.old.as_ref().and_then(|old| self.servers.get(old));
-        let old = old.filter(|old| !old.is_unreachable(self.now));
-        let Some(last) = old.and_then(|old| old.position) else {
-            return false;
-        };
-        let received = self.received(new).unwrap_or_default();
-        let least = last.position.0.saturating_sub(LAG_MAX_RECORDS);
-        received.term < last.term || received.position.0 < least
-    }
-
     /// Continues a handover after the write that names the new leader, or drops it if `version` is
     /// none because the write failed.
     pub(crate) fn on_named(&mut self, service: &ServiceName, version: Option<RowVersion>) {
@@ -402,9 +278,12 @@
                 .is_some_and(|server| !server.is_unreachable(self.now))
         };
         let old = handover.old.clone().filter(|old| is_reachable(old));
-        let (Some(old), Some(new)) = (old, handover.new.clone()) else {
+        let Some(new) = handover.new.clone() else {
             return self.start_promoting(service);
         };
+        let Some(old) = old else {
+            return self.promote_unless_lacking(service, handover, &new);
+        };
         let received = |state: &Self, id: &ServerId| {
             let server = state.servers.get(id)?;
             let asked = server
@@ -425,15 +304,39 @@
         }
         let is_stalled =
             self.now.since(handover.last_progress.max(handover.since)) >= CATCH_UP_STALL_MAX;
-        if has_whole_log || is_stalled || self.now.since(handover.since) >= CATCH_UP_MAX {
+        if has_whole_log {
             return self.start_promoting(service);
         }
+        if is_stalled || self.now.since(handover.since) >= CATCH_UP_MAX {
+            return self.promote_unless_lacking(service, handover, &new);
+        }
         self.probe(&new);
         if final_position.is_none() {
             self.probe(&old);
         }
     }
 
+    /// Begins the promotion of the new leader, or chooses again if that lacks acknowledged commits that
+    /// another server has.
+    fn promote_unless_lacking(
+        &mut self,
+        service: &ServiceName,
+        handover: &Handover,
+        new: &ServerId,
+    ) {
+        match self.commits_of(service, handover, new, handover.since) {
+            Commits::All => self.start_promoting(service),
+            Commits::Unknown => {}
+            Commits::Lacking => {
+                let began = handover.began;
+                self.begin_handover(service, None, Reason::NoPrimary);
+                if let Some(handover) = self.coordinator.handovers.get_mut(service) {
+                    handover.began = began;
+                }
+            }
+        }
+    }
+
     /// Begins the promotion of the new leader.
     fn start_promoting(&mut self, service: &ServiceName) {
         self.set_step(service, Step::Promoting(None));
--- a/sapphireslip-lead/tests/connections_by_account.rs
+++ b/sapphireslip-lead/tests/connections_by_account.rs
@@ -368,7 +368,13 @@
 #[rstest]
 fn unused_connections_within_half_of_the_share_are_kept(mut daemon: Daemon) {
     let mut catalog = catalog_with_accounts(3, 1..=60);
-    catalog.services = BTreeMap::from([(service(), ServiceSpec { connections: 16 })]);
+    catalog.services = BTreeMap::from([(
+        service(),
+        ServiceSpec {
+            connections: 16,
+            ..ServiceSpec::default()
+        },
+    )]);
     daemon.event(Event::Catalog(catalog));
     for account in 1..=10 {
         run_as(&mut daemon, account);
--- a/sapphireslip-lead/tests/extreme_values.rs
+++ b/sapphireslip-lead/tests/extreme_values.rs
@@ -46,9 +46,13 @@
         };
     }
     let connections = usize::MAX;
-    catalog
-        .services
-        .insert(service(), ServiceSpec { connections });
+    catalog.services.insert(
+        service(),
+        ServiceSpec {
+            connections,
+            ..ServiceSpec::default()
+        },
+    );
     daemon.event(Event::Catalog(catalog));
     serve(&mut daemon);
 }
--- a/sapphireslip-lead/tests/home_placement.rs
+++ b/sapphireslip-lead/tests/home_placement.rs
@@ -57,7 +57,15 @@
             .collect(),
         services: names
             .iter()
-            .map(|text| (name(text), ServiceSpec { connections: 88 }))
+            .map(|text| {
+                (
+                    name(text),
+                    ServiceSpec {
+                        connections: 88,
+                        ..ServiceSpec::default()
+                    },
+                )
+            })
             .collect(),
         ..one
     }
--- a/sapphireslip-lead/tests/naming.rs
+++ b/sapphireslip-lead/tests/naming.rs
@@ -13,9 +13,13 @@
     for n in 0..count {
         let name = ServiceName::try_from(format!("ledger-{n}").as_str()).expect("a name");
         daemon.group.add_service(&name);
-        catalog
-            .services
-            .insert(name, ServiceSpec { connections: 16 });
+        catalog.services.insert(
+            name,
+            ServiceSpec {
+                connections: 16,
+                ..ServiceSpec::default()
+            },
+        );
     }
     daemon.event(Event::Catalog(catalog));
 }
--- a/sapphireslip-lead/tests/support/accounts.rs
+++ b/sapphireslip-lead/tests/support/accounts.rs
@@ -43,6 +43,7 @@
     catalog.routes.insert(POLLS.into(), polls);
     let spec = ServiceSpec {
         connections: CONNECTIONS,
+        ..ServiceSpec::default()
     };
     catalog.services = BTreeMap::from([(service(), spec)]);
     Catalog {
--- a/sapphireslip-lead/tests/support/mod.rs
+++ b/sapphireslip-lead/tests/support/mod.rs
@@ -94,7 +94,13 @@
             (BALANCES.into(), route(Freshness::Bounded(age))),
             (ORDERS.into(), route(Freshness::OwnWrites(age))),
         ]),
-        services: BTreeMap::from([(service(), ServiceSpec { connections: 16 })]),
+        services: BTreeMap::from([(
+            service(),
+            ServiceSpec {
+                connections: 16,
+                ..ServiceSpec::default()
+            },
+        )]),
         transaction_idle: Duration::from_secs(3),
         accounts: Accounts::default(),
     }
