Statements that can't be read are refused by position and byte, and their session goes on

Callers who sent a statement with a byte that is not UTF-8, or without an identifier, had their session closed, and an open transaction rolled back, with "the line is no message".

The end of such a line is known, so that only the statement is refused: MALFORMED with the position and the byte, or with what is missing, in its turn among the session's statements. Nothing of it runs. A line that is no statement still ends the session.

Test: unreadable_statement_is_refused_and_the_session_goes_on (4 cases, each at the daemon itself and over a forwarded session).

--- a/sapphireslip-lead/src/session_statement.rs
+++ b/sapphireslip-lead/src/session_statement.rs
@@ -45,6 +45,7 @@
         };
         let status = session.status();
         match statement {
+            Statement::Unreadable { fault } => StatementAction::malformed(fault),
             Statement::Begin { .. } | Statement::Commit | Statement::Rollback => {
                 self.apply_transaction_statement(id, statement, status)
             }
--- a/sapphireslip-lead/src/statement.rs
+++ b/sapphireslip-lead/src/statement.rs
@@ -49,6 +49,11 @@
             /// The text after the name, which is sent to the server unchanged.
             arguments: Text,
         },
+        /// A statement that can't be read; it is refused.
+        Unreadable {
+            /// Why it can't be read, for the client.
+            fault: Text,
+        },
         /// Forgets a prepared statement.
         Deallocate {
             /// The session's name for the prepared statement.
