Leaders: an odd row of another writer hides no others, and is written anew

Callers of a lost primary had writes refused without end if one row among the leaders, or that of the coordinator's role, could not be read: the whole table was rejected.

Each row is read on its own. A leader whose row was overwritten is kept as long as no leader has been named since, by the version of the last naming, and written anew. A daemon that does not know it chooses by the longest log: a replaced primary may still say that it is one.

A configuration that can't be read is logged by row_ignored too, and counted.

--- a/sapphireslip-lead/src/catalog_relay.rs
+++ b/sapphireslip-lead/src/catalog_relay.rs
@@ -99,7 +99,15 @@
         match progress {
             CatalogWatch::Answered { at, is_valid } => {
                 self.catalog_relay.has_watch_failed = false;
+                let was_malformed = self.catalog_relay.is_row_malformed;
                 self.catalog_relay.is_row_malformed = !is_valid;
+                if !is_valid && !was_malformed {
+                    let version = self.catalog.as_ref().map_or(0, |catalog| catalog.version);
+                    let detail = format!(
+                        "the operator's configuration can't be read; version {version} stays in force"
+                    );
+                    self.log(Record::new(RecordKind::RowIgnored, detail.into()));
+                }
                 if self.catalog.is_some() {
                     self.catalog_relay.confirm(self.now, Duration::ZERO, at);
                 }
--- a/sapphireslip-lead/src/coordinator.rs
+++ b/sapphireslip-lead/src/coordinator.rs
@@ -156,8 +156,8 @@
             return;
         }
         self.coordinator.is_write_pending = true;
-        let held = self.leaders.table.coordinator.as_ref();
-        let coordinator_version = held.map_or(RowVersion(0), |(_, version)| *version);
+        let held = self.leaders.table.role_version();
+        let coordinator_version = held.unwrap_or_default();
         self.grants.note_claim(coordinator_version);
         let record = CoordinatorRecord {
             holder: self.local.vm.clone(),
@@ -185,7 +185,8 @@
     )]
     fn vacancy(&self) -> Option<Option<(sapphireslip_core::VmId, RowVersion)>> {
         let Some((record, _)) = &self.leaders.table.coordinator else {
-            return Some(None);
+            let is_vacant = self.leaders.table.unreadable_role.is_none();
+            return (is_vacant || self.unreadable_rows.has_role_ended(self.now)).then_some(None);
         };
         if record.holder == self.local.vm {
             // The row is from an earlier run, or this daemon has tried to remove it.
@@ -278,9 +279,19 @@
         if self.coordinator.handovers.contains_key(service) {
             return self.advance_handover(service);
         }
+        let is_unreadable = self.leaders.table.unreadable.contains_key(service);
         let Some(leader) = self.leaders.named(service).cloned() else {
-            return self.name_present_primary(service);
+            // The row may have named another server than the one that says that it is the primary.
+            return match is_unreadable {
+                true => self.begin_handover(service, None, Reason::NoPrimary),
+                false => self.name_present_primary(service),
+            };
         };
+        if is_unreadable && let Some((record, _)) = self.leaders.table.leaders.get(service) {
+            let above = record.above;
+            self.name_leader(service, &leader, above);
+            return;
+        }
         if self.leaders.term(service).is_some() {
             self.coordinator.without_primary_since.remove(service);
         }
@@ -426,8 +437,7 @@
         if is_full || self.coordinator.is_write_pending || self.now < self.coordinator.next_write {
             return false;
         }
-        let present = self.leaders.table.leaders.get(service);
-        let version = present.map_or(RowVersion(0), |(_, version)| *version);
+        let version = self.leaders.table.leader_version(service);
         self.coordinator
             .leaders_to_name
             .retain(|other| other.service != *service);
--- a/sapphireslip-lead/src/lead_record.rs
+++ b/sapphireslip-lead/src/lead_record.rs
@@ -70,8 +70,12 @@
         /// The leader of each service, with its row's version.
         pub leaders: BTreeMap<ServiceName, (LeaderRecord, RowVersion)>,
         /// The coordinator and its row's version, which is its fencing token; none if there is no
-        /// coordinator.
+        /// coordinator, or its row can't be read.
         pub coordinator: Option<(CoordinatorRecord, RowVersion)>,
+        /// The services whose leader's row can't be read.
+        pub unreadable: BTreeMap<ServiceName, UnreadableRow>,
+        /// The coordinator's row if it can't be read.
+        pub unreadable_role: Option<UnreadableRow>,
     }
 
     /// A row that can't be read: another writer wrote it, or a daemon of another build.
@@ -98,6 +102,21 @@
     }
 }
 
+impl LeaderTable {
+    /// Returns the version of the coordinator's row; none if there is no row.
+    pub(crate) fn role_version(&self) -> Option<RowVersion> {
+        let held = self.coordinator.as_ref().map(|(_, version)| *version);
+        held.or(self.unreadable_role.as_ref().map(|row| row.version))
+    }
+
+    /// Returns the version of the row of a service's leader, 0 if there is no row.
+    pub(crate) fn leader_version(&self, service: &ServiceName) -> RowVersion {
+        let named = self.leaders.get(service).map(|(_, version)| *version);
+        let unreadable = self.unreadable.get(service).map(|row| row.version);
+        named.or(unreadable).unwrap_or_default()
+    }
+}
+
 impl PermissionTable {
     /// Returns the daemons whose permission was valid at the read.
     pub(crate) fn permitted(&self) -> impl Iterator<Item = &PermissionRecord> {
--- a/sapphireslip-lead/src/leaders.rs
+++ b/sapphireslip-lead/src/leaders.rs
@@ -127,14 +127,28 @@
     /// Replaces the table of leaders, unless it is older than the known one, and logs each change.
     ///
     /// From then on, a server that is no longer named gets no new work for the primary.
-    pub(crate) fn on_leaders(&mut self, table: LeaderTable) {
-        let role = table.coordinator.as_ref().map(|(_, version)| *version);
+    ///
+    /// A leader whose row another writer has overwritten is kept as long as no leader has been named
+    /// since. The coordinator is not: the role may have been taken by another daemon before.
+    pub(crate) fn on_leaders(&mut self, mut table: LeaderTable) {
+        let role = table.role_version();
         let is_earlier = table.generation < self.leaders.table.generation
             || role.is_some_and(|role| role < self.leaders.last_role);
         if self.leaders.is_known && is_earlier {
             return;
         }
         self.leaders.last_role = self.leaders.last_role.max(role.unwrap_or_default());
+        let unreadable = table.unreadable.values().chain(&table.unreadable_role);
+        let unreadable: Vec<_> = unreadable.cloned().collect();
+        self.note_unreadable_rows("the leaders", &unreadable);
+        if self.leaders.is_known && table.generation == self.leaders.table.generation {
+            for (service, row) in &table.unreadable {
+                if let Some((record, _)) = self.leaders.table.leaders.get(service) {
+                    let kept = (record.clone(), row.version);
+                    table.leaders.insert(service.clone(), kept);
+                }
+            }
+        }
         for (service, (record, version)) in &table.leaders {
             let before = self.leaders.table.leaders.get(service);
             if before.is_some_and(|(_, known)| known == version) {
@@ -149,6 +163,7 @@
             self.leaders.last_changes.insert(service.clone(), self.now);
         }
         self.leaders.table = table;
+        self.note_unreadable_role();
         if !self.leaders.is_known {
             self.note_earlier_run();
         }
--- a/sapphireslip-lead/src/unreadable_rows.rs
+++ b/sapphireslip-lead/src/unreadable_rows.rs
@@ -29,6 +29,9 @@
         /// The version of the coordinator's row of a permission if that can't be read, and since when
         /// it has been seen.
         coordinator: Option<(RowVersion, Instant)>,
+        /// The version of the row of the coordinator's role if that can't be read, and since when it has
+        /// been seen.
+        role: Option<(RowVersion, Instant)>,
     }
 }
 
@@ -41,6 +44,15 @@
     }
 }
 
+impl UnreadableRows {
+    /// Returns whether the row of the role can't be read, and has been so for long enough that the
+    /// permission of any daemon that had the role by it or before it has ended.
+    pub(crate) fn has_role_ended(&self, now: Instant) -> bool {
+        self.role
+            .is_some_and(|(_, since)| now.since(since) >= UNREADABLE_PERMISSION_MAX)
+    }
+}
+
 impl State {
     /// Logs the rows of a table that can't be read, each once until it is read or has another fault.
     pub(crate) fn note_unreadable_rows(&mut self, table: &'static str, rows: &[UnreadableRow]) {
@@ -72,11 +84,27 @@
         let coordinator = self.leaders.table.coordinator.as_ref();
         let holder: Option<&VmId> = coordinator.map(|(record, _)| &record.holder);
         let row = holder.and_then(|holder| table.unreadable_row_of(holder));
-        let known = self.unreadable_rows.coordinator.take();
-        self.unreadable_rows.coordinator = row.map(|version| match known {
-            Some((known, since)) if known == version => (version, since),
-            _ => (version, self.now),
-        });
+        let known = self.unreadable_rows.coordinator;
+        self.unreadable_rows.coordinator = row.map(|row| seen_since(known, row, self.now));
+    }
+
+    /// Records since when the row of the coordinator's role can't be read.
+    pub(crate) fn note_unreadable_role(&mut self) {
+        let row = self.leaders.table.unreadable_role.as_ref();
+        let known = self.unreadable_rows.role;
+        self.unreadable_rows.role = row.map(|row| seen_since(known, row.version, self.now));
+    }
+}
+
+/// Returns the version of a row and since when it has been seen, by what was `known` of the row.
+fn seen_since(
+    known: Option<(RowVersion, Instant)>,
+    version: RowVersion,
+    now: Instant,
+) -> (RowVersion, Instant) {
+    match known {
+        Some((known, since)) if known == version => (version, since),
+        _ => (version, now),
     }
 }
 
--- a/sapphireslip-lead/tests/extreme_values.rs
+++ b/sapphireslip-lead/tests/extreme_values.rs
@@ -104,6 +104,7 @@
         generation: RowVersion(u64::MAX),
         leaders: [(service(), (record, RowVersion(u64::MAX)))].into(),
         coordinator: Some((coordinator, RowVersion(u64::MAX))),
+        ..LeaderTable::default()
     }));
     daemon.advance(3_000);
 }
--- a/sapphireslip-lead/tests/leaving_servers.rs
+++ b/sapphireslip-lead/tests/leaving_servers.rs
@@ -222,6 +222,7 @@
             generation: RowVersion(1),
             leaders: BTreeMap::from([(service(), (leader, RowVersion(1)))]),
             coordinator: Some((coordinator, RowVersion(1))),
+            ..LeaderTable::default()
         };
         daemon.event(Event::Leaders(daemon.store.leaders.clone()));
         daemon.event(Event::Catalog(catalog(1)));
--- a/sapphireslip-lead/tests/support/store.rs
+++ b/sapphireslip-lead/tests/support/store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use sapphireslip_core::{Incarnation, VmId};
+use sapphireslip_core::{Incarnation, ServiceName, VmId};
 use sapphireslip_lead::{
     LeaderTable, NamedLeader, PermissionRecord, PermissionTable, RowVersion, StoreTime, StoreWrite,
     UnreadableRow, WriteOutcome,
@@ -67,16 +67,36 @@
             .insert(record.vm.clone(), (record, version));
     }
 
+    /// Returns what another writer's row looks like.
+    fn spoiled(&mut self, key: &str) -> UnreadableRow {
+        self.version += 1;
+        UnreadableRow {
+            key: key.into(),
+            version: RowVersion(self.version),
+            fault: "cannot parse it".into(),
+        }
+    }
+
+    /// Has another writer overwrite the row of a service's leader.
+    pub fn spoil_leader(&mut self, service: &ServiceName) {
+        let row = self.spoiled(service.as_str());
+        self.leaders.leaders.remove(service);
+        self.leaders.unreadable.insert(service.clone(), row);
+    }
+
+    /// Has another writer overwrite the row of the coordinator's role.
+    pub fn spoil_role(&mut self) {
+        let row = self.spoiled("the coordinator");
+        self.leaders.coordinator = None;
+        self.leaders.unreadable_role = Some(row);
+    }
+
     /// Has another writer overwrite a VM's permission row with something that can't be read.
     pub fn spoil_permission(&mut self, vm: &VmId) {
-        self.version += 1;
+        let row = self.spoiled(vm.as_str());
         self.permissions.remove(vm);
         self.unreadable.retain(|row| *row.key != *vm.as_str());
-        self.unreadable.push(UnreadableRow {
-            key: vm.as_str().into(),
-            version: RowVersion(self.version),
-            fault: "cannot parse it".into(),
-        });
+        self.unreadable.push(row);
     }
 
     /// Returns the version of a VM's permission row; 0 if there is none.
@@ -117,12 +137,14 @@
             }
             StoreWrite::SetCoordinator { record, .. } => {
                 self.leaders.coordinator = record.clone().map(|record| (record, version));
+                self.leaders.unreadable_role = None;
             }
             StoreWrite::NameLeaders { leaders, .. } => {
                 self.leader_writes += 1;
                 for leader in leaders {
                     let row = (leader.record.clone(), version);
                     self.leaders.leaders.insert(leader.service.clone(), row);
+                    self.leaders.unreadable.remove(&leader.service);
                 }
                 self.leaders.generation = version;
             }
@@ -136,7 +158,10 @@
             .leaders
             .coordinator
             .as_ref()
-            .map_or(RowVersion(0), |(_, version)| *version);
+            .map(|(_, version)| *version);
+        let unreadable = self.leaders.unreadable_role.as_ref();
+        let present_version = present_version.or(unreadable.map(|row| row.version));
+        let present_version = present_version.unwrap_or_default();
         match write {
             StoreWrite::RenewPermission {
                 record,
@@ -168,7 +193,10 @@
             } => {
                 let is_present = |leader: &NamedLeader| {
                     let present = self.leaders.leaders.get(&leader.service);
-                    present.map_or(RowVersion(0), |(_, version)| *version) == leader.version
+                    let unreadable = self.leaders.unreadable.get(&leader.service);
+                    let version = present.map(|(_, version)| *version);
+                    let version = version.or(unreadable.map(|row| row.version));
+                    version.unwrap_or_default() == leader.version
                 };
                 leaders.iter().all(is_present)
                     && present_version == *coordinator_version
--- a/sapphireslipd/src/lead_run.rs
+++ b/sapphireslipd/src/lead_run.rs
@@ -68,7 +68,7 @@
     };
     let leaders = Watch {
         table: Table::Leads,
-        decode: |rows| decode_leaders(rows).map(Event::Leaders),
+        decode: |rows| Ok(Event::Leaders(decode_leaders(rows))),
         is_one_row: false,
         is_configuration: false,
         wait: store_watch::wait_within(settings.settle_time),
--- a/sapphireslipd/src/store_edge.rs
+++ b/sapphireslipd/src/store_edge.rs
@@ -12,9 +12,9 @@
     WriteOutcome, Written,
 };
 use sapphireslip_platform::{
-    Call, PlatformError, Rows, TOLD_CATALOG_MAX_BYTES, Table, decode_grant, decode_leaders,
-    decode_permissions, decode_promote, decode_servers, decode_told_catalog, decode_told_tables,
-    decode_write, encode_catalog_request, encode_grant_request, encode_tables_request, write_call,
+    Call, TOLD_CATALOG_MAX_BYTES, Table, decode_grant, decode_leaders, decode_permissions,
+    decode_promote, decode_servers, decode_told_catalog, decode_told_tables, decode_write,
+    encode_catalog_request, encode_grant_request, encode_tables_request, write_call,
 };
 
 use tokio::io::AsyncWriteExt;
@@ -64,7 +64,8 @@
     /// Reads the leaders of all services and who the coordinator is; reports nothing if that fails.
     pub(crate) async fn read_leaders(self) {
         let sent = self.clock.now();
-        if let Some(table) = self.read(Table::Leads, decode_leaders).await {
+        if let Some(rows) = self.store.read(Table::Leads).await {
+            let table = decode_leaders(&rows);
             let coordinator = table.coordinator.clone();
             self.send_event(Event::Leaders(table)).await;
             self.send_event(Event::CoordinatorRead { coordinator, sent })
@@ -80,19 +81,6 @@
         self.send_event(Event::Permissions { table, sent }).await;
     }
 
-    /// Reads and decodes a table; returns none if either fails.
-    async fn read<T>(
-        &self,
-        table: Table,
-        decode: fn(&Rows) -> Result<T, PlatformError>,
-    ) -> Option<T> {
-        let rows = self.store.read(table).await?;
-        let decoded = decode(&rows);
-        decoded
-            .inspect_err(|err| log::warn!("reading {table:?}: {err}"))
-            .ok()
-    }
-
     /// Makes a conditional write.
     pub(crate) async fn write(self, what: StoreWrite) {
         let sent = self.clock.now();
