Transactions: one that failed stays failed until its client ends it

A client that sends its next statement before it has the last answer had a statement of its aborted transaction run alone and committed: the answer said ABORTED with the state I.

Cause: the transaction was forgotten unless a later statement had arrived by then. What arrives next does not tell whether the client has seen the answer.

Test: statement_on_its_way_does_not_outlive_its_transaction, two cases, failed before ("left: [("s-a", "WRITE z 1")]"). PostgreSQL's protocol has its test already (transaction_lost_with_its_connection_refuses_the_rest).

--- a/sapphireslip-lead/src/transaction.rs
+++ b/sapphireslip-lead/src/transaction.rs
@@ -146,17 +146,14 @@
 
     /// Fails a session's transaction and rolls it back at its server.
     ///
-    /// Statements that the client has pipelined must not run outside the transaction. If there are
-    /// any, the transaction stays failed until the client ends it, unless `is_over` says that its
-    /// `COMMIT` was the statement that failed.
+    /// The transaction stays failed until the client ends it, unless `is_over` says that its `COMMIT` was
+    /// the statement that failed. A client may have sent further statements before it sees the answer,
+    /// and these must not run outside their transaction.
     pub(crate) fn fail_transaction(&mut self, id: SessionId, is_over: bool) {
-        let Some(session) = self.sessions.get_mut(&id) else {
-            return;
-        };
-        if is_over || session.pipelined.is_empty() {
+        if is_over {
             return self.end_transaction(id);
         }
-        if let Some(transaction) = session.transaction.as_mut() {
+        if let Some(transaction) = self.transaction_mut(id) {
             transaction.status = TransactionStatus::Failed;
             let connection = transaction.connection.take();
             self.roll_back(connection);
@@ -188,12 +185,7 @@
             }
             return self.fail(job, Failure::new(ErrorCode::Aborted, cause));
         }
-        let transaction = self.transaction_mut(id);
-        if let Some(transaction) = transaction {
-            transaction.status = TransactionStatus::Failed;
-            let connection = transaction.connection.take();
-            self.roll_back(connection);
-        }
+        self.fail_transaction(id, false);
     }
 
     /// Returns whether the client has sent a statement that writes in its session's transaction.
--- a/sapphireslip-lead/tests/refusals.rs
+++ b/sapphireslip-lead/tests/refusals.rs
@@ -84,7 +84,53 @@
     daemon.break_connections(&primary());
     let (_, reply) = daemon.answers.pop().expect("the statement is answered");
     assert_eq!(code(&reply), Some(ErrorCode::Aborted));
-    assert_eq!(reply.transaction, TransactionStatus::Idle);
+    assert_eq!(reply.transaction, TransactionStatus::Failed);
+    assert_eq!(
+        code(&daemon.run(session, "4", "READ x")),
+        Some(ErrorCode::Malformed)
+    );
+    let ended = daemon.run(session, "5", "ROLLBACK");
+    assert_eq!(
+        (code(&ended), ended.transaction),
+        (None, TransactionStatus::Idle)
+    );
+    daemon.withholds_answers = false;
+    assert_eq!(code(&daemon.run(session, "6", "WRITE x 1")), None);
+}
+
+/// Guards against a statement that is committed alone though its transaction was aborted: its client had
+/// sent it before it saw the answer, which said that no transaction is open.
+#[rstest]
+#[case::connection_lost(true, ErrorCode::Aborted)]
+#[case::no_answer_in_time(false, ErrorCode::Timeout)]
+fn statement_on_its_way_does_not_outlive_its_transaction(
+    #[case] is_lost: bool,
+    #[case] expected: ErrorCode,
+) {
+    let (mut daemon, session) = Daemon::with_session();
+    daemon.run(session, "1", "BEGIN");
+    daemon.run(session, "2", "WRITE x 1");
+    daemon.withholds_answers = true;
+    daemon.submit(session, "3", "WRITE y 1");
+    match is_lost {
+        true => daemon.break_connections(&primary()),
+        false => daemon.advance(900),
+    }
+    daemon.withholds_answers = false;
+    daemon.answer_all();
+    daemon.statements();
+    daemon.submit(session, "4", "WRITE z 1");
+    daemon.submit(session, "5", "COMMIT");
+    assert_eq!(daemon.statements(), []);
+    let codes: Vec<_> = daemon
+        .answers
+        .iter()
+        .map(|(_, reply)| code(reply))
+        .collect();
+    let expected = [expected, ErrorCode::Malformed, ErrorCode::Aborted].map(Some);
+    assert_eq!(codes, expected);
+    let (_, last) = daemon.answers.last().expect("an answer");
+    assert_eq!(last.transaction, TransactionStatus::Idle);
 }
 
 #[rstest]
