Explore: random plans of disruptions and planned work, with transactions, in the simulated fleet

The fleet now runs transactions (some clients don't wait for answers), and a replaced primary goes on for a second. New check: no statement of a transaction is committed alone.

--- a/sapphireslip-lead/tests/refusals.rs
+++ b/sapphireslip-lead/tests/refusals.rs
@@ -12,6 +12,12 @@
     reply.failure().map(|failure| failure.code.clone())
 }
 
+/// Returns the error codes of all answers, the oldest first; none for a success.
+fn codes(daemon: &Daemon) -> Vec<Option<ErrorCode>> {
+    let replies = daemon.answers.iter().map(|(_, reply)| reply);
+    replies.map(code).collect()
+}
+
 /// Returns the server that is the first primary.
 fn primary() -> ServerId {
     server("s-a")
@@ -122,13 +128,8 @@
     daemon.submit(session, "4", "WRITE z 1");
     daemon.submit(session, "5", "COMMIT");
     assert_eq!(daemon.statements(), []);
-    let codes: Vec<_> = daemon
-        .answers
-        .iter()
-        .map(|(_, reply)| code(reply))
-        .collect();
     let expected = [expected, ErrorCode::Malformed, ErrorCode::Aborted].map(Some);
-    assert_eq!(codes, expected);
+    assert_eq!(codes(&daemon), expected);
     let (_, last) = daemon.answers.last().expect("an answer");
     assert_eq!(last.transaction, TransactionStatus::Idle);
 }
@@ -166,13 +167,8 @@
     daemon.break_connections(&primary());
     daemon.advance(200);
     assert_eq!(daemon.statements(), []);
-    let codes: Vec<_> = daemon
-        .answers
-        .iter()
-        .map(|(_, reply)| code(reply))
-        .collect();
     let expected = [ErrorCode::Aborted, ErrorCode::Malformed, ErrorCode::Aborted].map(Some);
-    assert_eq!(codes, expected);
+    assert_eq!(codes(&daemon), expected);
 }
 
 #[rstest]
--- a/sapphireslip-lead/tests/support/fleet.rs
+++ b/sapphireslip-lead/tests/support/fleet.rs
@@ -1,6 +1,6 @@
 //! Several daemons around one fake store and one fake group of servers, under simulated time.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 use sapphireslip_core::{
@@ -12,6 +12,7 @@
 };
 
 use super::fleet_history::History;
+use super::fleet_transactions::Transaction;
 use super::{
     FakeGroup, FakeStore, PAYMENTS, SERVER_DRAIN_BOUND, ServerAction, VM_MILLICORES, at, catalog,
     query, vm, zone,
@@ -23,6 +24,10 @@
 /// The time that the platform takes for a promotion, in milliseconds.
 const PROMOTION_MILLIS: u64 = 300;
 
+/// How long a replaced primary goes on after the promotion of another server, in milliseconds: until it
+/// reaches that one, and a second more.
+const DEMOTION_MILLIS: u64 = 1_000;
+
 /// Returns the address where the daemon with the given index accepts sessions of other daemons.
 fn member_address(n: usize) -> SocketAddr {
     format!("10.1.0.{}:7000", n + 1)
@@ -53,6 +58,8 @@
     pending_events: Vec<(u64, usize, Event)>,
     /// The promotions that are under way: when each takes effect, in milliseconds.
     pending_promotions: Vec<(u64, ServerId)>,
+    /// The clients that run transactions.
+    pub(super) transactions: Vec<Transaction>,
     /// The unanswered requests for a grant: which daemon asks, for which generation, and when it
     /// asked.
     grant_requests: BTreeMap<SessionId, (usize, RowVersion, Instant)>,
@@ -75,8 +82,8 @@
     connections: BTreeMap<ConnectionId, (ServerId, TransactionStatus)>,
     /// The number of sessions that were opened.
     sessions: u64,
-    /// The unanswered statement of each session, and whether it writes.
-    asked: BTreeMap<SessionId, (Text, bool)>,
+    /// The unanswered statements of each session, the oldest first, and whether each commits.
+    asked: BTreeMap<SessionId, VecDeque<(Text, bool)>>,
     /// The events that arrived while the process was stopped, in order.
     events_while_frozen: Vec<Event>,
 }
@@ -125,6 +132,7 @@
             random: Random::new(seed),
             pending_events: Vec::new(),
             pending_promotions: Vec::new(),
+            transactions: Vec::new(),
             grant_requests: BTreeMap::new(),
             history: History::default(),
         };
@@ -163,12 +171,30 @@
         for (_, server) in done {
             self.group.promote(&server);
             self.promotions += 1;
+            let kept: BTreeSet<_> = self
+                .group
+                .get(&server)
+                .log
+                .iter()
+                .map(|(_, id)| id)
+                .collect();
+            let lost = self
+                .history
+                .committed
+                .keys()
+                .filter(|id| !kept.contains(id));
+            let lost: Vec<Text> = lost.cloned().collect();
+            self.history.rolled_back.extend(lost);
             self.history
                 .promoted
                 .push((now, self.group.get(&server).term));
         }
         if now.is_multiple_of(30) {
-            self.group.replicate();
+            let promoted = self.history.promoted.last().map_or(0, |(at, _)| *at);
+            match now - promoted < DEMOTION_MILLIS {
+                true => self.group.replicate_to_replicas(),
+                false => self.group.replicate(),
+            }
         }
         let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.pending_events)
             .into_iter()
@@ -183,38 +209,54 @@
                 self.send_statement(n);
             }
         }
+        self.continue_transactions();
     }
 
-    /// Sends a daemon a write, or a read that must see all acknowledged writes, in a new session.
-    fn send_statement(&mut self, n: usize) {
-        self.history.statements += 1;
+    /// Opens a session at a daemon.
+    pub(super) fn open_session(&mut self, n: usize) -> SessionId {
         let member = &mut self.daemons[n];
         member.sessions += 1;
         let session = SessionId(member.sessions);
-        let id: Text = format!("{n}-{}", self.history.statements).into();
-        let text = if self.random.below(2) == 0 {
-            "WRITE x 1"
-        } else {
-            "READ x"
+        let opened = ClientEvent::Opened {
+            session,
+            database: PAYMENTS.into(),
+            // A session that is passed on is served by the daemon where it arrives, so that every
+            // daemon works with the servers.
+            key: None,
+            forwarder_version: Some(0),
         };
+        self.deliver(n, Event::Client(opened));
+        session
+    }
+
+    /// Sends a statement on a session, which commits a write if it succeeds or not, and returns its
+    /// identifier.
+    pub(super) fn send_on(
+        &mut self,
+        n: usize,
+        session: SessionId,
+        text: &str,
+        commits: bool,
+    ) -> Text {
+        self.history.statements += 1;
+        let id: Text = format!("{n}-{}", self.history.statements).into();
         self.history.asked.insert(Text::clone(&id), self.millis);
-        let writes = text.starts_with("WRITE");
-        self.daemons[n]
-            .asked
-            .insert(session, (Text::clone(&id), writes));
-        self.deliver(
-            n,
-            Event::Client(ClientEvent::Opened {
-                session,
-                database: PAYMENTS.into(),
-                // A session that is passed on is served by the daemon where it arrives, so that
-                // every daemon works with the servers.
-                key: None,
-                forwarder_version: Some(0),
-            }),
-        );
+        let asked = (Text::clone(&id), commits);
+        let unanswered = self.daemons[n].asked.entry(session).or_default();
+        unanswered.push_back(asked);
         let query = query(&id, text);
         self.deliver(n, Event::Client(ClientEvent::Query { session, query }));
+        id
+    }
+
+    /// Sends a daemon a write, or a read that must see all acknowledged writes, in a new session.
+    fn send_statement(&mut self, n: usize) {
+        let session = self.open_session(n);
+        let text = match self.random.below(2) {
+            0 => "WRITE x 1",
+            _ => "READ x",
+        };
+        self.send_on(n, session, text, text.starts_with("WRITE"));
     }
 
     /// Delivers an event to a daemon, or keeps it until the daemon is no longer frozen.
@@ -240,7 +282,7 @@
 
     /// Schedules an event for a daemon after a random delay of up to `within` milliseconds and a
     /// step.
-    fn schedule(&mut self, n: usize, within: u64, event: Event) {
+    pub(super) fn schedule(&mut self, n: usize, within: u64, event: Event) {
         let delay = STEP_MILLIS + self.random.below(within);
         self.pending_events.push((self.millis + delay, n, event));
     }
@@ -365,7 +407,9 @@
             | Effect::CloseSession { .. }
             | Effect::CloseWhenIdle { .. } => {}
             Effect::Answer { session, reply } => {
-                let id = self.daemons[n].asked.remove(&session);
+                let unanswered = self.daemons[n].asked.entry(session).or_default();
+                let id = unanswered.pop_front();
+                self.see_answer(n, session, &reply);
                 if let Some((id, true)) = id
                     && reply.failure().is_none()
                 {
--- a/sapphireslip-lead/tests/support/fleet_history.rs
+++ b/sapphireslip-lead/tests/support/fleet_history.rs
@@ -20,6 +20,11 @@
     pub(super) read: Vec<(Text, BTreeSet<Text>)>,
     /// When each promotion took effect, and its term.
     pub(super) promoted: Vec<(u64, Term)>,
+    /// The commits that a promotion rolled back: the promoted server lacked them. They don't count for
+    /// reads, also if a server that had them is promoted later.
+    pub(super) rolled_back: BTreeSet<Text>,
+    /// The statements of transactions but their commits.
+    pub(super) inner: BTreeSet<Text>,
     /// The number of statements that were sent.
     pub(super) statements: u64,
     /// Since when each server has been listed as draining.
@@ -29,11 +34,11 @@
 }
 
 impl Fleet {
-    /// Returns a description of each guarantee that was broken: a read that misses an acknowledged
-    /// write, or a write that was acknowledged although it was not committed or was committed under
+    /// Returns a description of each guarantee that was broken: a statement of a transaction that is
+    /// committed alone, a read that misses an acknowledged write, or a write that was acknowledged although it was not committed or was committed under
     /// a superseded primary.
     pub fn violations(&self) -> Vec<String> {
-        let mut violations = Vec::new();
+        let mut violations = self.torn_transactions();
         let last = self
             .group
             .servers
@@ -45,7 +50,8 @@
         for (id, log) in &self.history.read {
             let asked = self.history.asked[id];
             for (write, at) in &self.history.acknowledged {
-                if *at < asked && kept.contains(write) && !log.contains(write) {
+                let counts = kept.contains(write) && !self.history.rolled_back.contains(write);
+                if *at < asked && counts && !log.contains(write) {
                     violations.push(format!("read {id} at {asked} misses {write} of {at}"));
                 }
             }
--- /dev/null
+++ b/sapphireslip-lead/tests/support/fleet_plan.rs
@@ -0,0 +1,133 @@
+//! Plans of disruptions and planned work for a simulated fleet, generated so that failures shrink to the
+//! fewest events.
+
+use proptest::prelude::*;
+use sapphireslip_lead::Event;
+
+use super::{Fleet, server};
+
+/// How long a fleet runs before the first event, so that it has a coordinator and a primary.
+const START_MILLIS: u64 = 3_000;
+
+/// How long it runs after the last event has ended, until service has to be back.
+const RECOVERY_MILLIS: u64 = 10_000;
+
+/// An event with its place in the plan.
+#[derive(Clone, Debug)]
+pub struct PlannedEvent {
+    /// When the event begins after the one before it began, in milliseconds.
+    pub after: u64,
+    /// How long it lasts, in milliseconds.
+    pub lasts: u64,
+    /// What happens.
+    pub kind: EventKind,
+}
+
+/// A disruption, or planned work.
+#[derive(Clone, Debug)]
+pub enum EventKind {
+    /// The store turns a daemon away.
+    TurnAway(usize),
+    /// The store answers nobody.
+    StoreDown,
+    /// A daemon is suspended.
+    Freeze(usize),
+    /// A daemon can't reach a server.
+    Cut(usize, &'static str),
+    /// A server answers nobody.
+    Dark(&'static str),
+    /// A server says that it leaves, and then no longer.
+    Drain(&'static str),
+    /// The present primary says that it leaves.
+    DrainPrimary,
+}
+
+/// Returns plans of up to `events` events, many of which begin shortly after the one before.
+pub fn plans(events: usize) -> impl Strategy<Value = Vec<PlannedEvent>> {
+    let daemon = 0..3_usize;
+    let name = prop::sample::select(vec!["s-a", "s-b", "s-c"]);
+    let kind = prop_oneof![
+        4 => daemon.clone().prop_map(EventKind::TurnAway),
+        1 => Just(EventKind::StoreDown),
+        2 => daemon.clone().prop_map(EventKind::Freeze),
+        2 => (daemon, name.clone()).prop_map(|(n, name)| EventKind::Cut(n, name)),
+        2 => name.clone().prop_map(EventKind::Dark),
+        1 => name.prop_map(EventKind::Drain),
+        4 => Just(EventKind::DrainPrimary),
+    ];
+    let after = prop_oneof![3 => 0..600_u64, 2 => 0..4_000_u64];
+    let lasts = prop_oneof![1 => 50..600_u64, 3 => 600..6_000_u64];
+    let event =
+        (after, lasts, kind).prop_map(|(after, lasts, kind)| PlannedEvent { after, lasts, kind });
+    prop::collection::vec(event, 1..=events)
+}
+
+/// Plays a plan, and returns a description of each guarantee that was broken.
+pub fn play(seed: u64, plan: &[PlannedEvent]) -> Vec<String> {
+    let mut fleet = Fleet::new(seed);
+    fleet.advance(START_MILLIS);
+    let mut steps: Vec<(u64, bool, EventKind)> = Vec::new();
+    let mut begins = fleet.millis;
+    for event in plan {
+        begins += event.after;
+        let kind = match &event.kind {
+            EventKind::DrainPrimary => EventKind::Drain(primary(&fleet)),
+            kind => kind.clone(),
+        };
+        steps.push((begins, true, kind.clone()));
+        steps.push((begins + event.lasts, false, kind));
+    }
+    steps.sort_by_key(|(at, begins, _)| (*at, *begins));
+    for (at, begins, kind) in steps {
+        fleet.advance(at.saturating_sub(fleet.millis));
+        fleet.apply_event(&kind, begins);
+    }
+    fleet.advance(RECOVERY_MILLIS);
+    let healed = fleet.acknowledged();
+    fleet.advance(2_000);
+    let mut violations = fleet.violations();
+    if fleet.acknowledged() <= healed + 20 {
+        violations.push("writes are not acknowledged again after all events".to_owned());
+    }
+    violations
+}
+
+/// Returns the server that leads the newest term.
+fn primary(fleet: &Fleet) -> &'static str {
+    match fleet.group.newest().id.as_str() {
+        "s-b" => "s-b",
+        "s-c" => "s-c",
+        _ => "s-a",
+    }
+}
+
+impl Fleet {
+    /// Has the store turn a daemon away, or serve it again. Then the daemon's watch of the leaders is
+    /// answered, before or after its next renewal.
+    fn turn_away(&mut self, n: usize, is_away: bool) {
+        self.daemons[n].is_cut_from_store = is_away;
+        if !is_away {
+            let leaders = self.store.leaders.clone();
+            self.schedule(n, 300, Event::Leaders(leaders));
+        }
+    }
+
+    /// Begins or ends an event.
+    fn apply_event(&mut self, kind: &EventKind, begins: bool) {
+        match kind {
+            EventKind::TurnAway(n) => self.turn_away(*n, begins),
+            EventKind::StoreDown => self.store_is_down = begins,
+            EventKind::Freeze(n) => self.daemons[*n].is_frozen = begins,
+            EventKind::Cut(n, name) => {
+                let cut = &mut self.daemons[*n].cut_servers;
+                match begins {
+                    true => cut.insert(server(name)),
+                    false => cut.remove(&server(name)),
+                };
+            }
+            EventKind::Dark(name) => self.group.get_mut(&server(name)).is_isolated = begins,
+            EventKind::Drain(name) => self.set_draining(&server(name), begins),
+            EventKind::DrainPrimary => {}
+        }
+    }
+}
--- a/sapphireslip-lead/tests/support/group.rs
+++ b/sapphireslip-lead/tests/support/group.rs
@@ -132,6 +132,18 @@
     /// Copies the log of the reachable primary with the highest term to all other reachable
     /// servers, which become its replicas.
     pub fn replicate(&mut self) {
+        self.replicate_to(|_| true);
+    }
+
+    /// Copies the log of the reachable primary with the highest term to all reachable replicas. A replaced
+    /// primary goes on: it notices its replacement late.
+    pub fn replicate_to_replicas(&mut self) {
+        self.replicate_to(|server| server.role == Role::Replica);
+    }
+
+    /// Copies the log of the reachable primary with the highest term to the reachable servers that
+    /// `receives` names, which become its replicas.
+    fn replicate_to(&mut self, receives: impl Fn(&FakeServer) -> bool) {
         let primary = self
             .servers
             .iter()
@@ -142,7 +154,7 @@
             return;
         };
         for server in &mut self.servers {
-            if !server.is_isolated && server.id != primary.id {
+            if !server.is_isolated && server.id != primary.id && receives(server) {
                 server.log.clone_from(&primary.log);
                 server.term = primary.term;
                 server.role = Role::Replica;
