--- a/sapphireslip-lead/src/coordinator.rs
+++ b/sapphireslip-lead/src/coordinator.rs
@@ -281,7 +281,7 @@
         }
         let is_unreadable = self.leaders.table.unreadable.contains_key(service);
         let Some(leader) = self.leaders.named(service).cloned() else {
-            // The row may have named another server than the one that says that it is the primary.
+            // A replaced primary may still report itself as primary, so its entry proves nothing.
             return match is_unreadable {
                 true => self.begin_handover(service, None, Reason::NoPrimary),
                 false => self.name_present_primary(service),
--- a/sapphireslip-lead/src/leader_choice.rs
+++ b/sapphireslip-lead/src/leader_choice.rs
@@ -25,8 +25,10 @@
 const LAG_WAIT_MAX: Duration = Duration::from_millis(3_500);
 
 impl State {
-    /// Chooses the server with the longest log as the new leader and has it named, or drops the
-    /// handover if it is unnecessary. Servers that stay go before servers that leave.
+    /// Chooses the new leader and has it named, or drops the handover if it is unnecessary.
+    ///
+    /// Of the servers that stay, the one with the longest log is chosen, then of those that leave. Where the
+    /// service waits for replicas, the longest log comes first.
     pub(crate) fn choose(&mut self, service: &ServiceName, handover: &Handover) {
         if handover.is_unnecessary(self) {
             self.log(
--- a/sapphireslip-lead/src/shapes.rs
+++ b/sapphireslip-lead/src/shapes.rs
@@ -87,7 +87,7 @@
             number: self.next,
             shape: shape.clone(),
         });
-        // 2^64 numbers last for centuries.
+        // A daemon does not live to see 2^64 shapes.
         self.next = ShapeNumber(self.next.0.saturating_add(1));
         self.known.insert(shape.clone(), Arc::clone(&numbered));
         numbered
--- a/sapphireslip-lead/src/sync_replicas.rs
+++ b/sapphireslip-lead/src/sync_replicas.rs
@@ -12,9 +12,9 @@
 use crate::state::State;
 use crate::{Role, TermPosition};
 
-/// How long servers that may alone have acknowledged commits are waited for after the loss of the
-/// primary. Within the 12 s after which the platform expects requests to be served again.
-const RETURN_WAIT_MAX: Duration = Duration::from_secs(9);
+/// How long the coordinator waits, after the loss of the primary, for servers that may be the only ones
+/// with some acknowledged commits. The platform expects requests to be served again after 12 s.
+const UNSEEN_WAIT_MAX: Duration = Duration::from_secs(9);
 
 /// Whether a server has all acknowledged commits.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -43,8 +43,8 @@
     /// Returns whether a server has all acknowledged commits of a service, by the answers to requests
     /// for the status that were sent at `asked` or later, and asks the servers that have not answered.
     ///
-    /// The daemons must have left the old leader, so that no commit is acknowledged any more; before
-    /// that, the result says what is likely.
+    /// The result is certain only once all daemons have left the old leader, as commits may be acknowledged
+    /// until then.
     pub(crate) fn commits_of(
         &mut self,
         service: &ServiceName,
@@ -78,11 +78,11 @@
         }
     }
 
-    /// Returns whether the old leader, or any leader, has been missing for [`RETURN_WAIT_MAX`].
+    /// Returns whether the old leader, or any leader, has been missing for [`UNSEEN_WAIT_MAX`].
     fn has_waited_long(&self, handover: &Handover) -> bool {
         let old = handover.old.as_ref().and_then(|old| self.servers.get(old));
         let last_answer = old.and_then(|old| old.last_answer).unwrap_or_default();
-        self.now.since(last_answer.max(handover.began)) >= RETURN_WAIT_MAX
+        self.now.since(last_answer.max(handover.began)) >= UNSEEN_WAIT_MAX
     }
 
     /// Returns whether a server was the primary by its last status.
--- a/sapphireslip-lead/src/unreadable_rows.rs
+++ b/sapphireslip-lead/src/unreadable_rows.rs
@@ -9,8 +9,8 @@
 use crate::state::State;
 use crate::{PermissionTable, Record, RecordKind, RowVersion, UnreadableRow};
 
-/// Upper bound of the time from when a row with a permission was written to the end of that permission:
-/// the longest permission, to which the duration of the last renewal is added, at most 2.5 s.
+/// Upper bound on how long a permission lasts after its row was written: the longest permission, plus the
+/// duration of the last renewal, which is at most 2.5 s.
 pub(crate) const UNREADABLE_PERMISSION_MAX: Duration =
     COORDINATOR_PERMISSION_LENGTH.saturating_add(Duration::from_millis(3_000));
 
