Review: the choice of a leader asks for a server's received position in one way

choose read it from the status by hand, where State::received does so; UnreadableRows had its two methods in two impl blocks. No behaviour changes.

--- a/sapphireslip-lead/src/leader_choice.rs
+++ b/sapphireslip-lead/src/leader_choice.rs
@@ -76,9 +76,7 @@
         let waits_for_replicas = self.waits_for_replicas(service);
         let rank = |id: &&ServerId| {
             let server = self.servers.get(id);
-            let received = server
-                .and_then(|s| s.status.as_ref())
-                .map(|status| status.received);
+            let received = self.received(id);
             let is_staying = server.is_some_and(KnownServer::is_staying);
             // A log that lacks acknowledged commits is worse than a server that leaves.
             let log_first = received.filter(|_| waits_for_replicas);
--- a/sapphireslip-lead/src/unreadable_rows.rs
+++ b/sapphireslip-lead/src/unreadable_rows.rs
@@ -42,9 +42,7 @@
         let (version, since) = self.coordinator?;
         (now.since(since) >= UNREADABLE_PERMISSION_MAX).then_some(version)
     }
-}
 
-impl UnreadableRows {
     /// Returns whether the row of the role can't be read, and has been so for long enough that the
     /// permission of any daemon that had the role by it or before it has ended.
     pub(crate) fn has_role_ended(&self, now: Instant) -> bool {
