--- a/review/common-2/drill.rs
+++ b/review/common-2/drill.rs
@@ -26,18 +26,18 @@
 
 /// An operation of a client.
 #[derive(Clone)]
-struct Operation {
-    id: String,
-    daemon: String,
-    is_write: bool,
-    sent: Instant,
-    answered: Instant,
-    end: String,
-    is_done: bool,
+pub struct Operation {
+    pub id: String,
+    pub daemon: String,
+    pub is_write: bool,
+    pub sent: Instant,
+    pub answered: Instant,
+    pub end: String,
+    pub is_done: bool,
 }
 
 /// Returns the VM in the row of the coordinator, and the row's version.
-fn coordinator(store: &Store) -> Option<(String, u64)> {
+pub fn coordinator(store: &Store) -> Option<(String, u64)> {
     let (value, version) = store.row("sapphireslip-leads", "sapphireslip", "duty")?;
     let holder = Json::parse(&unbase64(&value))?.text("holder");
     Some((holder, version))
@@ -66,7 +66,7 @@
     broken
 }
 
-fn configuration() -> String {
+pub fn configuration() -> String {
     format!(
         "{{\"version\":7,\"routes\":[{{\"name\":\"r-1\",\"database_name\":\"{DATABASE}\",\"prefix\":\"/\",\"type\":\"primary\",\"timeout_ms\":800,\"target_latency_ms\":100,\"priority\":1,\"service\":\"{SERVICE}\",\"max_attempts\":2}}],\"services\":[{{\"name\":\"{SERVICE}\",\"health_path\":\"/healthz\",\"max_connections\":16,\"protocol\":\"h1\",\"tls\":false,\"sync_replicas\":0}}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000,\"tx_idle_ms\":3000}}}}"
     )
@@ -162,7 +162,7 @@
 }
 
 /// Writes and reads until the end, on one session after the other.
-fn client(
+pub fn client(
     n: usize,
     daemons: &[Arc<Daemon>],
     operations: &Mutex<Vec<Operation>>,
@@ -212,7 +212,7 @@
 /// Returns whether the rule was broken, and writes all that was seen to the record.
 ///
 /// Statements from before `shown_from` are judged too, but left out of the record.
-fn judge(record: &Record, group: &Group, operations: &[Operation], shown_from: Instant) -> bool {
+pub fn judge(record: &Record, group: &Group, operations: &[Operation], shown_from: Instant) -> bool {
     let effects = group.effects();
     let (mut highest, mut lower) = (0, 0);
     for order in group.orders() {
--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -5,7 +5,9 @@
 mod fleet;
 mod json;
 mod late_configuration;
+mod late_promotion;
 mod members;
+mod short_sessions;
 mod store;
 
 use std::path::{Path, PathBuf};
@@ -46,6 +48,8 @@
     let result = match case.as_str() {
         "drill" => drill::run(trouble, folder, &temp),
         "late-configuration" => late_configuration::run(trouble, folder, &temp),
+        "late-promotion" => late_promotion::run(trouble, folder, &temp),
+        "short-sessions" => short_sessions::run(trouble, folder, &temp),
         _ => None,
     };
     match result {
--- a/review/common-2/members.rs
+++ b/review/common-2/members.rs
@@ -85,6 +85,10 @@
     applied: usize,
     is_draining: bool,
     is_gone: bool,
+    /// Whether the member has crashed; its port is closed until it is back.
+    is_down: bool,
+    /// The connections, to break them in a crash.
+    streams: Vec<TcpStream>,
     sequence: u64,
     connections: usize,
     running: usize,
@@ -98,6 +102,8 @@
     orders: Vec<Order>,
     effects: Vec<Effect>,
     signatures: u64,
+    /// How long the platform takes to carry out the calls for a promotion that come in now.
+    promotion_delay: Duration,
 }
 
 /// The members of a service; clones share them.
@@ -140,6 +146,8 @@
                 applied: 0,
                 is_draining: false,
                 is_gone: false,
+                is_down: false,
+                streams: Vec::new(),
                 sequence: 0,
                 connections: 0,
                 running: 0,
@@ -154,6 +162,7 @@
             orders: Vec::new(),
             effects: Vec::new(),
             signatures: 0,
+            promotion_delay: Duration::ZERO,
         };
         let group = Group {
             service: service.to_owned(),
@@ -162,12 +171,7 @@
         };
         for (n, listener) in listeners.into_iter().enumerate() {
             let accepting = group.clone();
-            std::thread::spawn(move || {
-                for stream in listener.incoming().flatten() {
-                    let group = accepting.clone();
-                    std::thread::spawn(move || group.serve(n, stream));
-                }
-            });
+            std::thread::spawn(move || accepting.accept(n, listener));
             let beating = group.clone();
             std::thread::spawn(move || loop {
                 let pause = if beating.beat(n) { HEARTBEAT } else { Duration::from_millis(100) };
@@ -186,11 +190,68 @@
         self.inner.0.lock().unwrap()
     }
 
+    /// Accepts connections to a member. While it is down, its port is closed.
+    fn accept(&self, n: usize, listener: TcpListener) {
+        let address = listener.local_addr().unwrap();
+        let mut listener = Some(listener);
+        loop {
+            let is_down = self.lock().members[n].is_down;
+            match &listener {
+                Some(_) if is_down => listener = None,
+                None if !is_down => listener = TcpListener::bind(address).ok(),
+                Some(open) => {
+                    open.set_nonblocking(true).ok();
+                    if let Ok((stream, _)) = open.accept() {
+                        stream.set_nonblocking(false).ok();
+                        let group = self.clone();
+                        std::thread::spawn(move || group.serve(n, stream));
+                        continue;
+                    }
+                }
+                None => {}
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    /// Has a member crash: its connections break, and its port is closed.
+    pub fn crash(&self, n: usize) {
+        let mut inner = self.lock();
+        inner.members[n].is_down = true;
+        for stream in inner.members[n].streams.drain(..) {
+            stream.shutdown(std::net::Shutdown::Both).ok();
+        }
+    }
+
+    /// Starts a crashed member again with its log, as a replica if another member leads.
+    pub fn start_again(&self, n: usize) {
+        let mut inner = self.lock();
+        let leader = inner.members.iter().enumerate().filter(|(other, m)| *other != n && m.is_primary && !m.is_gone);
+        let leader = leader.max_by_key(|(_, m)| m.term).map(|(other, _)| other);
+        if let Some(leader) = leader.filter(|leader| inner.members[*leader].term >= inner.members[n].term) {
+            let (term, log) = (inner.members[leader].term, inner.members[leader].log.clone());
+            let member = &mut inner.members[n];
+            let same = member.log.iter().zip(&log).take_while(|(own, other)| own.id == other.id).count();
+            member.is_primary = false;
+            member.term = term;
+            member.log.truncate(same);
+            member.applied = member.applied.min(same);
+        }
+        inner.members[n].is_down = false;
+        drop(inner);
+        self.beat(n);
+    }
+
+    /// Sets how long the platform takes from now on to carry out a call for a promotion.
+    pub fn set_promotion_delay(&self, delay: Duration) {
+        self.lock().promotion_delay = delay;
+    }
+
     /// Writes a member's row; returns whether that was done or is over.
     fn beat(&self, n: usize) -> bool {
         let mut inner = self.lock();
         let member = &mut inner.members[n];
-        if member.is_gone {
+        if member.is_gone || member.is_down {
             return true;
         }
         member.sequence += 1;
@@ -266,7 +327,11 @@
             id: id.to_owned(),
             at: Instant::now(),
         });
-        let Some(n) = inner.members.iter().position(|m| m.id == id && !m.is_gone) else {
+        let delay = inner.promotion_delay;
+        drop(inner);
+        std::thread::sleep(delay);
+        let inner = self.lock();
+        let Some(n) = inner.members.iter().position(|m| m.id == id && !m.is_gone && !m.is_down) else {
             return 409;
         };
         let top = inner.members.iter().map(|m| m.term).max().unwrap_or(0);
@@ -286,7 +351,7 @@
     fn promote(&self, n: usize) {
         let mut inner = self.lock();
         let term = inner.members.iter().map(|m| m.term).max().unwrap_or(0) + 1;
-        if inner.members[n].is_primary || inner.members[n].is_gone {
+        if inner.members[n].is_primary || inner.members[n].is_gone || inner.members[n].is_down {
             return;
         }
         inner.members[n].is_primary = true;
@@ -294,7 +359,7 @@
         inner.members[n].applied = inner.members[n].log.len();
         let log = inner.members[n].log.clone();
         for (other, member) in inner.members.iter_mut().enumerate() {
-            if other != n && !member.is_primary {
+            if other != n && !member.is_primary && !member.is_down {
                 member.term = term;
                 member.log.truncate(log.len());
                 member.applied = member.applied.min(log.len());
@@ -337,7 +402,7 @@
         for n in 0..inner.members.len() {
             let (is_primary, term) = (inner.members[n].is_primary, inner.members[n].term);
             let leader = inner.members.iter().position(|m| m.is_primary && !m.is_gone && m.term == term);
-            let Some(leader) = leader.filter(|_| !is_primary) else {
+            let Some(leader) = leader.filter(|_| !is_primary && !inner.members[n].is_down) else {
                 continue;
             };
             let (mut log, applied) = (std::mem::take(&mut inner.members[n].log), inner.members[n].applied);
@@ -362,6 +427,9 @@
         let Ok(mut writer) = stream.try_clone() else {
             return;
         };
+        if let Ok(stream) = stream.try_clone() {
+            self.lock().members[n].streams.push(stream);
+        }
         let mut reader = BufReader::new(stream);
         let mut line = String::new();
         if reader.read_line(&mut line).unwrap_or(0) == 0 {
@@ -400,7 +468,7 @@
         }
         loop {
             let mut line = String::new();
-            if reader.read_line(&mut line).unwrap_or(0) == 0 || self.lock().members[n].is_gone {
+            if reader.read_line(&mut line).unwrap_or(0) == 0 || self.is_out(n) {
                 return;
             }
             let line = line.trim_end_matches(['\r', '\n']);
@@ -417,12 +485,21 @@
                 Some(_) => "T",
             };
             let answer = format!("{answer}READY {state} {}\r\n", self.position(n));
+            if self.is_out(n) {
+                return;
+            }
             if writer.write_all(answer.as_bytes()).is_err() {
                 return;
             }
         }
     }
 
+    /// Returns whether a member has ended or crashed.
+    fn is_out(&self, n: usize) -> bool {
+        let inner = self.lock();
+        inner.members[n].is_gone || inner.members[n].is_down
+    }
+
     /// Returns the end of the log that a member's reads see.
     fn position(&self, n: usize) -> String {
         let inner = self.lock();
