--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -2,6 +2,7 @@
 //! the case could not run.
 
 mod drill;
+mod drill_recovery;
 mod fleet;
 mod json;
 mod late_configuration;
@@ -50,6 +51,7 @@
         "late-configuration" => late_configuration::run(trouble, folder, &temp),
         "late-promotion" => late_promotion::run(trouble, folder, &temp),
         "short-sessions" => short_sessions::run(trouble, folder, &temp),
+        "drill-recovery" => drill_recovery::run(trouble, folder, &temp),
         _ => None,
     };
     match result {
