review: case 10, memory grows with each session that a client closes

569 bytes stay for good with each session that its client closes; the platform kills the process at its limit of 260 MB after 454,000 sessions.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# See claim.txt. Needs the build of the deploy file and review/build-2.sh.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/release/sapphireslipd ] && [ -x target/review-2/world ] || exit 2
+exec target/review-2/world short-sessions review/10
