--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -9,6 +9,7 @@
 mod late_promotion;
 mod members;
 mod short_sessions;
+mod stale_status;
 mod store;
 
 use std::path::{Path, PathBuf};
@@ -52,6 +53,7 @@
         "late-promotion" => late_promotion::run(trouble, folder, &temp),
         "short-sessions" => short_sessions::run(trouble, folder, &temp),
         "drill-recovery" => drill_recovery::run(trouble, folder, &temp),
+        "stale-status" => stale_status::run(trouble, folder, &temp),
         _ => None,
     };
     match result {
--- a/review/common-2/members.rs
+++ b/review/common-2/members.rs
@@ -87,6 +87,10 @@
     is_gone: bool,
     /// Whether the member has crashed; its port is closed until it is back.
     is_down: bool,
+    /// Whether the member, as a replica, receives nothing.
+    is_deaf: bool,
+    /// Whether the member is silent: it receives and answers nothing, and its connections stay open.
+    is_dark: bool,
     /// The connections, to break them in a crash.
     streams: Vec<TcpStream>,
     sequence: u64,
@@ -102,6 +106,8 @@
     orders: Vec<Order>,
     effects: Vec<Effect>,
     signatures: u64,
+    /// Whether a commit is acknowledged once one replica has received it (`sync_replicas` 1).
+    is_sync: bool,
     /// How long the platform takes to carry out the calls for a promotion that come in now.
     promotion_delay: Duration,
 }
@@ -147,6 +153,8 @@
                 is_draining: false,
                 is_gone: false,
                 is_down: false,
+                is_deaf: false,
+                is_dark: false,
                 streams: Vec::new(),
                 sequence: 0,
                 connections: 0,
@@ -162,6 +170,7 @@
             orders: Vec::new(),
             effects: Vec::new(),
             signatures: 0,
+            is_sync: false,
             promotion_delay: Duration::ZERO,
         };
         let group = Group {
@@ -242,6 +251,48 @@
         self.beat(n);
     }
 
+    /// Has commits wait until one replica has received them.
+    pub fn set_sync(&self) {
+        self.lock().is_sync = true;
+    }
+
+    /// Has a replica receive nothing, or receive again.
+    pub fn set_deaf(&self, n: usize, is_deaf: bool) {
+        self.lock().members[n].is_deaf = is_deaf;
+    }
+
+    /// Has a member go silent, or answer again.
+    pub fn set_dark(&self, n: usize, is_dark: bool) {
+        self.lock().members[n].is_dark = is_dark;
+    }
+
+    /// Waits while a member is silent.
+    fn wait_while_dark(&self, n: usize) {
+        while self.lock().members[n].is_dark {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Waits until a replica has received a member's commit, if that is asked for; returns false if the
+    /// member has crashed or lost the lead meanwhile.
+    fn wait_for_replica(&self, n: usize, term: u64, number: usize) -> bool {
+        loop {
+            let inner = self.lock();
+            let member = &inner.members[n];
+            if member.is_down || member.term != term || !member.is_primary {
+                return false;
+            }
+            let mut replicas = inner.members.iter().enumerate().filter(|(other, _)| *other != n);
+            let is_received =
+                replicas.any(|(_, m)| !m.is_primary && m.term == term && m.log.len() >= number);
+            if !inner.is_sync || is_received {
+                return true;
+            }
+            drop(inner);
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     /// Sets how long the platform takes from now on to carry out a call for a promotion.
     pub fn set_promotion_delay(&self, delay: Duration) {
         self.lock().promotion_delay = delay;
@@ -251,7 +302,7 @@
     fn beat(&self, n: usize) -> bool {
         let mut inner = self.lock();
         let member = &mut inner.members[n];
-        if member.is_gone || member.is_down {
+        if member.is_gone || member.is_down || member.is_dark {
             return true;
         }
         member.sequence += 1;
@@ -402,7 +453,10 @@
         for n in 0..inner.members.len() {
             let (is_primary, term) = (inner.members[n].is_primary, inner.members[n].term);
             let leader = inner.members.iter().position(|m| m.is_primary && !m.is_gone && m.term == term);
-            let Some(leader) = leader.filter(|_| !is_primary && !inner.members[n].is_down) else {
+            let Some(leader) = leader.filter(|leader| {
+                let is_cut = |n: usize| inner.members[n].is_down || inner.members[n].is_dark;
+                !is_primary && !is_cut(n) && !is_cut(*leader) && !inner.members[n].is_deaf
+            }) else {
                 continue;
             };
             let (mut log, applied) = (std::mem::take(&mut inner.members[n].log), inner.members[n].applied);
@@ -455,6 +509,7 @@
             }
             inner.members[n].connections += 1;
         }
+        self.wait_while_dark(n);
         self.serve_open(n, &mut reader, &mut writer);
         self.lock().members[n].connections -= 1;
     }
@@ -471,6 +526,7 @@
             if reader.read_line(&mut line).unwrap_or(0) == 0 || self.is_out(n) {
                 return;
             }
+            self.wait_while_dark(n);
             let line = line.trim_end_matches(['\r', '\n']);
             let Some(rest) = line.strip_prefix("QUERY ") else {
                 return;
@@ -485,6 +541,7 @@
                 Some(_) => "T",
             };
             let answer = format!("{answer}READY {state} {}\r\n", self.position(n));
+            self.wait_while_dark(n);
             if self.is_out(n) {
                 return;
             }
@@ -569,7 +626,16 @@
             std::thread::sleep(WORK);
         }
         let answer = self.run_in_slot(n, connection, id, floor, (verb, rest));
+        let (term, number) = {
+            let inner = self.lock();
+            let commit = inner.commits.iter().rev().find(|c| c.id == id && c.member == n);
+            commit.map_or((0, 0), |c| (c.term, c.number as usize))
+        };
+        let is_kept = number == 0 || self.wait_for_replica(n, term, number);
         self.free_slot(n);
+        if !is_kept {
+            return "ERROR INDOUBT\r\n".to_owned();
+        }
         let mut inner = self.lock();
         let member = &inner.members[n];
         let run = Run {
