--- a/review/common-2/members.rs
+++ b/review/common-2/members.rs
@@ -51,7 +51,6 @@
     pub is_primary: bool,
     pub term: u64,
     pub number: u64,
-    pub values: String,
     pub at: Instant,
     pub outcome: String,
 }
@@ -645,7 +644,6 @@
             is_primary: member.is_primary,
             term: member.term,
             number: member.applied as u64,
-            values: connection.values.iter().map(|(k, v)| format!("{k}={v}")).collect::<Vec<_>>().join(","),
             at: Instant::now(),
             outcome: answer.lines().last().unwrap_or("").to_owned(),
         };
--- a/review/common-2/store.rs
+++ b/review/common-2/store.rs
@@ -124,10 +124,6 @@
         self.lock().now.rows.get(&key).cloned()
     }
 
-    pub fn version(&self) -> u64 {
-        self.lock().now.version
-    }
-
     /// Takes the store away for everyone.
     pub fn go_away(&self) {
         self.lock().is_away = true;
