--- a/sapphireslip-lead/src/permission.rs
+++ b/sapphireslip-lead/src/permission.rs
@@ -9,7 +9,6 @@
 
 use sapphireslip_core::{Instant, ServerId, data};
 
-use crate::connection::Purpose;
 use crate::grant::COORDINATOR_PERMISSION_LENGTH;
 use crate::server::KnownServer;
 use crate::state::State;
@@ -423,45 +422,4 @@
             self.permission.lacking_since.get_or_insert(self.now);
         }
     }
-
-    /// Ends the transactions and writes at replaced leaders whose replacement this daemon learned of
-    /// at least `grace` ago; returns whether none is left.
-    pub(crate) fn stop_work_at_old_leaders(&mut self, grace: Duration) -> bool {
-        let mut has_stopped = true;
-        for session in self.sessions_at_old_leaders() {
-            let service = self
-                .sessions
-                .get(&session)
-                .and_then(|s| s.transaction.as_ref());
-            let changed = service.and_then(|t| self.leaders.changed_at(&t.route.service));
-            if changed.is_some_and(|at| self.now.since(at) < grace) {
-                has_stopped = false;
-            } else {
-                self.abort_transaction(session, "the primary is being replaced");
-            }
-        }
-        let writes: Vec<_> = self.writes_at_old_leaders();
-        for (job, at) in writes {
-            if self.now.since(at) < grace {
-                has_stopped = false;
-            } else {
-                self.answer_unknown(job, "the primary was replaced before it answered");
-            }
-        }
-        has_stopped
-    }
-
-    /// Returns the sessions with an open transaction that may write at a replaced leader.
-    fn sessions_at_old_leaders(&self) -> Vec<sapphireslip_core::SessionId> {
-        let of_transaction = |connection: &crate::connection::Connection| {
-            let Purpose::Transaction(session) = connection.purpose else {
-                return None;
-            };
-            let transaction = self.sessions.get(&session)?.transaction.as_ref()?;
-            let (service, term) = (&transaction.route.service, transaction.term);
-            let is_old = self.leaders.has_replaced(service, &connection.server, term);
-            (!transaction.reads_only && is_old).then_some(session)
-        };
-        self.pool.all().filter_map(of_transaction).collect()
-    }
 }
--- /dev/null
+++ b/sapphireslip-lead/src/replacement.rs
@@ -0,0 +1,95 @@
+//! Whether a named leader has to be replaced, or another server already leads.
+
+use std::time::Duration;
+
+use sapphireslip_core::{ServerId, ServiceName};
+
+use crate::coordinator::NO_PRIMARY_MAX;
+use crate::handover::Reason;
+use crate::state::State;
+use crate::{Role, Term};
+
+/// How long a named leader may keep reporting that it does not lead before its promotion is
+/// resumed.
+const PROMOTION_START_MAX: Duration = Duration::from_millis(300);
+
+impl State {
+    /// Returns a server that is the primary of a term high enough for the named leader's row, and
+    /// that term, if the named leader itself is a replica.
+    ///
+    /// An earlier request to promote that server has then taken effect late. While a request to promote
+    /// the named leader may still take effect, it is not given up: the commits that the other server
+    /// acknowledges meanwhile would be rolled back.
+    pub(crate) fn newer_primary(
+        &self,
+        service: &ServiceName,
+        leader: &ServerId,
+    ) -> Option<(ServerId, Term)> {
+        let (named, _) = self.leaders.table.leaders.get(service)?;
+        if self.leaders.term(service).is_some() {
+            return None;
+        }
+        let named_server = self.servers.get(leader)?;
+        let stays_replica = named_server.status.as_ref()?.role == Role::Replica
+            && named_server.status_request_sent >= self.promotions_settled(service);
+        let newer = self.servers.of(service).find(|(id, server)| {
+            let status = server.status.as_ref();
+            *id != leader && status.is_some_and(|s| s.role == Role::Primary && s.term > named.above)
+        });
+        let (id, server) = newer.filter(|_| stays_replica)?;
+        Some((id.clone(), server.status.as_ref()?.term))
+    }
+
+    /// Returns whether a named leader still reports that it does not lead after
+    /// `PROMOTION_START_MAX`, or has reported nothing for `NO_PRIMARY_MAX`.
+    pub(crate) fn is_left_unpromoted(&self, service: &ServiceName, leader: &ServerId) -> bool {
+        let changed = self.leaders.changed_at(service).unwrap_or_default();
+        let waited = self.now.since(changed);
+        let server = self.servers.get(leader);
+        let status = server.and_then(|server| server.status.as_ref());
+        let asked = server.and_then(|server| server.status_request_sent);
+        match status {
+            // Only a status that was requested after the naming shows that the promotion stalled.
+            Some(_) if asked > Some(changed) => waited >= PROMOTION_START_MAX,
+            _ => waited >= NO_PRIMARY_MAX,
+        }
+    }
+
+    /// Returns why a leader has to be replaced; none if it may stay.
+    ///
+    /// A draining leader stays as long as no other server can take over.
+    pub(crate) fn reason_to_replace(
+        &self,
+        service: &ServiceName,
+        leader: &ServerId,
+    ) -> Option<Reason> {
+        let Some(server) = self.servers.get(leader) else {
+            return Some(Reason::Gone);
+        };
+        if server.missing_since.is_some() {
+            return Some(Reason::Gone);
+        }
+        if server.draining_since.is_some() {
+            return self
+                .has_replacement(service, leader)
+                .then_some(Reason::Draining);
+        }
+        self.is_lost(leader).then_some(Reason::Lost)
+    }
+
+    /// Returns whether a service has another reachable server that stays.
+    pub(crate) fn has_replacement(&self, service: &ServiceName, leader: &ServerId) -> bool {
+        self.servers.of(service).any(|(id, server)| {
+            id != leader && server.is_staying() && !server.is_unreachable(self.now)
+        })
+    }
+
+    /// Returns whether a leader can't be reached from more zones than it can be, by the reports of all
+    /// daemons and of this one.
+    fn is_lost(&self, leader: &ServerId) -> bool {
+        let server = self.servers.get(leader);
+        let is_reached = server.is_some_and(|server| !server.is_unreachable(self.now));
+        let zone = &self.local.zone;
+        self.permissions.is_some() && self.votes.is_lost(leader, zone, is_reached)
+    }
+}
