Store: nobody is promoted after a return until every earlier permission has ended

Cause: the coordinator's permission was renewed after the copy had been made. The copy showed it as ended, so that another daemon took the role, counted the first one as having left the old primary and had another server promoted, while the first one went on; later that one asked for a promotion with its older token.

Change: after a return the coordinator has nobody promoted until every permission of an earlier era must have ended: 9 s after it saw the era, or 5 s if it was the coordinator before and still is by the copy, as no other daemon then has a coordinator's permission. Rows of permissions say in which era they were sent, and only those of the present one acknowledge a leader within that time. A primary that only drains keeps its work until then. The role is not claimed by a row of the copy for 2 s, and a coordinator that is not the one from before lends shares of accounts' limits only once earlier ones have ended.

Why it works: a valid permission proves that no other server was promoted without its daemon's acknowledgement; all earlier permissions were sent before the first answer of the era, and none lasts longer than the wait.

Related paths looked at: grants of the earlier coordinator (end before its permission), a coordinator that the copy names anew or that had resigned, shares it lent, permissions written late, daemons that the copy doesn't list, reports of lost leaders in rows of the copy (they count only while the permission in the row lasts).

Price: none without a return.

--- a/sapphireslip-lead/src/coordinator.rs
+++ b/sapphireslip-lead/src/coordinator.rs
@@ -49,6 +49,8 @@
         vacant_since: Option<Instant>,
         /// Whether this daemon was the coordinator at the last check, to log each change.
         was_coordinator: bool,
+        /// When this daemon last became the coordinator or ceased to be it.
+        pub(crate) taken: Instant,
         /// Since when this daemon has been the coordinator without replacing a primary.
         quiet_since: Instant,
         /// The version of the coordinator's row that this daemon has tried to remove. An unanswered
@@ -138,6 +140,7 @@
         let token = self.fencing_token();
         if token.is_some() != self.coordinator.was_coordinator {
             self.coordinator.was_coordinator = token.is_some();
+            self.coordinator.taken = self.now;
             self.wait_out_earlier_grants();
             self.coordinator.quiet_since = self.now;
             for service in self.leaders.table.leaders.keys() {
@@ -197,7 +200,11 @@
         reason = "a vacant role without a last coordinator differs from a role that is taken"
     )]
     fn vacancy(&self) -> Option<Option<(sapphireslip_core::VmId, RowVersion)>> {
+        let may_claim = self.store_era.may_claim(self.now);
         let Some((record, _)) = &self.leaders.table.coordinator else {
+            if !may_claim {
+                return None;
+            }
             let is_vacant = self.leaders.table.unreadable_role.is_none();
             return (is_vacant || self.unreadable_rows.has_role_ended(self.now)).then_some(None);
         };
@@ -205,7 +212,7 @@
             // The row is from an earlier run, or this daemon has tried to remove it.
             return (!self.is_coordinator()).then_some(None);
         }
-        let table = self.permissions.as_ref()?;
+        let table = self.permissions.as_ref().filter(|_| may_claim)?;
         if table.unreadable_row_of(&record.holder).is_some() {
             let ended = self.unreadable_rows.ended_row_of_coordinator(self.now);
             return ended.map(|version| Some((record.holder.clone(), version)));
--- a/sapphireslip-lead/src/handover.rs
+++ b/sapphireslip-lead/src/handover.rs
@@ -230,6 +230,9 @@
     /// Reads the permissions if no read was sent lately, for whatever handover. Daemons that are in
     /// touch acknowledge at once; the longer one takes, the more likely its permission has to end.
     fn poll_permissions(&mut self, handover: &Handover) {
+        if self.store_era.holds_promotions(self.now) {
+            return;
+        }
         let waited = self.now.since(handover.since);
         let pause = ACKNOWLEDGEMENT_POLL_EVERY.max(waited / ACKNOWLEDGEMENT_POLLS_PER_WAIT);
         self.read_permissions_unless_read_within(pause);
@@ -237,16 +240,19 @@
 
     /// Continues handovers that every daemon with a permission acknowledged, once grants are over.
     pub(crate) fn count_acknowledgements(&mut self) {
-        if self.now < self.grants.no_promotion_before {
+        if self.now < self.grants.no_promotion_before || self.store_era.holds_promotions(self.now) {
             return;
         }
         let Some(table) = &self.permissions else {
             return;
         };
+        let are_earlier_over = self.store_era.are_earlier_permissions_over(self.now);
         let is_acknowledged = |version: RowVersion, named: Instant| {
             // Whether a daemon has left the old leader: it has no permission, or a newer one.
             let has_left = |(record, row): &(crate::PermissionRecord, RowVersion)| {
-                record.until <= table.now || *row > version
+                // A row that was sent in an earlier era may have been written late.
+                let is_of_this_era = record.era == self.store_era.current() || are_earlier_over;
+                record.until <= table.now || (*row > version && is_of_this_era)
             };
             // The permission of a daemon whose row can't be read was written before the naming, unless
             // that daemon knows of it.
--- a/sapphireslip-lead/src/lead_record.rs
+++ b/sapphireslip-lead/src/lead_record.rs
@@ -60,6 +60,9 @@
         pub reached: Vec<ServerId>,
         /// Whether the daemon may hold shares of the limits of accounts.
         pub holds_shares: bool,
+        /// The era of the store that the daemon knew when it sent the row; the first one in rows of builds
+        /// that don't write it.
+        pub era: StoreEra,
     }
 
     /// The leaders of all services and the coordinator at one version of the store.
--- a/sapphireslip-lead/src/permission.rs
+++ b/sapphireslip-lead/src/permission.rs
@@ -264,6 +264,7 @@
             unreachable,
             reached: self.reached_leaders(),
             holds_shares,
+            era: self.store_era.current(),
         };
         let end = record.until;
         let earliest = self
--- a/sapphireslip-lead/src/rate_exchange.rs
+++ b/sapphireslip-lead/src/rate_exchange.rs
@@ -190,7 +190,9 @@
     /// Returns whether this daemon is the coordinator as far as it knows, and no other daemon can
     /// have taken the role since its row became valid.
     fn is_lender(&self) -> bool {
-        self.is_coordinator() && self.permission.is_row_valid(self.now)
+        self.is_coordinator()
+            && self.permission.is_row_valid(self.now)
+            && self.store_era.are_earlier_loans_over(self.now, SHARE_LEASE)
     }
 
     /// Begins to lend shares if a read of the leaders, sent at `sent`, has confirmed that this daemon
--- a/sapphireslip-lead/src/replacement.rs
+++ b/sapphireslip-lead/src/replacement.rs
@@ -70,9 +70,10 @@
             return Some(Reason::Gone);
         }
         if server.draining_since.is_some() {
-            return self
-                .has_replacement(service, leader)
-                .then_some(Reason::Draining);
+            // The primary serves on until another one may be promoted after a return of the store.
+            let may_replace =
+                self.has_replacement(service, leader) && !self.store_era.holds_promotions(self.now);
+            return may_replace.then_some(Reason::Draining);
         }
         self.is_lost(leader).then_some(Reason::Lost)
     }
--- a/sapphireslip-lead/src/store_era.rs
+++ b/sapphireslip-lead/src/store_era.rs
@@ -7,6 +7,7 @@
 
 use sapphireslip_core::{Instant, data, key};
 
+use crate::permission::PERMISSION_LENGTH;
 use crate::state::State;
 use crate::unreadable_rows::UNREADABLE_PERMISSION_MAX;
 use crate::{Effect, NamedLeader, Record, RecordKind, RowVersion, StoreTime, StoreWrite};
@@ -15,6 +16,15 @@
 /// trillion transactions.
 const ERA_SHIFT: u32 = 40;
 
+/// Upper bound on how long a permission lasts after its row was written, other than the coordinator's: its
+/// length, plus the duration of the last renewal, which is at most 2.5 s.
+const EARLIER_PERMISSION_MAX: Duration =
+    PERMISSION_LENGTH.saturating_add(Duration::from_millis(3_000));
+
+/// How long after a return the role is not claimed from another daemon by a row of the copy: a coordinator
+/// that is in touch with the store has renewed its row by then.
+const CLAIM_GRACE: Duration = PERMISSION_LENGTH;
+
 /// The most leaders that one write confirms: the store accepts 100 rows in a transaction.
 const LEADERS_PER_CONFIRMATION_MAX: usize = 48;
 
@@ -91,6 +101,12 @@
         age: Duration,
         /// The time at which the era had that age.
         at: Instant,
+        /// The number of the role's row if this daemon was the coordinator when it saw the era begin.
+        coordinated: Option<u64>,
+        /// When this daemon had become the coordinator before that.
+        coordinator_since: Instant,
+        /// Whether the copy has shown that this daemon is still the coordinator.
+        is_continuous: bool,
         /// The number of returns that this daemon has seen.
         returns: u64,
     }
@@ -120,6 +136,31 @@
         self.age(now) >= UNREADABLE_PERMISSION_MAX
     }
 
+    /// Returns whether this daemon, as the coordinator, must not have a server promoted yet: a daemon that
+    /// has not seen the era may still work with another one.
+    ///
+    /// Only an earlier coordinator has a permission of the coordinator's length. There was none if this
+    /// daemon already was the coordinator and remained it.
+    pub(crate) fn holds_promotions(&self, now: Instant) -> bool {
+        if self.are_earlier_permissions_over(now) {
+            return false;
+        }
+        let are_others_over = self.age(now) >= EARLIER_PERMISSION_MAX
+            && now.since(self.coordinator_since) >= UNREADABLE_PERMISSION_MAX;
+        !(self.is_continuous && are_others_over)
+    }
+
+    /// Returns whether the rows of the copy may show that another daemon's role has ended.
+    pub(crate) fn may_claim(&self, now: Instant) -> bool {
+        self.age(now) >= CLAIM_GRACE || self.coordinated.is_some()
+    }
+
+    /// Returns whether this daemon has remained the coordinator through the last return, or all that an
+    /// earlier coordinator has lent for up to `lease` has been given back since.
+    pub(crate) fn are_earlier_loans_over(&self, now: Instant, lease: Duration) -> bool {
+        self.is_continuous || self.age(now) >= UNREADABLE_PERMISSION_MAX.saturating_add(lease)
+    }
+
     /// Records that the era has lasted for `age` at least.
     fn learn_age(&mut self, now: Instant, age: Duration) {
         if age > self.age(now) {
@@ -131,6 +172,12 @@
     fn is_current(&self, version: RowVersion) -> bool {
         version == RowVersion(0) || version.era() == self.current
     }
+
+    /// Records the row of the role in a copy; none if this daemon isn't the coordinator by it.
+    fn note_role(&mut self, role: Option<RowVersion>) {
+        let number = role.map(RowVersion::number);
+        self.is_continuous = number.is_some() && number == self.coordinated;
+    }
 }
 
 impl StoreWrite {
@@ -201,6 +248,9 @@
             current: era,
             age: Duration::ZERO,
             at: self.now,
+            coordinated: token.map(RowVersion::number),
+            coordinator_since: self.coordinator.taken,
+            is_continuous: false,
             returns: self.store_era.returns + 1,
         };
         self.permission.on_store_era(self.now, era);
@@ -253,6 +303,8 @@
             .clone_from(&table.unreadable_role);
         self.leaders.copy = Some(table);
         self.note_unreadable_role();
+        let role = self.own_role();
+        self.store_era.note_role(role);
         self.renew_permission();
         self.coordinate();
     }
--- a/sapphireslip-lead/tests/rate_support/mod.rs
+++ b/sapphireslip-lead/tests/rate_support/mod.rs
@@ -8,7 +8,8 @@
 use sapphireslip_core::{AccountName, Incarnation, Instant, Random, VmId, ZoneName};
 use sapphireslip_lead::{
     Account, Accounts, Admission, PermissionRecord, PermissionTable, RateBounds, RateLimit,
-    RateLimits, RateShares, RowVersion, SHARE_LEASE, ShareAnswer, ShareRequest, StoreTime,
+    RateLimits, RateShares, RowVersion, SHARE_LEASE, ShareAnswer, ShareRequest, StoreEra,
+    StoreTime,
 };
 
 /// The length of a step, in milliseconds.
@@ -377,6 +378,7 @@
             unreachable: Vec::new(),
             reached: Vec::new(),
             holds_shares: daemon.row_until > 0,
+            era: StoreEra::FIRST,
         };
         let rows = self.daemons.iter().enumerate().map(row);
         PermissionTable {
--- a/sapphireslip-lead/tests/store_era.rs
+++ b/sapphireslip-lead/tests/store_era.rs
@@ -5,7 +5,7 @@
 
 use rstest::rstest;
 use sapphireslip_lead::{Event, Term};
-use support::{Daemon, FakeStore, Fleet, catalog, server};
+use support::{Daemon, FakeStore, Fleet, catalog, server, vm};
 
 /// The pause before the store goes away, in milliseconds: the coordinator's role has come to rest.
 const CALM: u64 = 16_000;
@@ -46,6 +46,13 @@
     }
 }
 
+/// Returns the index of the coordinator.
+fn coordinator(fleet: &Fleet) -> usize {
+    let (record, _) = fleet.store.leaders.coordinator.clone().expect("one");
+    let is_holder = |n: &usize| record.holder == vm(&format!("vm-{n}"));
+    (0..3).find(is_holder).expect("a daemon")
+}
+
 /// Asserts that a fleet has broken no guarantee.
 fn assert_safe(fleet: &Fleet) {
     assert_eq!(fleet.violations(), Vec::<String>::new());
@@ -73,6 +80,26 @@
     assert_safe(&fleet);
 }
 
+/// Guards against two coordinators: the store turns the first one away, and the copy shows its permission as
+/// ended while it still relies on it (review/6).
+#[rstest]
+fn turned_away_coordinator_is_waited_for_after_a_return(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
+) {
+    let mut fleet = Fleet::new(seed);
+    fleet.advance(CALM);
+    let holder = coordinator(&fleet);
+    fleet.daemons[holder].is_cut_from_store = true;
+    return_from_copy(&mut fleet);
+    drain_primary(&mut fleet);
+    wait_for_promotions(&mut fleet, 1, REPLACED_WITHIN);
+    fleet.daemons[holder].is_cut_from_store = false;
+    let before = fleet.acknowledged();
+    fleet.advance(4_000);
+    assert!(fleet.acknowledged() > before + 20);
+    assert_safe(&fleet);
+}
+
 /// Guards against writes that stop at a return although nothing has been lost that matters.
 #[rstest]
 fn return_alone_stops_no_writes(#[values(1, 2, 3, 4)] seed: u64) {
--- a/sapphireslip-lead/tests/support/store.rs
+++ b/sapphireslip-lead/tests/support/store.rs
@@ -24,6 +24,7 @@
         unreachable: Vec::new(),
         reached: Vec::new(),
         holds_shares: false,
+        era: StoreEra::FIRST,
     }
 }
 
