Replicas: a server that led an earlier term is waited for like any replica

Cause: a server that doesn't answer is waited for unless it is the lost primary, which is no replica. That was told by its last status, which the coordinator asks for only around a handover. That of a former primary was from when it led the term before, so that no replica counted as unseen and a log that lacked the commits as complete.

Change: only a server whose last status has the term of the primary that is replaced, or a later one, counts as that primary. The term is that of the handover, or the one above the named leader's row.

`former_primary_is_waited_for_like_any_replica` failed before: `promoted too early`, term 3 for 2.

Related paths looked at: the choice of a leader and the check before the promotion (both by `commits_of`), handovers that are resumed or begun anew without an old leader, a named leader that never led, services without `sync_replicas` (nothing changes).

Price: where replicas are waited for, the promotion waits for a silent former primary too, up to the 9 s of any replica.

--- a/sapphireslip-lead/src/leader_choice.rs
+++ b/sapphireslip-lead/src/leader_choice.rs
@@ -106,7 +106,7 @@
     }
 
     /// Returns the term that a server reports to lead; none if it reported to be a replica.
-    fn led_term(&self, id: &ServerId) -> Option<Term> {
+    pub(crate) fn led_term(&self, id: &ServerId) -> Option<Term> {
         let status = self.servers.get(id)?.status.as_ref()?;
         (status.role == Role::Primary).then_some(status.term)
     }
--- a/sapphireslip-lead/src/sync_replicas.rs
+++ b/sapphireslip-lead/src/sync_replicas.rs
@@ -2,7 +2,8 @@
 //!
 //! With `n` replicas to be waited for, every acknowledged commit is in the logs of at least `n` replicas.
 //! So the longest log among those that have answered has all of them as long as fewer than `n` replicas
-//! have not answered.
+//! have not answered. The primary that is replaced is no replica; a server that led an earlier term is one since,
+//! whatever it reported then.
 
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
 
 use crate::handover::Handover;
 use crate::state::State;
-use crate::{Role, TermPosition};
+use crate::{Term, TermPosition};
 
 /// How long the coordinator waits, after the loss of the primary, for servers that may be the only ones
 /// with some acknowledged commits. The platform expects requests to be served again after 12 s.
@@ -64,7 +65,9 @@
         let (seen, unseen): (Vec<_>, Vec<_>) = known.into_iter().partition(has_answered);
         let longest = seen.iter().filter_map(|id| self.received(id)).max();
         let own = self.received(server).filter(|_| seen.contains(server));
-        let replicas_unseen = unseen.iter().filter(|id| !self.was_primary(id)).count();
+        let replaced = self.replaced_term(service, handover);
+        let is_replaced = |id: &ServerId| self.led_term(id) >= Some(replaced);
+        let replicas_unseen = unseen.iter().filter(|id| !is_replaced(id)).count();
         for id in &unseen {
             self.probe(id);
         }
@@ -78,6 +81,18 @@
         }
     }
 
+    /// Returns the least term of the primary that is replaced.
+    fn replaced_term(&self, service: &ServiceName, handover: &Handover) -> Term {
+        let row = self.leaders.table.leaders.get(service);
+        let by_row = row.map(
+            |(record, _)| match handover.old.as_ref() == Some(&record.leader) {
+                true => Term(record.above.0.saturating_add(1)),
+                false => record.above,
+            },
+        );
+        by_row.unwrap_or_default().max(handover.above)
+    }
+
     /// Returns whether the old leader, or any leader, has been missing for [`UNSEEN_WAIT_MAX`].
     fn has_waited_long(&self, handover: &Handover) -> bool {
         let old = handover.old.as_ref().and_then(|old| self.servers.get(old));
@@ -85,12 +100,6 @@
         self.now.since(last_answer.max(handover.began)) >= UNSEEN_WAIT_MAX
     }
 
-    /// Returns whether a server was the primary by its last status.
-    fn was_primary(&self, id: &ServerId) -> bool {
-        let status = self.servers.get(id).and_then(|known| known.status.as_ref());
-        status.is_some_and(|status| status.role == Role::Primary)
-    }
-
     /// Returns the last position that a server reported to have received.
     pub(crate) fn received(&self, id: &ServerId) -> Option<TermPosition> {
         let status = self.servers.get(id)?.status.as_ref()?;
--- a/sapphireslip-lead/tests/sync_replicas.rs
+++ b/sapphireslip-lead/tests/sync_replicas.rs
@@ -118,6 +118,33 @@
     assert_eq!(has_all(&daemon, &primary), back_after.is_some());
 }
 
+/// Guards against acknowledged commits that are lost because the only replica that has them led an earlier
+/// term and can't be reached for some seconds: it was taken for the lost primary, by the status that it gave when
+/// it led (review/9).
+#[rstest]
+fn former_primary_is_waited_for_like_any_replica() {
+    let mut daemon = daemon_with_a_deaf_replica(1);
+    daemon.group.get_mut(&server("s-a")).is_draining = true;
+    let (primary, _) = wait_for_primary(&mut daemon);
+    assert_eq!(primary, server("s-b"));
+    // s-a follows s-b, and s-c receives nothing.
+    let deaf = daemon.group.get(&server("s-c")).log.clone();
+    daemon.group.replicate();
+    daemon.group.get_mut(&server("s-c")).log = deaf;
+    daemon.advance(2_000);
+    let session = daemon.open(PAYMENTS);
+    let reply = daemon.run(session, "later", "WRITE x 2");
+    assert_eq!(reply.failure(), None);
+    copy_log(&mut daemon, "s-b", "s-a");
+    isolate(&mut daemon, "s-a");
+    isolate(&mut daemon, "s-b");
+    daemon.advance(4_000);
+    assert_eq!(daemon.group.newest().term, Term(2), "promoted too early");
+    daemon.group.get_mut(&server("s-a")).is_isolated = false;
+    daemon.advance(3_000);
+    assert_eq!(daemon.group.newest().id, server("s-a"));
+}
+
 /// Guards against a replica that is named with the longest log and overtaken before it is promoted.
 #[rstest]
 fn new_leader_is_chosen_again_if_another_replica_has_more() {
