Readers: a daemon whose reader is none any more reads the store at once

Cause: an idle daemon learns the configuration from a reader. A reader that has lost the store says so once its own call has timed out, 0.5 to 1.2 s later. Its follower then relied on the last answer for as long as it does if a reader is silent, until that was 2.5 s old. The log could not tell a reader that notices late from a follower that relies too long; `reader_changed` now says when a daemon begins and ceases to follow, and how old the last answer is.

Change: an answer that says that there is no reader, and a request without an answer, end the reliance at once. The next reader is asked without a wait, and the store is read until one answers.

`idle_daemon_turns_to_the_store_as_soon_as_its_reader_is_none` and `idle_daemon_follows_the_next_reader_without_a_wait` failed before.

Related paths looked at: permissions and revoked keys from a reader (the same requests), configurations from other daemons, readers that are stopped, killed or frozen (the request ends within 1.5 s).

--- a/sapphireslip-lead/src/record.rs
+++ b/sapphireslip-lead/src/record.rs
@@ -66,6 +66,8 @@
         StoreReachable,
         /// The store came back from an older copy, and what became of the leaders.
         StoreEraChanged,
+        /// This daemon learns the configuration from a reader, or no longer.
+        ReaderChanged,
         /// A connection to a server was closed because of a fault, or could not be opened.
         ConnectionClosed,
         /// An idle connection to a server was closed to make room for another account.
@@ -131,7 +133,7 @@
 
 impl RecordKind {
     /// All kinds.
-    pub const ALL: [Self; 25] = [
+    pub const ALL: [Self; 26] = [
         Self::RequestSent,
         Self::RequestAnswered,
         Self::RequestRetried,
@@ -154,6 +156,7 @@
         Self::AccountLimited,
         Self::StoreReachable,
         Self::StoreEraChanged,
+        Self::ReaderChanged,
         Self::DaemonAvoided,
         Self::PlacesChanged,
         Self::Drain,
@@ -207,6 +210,7 @@
             Self::ServerReachable => "server_reachable",
             Self::StoreReachable => "store_reachable",
             Self::StoreEraChanged => "store_era_changed",
+            Self::ReaderChanged => "reader_changed",
             Self::ConnectionClosed => "connection_closed",
             Self::ConnectionReplaced => "connection_replaced",
             Self::SessionMoved => "session_moved",
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -274,6 +274,7 @@
         self.ask_for_grant();
         self.ask_for_catalog();
         self.ask_reader();
+        self.note_reader_change();
         self.answer_held_requests();
         self.read_store();
         self.probe_leaders();
--- a/sapphireslip-lead/src/told_tables.rs
+++ b/sapphireslip-lead/src/told_tables.rs
@@ -4,7 +4,7 @@
 //! An idle daemon needs the configuration and the permissions of all daemons, and most daemons of a
 //! large fleet are idle. Each of them holds one request at a reader, which answers as soon as the
 //! configuration changes. While it is answered, an idle daemon makes no such calls to the store. A
-//! reader that the store turns away says so; without any reader a daemon reads for itself.
+//! reader that the store turns away says so; until another one answers, a daemon reads for itself.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -13,13 +13,12 @@
 use sapphireslip_core::{Instant, SessionId, VmId, data};
 
 use crate::state::State;
-use crate::{Effect, PermissionTable, ToldCatalog};
+use crate::{Effect, PermissionTable, Record, RecordKind, ToldCatalog};
 
 /// How long a reader holds a request while the configuration does not change.
 pub const TABLES_WAIT: Duration = Duration::from_secs(1);
 
-/// How long after the last answer a daemon relies on its reader: one request that is held for
-/// [`TABLES_WAIT`], and one that finds another reader.
+/// How long after the last answer a daemon relies on its reader, if a request is not answered at all.
 const ANSWER_AGE_MAX: Duration = Duration::from_millis(2_500);
 
 /// How long a reader is not asked after it did not answer or was no longer one.
@@ -55,6 +54,8 @@
         is_pending: bool,
         /// When a reader last answered.
         last_answer: Option<Instant>,
+        /// Whether this daemon followed a reader when that was last checked, to log each change.
+        was_following: bool,
         /// When the permissions should be told next.
         permissions_due: Instant,
         /// The readers that are not asked until a time.
@@ -94,6 +95,25 @@
         !self.needs_permission() && last.is_some_and(|at| self.now.since(at) < ANSWER_AGE_MAX)
     }
 
+    /// Logs whether this daemon has begun or ceased to follow a reader since the last call.
+    pub(crate) fn note_reader_change(&mut self) {
+        let follows = self.follows_reader();
+        if follows == self.table_relay.was_following {
+            return;
+        }
+        self.table_relay.was_following = follows;
+        let reader = self.table_relay.reader.as_ref();
+        let detail = match (follows, reader, self.table_relay.last_answer) {
+            (true, Some(reader), _) => format!("`{reader}` tells the configuration"),
+            (false, _, Some(at)) => {
+                let age = self.now.since(at).as_millis();
+                format!("the store is read instead; the last answer of a reader is {age} ms old")
+            }
+            (_, _, _) => "the store is read instead".to_owned(),
+        };
+        self.log(Record::new(RecordKind::ReaderChanged, detail.into()));
+    }
+
     /// Returns whether this daemon reads the tables from a store that answers.
     fn is_reader(&self) -> bool {
         self.needs_permission() && self.permission.is_valid(self.now) && !self.has_store_failed()
@@ -156,6 +176,9 @@
                 let until = self.now + AVOID_READER;
                 self.table_relay.avoided.insert(vm, until);
             }
+            // Until another reader answers, the store is read: what the last one told may be outdated by the
+            // time that it took to notice that it had lost the store.
+            self.table_relay.last_answer = None;
             return self.ask_reader();
         };
         self.table_relay.last_answer = Some(self.now);
--- a/sapphireslip-lead/tests/told_tables.rs
+++ b/sapphireslip-lead/tests/told_tables.rs
@@ -115,6 +115,40 @@
     assert!(daemon.store_calls >= calls + 2);
 }
 
+/// Guards against a configuration that takes effect late at a daemon that reaches the store: it relied on the last
+/// answer of a reader that had lost the store for 2.5 s more (review/10).
+#[rstest]
+#[case::silent(None)]
+#[case::turned_away_by_the_store(Some(answer(false, 1)))]
+fn idle_daemon_turns_to_the_store_as_soon_as_its_reader_is_none(#[case] told: Option<ToldTables>) {
+    let mut daemon = idle();
+    follow(&mut daemon, 10_000);
+    assert!(daemon.state.follows_reader());
+    for _ in 0..5 {
+        daemon.advance(10);
+        asked(&mut daemon);
+        tell(&mut daemon, told.clone());
+        assert!(!daemon.state.follows_reader());
+    }
+}
+
+/// Guards against calls to the store by all followers of a reader that has lost it, although another one answers.
+#[rstest]
+fn idle_daemon_follows_the_next_reader_without_a_wait() {
+    let mut daemon = idle();
+    follow(&mut daemon, 10_000);
+    daemon.advance(10);
+    let calls = daemon.store_calls;
+    asked(&mut daemon);
+    tell(&mut daemon, Some(answer(false, 1)));
+    let requests = asked(&mut daemon);
+    assert_eq!(requests.len(), 1);
+    assert_eq!(requests[0].wait, Duration::ZERO);
+    tell(&mut daemon, Some(answer(true, 1)));
+    assert!(daemon.state.follows_reader());
+    assert_eq!(daemon.store_calls, calls);
+}
+
 /// Guards against a silent reader that keeps idle daemons from asking the others.
 #[rstest]
 fn next_reader_is_asked_at_once() {
