Promotions: no other server is named while a request without an answer may take effect

Cause: a new leader that couldn't be reached was given up although the platform had not answered the request to promote it. Another server was named, promoted and given writes; then the first request took effect.

Change: for 6 s after the sending of a request without an answer, no other server of the service is named. The one that was asked for leads if it is back before. A new coordinator counts such a request for each named leader that nobody has seen lead. Answered requests are not waited for, and 429 and 503 are answers.

Related paths looked at: servers that lead already, repeated requests, 409, a new leader that doesn't lead within 6 s, a change of the coordinator.

--- a/sapphireslip-lead/src/coordinator.rs
+++ b/sapphireslip-lead/src/coordinator.rs
@@ -7,6 +7,7 @@
 use sapphireslip_core::{Instant, ServerId, ServiceName, ZoneName, data};
 
 use crate::handover::{Handover, Reason};
+use crate::promotion_requests::PromotionRequests;
 use crate::state::State;
 use crate::{
     CoordinatorRecord, Effect, LeaderRecord, NamedLeader, PermissionRecord, PermissionTable,
@@ -29,7 +30,7 @@
 pub(crate) const NO_PRIMARY_MAX: Duration = Duration::from_millis(2_500);
 
 /// The longest time after which a request to promote may still take effect.
-const PROMOTION_DELAY_MAX: Duration = Duration::from_secs(6);
+pub(crate) const PROMOTION_DELAY_MAX: Duration = Duration::from_secs(6);
 
 /// The most leaders that one write names: the store accepts 100 rows in a transaction. Each leader
 /// takes a condition and a row, and the coordinator and the generation come on top.
@@ -65,6 +66,8 @@
         /// When the promotion of a server of each service was last requested by this daemon, or at
         /// the latest by an earlier coordinator.
         pub(crate) last_promotion_request: BTreeMap<ServiceName, Instant>,
+        /// The requests to promote whose effect is open.
+        pub(crate) promotion_requests: PromotionRequests,
     }
 }
 
@@ -135,7 +138,8 @@
     ///
     /// On a change, promotions are postponed until the grants of an earlier coordinator must have
     /// expired. A promotion of each service counts as requested just now, since an earlier
-    /// coordinator may have requested it and it may still take effect.
+    /// coordinator may have requested it and it may still take effect. A leader that leads was promoted
+    /// already.
     fn note_coordinator_change(&mut self) {
         let token = self.fencing_token();
         if token.is_some() != self.coordinator.was_coordinator {
@@ -143,11 +147,18 @@
             self.coordinator.taken = self.now;
             self.wait_out_earlier_grants();
             self.coordinator.quiet_since = self.now;
-            for service in self.leaders.table.leaders.keys() {
+            for (service, (record, _)) in &self.leaders.table.leaders {
                 let asked = self.now;
                 self.coordinator
                     .last_promotion_request
                     .insert(service.clone(), asked);
+                let listed = self.servers.get(&record.leader);
+                let leads = self.leaders.term(service).is_some()
+                    || listed.is_some_and(|server| server.record.role == Role::Primary);
+                if token.is_some() && !leads {
+                    let requests = &mut self.coordinator.promotion_requests;
+                    requests.note_earlier(asked, service, &record.leader);
+                }
             }
             let detail = match token {
                 Some(token) => format!("taken with token {}", token.0),
--- a/sapphireslip-lead/src/event.rs
+++ b/sapphireslip-lead/src/event.rs
@@ -281,7 +281,9 @@
         Accepted,
         /// The server is not running.
         NotRunning,
-        /// No answer arrived, or a temporary refusal; the server may have been promoted.
+        /// The platform refused the request for now; nothing was done.
+        Refused,
+        /// No answer arrived; the server may have been promoted, or may be later.
         Unknown,
     }
 }
--- a/sapphireslip-lead/src/handover.rs
+++ b/sapphireslip-lead/src/handover.rs
@@ -380,6 +380,9 @@
         self.coordinator
             .last_promotion_request
             .insert(service.clone(), self.now);
+        self.coordinator
+            .promotion_requests
+            .note_sent(self.now, service, &new);
         self.effects.push(Effect::Promote {
             service: service.clone(),
             server: new,
@@ -392,6 +395,11 @@
     pub(crate) fn on_promoted(&mut self, service: &ServiceName, outcome: &PromoteOutcome) {
         let line = Record::new(RecordKind::Promotion, format!("{outcome:?}").into());
         self.log(line.service(service));
+        let asked = self.coordinator.last_promotion_request.get(service);
+        let asked = asked.copied().unwrap_or(self.now);
+        self.coordinator
+            .promotion_requests
+            .note_answer(asked, service, outcome);
         let Some(handover) = self.coordinator.handovers.get(service) else {
             return;
         };
--- a/sapphireslip-lead/src/leader_choice.rs
+++ b/sapphireslip-lead/src/leader_choice.rs
@@ -102,6 +102,12 @@
         if self.is_too_short(service, handover, &best) {
             return;
         }
+        // Commits of the best server would be rolled back if another one were promoted afterwards. That one
+        // leads if it is back before.
+        let requests = &self.coordinator.promotion_requests;
+        if requests.may_promote_other(self.now, service, &best) {
+            return;
+        }
         self.name_chosen(service, best, above);
     }
 
--- a/sapphireslip-lead/src/lib.rs
+++ b/sapphireslip-lead/src/lib.rs
@@ -38,6 +38,7 @@
 mod permission;
 mod pool;
 mod probes;
+mod promotion_requests;
 mod queue_entry;
 mod rate_bucket;
 mod rate_demand;
--- a/sapphireslip-lead/tests/support/fleet.rs
+++ b/sapphireslip-lead/tests/support/fleet.rs
@@ -50,6 +50,9 @@
     pub store_is_down: bool,
     /// The longest time by which a promotion takes effect later than usual, in milliseconds.
     pub promotion_delay_max: u64,
+    /// How much later than usual the platform carries out requests to promote, in milliseconds, if it is
+    /// slow; it answers none then.
+    pub slow_promotion: Option<u64>,
     /// The number of promotions that have taken effect.
     pub promotions: usize,
     /// The source of random delays, losses and statements.
@@ -128,6 +131,7 @@
             millis: 0,
             store_is_down: false,
             promotion_delay_max: 0,
+            slow_promotion: None,
             promotions: 0,
             random: Random::new(seed),
             pending_events: Vec::new(),
@@ -377,14 +381,18 @@
                 ..
             } => {
                 self.history.tokens.push(token);
-                let delay = match self.promotion_delay_max {
-                    0 => 0,
-                    max => self.random.below(max),
+                let delay = match (self.slow_promotion, self.promotion_delay_max) {
+                    (Some(delay), _) => delay,
+                    (None, 0) => 0,
+                    (None, max) => self.random.below(max),
                 };
                 self.pending_promotions
                     .push((self.millis + PROMOTION_MILLIS + delay, server));
-                let outcome = PromoteOutcome::Accepted;
-                self.schedule(n, 30, Event::Promoted { service, outcome });
+                let (within, outcome) = match self.slow_promotion {
+                    Some(_) => (500, PromoteOutcome::Unknown),
+                    None => (30, PromoteOutcome::Accepted),
+                };
+                self.schedule(n, within, Event::Promoted { service, outcome });
             }
             Effect::AskGrant {
                 address,
