--- a/sapphireslip-lead/tests/support/fleet.rs
+++ b/sapphireslip-lead/tests/support/fleet.rs
@@ -29,7 +29,7 @@
 const DEMOTION_MILLIS: u64 = 1_000;
 
 /// Returns the address where the daemon with the given index accepts sessions of other daemons.
-fn member_address(n: usize) -> SocketAddr {
+pub(super) fn member_address(n: usize) -> SocketAddr {
     format!("10.1.0.{}:7000", n + 1)
         .parse()
         .expect("an address")
@@ -65,7 +65,7 @@
     pub(super) transactions: Vec<Transaction>,
     /// The unanswered requests for a grant: which daemon asks, for which generation, and when it
     /// asked.
-    grant_requests: BTreeMap<SessionId, (usize, RowVersion, Instant)>,
+    pub(super) grant_requests: BTreeMap<SessionId, (usize, RowVersion, Instant)>,
     /// What clients and servers have seen so far.
     pub(super) history: History,
 }
@@ -292,7 +292,7 @@
     }
 
     /// Returns whether a daemon reaches the store.
-    fn reaches_store(&self, n: usize) -> bool {
+    pub(super) fn reaches_store(&self, n: usize) -> bool {
         !self.store_is_down && !self.daemons[n].is_cut_from_store
     }
 
@@ -432,40 +432,6 @@
         }
     }
 
-    /// Passes a daemon's request for a grant on to the coordinator at `address`.
-    fn ask_grant(
-        &mut self,
-        n: usize,
-        address: SocketAddr,
-        generation: RowVersion,
-        servers: Vec<ServerId>,
-    ) {
-        let coordinator = (0..self.daemons.len())
-            .find(|other| member_address(*other) == address)
-            .expect("a daemon");
-        let session = SessionId(1_000_000 + self.history.statements * 10 + n as u64);
-        let question = (n, generation, at(self.millis));
-        self.grant_requests.insert(session, question);
-        let vm = vm(&format!("vm-{n}"));
-        let event = Event::GrantAsked {
-            session,
-            vm,
-            generation,
-            servers,
-        };
-        self.schedule(coordinator, 30, event);
-    }
-
-    /// Sends the table of leaders to every daemon that reaches the store.
-    pub(super) fn broadcast_leaders(&mut self) {
-        for n in 0..self.daemons.len() {
-            if self.reaches_store(n) {
-                let leaders = self.store.leaders_at(self.millis);
-                self.schedule(n, 40, Event::Leaders(leaders));
-            }
-        }
-    }
-
     /// Has a server answer a request, unless the daemon can't reach it, and records what it did.
     fn serve(&mut self, n: usize, connection: ConnectionId, request: &ServerRequest) {
         let Some((server, mut transaction)) = self.daemons[n].connections.get(&connection).cloned()
--- a/sapphireslip-lead/tests/support/fleet_plan.rs
+++ b/sapphireslip-lead/tests/support/fleet_plan.rs
@@ -117,13 +117,6 @@
         }
     }
 
-    /// Has the store come back from the copy that was made `age` milliseconds before.
-    pub fn return_store(&mut self, age: u64) {
-        self.store_is_down = false;
-        self.store.return_from_copy(self.millis, age);
-        self.broadcast_leaders();
-    }
-
     /// Begins or ends an event.
     fn apply_event(&mut self, kind: &EventKind, begins: bool) {
         match kind {
--- a/sapphireslip-lead/tests/support/mod.rs
+++ b/sapphireslip-lead/tests/support/mod.rs
@@ -13,6 +13,7 @@
 mod fleet;
 mod fleet_history;
 mod fleet_plan;
+mod fleet_store;
 mod fleet_transactions;
 mod group;
 mod load;
