Sessions: the entry of a connection goes when the connection's task ends

Cause: the runner keeps a channel to the task of each connection and took it out only when the daemon closed the session. When the client closed first, and for each request of another daemon, it stayed.

Change: the report with which each task ends takes the entry out. The new gauge `open{what="clients"}` shows the map's size, which no metric told before.

Related paths looked at: forwarded sessions, requests for grants, shares, tables and the configuration, which share the map; the reducer's sessions, which the same report takes out.

--- a/sapphireslipd/src/lead_metrics.rs
+++ b/sapphireslipd/src/lead_metrics.rs
@@ -236,6 +236,13 @@
         self.store_call_times.observe(took.as_secs_f64());
     }
 
+    /// Sets the number of connections of clients and other daemons.
+    pub(crate) fn set_clients(&self, count: usize) {
+        let what = Open { what: "clients" };
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        self.open.get_or_create(&what).set(count);
+    }
+
     /// Counts an answer of the store whose era is not the present one.
     pub(crate) fn odd_store_era(&self, fault: &'static str) {
         self.odd_store_eras.get_or_create(&OddEra { fault }).inc();
--- a/sapphireslipd/src/lead_runner.rs
+++ b/sapphireslipd/src/lead_runner.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use sapphireslip_core::{SessionId, TransactionStatus};
-use sapphireslip_lead::{Effect, Event, Reply, State};
+use sapphireslip_lead::{ClientEvent, Effect, Event, Reply, State};
 use sapphireslip_platform::{
     encode_failure, encode_forward, encode_forwarded_opened, encode_grant, encode_reply,
     encode_session_opened, encode_share_answer, encode_told_catalog, encode_told_tables,
@@ -107,6 +107,7 @@
         if self.last_metrics_update.elapsed() >= METRICS_INTERVAL {
             self.last_metrics_update = Instant::now();
             self.metrics.update(&self.state.snapshot());
+            self.metrics.set_clients(self.clients.len());
         }
     }
 
@@ -128,11 +129,19 @@
     /// Passes an event to the reducer and carries out the effects; returns true if the process is
     /// to end.
     fn handle(&mut self, event: Event) -> bool {
+        let closed = match &event {
+            Event::Client(ClientEvent::Closed { session }) => Some(*session),
+            _ => None,
+        };
         let effects = self.state.reduce(self.clock.now(), event);
         let mut should_exit = false;
         for effect in effects {
             should_exit |= self.carry_out(effect);
         }
+        // Each connection ends with this event, also one that the reducer never heard of.
+        if let Some(session) = closed {
+            self.clients.close(session);
+        }
         self.is_ready
             .store(self.state.is_ready(), Ordering::Relaxed);
         let needs_leaders = self.state.needs_leaders();
--- a/sapphireslipd/tests/line_site/mod.rs
+++ b/sapphireslipd/tests/line_site/mod.rs
@@ -94,15 +94,20 @@
 
     /// Returns the number of forwarded sessions over all daemons, from their metrics.
     pub async fn passed_on(&self) -> u32 {
-        let mut passed_on = 0;
+        self.open("sessions_passed_on").await
+    }
+
+    /// Returns the number of open items of a kind over all daemons, from their metrics.
+    pub async fn open(&self, what: &str) -> u32 {
+        let mut open = 0;
         for daemon in &self.daemons {
             let page = http_get(daemon.metrics, "/metrics").await;
             let metrics = page.expect("a page").body;
-            let prefix = "sapphireslip_open{what=\"sessions_passed_on\"} ";
-            let value = metrics.lines().find_map(|line| line.strip_prefix(prefix));
-            passed_on += value.map_or(0, |value| value.parse::<u32>().expect("a number"));
+            let prefix = format!("sapphireslip_open{{what=\"{what}\"}} ");
+            let value = metrics.lines().find_map(|line| line.strip_prefix(&prefix));
+            open += value.map_or(0, |value| value.parse::<u32>().expect("a number"));
         }
-        passed_on
+        open
     }
 
     /// Connects a client to a daemon and opens a session.
