Commits: a connection is brought to its session's values before COMMIT too

Cause: values were sent before reads and writes alone, so that a SET after the last statement of a transaction, or a transaction without statements, had its COMMIT run under other values.

Evidence: `commit_runs_under_the_values_of_its_session` failed before in both cases: `BEGIN, WRITE x 1, COMMIT` for `BEGIN, WRITE x 1, SET tz utc, COMMIT`.

Related paths looked at: BEGIN, ROLLBACK, statements that are sent again, prepared shapes. Price: a SET in these two cases.

--- a/sapphireslip-lead/src/dispatch.rs
+++ b/sapphireslip-lead/src/dispatch.rs
@@ -328,11 +328,7 @@
             return;
         };
         at.note_statement(self.now);
-        let shape = job.shape.as_ref();
-        let mut requests = match job.work {
-            Work::Commit => Vec::new(),
-            Work::Read | Work::Write => at.setup_for(session, shape),
-        };
+        let mut requests = at.setup_for(session, job.shape.as_ref());
         let awaited = |answer_to| Awaited {
             answer_to,
             sent: self.now,
--- a/sapphireslip-lead/tests/session_state.rs
+++ b/sapphireslip-lead/tests/session_state.rs
@@ -103,6 +103,22 @@
     assert_eq!(daemon.answers.len(), 0);
 }
 
+/// Guards against a commit that runs under other values than the client was told: they were brought to the
+/// server before reads and writes alone.
+#[rstest]
+#[case::after_the_last_statement(true, &["BEGIN", "WRITE x 1", "SET tz utc", "COMMIT"])]
+#[case::without_a_statement(false, &["BEGIN", "SET tz utc", "COMMIT"])]
+fn commit_runs_under_the_values_of_its_session(#[case] writes: bool, #[case] expected: &[&str]) {
+    let (mut daemon, a, _) = two_sessions();
+    daemon.run(a, "1", "BEGIN");
+    if writes {
+        daemon.run(a, "2", "WRITE x 1");
+    }
+    daemon.run(a, "3", "SET tz utc");
+    daemon.run(a, "4", "COMMIT");
+    assert_eq!(requests(&mut daemon), expected);
+}
+
 #[rstest]
 fn variables_set_in_a_rolled_back_transaction_are_unknown() {
     let (mut daemon, a, _) = two_sessions();
