Commits: the values on a connection are unknown after a commit that failed

Cause: after a COMMIT that failed with the state I, values that had been sent within the transaction counted as still set on the connection, unless the client itself had set one there.

Change: a transaction that ends at its server other than by a commit leaves the connection's values unknown, as a rolled back one does already.

Evidence: `variables_are_unknown_after_a_failed_commit` failed before: `READ x` was sent for `Reset, SET tz utc, READ x`. Price: these two requests after a failed commit.

--- a/sapphireslip-lead/src/transaction.rs
+++ b/sapphireslip-lead/src/transaction.rs
@@ -74,6 +74,10 @@
             return self.complete(id, session, reply);
         }
         if status == TransactionStatus::Idle {
+            // The server may have taken back variables that were set within the transaction.
+            if let Some(at) = self.pool.get_mut(connection) {
+                at.forget_variables();
+            }
             self.detach_transaction(session, connection, status);
         }
         self.deliver(id, reply);
--- a/sapphireslip-lead/tests/session_state.rs
+++ b/sapphireslip-lead/tests/session_state.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 use sapphireslip_core::{SessionId, TransactionStatus};
 use sapphireslip_lead::{ErrorCode, ServerRequest};
-use support::{Daemon, PAYMENTS};
+use support::{Daemon, PAYMENTS, server};
 
 /// Returns the requests that were sent, except for status requests, as text, and forgets them.
 fn requests(daemon: &mut Daemon) -> Vec<String> {
@@ -119,6 +119,23 @@
     assert_eq!(requests(&mut daemon), expected);
 }
 
+/// Guards against values that a failed commit has taken back and that count as still set on the connection: they
+/// were set there within the transaction, although the client had set them before.
+#[rstest]
+fn variables_are_unknown_after_a_failed_commit() {
+    let (mut daemon, a, _) = two_sessions();
+    daemon.run(a, "1", "SET tz utc");
+    daemon.run(a, "2", "BEGIN");
+    daemon.run(a, "3", "WRITE x 1");
+    daemon.group.get_mut(&server("s-a")).is_busy = true;
+    daemon.submit(a, "4", "COMMIT");
+    daemon.advance(2_000);
+    daemon.group.get_mut(&server("s-a")).is_busy = false;
+    requests(&mut daemon);
+    daemon.run(a, "5", "READ x");
+    assert_eq!(requests(&mut daemon), ["Reset", "SET tz utc", "READ x"]);
+}
+
 #[rstest]
 fn variables_set_in_a_rolled_back_transaction_are_unknown() {
     let (mut daemon, a, _) = two_sessions();
