Explore: slow platforms and fencing tokens in random plans; a transaction reads as of its first byte

Plans now also draw a platform that answers no request to promote and carries it out late, and fail if a lower fencing token is sent.

Traced: the statement belongs to a transaction that began before the commit that it misses, at a daemon whose permission had ended; the transaction was rolled back. RULES, STALE: "acknowledged before the first byte of the read (or of its transaction)". The check counted from the statement, and now counts statements of a transaction from its first byte, as the rule has it.

--- a/sapphireslip-lead/src/dispatch.rs
+++ b/sapphireslip-lead/src/dispatch.rs
@@ -8,7 +8,7 @@
 use crate::choice::Candidates;
 use crate::connection::{AnswerTo, Awaited, Purpose};
 use crate::connection_choice::{ConnectionChoice, avoid_replacement};
-use crate::job::{Job, JobId, Sending, Stage, Work};
+use crate::job::{Job, JobId, Sending, Stage};
 use crate::leaders::LeaderView;
 use crate::rate_exchange::TokenState;
 use crate::refusal::RETRY_HANDOVER;
--- a/sapphireslip-lead/tests/support/fleet_history.rs
+++ b/sapphireslip-lead/tests/support/fleet_history.rs
@@ -14,7 +14,7 @@
     pub(super) acknowledged: BTreeMap<Text, u64>,
     /// In which term and when each write was committed.
     pub(super) committed: BTreeMap<Text, (Term, u64)>,
-    /// When each statement was sent.
+    /// When each statement was sent; for one within a transaction, when that began.
     pub(super) asked: BTreeMap<Text, u64>,
     /// The writes in the log that each read ran on.
     pub(super) read: Vec<(Text, BTreeSet<Text>)>,
--- a/sapphireslip-lead/tests/support/fleet_plan.rs
+++ b/sapphireslip-lead/tests/support/fleet_plan.rs
@@ -33,6 +33,8 @@
     /// The store answers nobody, and comes back from a copy that was made this many milliseconds before it
     /// went away.
     StoreReturn(u64),
+    /// The platform answers no request to promote, and carries each out this many milliseconds late.
+    SlowPlatform(u64),
     /// A daemon is suspended.
     Freeze(usize),
     /// A daemon can't reach a server.
@@ -53,6 +55,7 @@
         4 => daemon.clone().prop_map(EventKind::TurnAway),
         1 => Just(EventKind::StoreDown),
         3 => (0..8_000_u64).prop_map(EventKind::StoreReturn),
+        2 => (500..5_000_u64).prop_map(EventKind::SlowPlatform),
         2 => daemon.clone().prop_map(EventKind::Freeze),
         2 => (daemon, name.clone()).prop_map(|(n, name)| EventKind::Cut(n, name)),
         2 => name.clone().prop_map(EventKind::Dark),
@@ -91,6 +94,9 @@
     let healed = fleet.acknowledged();
     fleet.advance(2_000);
     let mut violations = fleet.violations();
+    if fleet.has_lower_token() {
+        violations.push("a lower fencing token was sent".to_owned());
+    }
     if fleet.acknowledged() <= healed + 20 {
         violations.push("writes are not acknowledged again after all events".to_owned());
     }
@@ -122,6 +128,7 @@
         match kind {
             EventKind::TurnAway(n) => self.turn_away(*n, begins),
             EventKind::StoreDown => self.store_is_down = begins,
+            EventKind::SlowPlatform(delay) => self.slow_promotion = begins.then_some(*delay),
             EventKind::StoreReturn(_) if begins => self.store_is_down = true,
             EventKind::StoreReturn(age) => self.return_store(*age),
             EventKind::Freeze(n) => self.daemons[*n].is_frozen = begins,
--- a/sapphireslip-lead/tests/support/fleet_transactions.rs
+++ b/sapphireslip-lead/tests/support/fleet_transactions.rs
@@ -18,6 +18,8 @@
     /// The daemon that serves the client.
     daemon: usize,
     session: SessionId,
+    /// When its first statement was sent, in milliseconds.
+    began: u64,
     /// The statements that follow, the next one last.
     left: Vec<&'static str>,
     /// When the next one is sent, in milliseconds; none while an answer is awaited.
@@ -37,6 +39,7 @@
             self.transactions.push(Transaction {
                 daemon,
                 session,
+                began: self.millis,
                 left: vec![
                     "COMMIT",
                     "READ y",
@@ -59,6 +62,10 @@
                 let is_commit = text == "COMMIT";
                 let id = self.send_on(transaction.daemon, transaction.session, text, is_commit);
                 if !is_commit {
+                    // What a transaction reads need not be newer than its first byte.
+                    self.history
+                        .asked
+                        .insert(Text::clone(&id), transaction.began);
                     self.history.inner.insert(id);
                 }
             }
