--- a/sapphireslip-lead/src/lib.rs
+++ b/sapphireslip-lead/src/lib.rs
@@ -65,6 +65,7 @@
 mod store_clock;
 mod store_era;
 mod store_events;
+mod store_return;
 mod sync_replicas;
 mod timeouts;
 mod told_tables;
--- a/sapphireslipd/tests/store_returns.rs
+++ b/sapphireslipd/tests/store_returns.rs
@@ -5,6 +5,8 @@
 use std::time::{Duration, Instant};
 
 use line_site::{Site, WAIT_TIMEOUT};
+use rstest::rstest;
+use standins::http_get;
 
 /// When permissions from before a return have ended, so that only later ones let writes through.
 const EARLIER_PERMISSIONS_END: Duration = Duration::from_millis(6_500);
@@ -50,3 +52,29 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
+
+/// Guards against an odd header that is taken for a return, or that stops the daemons: they serve on, and count
+/// the answers.
+#[rstest]
+#[case::missing("", "missing")]
+#[case::unreadable("second", "missing")]
+#[case::falling("1", "falling")]
+#[tokio::test]
+async fn odd_eras_are_counted_and_change_nothing(#[case] told: &'static str, #[case] fault: &str) {
+    let site = Site::start(&["vm-1"]).await;
+    site.store.keep_copy();
+    site.store.return_from_copy();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    site.store.tell_era_as(told);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let page = http_get(site.daemons[0].metrics, "/metrics").await;
+    let metrics = page.expect("a page").body;
+    let has = |line: &str| metrics.lines().any(|found| found.starts_with(line));
+    assert!(has("sapphireslip_store_returns 1"), "{metrics}");
+    let counted = format!("sapphireslip_odd_store_eras_total{{fault=\"{fault}\"}}");
+    assert!(has(&counted), "{metrics}");
+    if fault == "missing" {
+        tokio::time::sleep(EARLIER_PERMISSIONS_END).await;
+        write_until_done(&site, "later").await;
+    }
+}
--- a/standins/src/line_store.rs
+++ b/standins/src/line_store.rs
@@ -52,6 +52,8 @@
 struct Rows {
     /// How often the store has come back from a copy.
     returns: u64,
+    /// What the store tells as its era in place of it; empty for an answer without an era.
+    told_era: Option<&'static str>,
     /// The rows as they were when a copy was made, and the version.
     copy: (BTreeMap<Key, (String, u64)>, u64),
     /// The version of the last change; every change gets the next one.
@@ -155,6 +157,11 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Makes the store tell another era than its own, or none if the text is empty.
+    pub fn tell_era_as(&self, told: &'static str) {
+        self.shared.rows().told_era = Some(told);
+    }
+
     /// Makes the store answer with malformed JSON, or serve again.
     pub fn set_malformed_answers(&self, is_malformed: bool) {
         self.shared.rows().answers_malformed = is_malformed;
@@ -239,7 +246,12 @@
 
 /// Adds the era to an answer.
 async fn tell_era(State(shared): State<Arc<Shared>>, mut response: Response) -> Response {
-    let era = HeaderValue::from(shared.rows().returns + 1);
+    let told = shared.rows().told_era;
+    let era = match told {
+        Some("") => return response,
+        Some(told) => HeaderValue::from_static(told),
+        None => HeaderValue::from(shared.rows().returns + 1),
+    };
     response.headers_mut().insert("Store-Era", era);
     response
 }
