--- a/sapphireslip-lead/tests/support/fleet.rs
+++ b/sapphireslip-lead/tests/support/fleet.rs
@@ -8,7 +8,7 @@
 };
 use sapphireslip_lead::{
     ClientEvent, ConnectFailure, Effect, Event, Identity, PromoteOutcome, Role, RowVersion,
-    ServerEvent, ServerRequest, State, Term, WriteOutcome, Written,
+    ServerEvent, ServerRequest, State, StoreWrite, Term, WriteOutcome, Written,
 };
 
 use super::fleet_history::History;
@@ -59,6 +59,10 @@
     random: Random,
     /// The events that are under way: when each arrives, in milliseconds, and at which daemon.
     pending_events: Vec<(u64, usize, Event)>,
+    /// Whether the store carries out some writes seconds later and answers none of these.
+    pub has_late_writes: bool,
+    /// The writes that are to be carried out late: when, in milliseconds.
+    pub(super) late_writes: Vec<(u64, StoreWrite)>,
     /// The promotions that are under way: when each takes effect, in milliseconds.
     pending_promotions: Vec<(u64, ServerId)>,
     /// The clients that run transactions.
@@ -135,6 +139,8 @@
             promotions: 0,
             random: Random::new(seed),
             pending_events: Vec::new(),
+            has_late_writes: false,
+            late_writes: Vec::new(),
             pending_promotions: Vec::new(),
             transactions: Vec::new(),
             grant_requests: BTreeMap::new(),
@@ -193,6 +199,7 @@
                 .promoted
                 .push((now, self.group.get(&server).term));
         }
+        self.carry_out_late_writes();
         if now.is_multiple_of(30) {
             let promoted = self.history.promoted.last().map_or(0, |(at, _)| *at);
             match now - promoted < DEMOTION_MILLIS {
@@ -351,7 +358,9 @@
                 self.schedule(n, 30, Event::Permissions { table, sent });
             }
             Effect::Write(write) => {
+                let is_late = self.has_late_writes && self.random.below(3) == 0;
                 let outcome = match self.reaches_store(n) {
+                    true if is_late => self.write_later(&write),
                     true => self.store.write(self.millis, &write),
                     false => WriteOutcome::Unknown,
                 };
--- a/sapphireslip-lead/tests/support/fleet_plan.rs
+++ b/sapphireslip-lead/tests/support/fleet_plan.rs
@@ -35,6 +35,8 @@
     StoreReturn(u64),
     /// The platform answers no request to promote, and carries each out this many milliseconds late.
     SlowPlatform(u64),
+    /// The store carries out some writes seconds later, and answers none of these.
+    LateWrites,
     /// A daemon is suspended.
     Freeze(usize),
     /// A daemon can't reach a server.
@@ -56,6 +58,7 @@
         1 => Just(EventKind::StoreDown),
         3 => (0..8_000_u64).prop_map(EventKind::StoreReturn),
         2 => (500..5_000_u64).prop_map(EventKind::SlowPlatform),
+        2 => Just(EventKind::LateWrites),
         2 => daemon.clone().prop_map(EventKind::Freeze),
         2 => (daemon, name.clone()).prop_map(|(n, name)| EventKind::Cut(n, name)),
         2 => name.clone().prop_map(EventKind::Dark),
@@ -128,6 +131,7 @@
         match kind {
             EventKind::TurnAway(n) => self.turn_away(*n, begins),
             EventKind::StoreDown => self.store_is_down = begins,
+            EventKind::LateWrites => self.has_late_writes = begins,
             EventKind::SlowPlatform(delay) => self.slow_promotion = begins.then_some(*delay),
             EventKind::StoreReturn(_) if begins => self.store_is_down = true,
             EventKind::StoreReturn(age) => self.return_store(*age),
--- a/sapphireslip-lead/tests/support/store.rs
+++ b/sapphireslip-lead/tests/support/store.rs
@@ -68,6 +68,11 @@
         store
     }
 
+    /// Returns the store's era.
+    pub fn era(&self) -> StoreEra {
+        self.era
+    }
+
     /// Returns an empty store that keeps copies of itself, to come back from.
     pub fn with_copies() -> Self {
         Self {
@@ -202,11 +207,17 @@
 
     /// Carries out a write at `millis` if its conditions hold, and returns its outcome.
     pub fn write(&mut self, millis: u64, write: &StoreWrite) -> WriteOutcome {
-        let now = self.now(millis);
         if write.is_void_in(self.era) {
             // The daemon does not send it.
             return WriteOutcome::Unknown;
         }
+        self.write_late(millis, write)
+    }
+
+    /// Carries out a write that was sent earlier, perhaps in an earlier era, if its conditions hold by the
+    /// store's own numbers.
+    pub fn write_late(&mut self, millis: u64, write: &StoreWrite) -> WriteOutcome {
+        let now = self.now(millis);
         if !self.holds(write) {
             let permission_version = match write {
                 StoreWrite::RenewPermission { record, .. } => {
