Readers: other readers are given half a second before the store is read

The store is now read at once only if no reader is left, otherwise after 0.5 s; the next reader is still asked without a wait.

--- a/sapphireslip-lead/src/told_tables.rs
+++ b/sapphireslip-lead/src/told_tables.rs
@@ -4,7 +4,7 @@
 //! An idle daemon needs the configuration and the permissions of all daemons, and most daemons of a
 //! large fleet are idle. Each of them holds one request at a reader, which answers as soon as the
 //! configuration changes. While it is answered, an idle daemon makes no such calls to the store. A
-//! reader that the store turns away says so; until another one answers, a daemon reads for itself.
+//! reader that the store turns away says so; unless another one answers soon, a daemon reads for itself.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -21,6 +21,11 @@
 /// How long after the last answer a daemon relies on its reader, if a request is not answered at all.
 const ANSWER_AGE_MAX: Duration = Duration::from_millis(2_500);
 
+/// How long a daemon relies on the last answer of a reader that is none any more while it asks others. Without
+/// it, all followers of a reader that lost the store called the store themselves, and had the next reader a few
+/// milliseconds later.
+const NEXT_READER_MAX: Duration = Duration::from_millis(500);
+
 /// How long a reader is not asked after it did not answer or was no longer one.
 const AVOID_READER: Duration = Duration::from_secs(3);
 
@@ -125,11 +130,13 @@
             return;
         }
         let Some((vm, address)) = self.choose_reader() else {
+            self.table_relay.last_answer = None;
             return;
         };
+        let is_known = self.table_relay.reader.as_ref() == Some(&vm);
         let due = self.table_relay.permissions_due;
         let wants_permissions = due <= self.now;
-        let wait = match self.follows_reader() {
+        let wait = match is_known && self.follows_reader() {
             true => due.since(self.now).min(TABLES_WAIT),
             false => Duration::ZERO,
         };
@@ -176,9 +183,12 @@
                 let until = self.now + AVOID_READER;
                 self.table_relay.avoided.insert(vm, until);
             }
-            // Until another reader answers, the store is read: what the last one told may be outdated by the
-            // time that it took to notice that it had lost the store.
-            self.table_relay.last_answer = None;
+            // What the last reader told may be outdated by the time that it took to notice that it had lost
+            // the store.
+            let rest = ANSWER_AGE_MAX.saturating_sub(NEXT_READER_MAX);
+            let latest = self.now.since_start.checked_sub(rest);
+            let latest = latest.map(|since_start| Instant { since_start });
+            self.table_relay.last_answer = self.table_relay.last_answer.min(latest);
             return self.ask_reader();
         };
         self.table_relay.last_answer = Some(self.now);
