Store: one limit of leaders in a write; the confirmation is built only when it may be sent

confirm_leaders had a limit of its own beside LEADERS_PER_WRITE_MAX, a check of the era with a case that does not occur (a role without a row), and compared all leaders on each call while its write was under way. Behaviour is the same.

--- a/sapphireslip-lead/src/coordinator.rs
+++ b/sapphireslip-lead/src/coordinator.rs
@@ -34,7 +34,7 @@
 
 /// The most leaders that one write names: the store accepts 100 rows in a transaction. Each leader
 /// takes a condition and a row, and the coordinator and the generation come on top.
-const LEADERS_PER_WRITE_MAX: usize = 48;
+pub(crate) const LEADERS_PER_WRITE_MAX: usize = 48;
 
 data! {
     /// This daemon's work as the coordinator, and its attempts to become the coordinator.
--- a/sapphireslip-lead/src/store_return.rs
+++ b/sapphireslip-lead/src/store_return.rs
@@ -7,6 +7,7 @@
 
 use sapphireslip_core::{Instant, data};
 
+use crate::coordinator::LEADERS_PER_WRITE_MAX;
 use crate::permission::PERMISSION_LENGTH;
 use crate::state::State;
 use crate::unreadable_rows::UNREADABLE_PERMISSION_MAX;
@@ -24,9 +25,6 @@
 /// that is in touch with the store has renewed its row by then.
 const CLAIM_GRACE: Duration = PERMISSION_LENGTH;
 
-/// The most leaders that one write confirms: the store accepts 100 rows in a transaction.
-const LEADERS_PER_CONFIRMATION_MAX: usize = 48;
-
 data! {
     /// The newest era that the store has shown, and how long it has lasted.
     #[derive(Default)]
@@ -105,11 +103,6 @@
         }
     }
 
-    /// Returns whether a write under conditions of the version's era can be relied on.
-    fn is_current(&self, version: RowVersion) -> bool {
-        version == RowVersion(0) || version.era() == self.current
-    }
-
     /// Records the row of the role in a copy; none if this daemon isn't the coordinator by it.
     fn note_role(&mut self, role: Option<RowVersion>) {
         let number = role.map(RowVersion::number);
@@ -238,7 +231,7 @@
     /// While this daemon has had its permission without a break, no other leader has been promoted without
     /// its acknowledgement, so that those that it knows are right.
     pub(crate) fn confirm_leaders(&mut self, coordinator_version: RowVersion) -> bool {
-        let is_current = self.store_era.is_current(coordinator_version);
+        let is_current = coordinator_version.era() == self.store_era.current;
         let stored = self.leaders.copy.as_ref().unwrap_or(&self.leaders.table);
         let is_confirmed = stored.era_age.is_some() || stored.era == StoreEra::FIRST;
         if self.leaders.copy.is_none() && is_confirmed {
@@ -247,6 +240,9 @@
         let Some(confirmation) = self.confirmation().filter(|_| is_current) else {
             return true;
         };
+        if !self.coordinator.begin_write(self.now) {
+            return true;
+        }
         let leaders = self.leaders.table.leaders.iter();
         let lacking = leaders.filter(|(service, (record, _))| {
             let copied = stored.leaders.get(*service);
@@ -259,12 +255,9 @@
                 version: stored.leader_version(service),
             })
             .collect();
-        let is_last = lacking.len() <= LEADERS_PER_CONFIRMATION_MAX;
-        lacking.truncate(LEADERS_PER_CONFIRMATION_MAX);
+        let is_last = lacking.len() <= LEADERS_PER_WRITE_MAX;
+        lacking.truncate(LEADERS_PER_WRITE_MAX);
         let generation = stored.generation;
-        if !self.coordinator.begin_write(self.now) {
-            return true;
-        }
         let detail = format!(
             "confirms the leaders in era {}; {} rows differ from the copy",
             confirmation.era.0,
--- a/sapphireslip-lead/src/told_tables.rs
+++ b/sapphireslip-lead/src/told_tables.rs
@@ -21,9 +21,8 @@
 /// How long after the last answer a daemon relies on its reader, if a request is not answered at all.
 const ANSWER_AGE_MAX: Duration = Duration::from_millis(2_500);
 
-/// How long a daemon relies on the last answer of a reader that is none any more while it asks others. Without
-/// it, all followers of a reader that lost the store called the store themselves, and had the next reader a few
-/// milliseconds later.
+/// How long a daemon relies on the last answer of a reader that is none any more while it asks others, which
+/// usually answer within milliseconds.
 const NEXT_READER_MAX: Duration = Duration::from_millis(500);
 
 /// How long a reader is not asked after it did not answer or was no longer one.
