--- /dev/null
+++ b/review/common-3/scenarios.rs
@@ -0,0 +1,128 @@
+// The scenarios of the cases; part of `site.rs`.
+
+fn play(scenario: &str) -> Result<Vec<String>, Failure> {
+    match scenario {
+        "own-writes" => own_writes(),
+        "moved-key" => moved_key(),
+        other => Err(format!("no scenario `{other}`").into()),
+    }
+}
+
+/// The configuration with the database `orders`, which leads to one of two services.
+fn orders_config(version: u64, service: &str) -> String {
+    format!(
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"orders\",\"database_name\":\"orders\",\"type\":\"read_your_writes\",\
+         \"timeout_ms\":800,\"target_latency_ms\":200,\"priority\":2,\"service\":\"{service}\",\"max_staleness_ms\":2500}}],\
+         \"services\":[{{\"name\":\"ledger-1\",\"max_connections\":16,\"sync_replicas\":0}},\
+         {{\"name\":\"ledger-2\",\"max_connections\":16,\"sync_replicas\":0}}],\"limits\":{{\"tx_idle_ms\":3000}}}}"
+    )
+}
+
+/// A route leads to another service and back while a session writes; then the session reads.
+fn own_writes() -> Result<Vec<String>, Failure> {
+    let site = Site::start(&["ledger-1", "ledger-2"], &orders_config(1, "ledger-1"))?;
+    let to = site.callers(1);
+    wait_for_service(to, "orders c")?;
+    thread::sleep(ms(1_500));
+    if with_trouble() {
+        site.members.lock().lag = ms(1_200);
+        note("the replicas apply commits 1200 ms after they receive them");
+    }
+    let mut version = 1;
+    let mut breaks = Vec::new();
+    for round in 1..=5 {
+        let mut client = Client::open(&format!("c{round}"), to, "orders c")?;
+        let first = client.query(&format!("WRITE order{round} paid"))?;
+        let acknowledged = Instant::now();
+        for service in ["ledger-2", "ledger-1"] {
+            if with_trouble() {
+                version += 1;
+                site.store.configure(&orders_config(version, service));
+            }
+            thread::sleep(ms(330));
+            if service == "ledger-2" {
+                client.query(&format!("WRITE note{round} sent"))?;
+            }
+        }
+        if !first.is_success() {
+            continue;
+        }
+        let sent = acknowledged.elapsed();
+        let read = client.query(&format!("READ order{round}"))?;
+        let Some((wrote, ran)) = site.members.run_of(&first.id).zip(site.members.run_of(&read.id)) else {
+            continue;
+        };
+        // The commit follows the position at which its statement ran.
+        if read.is_success() && ran.service == wrote.service && ran.position <= wrote.position {
+            breaks.push(format!(
+                "STALE: {} `{}` was acknowledged as commit {} of {}; {} ms later {} of the same session read at {} \
+                 with the log at {} and was answered {:?}",
+                first.id,
+                "WRITE",
+                wrote.position + 1,
+                wrote.service,
+                sent.as_millis(),
+                read.id,
+                ran.member,
+                ran.position,
+                read.rows
+            ));
+        }
+        thread::sleep(ms(1_500));
+    }
+    Ok(breaks)
+}
+
+/// The configuration with two accounts, one of which has the key `key-1`.
+fn accounts_config(version: u64, holder: &str) -> String {
+    let keys = |name: &str, own: &str| {
+        let moved = if name == holder { ",\"key-1\"" } else { "" };
+        format!("{{\"name\":\"{name}\",\"api_keys\":[\"{own}\"{moved}]}}")
+    };
+    format!(
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"orders\",\"database_name\":\"orders\",\"type\":\"primary\",\
+         \"timeout_ms\":800,\"target_latency_ms\":200,\"priority\":1,\"service\":\"ledger-1\",\"max_staleness_ms\":0}}],\
+         \"services\":[{{\"name\":\"ledger-1\",\"max_connections\":16,\"sync_replicas\":0}}],\
+         \"limits\":{{\"tx_idle_ms\":3000}},\"tenants\":[{},{}]}}",
+        keys("acme", "key-2"),
+        keys("zest", "key-3")
+    )
+}
+
+/// A key is taken from one account and given to another while its client is in a transaction.
+fn moved_key() -> Result<Vec<String>, Failure> {
+    let site = Site::start(&["ledger-1"], &accounts_config(1, "acme"))?;
+    let to = site.callers(1);
+    wait_for_service(to, "orders key-1")?;
+    thread::sleep(ms(1_000));
+    let mut client = Client::open("c", to, "orders key-1")?;
+    client.query("BEGIN")?;
+    client.query("WRITE order1 paid")?;
+    let mut holder = "acme";
+    if with_trouble() {
+        holder = "zest";
+        site.store.configure(&accounts_config(2, holder));
+    }
+    let acknowledged = Instant::now();
+    let mut breaks = Vec::new();
+    for n in 1..=8 {
+        thread::sleep(ms(1_000));
+        let text = if n == 8 { "COMMIT".to_owned() } else { format!("READ order{n}") };
+        let sent = acknowledged.elapsed();
+        let answer = client.query(&text)?;
+        if let Some(run) = site.members.run_of(&answer.id)
+            && sent > ms(5_000)
+            && run.client != holder
+        {
+            breaks.push(format!(
+                "UNASKED: {} `{text}`, sent {} ms after the acknowledgement, was run by {} for `{}`, though the key \
+                 is that of `{holder}`",
+                answer.id,
+                sent.as_millis(),
+                run.member,
+                run.client
+            ));
+        }
+    }
+    Ok(breaks)
+}
