--- a/review/common-3/scenarios.rs
+++ b/review/common-3/scenarios.rs
@@ -4,6 +4,7 @@
     match scenario {
         "own-writes" => own_writes(),
         "moved-key" => moved_key(),
+        "reborn-primary" => reborn_primary(),
         other => Err(format!("no scenario `{other}`").into()),
     }
 }
@@ -126,3 +127,73 @@
     }
     Ok(breaks)
 }
+
+/// The configuration with the database `orders` on one service, whose reads need the primary.
+fn payments_config() -> String {
+    "{\"version\":1,\"routes\":[{\"name\":\"orders\",\"database_name\":\"orders\",\"type\":\"primary\",\
+     \"timeout_ms\":800,\"target_latency_ms\":200,\"priority\":1,\"service\":\"ledger-1\",\"max_staleness_ms\":0}],\
+     \"services\":[{\"name\":\"ledger-1\",\"max_connections\":16,\"sync_replicas\":0}],\"limits\":{\"tx_idle_ms\":3000}}"
+        .to_owned()
+}
+
+/// The primary crashes and starts again at once under its id, with nothing of what it had.
+fn reborn_primary() -> Result<Vec<String>, Failure> {
+    let start = "orders c";
+    let site = Site::start(&["ledger-1"], &payments_config())?;
+    wait_for_service(site.callers(1), start)?;
+    thread::sleep(ms(2_000));
+    let mut writer = Client::open("w", site.callers(0), start)?;
+    let mut written = site.members.lock().members[0].log.len();
+    for n in 1..=20 {
+        written += usize::from(writer.query(&format!("WRITE order{n} paid"))?.is_success());
+    }
+    let until = Instant::now() + ms(600);
+    let reading: Vec<_> = (0..9)
+        .map(|n| {
+            let to = site.callers(n % 3);
+            thread::spawn(move || {
+                let mut answered = Vec::new();
+                while Instant::now() < until {
+                    let Ok(mut client) = Client::open(&format!("r{n}"), to, start) else {
+                        thread::sleep(ms(50));
+                        continue;
+                    };
+                    while Instant::now() < until {
+                        let id = client.statements + 1;
+                        client.name = format!("r{n}.{}", started().elapsed().as_millis());
+                        let Ok(answer) = client.query(&format!("READ order{}", 1 + id % 20)) else {
+                            break;
+                        };
+                        answered.push(answer);
+                    }
+                }
+                answered
+            })
+        })
+        .collect();
+    thread::sleep(ms(200));
+    if with_trouble() {
+        site.members.start_again(&site.store, "i-ledger-1-0");
+    }
+    let answered: Vec<Answer> = reading.into_iter().flat_map(|t| t.join().unwrap()).collect();
+    thread::sleep(ms(1_000));
+    let group = site.members.lock();
+    let promoted = group.promoted;
+    let mut breaks = Vec::new();
+    for answer in answered.iter().filter(|answer| answer.is_success()) {
+        let Some(run) = group.runs.iter().find(|run| run.id == answer.id) else {
+            continue;
+        };
+        if run.position < written && promoted.is_none_or(|at| run.at < at) {
+            breaks.push(format!(
+                "STALE: {} `{}` ran at {} with the log at {} of {written} acknowledged commits, before any promotion \
+                 took effect, and was answered {:?}",
+                run.id, run.text, run.member, run.position, answer.rows
+            ));
+        }
+    }
+    for member in &group.members {
+        note(&format!("at the end {} holds {} commits of {written} acknowledged ones", member.id, member.log.len()));
+    }
+    Ok(breaks)
+}
--- a/review/common-3/site.rs
+++ b/review/common-3/site.rs
@@ -440,7 +440,7 @@
     applied: Instant,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 struct Member {
     id: String,
     service: String,
@@ -450,6 +450,23 @@
     is_draining: bool,
     term: u64,
     log: Vec<Commit>,
+    /// How often it has started; its entry tells it as the time of the start.
+    starts: u64,
+    /// The present connections.
+    streams: Vec<TcpStream>,
+}
+
+impl Clone for Member {
+    fn clone(&self) -> Self {
+        Self {
+            id: self.id.clone(),
+            service: self.service.clone(),
+            address: self.address,
+            log: self.log.clone(),
+            streams: Vec::new(),
+            ..*self
+        }
+    }
 }
 
 /// One statement as a member ran it.
@@ -472,7 +489,8 @@
     /// How long after its receipt a commit is applied at a replica.
     lag: Duration,
     runs: Vec<Run>,
-    connections: usize,
+    /// When the first promotion took effect.
+    promoted: Option<Instant>,
 }
 
 #[derive(Clone, Default)]
@@ -495,12 +513,13 @@
     }
     fn entry(&self) -> String {
         format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"capacity\":2,\"state\":\"{}\",\"warmup_left_ms\":0,\"db_role\":\"{}\",\"sequence\":1,\"born\":1}}",
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"capacity\":2,\"state\":\"{}\",\"warmup_left_ms\":0,\"db_role\":\"{}\",\"sequence\":1,\"born\":{}}}",
             self.service,
             self.address,
             self.zone,
             if self.is_draining { "draining" } else { "ready" },
             if self.is_primary { "primary" } else { "replica" },
+            1_700_000_000_000 + self.starts,
         )
     }
 }
@@ -524,6 +543,8 @@
                 is_draining: false,
                 term: 1,
                 log: Vec::new(),
+                starts: 1,
+                streams: Vec::new(),
             });
             let members = self.clone();
             thread::spawn(move || {
@@ -563,6 +584,7 @@
         thread::spawn(move || {
             thread::sleep(ms(PROMOTE_TIME));
             let mut group = members.lock();
+            group.promoted.get_or_insert_with(Instant::now);
             let of_service = group.members.iter().filter(|m| m.service == service);
             let term = of_service.map(|m| m.term).max().unwrap_or(0) + 1;
             let new = Self::find(&mut group, &id);
@@ -597,7 +619,7 @@
             ["START", to, client, id] if to == service && id == me => session.client = client.to_owned(),
             _ => return Ok(writer.write_all(b"ERROR MISROUTED another member\r\n")?),
         }
-        self.lock().connections += 1;
+        Self::find(&mut self.lock(), me).streams.push(writer.try_clone()?);
         thread::sleep(ms(12));
         writer.write_all(format!("READY I {}\r\n", self.position(me)).as_bytes())?;
         while let Some(line) = next() {
@@ -732,6 +754,21 @@
         }
     }
 
+    /// Has a member crash and start again at once under its id, with nothing of what it had.
+    fn start_again(&self, store: &Store, id: &str) {
+        let mut group = self.lock();
+        let member = Self::find(&mut group, id);
+        for stream in member.streams.drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+        (member.is_primary, member.term, member.starts) = (false, 0, member.starts + 1);
+        member.log.clear();
+        note(&format!("member {id} crashes and starts again under its id, with an empty log, as a replica"));
+        let entry = member.entry();
+        drop(group);
+        store.put("servers", id, Some(&entry));
+    }
+
     /// Returns how a statement ran, if it did.
     fn run_of(&self, id: &str) -> Option<Run> {
         self.lock().runs.iter().rev().find(|run| run.id == id).cloned()
@@ -762,9 +799,12 @@
     }
 }
 
-/// Returns a loopback address whose port was free just now.
-fn free_address() -> Result<SocketAddr, Failure> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+/// Returns an address with a free port of the loopback address of daemon `n`. No other process takes the port before
+/// the daemon does: connections come from 127.0.0.1.
+fn free_address(n: usize) -> Result<SocketAddr, Failure> {
+    let pid = std::process::id();
+    let ip = format!("127.{}.{}.{}:0", 65 + pid % 60, 1 + pid / 60 % 250, n + 1);
+    Ok(TcpListener::bind(ip)?.local_addr()?)
 }
 
 fn run_daemon(settings: &PathBuf, log: &PathBuf) -> Result<Child, Failure> {
@@ -781,8 +821,9 @@
 
 impl Daemons {
     fn add(&mut self, folder: &PathBuf, name: &str, zone: &str, store: SocketAddr) -> Result<(), Failure> {
-        let (callers, readiness) = (free_address()?, free_address()?);
-        let (peers, metrics) = (free_address()?, free_address()?);
+        let n = self.0.len();
+        let (callers, readiness) = (free_address(n)?, free_address(n)?);
+        let (peers, metrics) = (free_address(n)?, free_address(n)?);
         // As `deploy/settings.toml.template` renders it for a small deployment.
         let text = format!(
             "vm = \"{name}\"\nzone = \"{zone}\"\ncallers = \"{callers}\"\nreadiness = \"{readiness}\"\n\
