--- a/review/common-3/scenarios.rs
+++ b/review/common-3/scenarios.rs
@@ -5,6 +5,8 @@
         "own-writes" => own_writes(),
         "moved-key" => moved_key(),
         "reborn-primary" => reborn_primary(),
+        "drain-and-drill" => drain_and_drill(),
+        "last-account" => last_account(),
         other => Err(format!("no scenario `{other}`").into()),
     }
 }
@@ -78,11 +80,11 @@
 fn accounts_config(version: u64, holder: &str) -> String {
     let keys = |name: &str, own: &str| {
         let moved = if name == holder { ",\"key-1\"" } else { "" };
-        format!("{{\"name\":\"{name}\",\"api_keys\":[\"{own}\"{moved}]}}")
+        format!("{{\"name\":\"{name}\",\"api_keys\":[\"{own}\"{moved}],\"priority\":1,\"rate_per_s\":186,\"burst\":186}}")
     };
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"orders\",\"database_name\":\"orders\",\"type\":\"primary\",\
-         \"timeout_ms\":800,\"target_latency_ms\":200,\"priority\":1,\"service\":\"ledger-1\",\"max_staleness_ms\":0}}],\
+         \"timeout_ms\":800,\"target_latency_ms\":200,\"priority\":1,\"service\":\"ledger-1\",\"max_attempts\":2,\"public\":false}}],\
          \"services\":[{{\"name\":\"ledger-1\",\"max_connections\":16,\"sync_replicas\":0}}],\
          \"limits\":{{\"tx_idle_ms\":3000}},\"tenants\":[{},{}]}}",
         keys("acme", "key-2"),
@@ -197,3 +199,113 @@
     }
     Ok(breaks)
 }
+
+/// The primary says that it leaves, and the store comes back from a copy that lacks this.
+fn drain_and_drill() -> Result<Vec<String>, Failure> {
+    let site = Site::start(&["ledger-1"], &payments_config())?;
+    let start = "orders c";
+    wait_for_service(site.callers(0), start)?;
+    thread::sleep(ms(3_000));
+    let until = Instant::now() + ms(14_000);
+    let writing: Vec<_> = (0..3)
+        .map(|n| {
+            let to = site.callers(n);
+            thread::spawn(move || {
+                for k in 0.. {
+                    if Instant::now() > until {
+                        return;
+                    }
+                    let Ok(mut client) = Client::open(&format!("w{n}.{k}"), to, start) else {
+                        thread::sleep(ms(100));
+                        continue;
+                    };
+                    while Instant::now() < until {
+                        let Ok(answer) = client.query("WRITE order1 paid") else {
+                            break;
+                        };
+                        thread::sleep(ms(if answer.is_success() { 50 } else { 150 }));
+                    }
+                }
+            })
+        })
+        .collect();
+    thread::sleep(ms(1_000));
+    let leaving = "i-ledger-1-0";
+    if with_trouble() {
+        site.store.keep_copy();
+    }
+    thread::sleep(ms(100));
+    site.members.say_draining(&site.store, leaving);
+    let acknowledged = Instant::now();
+    if with_trouble() {
+        thread::sleep(ms(20));
+        site.store.set_down(true);
+        thread::sleep(ms(1_000));
+        site.store.return_from_copy();
+        site.store.set_down(false);
+        // With its next heartbeat.
+        thread::sleep(ms(1_200));
+        site.members.say_draining(&site.store, leaving);
+    }
+    writing.into_iter().for_each(|thread| thread.join().unwrap());
+    let group = site.members.lock();
+    let late = group.runs.iter().filter(|run| run.member == leaving && run.at > acknowledged + ms(7_000));
+    let breaks = late.map(|run| {
+        let after = (run.at - acknowledged).as_millis();
+        format!("DRAIN: {} `{}` reached {leaving} {after} ms after the store acknowledged that it is draining", run.id, run.text)
+    });
+    Ok(breaks.collect())
+}
+
+/// The configuration with one account, or with an empty list of accounts.
+fn one_account_config(version: u64, accounts: &str) -> String {
+    format!(
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"orders\",\"database_name\":\"orders\",\"type\":\"primary\",\
+         \"timeout_ms\":800,\"target_latency_ms\":200,\"priority\":1,\"service\":\"ledger-1\",\"max_attempts\":2,\"public\":false}}],\
+         \"services\":[{{\"name\":\"ledger-1\",\"max_connections\":16,\"sync_replicas\":0}}],\
+         \"limits\":{{\"tx_idle_ms\":3000}},\"tenants\":[{accounts}]}}"
+    )
+}
+
+/// The only account is taken out of the configuration; then clients come with its key and with an unknown one.
+fn last_account() -> Result<Vec<String>, Failure> {
+    let account = "{\"name\":\"acme\",\"api_keys\":[\"key-1\"],\"priority\":1,\"rate_per_s\":186,\"burst\":186}";
+    let site = Site::start(&["ledger-1"], &one_account_config(1, account))?;
+    let to = site.callers(1);
+    wait_for_service(to, "orders key-1")?;
+    let mut client = Client::open("known", to, "orders key-1")?;
+    client.query("WRITE order1 paid")?;
+    if Client::open("before", to, "orders key-9").is_ok() {
+        return Err("an unknown key was accepted before the change".into());
+    }
+    let holds_key = !with_trouble();
+    if with_trouble() {
+        site.store.configure(&one_account_config(2, ""));
+    }
+    thread::sleep(ms(6_000));
+    let mut breaks = Vec::new();
+    for (name, key, was_ever_held) in [("stranger", "key-9", false), ("known", "key-1", true)] {
+        let mut ask = || -> Result<Answer, Failure> {
+            let mut client = Client::open(name, to, &format!("orders {key}"))?;
+            client.query("READ order1")
+        };
+        let answer = match ask() {
+            Ok(answer) => answer,
+            Err(err) => {
+                note(&format!("client {name}: {err}"));
+                continue;
+            }
+        };
+        let Some(run) = site.members.run_of(&answer.id) else {
+            continue;
+        };
+        if !was_ever_held || !holds_key {
+            let rule = if was_ever_held { "CONFIG" } else { "ROUTE" };
+            breaks.push(format!(
+                "{rule}: {} `{}`, sent with {key} six seconds after the change, was run by {} for `{}` and answered {:?}",
+                run.id, run.text, run.member, run.client, answer.rows
+            ));
+        }
+    }
+    Ok(breaks)
+}
--- a/review/common-3/site.rs
+++ b/review/common-3/site.rs
@@ -277,6 +277,32 @@
         note(&format!("operator: the store acknowledges the configuration {config}"));
     }
 
+    /// Makes a copy of the rows, to come back from.
+    fn keep_copy(&self) {
+        let mut rows = self.lock();
+        rows.copy = Some((rows.rows.clone(), rows.version));
+        note("platform: the store makes a copy");
+    }
+
+    /// Has the store answer 503 for a while.
+    fn set_down(&self, is_down: bool) {
+        self.lock().is_down = is_down;
+        self.rows.1.notify_all();
+        note(&format!("platform: the store is {}", if is_down { "away" } else { "back" }));
+    }
+
+    /// Has the store come back from the copy.
+    fn return_from_copy(&self) {
+        let mut rows = self.lock();
+        let (copied, version) = rows.copy.clone().unwrap_or_default();
+        (rows.rows, rows.version) = (copied, version);
+        rows.changes.retain(|(_, _, at)| *at <= version);
+        rows.returns += 1;
+        note(&format!("platform: the store comes back from the copy, in era {}", rows.returns + 1));
+        drop(rows);
+        self.rows.1.notify_all();
+    }
+
     fn serve(&self, stream: TcpStream) -> Result<(), Failure> {
         stream.set_nodelay(true)?;
         let mut writer = stream.try_clone()?;
@@ -769,6 +795,17 @@
         store.put("servers", id, Some(&entry));
     }
 
+    /// Has a member say in its entry that it leaves.
+    fn say_draining(&self, store: &Store, id: &str) {
+        let mut group = self.lock();
+        let member = Self::find(&mut group, id);
+        member.is_draining = true;
+        let entry = member.entry();
+        drop(group);
+        store.put("servers", id, Some(&entry));
+        note(&format!("member {id}: the store acknowledges that it is draining"));
+    }
+
     /// Returns how a statement ran, if it did.
     fn run_of(&self, id: &str) -> Option<Run> {
         self.lock().runs.iter().rev().find(|run| run.id == id).cloned()
@@ -820,15 +857,19 @@
 }
 
 impl Daemons {
-    fn add(&mut self, folder: &PathBuf, name: &str, zone: &str, store: SocketAddr) -> Result<(), Failure> {
+    fn add(&mut self, folder: &PathBuf, name: &str, zone: &str, store: SocketAddr, has_accounts: bool) -> Result<(), Failure> {
         let n = self.0.len();
         let (callers, readiness) = (free_address(n)?, free_address(n)?);
         let (peers, metrics) = (free_address(n)?, free_address(n)?);
         // As `deploy/settings.toml.template` renders it for a small deployment.
+        let rates = match has_accounts {
+            true => "rate_window = \"5s\"\nrate_overshoot = \"0.1\"\nrate_slack = \"20\"\n",
+            false => "",
+        };
         let text = format!(
             "vm = \"{name}\"\nzone = \"{zone}\"\ncallers = \"{callers}\"\nreadiness = \"{readiness}\"\n\
              peers = \"{peers}\"\nmetrics = \"{metrics}\"\nlog_level = \"info\"\ndrain_bound = \"6s\"\n\
-             server_drain_bound = \"7000ms\"\nsettle_time = \"4000ms\"\nprocessor_share = \"0.25\"\n\n\
+             server_drain_bound = \"7000ms\"\nsettle_time = \"4000ms\"\nprocessor_share = \"0.25\"\n{rates}\n\
              [store]\naddress = \"{store}\"\n\n[promotion]\naddress = \"{store}\"\n"
         );
         let settings = folder.join(format!("{name}.toml"));
@@ -980,7 +1021,7 @@
         store.configure(config);
         let mut daemons = Daemons::default();
         for zone in ZONES {
-            daemons.add(&folder, &format!("vm-{zone}"), zone, store.address)?;
+            daemons.add(&folder, &format!("vm-{zone}"), zone, store.address, config.contains("tenants"))?;
         }
         let site = Self { store, members, daemons, folder };
         site.daemons.wait_ready()?;
