--- a/review/common-3/site.rs
+++ b/review/common-3/site.rs
@@ -1028,6 +1028,15 @@
         Ok(site)
     }
 
+    /// Sends a daemon a signal, such as `TERM`.
+    fn signal(&self, n: usize, signal: &str) -> Result<(), Failure> {
+        let daemon = &self.daemons.0[n];
+        note(&format!("daemon {}: SIG{signal}", daemon.name));
+        let pid = daemon.child.id().to_string();
+        Command::new("kill").args(["-s", signal, &pid]).status()?;
+        Ok(())
+    }
+
     fn callers(&self, n: usize) -> SocketAddr {
         self.daemons.0[n].callers
     }
