review: case 13, a promotion that nobody has seen is forgotten; a script for case 11

The case on the moved key gives its place up; those on the last account and on own writes are 14 and 15 now.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -3,4 +3,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -x target/review-3/site ] && [ -x target/release/sapphireslipd ] || { echo "not built"; exit 2; }
-exec target/review-3/site moved-key "$here"
+exec target/review-3/site own-writes "$here"
--- a/review/common-3/scenarios.rs
+++ b/review/common-3/scenarios.rs
@@ -7,6 +7,8 @@
         "reborn-primary" => reborn_primary(),
         "drain-and-drill" => drain_and_drill(),
         "last-account" => last_account(),
+        "superseded-primary" => superseded_primary(),
+        "silent-promoted" => silent_promoted(),
         other => Err(format!("no scenario `{other}`").into()),
     }
 }
@@ -285,7 +287,7 @@
     thread::sleep(ms(6_000));
     let mut breaks = Vec::new();
     for (name, key, was_ever_held) in [("stranger", "key-9", false), ("known", "key-1", true)] {
-        let mut ask = || -> Result<Answer, Failure> {
+        let ask = || -> Result<Answer, Failure> {
             let mut client = Client::open(name, to, &format!("orders {key}"))?;
             client.query("READ order1")
         };
@@ -309,3 +311,114 @@
     }
     Ok(breaks)
 }
+
+/// Has three clients, one at each daemon, write for a time; returns the statements that were acknowledged.
+fn write_for(site: &Site, time: Duration) -> thread::JoinHandle<Vec<String>> {
+    let until = Instant::now() + time;
+    let callers: Vec<SocketAddr> = (0..3).map(|n| site.callers(n)).collect();
+    thread::spawn(move || {
+        let clients: Vec<_> = callers
+            .into_iter()
+            .enumerate()
+            .map(|(n, to)| {
+                thread::spawn(move || {
+                    let mut acknowledged = Vec::new();
+                    for k in 0.. {
+                        if Instant::now() > until {
+                            break;
+                        }
+                        let Ok(mut client) = Client::open(&format!("w{n}.{k}"), to, "orders c") else {
+                            thread::sleep(ms(100));
+                            continue;
+                        };
+                        while Instant::now() < until {
+                            let Ok(answer) = client.query("WRITE order1 paid") else {
+                                break;
+                            };
+                            let is_success = answer.is_success();
+                            if is_success {
+                                acknowledged.push(answer.id);
+                            }
+                            thread::sleep(ms(if is_success { 50 } else { 150 }));
+                        }
+                    }
+                    acknowledged
+                })
+            })
+            .collect();
+        clients.into_iter().flat_map(|client| client.join().unwrap()).collect()
+    })
+}
+
+/// Returns the acknowledged writes that were committed under a term while a later one had begun.
+fn writes_at_superseded(site: &Site, acknowledged: &[String]) -> Vec<String> {
+    let group = site.members.lock();
+    let of_clients = group.runs.iter().filter(|run| acknowledged.contains(&run.id) && run.term < run.newest_term);
+    let lines = of_clients.map(|run| {
+        format!(
+            "ONE: {} `{}` was committed at {} in term {}, after term {} had begun, and acknowledged",
+            run.id, run.text, run.member, run.term, run.newest_term
+        )
+    });
+    lines.collect()
+}
+
+/// Waits until a promotion was requested, and returns which member's.
+fn wait_for_promotion(site: &Site, number: usize) -> Result<String, Failure> {
+    let until = Instant::now() + ms(10_000);
+    while site.store.lock().promotions.len() < number {
+        if Instant::now() > until {
+            return Err("no promotion was requested".into());
+        }
+        thread::sleep(ms(5));
+    }
+    let promoted = site.store.lock().promotions[number - 1].1.clone();
+    Ok(promoted)
+}
+
+/// The members of a service go dark one after the other: the primary, the one that is promoted, the third.
+fn superseded_primary() -> Result<Vec<String>, Failure> {
+    let site = Site::start(&["ledger-1"], &payments_config())?;
+    wait_for_service(site.callers(0), "orders c")?;
+    thread::sleep(ms(2_000));
+    let writing = write_for(&site, ms(14_000));
+    thread::sleep(ms(1_000));
+    if with_trouble() {
+        let dark_from = Instant::now();
+        site.members.darken("i-ledger-1-0", ms(5_000));
+        let promoted = wait_for_promotion(&site, 1)?;
+        thread::sleep(ms(4_900).saturating_sub(dark_from.elapsed()));
+        site.members.darken(&promoted, ms(5_000));
+        thread::sleep(ms(500));
+        for n in [1, 2] {
+            let id = format!("i-ledger-1-{n}");
+            if id != promoted {
+                site.members.darken(&id, ms(3_500));
+            }
+        }
+    }
+    let acknowledged = writing.join().unwrap();
+    note(&format!("{} writes were acknowledged", acknowledged.len()));
+    Ok(writes_at_superseded(&site, &acknowledged))
+}
+
+/// The member that is promoted goes dark before that takes effect, and so does the third; the former primary is back.
+fn silent_promoted() -> Result<Vec<String>, Failure> {
+    let site = Site::start(&["ledger-1"], &payments_config())?;
+    wait_for_service(site.callers(0), "orders c")?;
+    thread::sleep(ms(2_000));
+    let writing = write_for(&site, ms(14_000));
+    thread::sleep(ms(1_000));
+    if with_trouble() {
+        site.members.darken("i-ledger-1-0", ms(2_000));
+        let promoted = wait_for_promotion(&site, 1)?;
+        thread::sleep(ms(100));
+        for n in [1, 2] {
+            let id = format!("i-ledger-1-{n}");
+            site.members.darken(&id, ms(if id == promoted { 7_000 } else { 6_300 }));
+        }
+    }
+    let acknowledged = writing.join().unwrap();
+    note(&format!("{} writes were acknowledged", acknowledged.len()));
+    Ok(writes_at_superseded(&site, &acknowledged))
+}
--- a/review/common-3/site.rs
+++ b/review/common-3/site.rs
@@ -39,7 +39,7 @@
 #[derive(Clone, Debug)]
 enum Json {
     Null,
-    Bool(bool),
+    Bool,
     Number(f64),
     Text(String),
     List(Vec<Json>),
@@ -166,8 +166,7 @@
             }
             match std::str::from_utf8(&b[from..*at]).ok()? {
                 "null" => Some(Json::Null),
-                "true" => Some(Json::Bool(true)),
-                "false" => Some(Json::Bool(false)),
+                "true" | "false" => Some(Json::Bool),
                 number => Some(Json::Number(number.parse().ok()?)),
             }
         }
@@ -478,6 +477,10 @@
     log: Vec<Commit>,
     /// How often it has started; its entry tells it as the time of the start.
     starts: u64,
+    /// Until when it is dark: it runs on, but nothing gets to it or from it.
+    dark_until: Option<Instant>,
+    /// Since when it, as a primary that has been succeeded, has reached the new one.
+    reaches_since: Option<Instant>,
     /// The present connections.
     streams: Vec<TcpStream>,
 }
@@ -507,6 +510,9 @@
     text: String,
     /// The number of commits that the log held for reads as it ran.
     position: usize,
+    /// The member's term, and the highest one of the service.
+    term: u64,
+    newest_term: u64,
 }
 
 #[derive(Default)]
@@ -519,6 +525,46 @@
     promoted: Option<Instant>,
 }
 
+impl Group {
+    /// Returns the highest term that any member of a service has.
+    fn newest_term(&self, service: &str) -> u64 {
+        let members = self.members.iter().filter(|m| m.service == service);
+        members.map(|m| m.term).max().unwrap_or(0)
+    }
+
+    /// Has the members that reach the newest primary of each service receive its log. A primary that has been
+    /// succeeded follows it a second after it can reach it.
+    fn replicate(&mut self) {
+        let now = Instant::now();
+        let leaders: Vec<Member> = self
+            .members
+            .iter()
+            .filter(|m| m.is_primary && !m.is_dark() && m.term == self.newest_term(&m.service))
+            .cloned()
+            .collect();
+        for member in &mut self.members {
+            let of_service = |leader: &&Member| leader.service == member.service && leader.id != member.id;
+            let leader = leaders.iter().find(of_service).filter(|_| !member.is_dark());
+            let Some(leader) = leader else {
+                member.reaches_since = None;
+                continue;
+            };
+            if member.is_primary {
+                let since = *member.reaches_since.get_or_insert(now);
+                if now < since + ms(1_000) {
+                    continue;
+                }
+                note(&format!("members: {} follows {}, which leads term {}", member.id, leader.id, leader.term));
+            }
+            if member.term < leader.term || member.log.len() < leader.log.len() {
+                member.is_primary = false;
+                member.term = leader.term;
+                member.log = leader.log.clone();
+            }
+        }
+    }
+}
+
 #[derive(Clone, Default)]
 struct Members(Arc<Mutex<Group>>);
 
@@ -532,6 +578,9 @@
 }
 
 impl Member {
+    fn is_dark(&self) -> bool {
+        self.dark_until.is_some_and(|until| Instant::now() < until)
+    }
     fn applied(&self) -> usize {
         let now = Instant::now();
         let seen = self.log.iter().take_while(|commit| commit.applied <= now);
@@ -555,6 +604,17 @@
         self.0.lock().unwrap()
     }
 
+    /// Has members receive what they lack, as soon as they reach their primary.
+    fn keep_replicating(&self) {
+        let members = self.clone();
+        thread::spawn(move || {
+            loop {
+                members.lock().replicate();
+                thread::sleep(ms(20));
+            }
+        });
+    }
+
     /// Starts a member of a service in each zone; the first one is the primary.
     fn add_service(&self, service: &str, zones: &[&'static str]) -> Result<(), Failure> {
         for (n, zone) in zones.iter().enumerate() {
@@ -570,6 +630,8 @@
                 term: 1,
                 log: Vec::new(),
                 starts: 1,
+                dark_until: None,
+                reaches_since: None,
                 streams: Vec::new(),
             });
             let members = self.clone();
@@ -611,18 +673,11 @@
             thread::sleep(ms(PROMOTE_TIME));
             let mut group = members.lock();
             group.promoted.get_or_insert_with(Instant::now);
-            let of_service = group.members.iter().filter(|m| m.service == service);
-            let term = of_service.map(|m| m.term).max().unwrap_or(0) + 1;
+            let term = group.newest_term(&service) + 1;
             let new = Self::find(&mut group, &id);
-            new.is_primary = true;
-            new.term = term;
-            let log = new.log.clone();
-            note(&format!("members: {id} leads term {term} with {} commits", log.len()));
-            for member in group.members.iter_mut().filter(|m| m.service == service && m.id != id) {
-                member.is_primary = false;
-                member.term = term;
-                member.log = log.clone();
-            }
+            (new.is_primary, new.term) = (true, term);
+            note(&format!("members: {id} leads term {term} with {} commits", new.log.len()));
+            group.replicate();
             drop(group);
             members.register(&store);
         });
@@ -638,6 +693,7 @@
             Some(String::from_utf8_lossy(&line).trim_end_matches('\r').to_owned())
         };
         let start = next().unwrap_or_default();
+        self.wait_while_dark(me);
         let service = Self::find(&mut self.lock(), me).service.clone();
         let words: Vec<&str> = start.split(' ').collect();
         let mut session = Session::default();
@@ -653,7 +709,9 @@
             let ["QUERY", id, text] = fields[..] else {
                 return Ok(());
             };
+            self.wait_while_dark(me);
             let answer = self.answer(me, &mut session, id, text);
+            self.wait_while_dark(me);
             let state = if session.is_open { "T" } else { "I" };
             let answer = format!("{answer}READY {state} {}\r\n", self.position(me));
             writer.write_all(answer.as_bytes())?;
@@ -661,6 +719,18 @@
         Ok(())
     }
 
+    fn wait_while_dark(&self, me: &str) {
+        while Self::find(&mut self.lock(), me).is_dark() {
+            thread::sleep(ms(5));
+        }
+    }
+
+    /// Has a member go dark for a time.
+    fn darken(&self, id: &str, time: Duration) {
+        Self::find(&mut self.lock(), id).dark_until = Some(Instant::now() + time);
+        note(&format!("member {id} is dark for {} ms", time.as_millis()));
+    }
+
     fn position(&self, me: &str) -> String {
         let mut group = self.lock();
         let member = Self::find(&mut group, me);
@@ -703,6 +773,8 @@
                 id: id.to_owned(),
                 text: text.to_owned(),
                 position: member.applied(),
+                term: member.term,
+                newest_term: group.newest_term(&member.service),
             };
             note(&format!(
                 "member {me} of {} ({}): runs {id} `{text}` on a connection of `{}`, log at {}.{}",
@@ -763,7 +835,8 @@
                     let now = Instant::now();
                     for (item, data) in std::mem::take(&mut session.writes) {
                         for other in group.members.iter_mut() {
-                            if other.service == member.service && other.term == member.term {
+                            let receives = other.id == me || !other.is_dark();
+                            if other.service == member.service && other.term == member.term && receives {
                                 let late = if other.is_primary { Duration::ZERO } else { lag };
                                 other.log.push(Commit {
                                     item: item.clone(),
@@ -822,17 +895,13 @@
     name: String,
     callers: SocketAddr,
     readiness: SocketAddr,
-    settings: PathBuf,
-    log: PathBuf,
     child: Child,
 }
 
-impl Drop for Daemons {
+impl Drop for Daemon {
     fn drop(&mut self) {
-        for daemon in &mut self.0 {
-            let _ = daemon.child.kill();
-            let _ = daemon.child.wait();
-        }
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 }
 
@@ -877,7 +946,7 @@
         std::fs::write(&settings, text)?;
         let child = run_daemon(&settings, &log)?;
         note(&format!("daemon {name} in zone {zone} is started, for clients at {callers}"));
-        self.0.push(Daemon { name: name.to_owned(), callers, readiness, settings, log, child });
+        self.0.push(Daemon { name: name.to_owned(), callers, readiness, child });
         Ok(())
     }
 
@@ -923,7 +992,6 @@
     id: String,
     rows: Vec<String>,
     end: String,
-    ready: String,
 }
 
 impl Answer {
@@ -968,7 +1036,7 @@
                 Some(("ROW", data)) => rows.push(data.to_owned()),
                 Some(("READY", state)) => {
                     note(&format!("client {}: {id} is answered {rows:?} {end}, READY {state}", self.name));
-                    return Ok(Answer { id, rows, end, ready: state.to_owned() });
+                    return Ok(Answer { id, rows, end });
                 }
                 _ => end = line,
             }
@@ -1016,6 +1084,7 @@
         for service in services {
             members.add_service(service, &ZONES)?;
         }
+        members.keep_replicating();
         let store = Store::start(members.clone())?;
         members.register(&store);
         store.configure(config);
@@ -1028,15 +1097,6 @@
         Ok(site)
     }
 
-    /// Sends a daemon a signal, such as `TERM`.
-    fn signal(&self, n: usize, signal: &str) -> Result<(), Failure> {
-        let daemon = &self.daemons.0[n];
-        note(&format!("daemon {}: SIG{signal}", daemon.name));
-        let pid = daemon.child.id().to_string();
-        Command::new("kill").args(["-s", signal, &pid]).status()?;
-        Ok(())
-    }
-
     fn callers(&self, n: usize) -> SocketAddr {
         self.daemons.0[n].callers
     }
@@ -1044,13 +1104,8 @@
 
 impl Drop for Site {
     fn drop(&mut self) {
-        self.daemons.0.iter_mut().for_each(|daemon| {
-            let _ = daemon.child.kill();
-            let _ = daemon.child.wait();
-        });
-        if std::env::var("KEEP").is_err() {
-            let _ = std::fs::remove_dir_all(&self.folder);
-        }
+        self.daemons.0.clear();
+        let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
