--- a/sapphireslip-lead/src/completion.rs
+++ b/sapphireslip-lead/src/completion.rs
@@ -6,7 +6,7 @@
 use sapphireslip_core::{ConnectionId, Instant, SessionId, TransactionStatus};
 
 use crate::connection::{AnswerTo, Awaited, Connection, Purpose};
-use crate::job::{JobId, Stage, Work};
+use crate::job::{Job, JobId, Sending, Stage, Work};
 use crate::refusal::RETRY_BUSY;
 use crate::state::State;
 use crate::{
@@ -163,6 +163,7 @@
         };
         known.position = Some(position);
         let service = known.record.service.clone();
+        self.note_term(server, position.term);
         let is_confirmed_leader = self.leaders.named(&service) == Some(server)
             && self.leaders.term(&service) == Some(position.term);
         if is_confirmed_leader && self.permission.is_valid(self.now) {
@@ -214,8 +215,9 @@
 
     /// Answers a statement that ran.
     ///
-    /// A write or commit at the primary is acknowledged only while the permission is valid; without
-    /// it the primary may have been replaced, and the outcome counts as unknown.
+    /// A write or commit at the primary is acknowledged only while the permission is valid and its
+    /// service has reached no later term; else the primary may have been replaced, and the outcome
+    /// counts as unknown.
     pub(crate) fn complete(&mut self, id: JobId, session: SessionId, reply: Reply) {
         let Some(job) = self.jobs.get(&id) else {
             return;
@@ -224,6 +226,10 @@
             if job.needs_leader && !self.permission.is_valid(self.now) {
                 return self.answer_unknown(id, "the permission ended before the answer came");
             }
+            if job.needs_leader && self.ran_at_superseded(job, &reply) {
+                return self
+                    .answer_unknown(id, "the primary was superseded before the answer came");
+            }
             let last_write = reply
                 .position
                 .map(|position| (job.service.clone(), position));
@@ -234,6 +240,22 @@
         self.deliver(id, reply);
     }
 
+    /// Returns whether a write was answered by a server that was the primary of a term that its service
+    /// has left.
+    ///
+    /// A primary that has committed nothing yet reports a position of the term before.
+    fn ran_at_superseded(&self, job: &Job, reply: &Reply) -> bool {
+        let reached = self.leaders.reached(&job.service);
+        let is_earlier = reply
+            .position
+            .is_some_and(|position| position.term < reached);
+        let Stage::Sent(sendings) = &job.stage else {
+            return is_earlier;
+        };
+        let leads = |sending: &Sending| self.leaders.leads(&job.service, &sending.server);
+        is_earlier && !sendings.iter().any(leads)
+    }
+
     /// Returns whether a statement outside a transaction may be sent again after a failure: if it
     /// did not run, or if it only reads and failed at the server. A statement that is not prepared
     /// is not sent again.
--- a/sapphireslip-lead/src/coordinator.rs
+++ b/sapphireslip-lead/src/coordinator.rs
@@ -330,26 +330,45 @@
             self.name_leader(service, &newer.0, Term(newer.1.0.saturating_sub(1)));
             return;
         }
+        if self.has_stayed_behind(service, &leader) {
+            self.ask_for_later_primary(service);
+            if self.is_row_outdated(service) {
+                self.name_leader(service, &leader, Term(0));
+                return;
+            }
+        }
         self.note_missing_replacement(service, &leader);
         if let Some(reason) = self.reason_to_replace(service, &leader) {
             return self.begin_handover(service, Some(leader), reason);
         }
-        if self.leaders.term(service).is_none() && self.is_left_unpromoted(service, &leader) {
+        if self.leaders.term(service).is_none()
+            && self.is_left_unpromoted(service, &leader)
+            && !self.awaits_newer_primary(service, &leader)
+        {
             self.resume_handover(service, leader);
         }
     }
 
     /// Names the server that is already the primary of a service without a named leader, or starts
     /// a promotion if there has been none for `NO_PRIMARY_MAX`.
+    ///
+    /// Of several servers that claim to be the primary, the one that reports the latest term is.
     fn name_present_primary(&mut self, service: &ServiceName) {
-        let primary = self
+        let claims = self
             .servers
             .of(service)
-            .filter(|(_, s)| s.record.role == Role::Primary && s.missing_since.is_none())
-            .map(|(id, _)| id.clone())
-            .next();
-        if let Some(primary) = primary {
-            self.name_leader(service, &primary, Term(0));
+            .filter(|(_, s)| s.record.role == Role::Primary && s.missing_since.is_none());
+        let claims: Vec<ServerId> = claims.map(|(id, _)| id.clone()).collect();
+        if claims.len() > 1 && self.awaits_first_statuses(service) {
+            return;
+        }
+        if let Some(primary) = claims.iter().max_by_key(|id| self.led_term(id)) {
+            match self.leads_earlier_term(service, primary) {
+                true => self.begin_handover(service, None, Reason::NoPrimary),
+                false => {
+                    self.name_leader(service, primary, Term(0));
+                }
+            }
             return;
         }
         let now = self.now;
@@ -383,7 +402,8 @@
         }
     }
 
-    /// Adds a leader to those that the next write names.
+    /// Adds a leader to those that the next write names. It leads once it reports a term above `above`;
+    /// terms before the one that the service has reached never count.
     ///
     /// Returns false if it has to be tried again later: another write is under way, the pause after
     /// a write has not passed, or the next write is full.
@@ -398,6 +418,7 @@
             return false;
         }
         let version = self.leaders.table.leader_version(service);
+        let above = above.max(self.leaders.last_left_term(service));
         self.coordinator
             .leaders_to_name
             .retain(|other| other.service != *service);
--- a/sapphireslip-lead/src/handover.rs
+++ b/sapphireslip-lead/src/handover.rs
@@ -28,7 +28,7 @@
 const CATCH_UP_MAX: Duration = Duration::from_millis(2_500);
 
 /// How long a request to promote may take to have an effect before it is sent again.
-const PROMOTE_RETRY_AFTER: Duration = Duration::from_millis(1_800);
+pub(crate) const PROMOTE_RETRY_AFTER: Duration = Duration::from_millis(1_800);
 
 /// How long a new leader may take to lead before another one is chosen.
 const PROMOTE_MAX: Duration = Duration::from_secs(6);
@@ -83,6 +83,8 @@
         received: Option<TermPosition>,
         /// When `received` last changed.
         last_progress: Instant,
+        /// When the platform first accepted the request to promote the new leader; none before.
+        pub(crate) accepted: Option<Instant>,
     }
 }
 
@@ -118,6 +120,7 @@
             .filter_map(|(_, server)| server.position);
         let above = led
             .or(seen.map(|position| position.term).max())
+            .max(Some(self.leaders.reached(service)))
             .unwrap_or_default();
         let handover = Handover {
             old,
@@ -129,6 +132,7 @@
             since: self.now,
             received: None,
             last_progress: self.now,
+            accepted: None,
         };
         self.note_step(service, &handover);
         self.coordinator.handovers.insert(service.clone(), handover);
@@ -150,6 +154,7 @@
             since: self.now,
             received: None,
             last_progress: self.now,
+            accepted: None,
         };
         self.note_step(service, &handover);
         self.coordinator.handovers.insert(service.clone(), handover);
@@ -206,6 +211,7 @@
         if let Some(handover) = self.coordinator.handovers.get_mut(service) {
             handover.new = Some(new);
             handover.above = above;
+            handover.accepted = None;
         }
         self.set_step(service, Step::Naming);
     }
@@ -368,6 +374,9 @@
         if is_unreachable || self.now.since(handover.since) >= PROMOTE_MAX {
             return self.begin_handover(service, Some(new), Reason::Lost);
         }
+        if self.end_promotion_without_effect(service, handover, &new) {
+            return;
+        }
         if asked.is_some_and(|asked| self.now.since(asked) < PROMOTE_RETRY_AFTER) {
             return;
         }
@@ -400,9 +409,13 @@
         self.coordinator
             .promotion_requests
             .note_answer(asked, service, outcome);
-        let Some(handover) = self.coordinator.handovers.get(service) else {
+        let now = self.now;
+        let Some(handover) = self.coordinator.handovers.get_mut(service) else {
             return;
         };
+        if *outcome == PromoteOutcome::Accepted {
+            handover.accepted.get_or_insert(now);
+        }
         if *outcome == PromoteOutcome::NotRunning && matches!(handover.step, Step::Promoting(_)) {
             let new = handover.new.clone();
             if let Some(server) = new.as_ref().and_then(|new| self.servers.get_mut(new)) {
--- a/sapphireslip-lead/src/leader_choice.rs
+++ b/sapphireslip-lead/src/leader_choice.rs
@@ -11,7 +11,7 @@
 use crate::{Record, RecordKind, Role, Term};
 
 /// How long the coordinator waits for the status of the servers that could take over.
-const STATUS_WAIT_MAX: Duration = Duration::from_millis(250);
+pub(crate) const STATUS_WAIT_MAX: Duration = Duration::from_millis(250);
 
 /// How long a lost primary that had more of the log than the best replica may take to come back:
 /// a promotion without it would lose acknowledged writes.
@@ -28,7 +28,8 @@
     /// Chooses the new leader and has it named, or drops the handover if it is unnecessary.
     ///
     /// Of the servers that stay, the one with the longest log is chosen, then of those that leave. Where the
-    /// service waits for replicas, the longest log comes first.
+    /// service waits for replicas, the longest log comes first. A primary of a term that may have been left
+    /// is the last choice, and has to be promoted like a replica.
     pub(crate) fn choose(&mut self, service: &ServiceName, handover: &Handover) {
         if handover.is_unnecessary(self) {
             self.log(
@@ -80,18 +81,24 @@
             let is_staying = server.is_some_and(KnownServer::is_staying);
             // A log that lacks acknowledged commits is worse than a server that leaves.
             let log_first = received.filter(|_| waits_for_replicas);
-            (log_first, is_staying, received)
+            let leads_earlier = self.leads_earlier_term(service, id);
+            (log_first, !leads_earlier, is_staying, received)
         };
         let may_adopt = self.may_adopt(service);
-        let is_fit =
-            |id: &&ServerId| has_answered(self, id) && (may_adopt || self.led_term(id).is_none());
+        // The platform changes nothing for the present primary, so that one is only chosen once no
+        // request to promote another server is open. A superseded one is promoted like any replica.
+        let reached = self.leaders.reached(service);
+        let may_lead = |led: Option<Term>| may_adopt || led.is_none_or(|led| led < reached);
+        let is_fit = |id: &&ServerId| has_answered(self, id) && may_lead(self.led_term(id));
         let Some(best) = others.iter().filter(is_fit).max_by_key(rank) else {
             return;
         };
         let best = best.clone();
         let above = match self.led_term(&best) {
-            Some(term) => Term(term.0.saturating_sub(1)),
-            None => handover.above,
+            Some(term) if !self.leads_earlier_term(service, &best) => {
+                Term(term.0.saturating_sub(1))
+            }
+            _ => self.required_term(service).max(handover.above),
         };
         if handover.reason == Reason::Lost
             && self.would_lose_records(handover, &best)
--- a/sapphireslip-lead/src/leaders.rs
+++ b/sapphireslip-lead/src/leaders.rs
@@ -5,6 +5,7 @@
 
 use sapphireslip_core::{Instant, ServerId, ServiceName, data};
 
+use crate::reached_terms::ReachedTerms;
 use crate::state::State;
 use crate::{LeaderRecord, LeaderTable, Record, RecordKind, Role, RowVersion, ServerStatus, Term};
 
@@ -31,7 +32,10 @@
         /// For each service, the server that last reported itself as primary while it was the
         /// named leader, and the term that it reported.
         confirmed_terms: BTreeMap<ServiceName, (ServerId, Term)>,
-        /// When this daemon last learned of a new leader row of each service.
+        /// The highest term that each service of the configuration is known to have reached.
+        reached: ReachedTerms,
+        /// When this daemon last learned of a new leader row of each service, or that its leader is
+        /// superseded.
         last_changes: BTreeMap<ServiceName, Instant>,
     }
 
@@ -56,15 +60,43 @@
     }
 
     /// Returns the term in which the named leader reported itself as primary, if it is above the
-    /// term that its row requires.
+    /// term that its row requires and the service has reached no later one.
     pub(crate) fn term(&self, service: &ServiceName) -> Option<Term> {
         let (server, term) = self.confirmed_terms.get(service)?;
         let (record, _) = self.table.leaders.get(service)?;
-        (record.leader == *server && *term > record.above).then_some(*term)
+        (record.leader == *server && *term >= self.least_term(service)).then_some(*term)
     }
 
-    /// Returns whether the store's row of a service no longer covers work that was sent to `server`
-    /// in `term`: it names another leader, or the same one for a later term.
+    /// Returns whether a server is the named leader and has confirmed it.
+    pub(crate) fn leads(&self, service: &ServiceName, server: &ServerId) -> bool {
+        self.named(service) == Some(server) && self.term(service).is_some()
+    }
+
+    /// Returns the highest term that a service is known to have reached; 0 if none is known.
+    pub(crate) fn reached(&self, service: &ServiceName) -> Term {
+        self.reached.of(service)
+    }
+
+    /// Returns the least term that may be led: the one that the service has reached, and above the
+    /// term that the row of its leader requires.
+    pub(crate) fn least_term(&self, service: &ServiceName) -> Term {
+        let row = self.table.leaders.get(service);
+        let by_row = row.map(|(record, _)| record.above.0.saturating_add(1));
+        self.reached(service).max(Term(by_row.unwrap_or_default()))
+    }
+
+    /// Returns the last term that a service has left; 0 if none is known.
+    pub(crate) fn last_left_term(&self, service: &ServiceName) -> Term {
+        Term(self.reached(service).0.saturating_sub(1))
+    }
+
+    /// Forgets what was known of the services for which `is_kept` is false.
+    pub(crate) fn retain_services(&mut self, is_kept: impl Fn(&ServiceName) -> bool) {
+        self.reached.retain(is_kept);
+    }
+
+    /// Returns whether work that was sent to `server` in `term` is no longer covered: the store names
+    /// another leader, or the same one for a later term, or the service has reached a later term.
     pub(crate) fn has_replaced(
         &self,
         service: &ServiceName,
@@ -72,7 +104,8 @@
         term: Option<Term>,
     ) -> bool {
         let row = self.table.leaders.get(service);
-        row.is_none_or(|(record, _)| record.leader != *server || term <= Some(record.above))
+        row.is_none_or(|(record, _)| record.leader != *server)
+            || term < Some(self.least_term(service))
     }
 
     /// Discards a server's confirmation as leader until it reports itself as primary again.
@@ -81,7 +114,8 @@
             .retain(|_, (leader, _)| leader != server);
     }
 
-    /// Returns when this daemon last learned of a new leader row of a service.
+    /// Returns when this daemon last learned of a new leader row of a service, or that its leader is
+    /// superseded.
     pub(crate) fn changed_at(&self, service: &ServiceName) -> Option<Instant> {
         self.last_changes.get(service).copied()
     }
@@ -210,6 +244,7 @@
         let service = known.record.service.clone();
         known.status = Some(status.clone());
         known.status_request_sent = Some(asked);
+        self.note_term(server, status.term.max(status.received.term));
         if self.leaders.named(&service) != Some(server) {
             return;
         }
@@ -219,6 +254,32 @@
         }
     }
 
+    /// Records that a server reported a term, which its service has reached then.
+    ///
+    /// A leader of an earlier term is superseded, although the store still names it: a request to promote
+    /// another server has taken effect that nobody waits for any more.
+    pub(crate) fn note_term(&mut self, server: &ServerId, term: Term) {
+        let Some(known) = self.servers.get(server) else {
+            return;
+        };
+        if term <= self.leaders.reached(&known.record.service) {
+            return;
+        }
+        let service = known.record.service.clone();
+        let led = self.leaders.term(&service);
+        self.leaders.reached.note(&service, term);
+        let Some(led) = led else {
+            return;
+        };
+        let detail = format!(
+            "reports term {}; the leader of term {} is superseded",
+            term.0, led.0
+        );
+        let line = Record::new(RecordKind::LeaderChanged, detail.into());
+        self.log(line.service(&service).server(server));
+        self.leaders.last_changes.insert(service, self.now);
+    }
+
     /// Records that the named leader reported itself as the primary of `term`.
     ///
     /// If the service had no confirmed leader, its floors start anew and its waiting statements are
--- a/sapphireslip-lead/src/replacement.rs
+++ b/sapphireslip-lead/src/replacement.rs
@@ -7,7 +7,7 @@
 use crate::coordinator::NO_PRIMARY_MAX;
 use crate::handover::Reason;
 use crate::state::State;
-use crate::{Role, Term};
+use crate::{Role, ServerStatus, Term};
 
 /// How long a named leader may keep reporting that it does not lead before its promotion is
 /// resumed.
@@ -15,7 +15,7 @@
 
 impl State {
     /// Returns a server that is the primary of a term high enough for the named leader's row, and
-    /// that term, if the named leader itself is a replica.
+    /// that term, if the named leader itself is a replica or the primary of an earlier term.
     ///
     /// An earlier request to promote that server has then taken effect late. While a request to promote
     /// the named leader may still take effect, it is not given up: the commits that the other server
@@ -25,19 +25,43 @@
         service: &ServiceName,
         leader: &ServerId,
     ) -> Option<(ServerId, Term)> {
-        let (named, _) = self.leaders.table.leaders.get(service)?;
+        let (id, status) = self.later_primary(service, leader)?;
+        let named = self.servers.get(leader)?;
+        let is_settled = named.status_request_sent >= self.promotions_settled(service);
+        is_settled.then_some((id, status.term))
+    }
+
+    /// Returns whether the named leader waits for [`Self::newer_primary`]: it takes itself for the primary
+    /// of an earlier term and lacks what the newer one has committed, so that it must not be promoted.
+    pub(crate) fn awaits_newer_primary(&self, service: &ServiceName, leader: &ServerId) -> bool {
+        let later = self.later_primary(service, leader);
+        let has_committed = later.is_some_and(|(id, status)| {
+            let server = self.servers.get(&id);
+            let is_reached = server.is_some_and(|server| !server.is_unreachable(self.now));
+            is_reached && status.received.term == status.term
+        });
+        has_committed && self.leads_earlier_term(service, leader)
+    }
+
+    /// Returns another server than the named leader that is the primary of the latest term, and its status,
+    /// if the named leader itself is a replica or the primary of an earlier term.
+    fn later_primary(
+        &self,
+        service: &ServiceName,
+        leader: &ServerId,
+    ) -> Option<(ServerId, ServerStatus)> {
         if self.leaders.term(service).is_some() {
             return None;
         }
-        let named_server = self.servers.get(leader)?;
-        let stays_replica = named_server.status.as_ref()?.role == Role::Replica
-            && named_server.status_request_sent >= self.promotions_settled(service);
-        let newer = self.servers.of(service).find(|(id, server)| {
-            let status = server.status.as_ref();
-            *id != leader && status.is_some_and(|s| s.role == Role::Primary && s.term > named.above)
+        let named = self.servers.get(leader)?.status.as_ref()?;
+        let least = self.leaders.least_term(service);
+        let primaries = self.servers.of(service).filter_map(|(id, server)| {
+            let status = server.status.as_ref()?;
+            (status.role == Role::Primary && status.term >= least).then_some((id, status))
         });
-        let (id, server) = newer.filter(|_| stays_replica)?;
-        Some((id.clone(), server.status.as_ref()?.term))
+        let (id, status) = primaries.max_by_key(|(_, status)| status.term)?;
+        let is_behind = named.role == Role::Replica || named.term < status.term;
+        (id != leader && is_behind).then(|| (id.clone(), status.clone()))
     }
 
     /// Returns whether a named leader still reports that it does not lead after
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -292,6 +292,8 @@
             let line = Record::new(RecordKind::AccountIgnored, Text::clone(fault));
             self.effects.push(Effect::Log(line));
         }
+        self.leaders
+            .retain_services(|service| catalog.services.contains_key(service));
         self.catalog = Some(catalog);
         self.catalog_applied = self.now;
         self.apply_limits();
--- a/sapphireslip-lead/src/store_return.rs
+++ b/sapphireslip-lead/src/store_return.rs
@@ -96,6 +96,11 @@
         self.is_continuous || self.age(now) >= UNREADABLE_PERMISSION_MAX.saturating_add(lease)
     }
 
+    /// Returns whether this daemon has remained the coordinator through the last return.
+    pub(crate) const fn has_kept_role(&self) -> bool {
+        self.is_continuous
+    }
+
     /// Records that the era has lasted for `age` at least.
     fn learn_age(&mut self, now: Instant, age: Duration) {
         if age > self.age(now) {
@@ -240,19 +245,23 @@
         let Some(confirmation) = self.confirmation().filter(|_| is_current) else {
             return true;
         };
+        if !self.store_era.has_kept_role() && self.awaits_all_first_statuses() {
+            return true;
+        }
         if !self.coordinator.begin_write(self.now) {
             return true;
         }
+        let stored = self.leaders.copy.as_ref().unwrap_or(&self.leaders.table);
         let leaders = self.leaders.table.leaders.iter();
-        let lacking = leaders.filter(|(service, (record, _))| {
-            let copied = stored.leaders.get(*service);
-            copied.is_none_or(|(copied, _)| copied != record)
+        let known = leaders.map(|(service, (record, _))| NamedLeader {
+            service: service.clone(),
+            record: self.row_to_confirm(service, record),
+            version: stored.leader_version(service),
         });
-        let mut lacking: Vec<NamedLeader> = lacking
-            .map(|(service, (record, _))| NamedLeader {
-                service: service.clone(),
-                record: record.clone(),
-                version: stored.leader_version(service),
+        let mut lacking: Vec<NamedLeader> = known
+            .filter(|named| {
+                let copied = stored.leaders.get(&named.service);
+                copied.is_none_or(|(copied, _)| *copied != named.record)
             })
             .collect();
         let is_last = lacking.len() <= LEADERS_PER_WRITE_MAX;
--- a/sapphireslip-lead/tests/support/daemon.rs
+++ b/sapphireslip-lead/tests/support/daemon.rs
@@ -36,6 +36,8 @@
     pub withholds_answers: bool,
     /// Whether connections stay unopened until `finish_opening`.
     pub withholds_connects: bool,
+    /// Whether the platform answers requests to promote that the server is not running.
+    pub refuses_promotions: bool,
     /// The connections that one server accepts; none if there is no limit.
     pub connections_max: Option<usize>,
     /// The connections that were to be opened, with their servers and accounts, the oldest first.
@@ -137,6 +139,7 @@
             withholds_lead_changes: false,
             withholds_answers: false,
             withholds_connects: false,
+            refuses_promotions: false,
             connections_max: None,
             opened: Vec::new(),
             disconnected: Vec::new(),
@@ -373,8 +376,13 @@
             Effect::Promote {
                 service, server, ..
             } => {
-                self.group.promote(&server);
-                let outcome = PromoteOutcome::Accepted;
+                let outcome = match self.refuses_promotions {
+                    true => PromoteOutcome::NotRunning,
+                    false => {
+                        self.group.promote(&server);
+                        PromoteOutcome::Accepted
+                    }
+                };
                 self.event(Event::Promoted { service, outcome });
             }
             Effect::Answer { session, reply } => {
--- a/sapphireslip-lead/tests/support/group.rs
+++ b/sapphireslip-lead/tests/support/group.rs
@@ -164,11 +164,13 @@
         }
     }
 
-    /// Makes a server the primary of the next term, unless it is a reachable primary already.
+    /// Makes a server the primary of the next term, unless it is the present primary and reachable. A
+    /// primary that has been superseded is promoted like a replica.
     pub fn promote(&mut self, id: &ServerId) {
         let next = self.servers.iter().map(|s| s.term.0).max().unwrap_or(0) + 1;
         let server = self.get_mut(id);
-        if server.role != Role::Primary || server.is_isolated {
+        let is_present = server.role == Role::Primary && server.term.0 + 1 == next;
+        if !is_present || server.is_isolated {
             server.role = Role::Primary;
             server.term = Term(next);
         }
