--- a/sapphireslip-lead/src/account.rs
+++ b/sapphireslip-lead/src/account.rs
@@ -40,6 +40,8 @@
         by_key: HashMap<KeyDigest, Option<AccountName>>,
         /// Why accounts or keys of the configuration were left out.
         faults: Vec<Text>,
+        /// Whether clients need a key although no account may be named.
+        are_required: bool,
     }
 }
 
@@ -114,9 +116,28 @@
         held.filter_map(|(key, name)| Some((key, name.as_ref()?)))
     }
 
-    /// Returns whether the configuration names no accounts, so that clients need no key.
+    /// Returns whether the configuration names no accounts, not even unreadable ones.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.by_name.is_empty() && self.faults.is_empty()
     }
+
+    /// Has clients need a key although no account has been added: then nobody has one.
+    pub fn require(&mut self) {
+        self.are_required |= self.is_empty();
+    }
+
+    /// Returns whether clients need a key of an account, unless their route is public.
+    ///
+    /// ```
+    /// use sapphireslip_lead::Accounts;
+    /// let mut accounts = Accounts::default();
+    /// assert!(!accounts.are_required(), "a deployment without accounts");
+    /// accounts.require();
+    /// assert!(accounts.are_required(), "the last account was removed");
+    /// ```
+    #[must_use]
+    pub fn are_required(&self) -> bool {
+        self.are_required || !self.is_empty()
+    }
 }
--- a/sapphireslip-lead/src/catalog.rs
+++ b/sapphireslip-lead/src/catalog.rs
@@ -19,7 +19,7 @@
         /// How long a transaction that holds a server connection may be idle between statements
         /// before it is rolled back.
         pub transaction_idle: Duration,
-        /// The client accounts; none if clients need no key.
+        /// The client accounts, and whether clients need a key.
         pub accounts: Accounts,
     }
 
--- a/sapphireslip-lead/src/catalog_relay.rs
+++ b/sapphireslip-lead/src/catalog_relay.rs
@@ -146,9 +146,9 @@
     /// Asks another daemon for a newer configuration if the store fails, clients need accounts or
     /// no configuration is known, and the last confirmation is too old.
     pub(crate) fn ask_for_catalog(&mut self) {
-        let names_accounts = |catalog: &Catalog| !catalog.accounts.is_empty();
+        let needs_keys = |catalog: &Catalog| catalog.accounts.are_required();
         let age = self.catalog_relay.age(self.now);
-        let is_needed = self.catalog.as_ref().is_none_or(names_accounts)
+        let is_needed = self.catalog.as_ref().is_none_or(needs_keys)
             && (self.has_store_failed() || self.catalog_relay.is_row_malformed)
             && age.is_none_or(|age| age > ASK_FROM_AGE)
             && !self.is_drain_finished()
--- a/sapphireslip-lead/src/client_account.rs
+++ b/sapphireslip-lead/src/client_account.rs
@@ -6,21 +6,21 @@
 use crate::job::Stage;
 use crate::session::Opening;
 use crate::state::State;
-use crate::{Effect, ErrorCode, Failure, KeyDigest, Route};
+use crate::{Catalog, Effect, ErrorCode, Failure, KeyDigest, Record, RecordKind, Route};
 
 impl State {
     /// Returns the account of a client by its key, or the failure if the route needs an account and
     /// the key belongs to none.
     ///
-    /// The account is none if the configuration names no accounts or the route is public and the key
-    /// is unknown.
+    /// The account is none if clients need no key, as the deployment has no accounts, or if the route is
+    /// public and the key is unknown.
     pub(crate) fn identify(
         &self,
         key: Option<KeyDigest>,
         route: &Route,
     ) -> Result<Option<AccountName>, Failure> {
         let accounts = self.catalog.as_ref().map(|catalog| &catalog.accounts);
-        let Some(accounts) = accounts.filter(|accounts| !accounts.is_empty()) else {
+        let Some(accounts) = accounts.filter(|accounts| accounts.are_required()) else {
             return Ok(None);
         };
         match key.and_then(|key| accounts.by_key(&key)) {
@@ -33,6 +33,28 @@
         }
     }
 
+    /// Returns the state of a daemon whose settings say that clients need keys, whatever its
+    /// configurations lack.
+    #[must_use]
+    pub fn with_required_accounts(mut self) -> Self {
+        self.requires_accounts = true;
+        self
+    }
+
+    /// Has clients need keys by a new configuration if they did by an earlier one or by the settings: a
+    /// list of accounts that is missing names nobody, and does not let everybody in.
+    pub(crate) fn keep_accounts_required(&mut self, catalog: &mut Catalog) {
+        self.requires_accounts |= catalog.accounts.are_required();
+        if !self.requires_accounts {
+            return;
+        }
+        catalog.accounts.require();
+        if catalog.accounts.all().next().is_none() {
+            let detail = "the configuration names no account; clients need a key all the same";
+            self.log(Record::new(RecordKind::AccountIgnored, detail.into()));
+        }
+    }
+
     /// Returns the account of a session by the present configuration, as [`Self::identify`].
     ///
     /// A session whose database has no route any more is not refused for its key.
--- a/sapphireslip-lead/src/state.rs
+++ b/sapphireslip-lead/src/state.rs
@@ -97,6 +97,8 @@
         pub(crate) effects: Vec<Effect>,
         /// The operator's configuration; none until one is read.
         pub(crate) catalog: Option<Catalog>,
+        /// Whether clients need keys, by the settings or any configuration since the start.
+        pub(crate) requires_accounts: bool,
         /// When `catalog` was applied.
         pub(crate) catalog_applied: Instant,
         /// How current `catalog` is, and the requests to other daemons for it.
@@ -177,6 +179,7 @@
             random: Random::new(seed),
             effects: Vec::new(),
             catalog: None,
+            requires_accounts: false,
             catalog_applied: Instant::default(),
             catalog_relay: CatalogRelay::default(),
             table_relay: TableRelay::default(),
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -277,7 +277,7 @@
     }
 
     /// Applies a configuration if it is newer than the present one.
-    pub(crate) fn on_catalog(&mut self, catalog: Catalog) {
+    pub(crate) fn on_catalog(&mut self, mut catalog: Catalog) {
         let present = self.catalog.as_ref().map_or(0, |present| present.version);
         if self.catalog.is_some() && catalog.version <= present {
             return;
@@ -292,6 +292,7 @@
             let line = Record::new(RecordKind::AccountIgnored, Text::clone(fault));
             self.effects.push(Effect::Log(line));
         }
+        self.keep_accounts_required(&mut catalog);
         self.leaders
             .retain_services(|service| catalog.services.contains_key(service));
         self.catalog = Some(catalog);
--- a/sapphireslip-lead/tests/accounts.rs
+++ b/sapphireslip-lead/tests/accounts.rs
@@ -128,6 +128,69 @@
     assert_eq!(daemon.run(session, "1", "READ x").failure(), None);
 }
 
+/// Guards against a deployment that lets everybody in once the configuration names no account any more,
+/// with an empty list or without one (review/14).
+#[rstest]
+#[case::holder_of_the_last_key(Some(KEY))]
+#[case::unknown_key(Some(KeyDigest([9; 16])))]
+#[case::no_key(None)]
+fn removal_of_the_last_account_lets_nobody_in(#[case] key: Option<KeyDigest>) {
+    let mut daemon = ready_with(with_key(2));
+    let session = daemon.open_as(PAYMENTS, Some(KEY), None);
+    let idle = daemon.open_as(PAYMENTS, Some(KEY), None);
+    daemon.run(session, "1", "BEGIN");
+    daemon.run(session, "2", "WRITE x 1");
+    read(&mut daemon, catalog_with(3, &[]));
+    assert!(daemon.closed.contains(&idle));
+    daemon.statements();
+    daemon.submit(session, "3", "COMMIT");
+    for version in [4, 5] {
+        let refused = daemon.open_as(PAYMENTS, key, None);
+        let code = refusal(&daemon, refused).map(|failure| failure.code);
+        assert_eq!(code, Some(ErrorCode::NoAccount));
+        daemon.submit(refused, "4", "READ x");
+        read(&mut daemon, catalog_with(version, &[]));
+    }
+    assert_eq!(daemon.statements(), []);
+}
+
+/// Guards against a door that stays shut: routes that are public, and accounts that are added again.
+#[rstest]
+fn removal_of_the_last_account_leaves_public_routes_open() {
+    let mut daemon = ready_with(with_key(2));
+    let mut public = catalog_with(3, &[]);
+    for route in public.routes.values_mut() {
+        route.is_public = true;
+    }
+    read(&mut daemon, public);
+    let session = daemon.open_as(PAYMENTS, None, None);
+    assert_eq!(daemon.run(session, "1", "READ x").failure(), None);
+    read(&mut daemon, with_key(4));
+    assert_eq!(refusal_of_new_session(&mut daemon), None);
+}
+
+/// Guards against a daemon that has just started and admits everybody as the configuration lacks its accounts,
+/// and against a deployment without accounts that serves nobody.
+#[rstest]
+#[case::accounts_by_the_settings(true)]
+#[case::deployment_without_accounts(false)]
+fn first_configuration_without_accounts(#[case] requires_accounts: bool) {
+    let mut daemon = Daemon::new("a");
+    if requires_accounts {
+        daemon.change_state(sapphireslip_lead::State::with_required_accounts);
+    }
+    read(&mut daemon, catalog(1));
+    daemon.advance(2_000);
+    let session = daemon.open_as(PAYMENTS, Some(KEY), None);
+    match requires_accounts {
+        true => {
+            let code = refusal(&daemon, session).map(|failure| failure.code);
+            assert_eq!(code, Some(ErrorCode::NoAccount));
+        }
+        false => assert_eq!(daemon.run(session, "1", "READ x").failure(), None),
+    }
+}
+
 /// Guards against sessions that keep their rights after their key was taken away.
 #[rstest]
 fn revoked_idle_session_is_closed() {
@@ -199,6 +262,15 @@
 
 /// Returns a daemon with an open session that knows daemons of its own and of another zone.
 fn with_others() -> (Daemon, SessionId) {
+    let mut daemon = among_others();
+    read(&mut daemon, with_key(2));
+    let session = daemon.open_as(PAYMENTS, Some(KEY), None);
+    daemon.effects.clear();
+    (daemon, session)
+}
+
+/// Returns a daemon without accounts that knows daemons of its own and of another zone.
+fn among_others() -> Daemon {
     let mut daemon = Daemon::ready();
     for name in ["b-1", "b-2", "b-3"] {
         daemon.store.add_permission(presence(name, "b"));
@@ -209,10 +281,8 @@
     };
     daemon.store.add_permission(dead);
     daemon.advance(2_500);
-    read(&mut daemon, with_key(2));
-    let session = daemon.open_as(PAYMENTS, Some(KEY), None);
     daemon.effects.clear();
-    (daemon, session)
+    daemon
 }
 
 /// Guards against keys that stay valid at the daemons that the store turns away.
@@ -343,22 +413,20 @@
 }
 
 #[rstest]
-#[case::store_answers(with_key(2), true, 0)]
-#[case::no_accounts(catalog(2), false, 0)]
-#[case::accounts(with_key(2), false, 1)]
+#[case::store_answers(Some(with_key(3)), true, 0)]
+#[case::no_accounts(None, false, 0)]
+#[case::accounts(Some(with_key(3)), false, 1)]
+#[case::last_account_removed(Some(catalog(3)), false, 1)]
 fn others_are_asked_only_without_the_store_and_with_accounts(
-    #[case] catalog: Catalog,
+    #[case] catalog: Option<Catalog>,
     #[case] store_answers: bool,
     #[case] expected: usize,
 ) {
-    let (mut daemon, _) = with_others();
-    read(
-        &mut daemon,
-        Catalog {
-            version: 3,
-            ..catalog
-        },
-    );
+    let mut daemon = match catalog {
+        Some(_) => with_others().0,
+        None => among_others(),
+    };
+    read(&mut daemon, catalog.unwrap_or_else(|| support::catalog(3)));
     if !store_answers {
         lose_store(&mut daemon);
     }
--- a/sapphireslipd/src/lead_run.rs
+++ b/sapphireslipd/src/lead_run.rs
@@ -91,9 +91,13 @@
     };
     log::info!(callers:% = settings.clients, incarnation = incarnation.0; "started");
     let shares = ShareLink::start(events_tx.clone());
+    let state = State::new(identity, settings.server_drain_bound, incarnation.0)
+        .with_rate_bounds(settings.rates);
     let runner = LeadRunner {
-        state: State::new(identity, settings.server_drain_bound, incarnation.0)
-            .with_rate_bounds(settings.rates),
+        state: match settings.requires_accounts {
+            true => state.with_required_accounts(),
+            false => state,
+        },
         clock,
         events,
         events_tx,
--- a/sapphireslipd/src/lead_settings.rs
+++ b/sapphireslipd/src/lead_settings.rs
@@ -12,7 +12,8 @@
 //! server_drain_bound = "7s"     # a server that leaves gets no new work after it; optional
 //! settle_time = "4s"            # after a fault the platform's bounds hold again; optional
 //! processor_share = "0.25"      # the cores that the VM has for this daemon; optional
-//! rate_window = "5s"            # accounts keep their limits in any span of this length; optional
+//! rate_window = "5s"            # accounts keep their limits in any span of this length; optional.
+//!                               # Clients need a key where any of these three is given
 //! rate_overshoot = "0.1"        # by this part they may exceed them; optional
 //! rate_slack = "20"             # and by so many operations; optional
 //!
@@ -99,6 +100,9 @@
     pub millicores: u32,
     /// How far the operations of an account may exceed its limit.
     pub rates: RateBounds,
+    /// Whether the deployment has accounts, so that clients need a key also if the configuration names
+    /// none: the settings say how accounts keep their limits.
+    pub requires_accounts: bool,
     /// The address of the platform's store.
     pub store: SocketAddr,
     /// The address of the platform's service that promotes servers.
@@ -157,6 +161,7 @@
     );
     let millicores = processor_share(&mut root, faults);
     let rates = rate_bounds(&mut root, faults);
+    let requires_accounts = rates.is_some();
     let store = service(&mut root, faults, "store");
     let promotion = service(&mut root, faults, "promotion");
     root.finish(faults);
@@ -172,7 +177,8 @@
         server_drain_bound: server_drain_bound.unwrap_or(SERVER_DRAIN_BOUND_DEFAULT),
         settle_time: settle_time.unwrap_or(SETTLE_TIME_DEFAULT),
         millicores: millicores.unwrap_or(MILLICORES_DEFAULT),
-        rates,
+        rates: rates.unwrap_or_default(),
+        requires_accounts,
         store: store?.value,
         promotion: promotion?.value,
     })
@@ -197,23 +203,25 @@
     }
 }
 
-/// Reads the optional bounds on how far accounts may exceed their limits.
-fn rate_bounds(root: &mut TomlTable<'_>, faults: &mut Faults<'_>) -> RateBounds {
+/// Reads the optional bounds on how far accounts may exceed their limits; none if no bound is given.
+fn rate_bounds(root: &mut TomlTable<'_>, faults: &mut Faults<'_>) -> Option<RateBounds> {
     let default = RateBounds::default();
     let range = RATE_WINDOW_MIN..=RATE_WINDOW_MAX;
     let window = duration(root, faults, "rate_window", range);
     let overshoot = number(root, faults, "rate_overshoot", RATE_OVERSHOOT_MAX);
     let slack = number(root, faults, "rate_slack", RATE_SLACK_MAX);
+    let has_bounds = window.is_some() || overshoot.is_some() || slack.is_some();
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
         reason = "both numbers are between 0 and a million"
     )]
-    RateBounds {
+    let bounds = RateBounds {
         window: window.unwrap_or(default.window),
         overshoot_millis: overshoot.map_or(default.overshoot_millis, |n| (n * 1_000.0) as u32),
         slack: slack.map_or(default.slack, |n| n as u64),
-    }
+    };
+    has_bounds.then_some(bounds)
 }
 
 /// Reads an optional number from 0 to `max`.
--- a/sapphireslipd/tests/lead_catalog.rs
+++ b/sapphireslipd/tests/lead_catalog.rs
@@ -126,3 +126,24 @@
     store.put_each("op", "config", &[sixth.as_bytes(), b"{\"version\":"]);
     wait_until_answered(&daemon, "key-6", "READY", REVOCATION_BOUND).await;
 }
+
+/// Guards against a daemon that lets everybody in once the configuration names no account any more, also one
+/// that starts then (review/14).
+#[tokio::test]
+async fn removal_of_the_last_account_lets_nobody_in() {
+    let site = start_line_site(DATABASE, SERVICE).await;
+    let (_group, store) = site.expect("servers and a store");
+    write_config(&store, 2, "last-key");
+    let daemon = settings("vm-1", 4, store.address());
+    start_daemon(&daemon, "last-key").await;
+    let config = line_configuration(3, DATABASE, SERVICE);
+    let without_accounts = config.replacen('{', r#"{"tenants":[],"#, 1);
+    store.put("op", "config", without_accounts.as_bytes());
+    wait_until_answered(&daemon, "last-key", "ERROR NOAUTH", REVOCATION_BOUND).await;
+    wait_until_answered(&daemon, "unknown-key", "ERROR NOAUTH", REVOCATION_BOUND).await;
+    let later = settings("vm-2", 5, store.address());
+    tokio::spawn(serve_lead(later.clone()));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let (_, refused) = open(&later, "unknown-key").await;
+    assert!(refused.starts_with("ERROR"), "{refused}");
+}
--- a/sapphireslipd/tests/lead_settings.rs
+++ b/sapphireslipd/tests/lead_settings.rs
@@ -75,6 +75,7 @@
 fn rate_bounds_are_read(#[case] lines: &str, #[case] expected: RateBounds) {
     let settings = LeadSettings::try_from(with_line(lines).as_bytes()).expect("without a fault");
     assert_eq!(settings.rates, expected);
+    assert_eq!(settings.requires_accounts, !lines.is_empty());
 }
 
 #[rstest]
