--- a/sapphireslip-lead/src/client.rs
+++ b/sapphireslip-lead/src/client.rs
@@ -4,6 +4,7 @@
 
 use crate::drain::STOPPING;
 use crate::job::{Begin, Job, JobId, Stage, Work};
+use crate::own_writes::OwnWrite;
 use crate::refusal::{RETRY_ELSEWHERE, busy};
 use crate::session::{Opening, PIPELINED_STATEMENTS_MAX, Session};
 use crate::session_statement::StatementAction;
@@ -228,7 +229,12 @@
             .map(|transaction| Begin {
                 reads_only: transaction.reads_only,
             });
-        let last_write = session.last_write_to(&route.service);
+        let own_write = session.own_writes.last_to(&route.service);
+        let needs_leader = match route.freshness {
+            Freshness::Primary => true,
+            Freshness::OwnWrites(_) => !reads_only || own_write == OwnWrite::Unknown,
+            Freshness::Bounded(_) => !reads_only,
+        };
         let in_transaction = transaction.is_some();
         let job = Job {
             session: id,
@@ -237,8 +243,8 @@
             work,
             in_transaction,
             pending_begin,
-            needs_leader: !reads_only || route.freshness == Freshness::Primary,
-            last_write,
+            needs_leader,
+            own_write,
             priority: route.priority,
             arrived: self.now,
             deadline: self.now + route.timeout,
--- a/sapphireslip-lead/src/completion.rs
+++ b/sapphireslip-lead/src/completion.rs
@@ -230,11 +230,11 @@
                 return self
                     .answer_unknown(id, "the primary was superseded before the answer came");
             }
-            let last_write = reply
-                .position
-                .map(|position| (job.service.clone(), position));
-            if let Some(session) = self.sessions.get_mut(&session) {
-                session.last_write = last_write.or(session.last_write.take());
+            // A transaction that only reads commits nothing at a replica.
+            if job.needs_leader
+                && let Some(session) = self.sessions.get_mut(&session)
+            {
+                session.own_writes.note(&job.service, reply.position);
             }
         }
         self.deliver(id, reply);
--- a/sapphireslip-lead/src/job.rs
+++ b/sapphireslip-lead/src/job.rs
@@ -7,6 +7,7 @@
     AccountName, ConnectionId, Instant, ServerId, ServiceName, SessionId, data, key,
 };
 
+use crate::own_writes::OwnWrite;
 use crate::{Freshness, NumberedShape, Query, ServerRequest, Term, TermPosition};
 
 key! {
@@ -48,9 +49,9 @@
         pub(crate) freshness: Freshness,
         /// Whether only the primary may run the statement.
         pub(crate) needs_leader: bool,
-        /// The log position of the session's last write to the service, which a read on a route
-        /// with [`Freshness::OwnWrites`] must see.
-        pub(crate) last_write: Option<TermPosition>,
+        /// The session's last write to the service, which a read on a route with
+        /// [`Freshness::OwnWrites`] must see.
+        pub(crate) own_write: OwnWrite,
         /// The route's rank among waiting statements: 0 is sent first.
         pub(crate) priority: u8,
         /// When the statement arrived; for a pipelined one, when the previous one was answered.
@@ -105,11 +106,9 @@
     ///
     /// `service_floor` is the position that the route's staleness bound requires.
     pub(crate) fn floor(&self, service_floor: TermPosition) -> TermPosition {
-        match self.freshness {
-            Freshness::OwnWrites(_) => self
-                .last_write
-                .map_or(service_floor, |w| w.max(service_floor)),
-            Freshness::Bounded(_) | Freshness::Primary => service_floor,
+        match (&self.freshness, &self.own_write) {
+            (Freshness::OwnWrites(_), OwnWrite::At(write)) => service_floor.max(*write),
+            _ => service_floor,
         }
     }
 
--- a/sapphireslip-lead/src/lib.rs
+++ b/sapphireslip-lead/src/lib.rs
@@ -36,6 +36,7 @@
 mod leaders;
 mod new_work;
 mod old_leader_work;
+mod own_writes;
 mod permission;
 mod pool;
 mod probes;
--- a/sapphireslip-lead/src/session.rs
+++ b/sapphireslip-lead/src/session.rs
@@ -3,13 +3,12 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use sapphireslip_core::{
-    ConnectionId, Instant, ServiceName, SessionId, Text, TransactionStatus, data,
-};
+use sapphireslip_core::{ConnectionId, Instant, SessionId, Text, TransactionStatus, data};
 
 use crate::job::JobId;
+use crate::own_writes::OwnWrites;
 use crate::state::State;
-use crate::{KeyDigest, Query, Route, Shape, Term, TermPosition};
+use crate::{KeyDigest, Query, Route, Shape, Term};
 
 /// Limit on the variables of one session, and separately on its prepared statements.
 pub(crate) const SESSION_NAMES_MAX: usize = 256;
@@ -42,8 +41,8 @@
         pub(crate) running: Option<JobId>,
         /// Statements that arrived while an earlier one was unanswered, the oldest first.
         pub(crate) pipelined: VecDeque<Query>,
-        /// The service of the session's last acknowledged write, and the write's log position.
-        pub(crate) last_write: Option<(ServiceName, TermPosition)>,
+        /// The session's last acknowledged write to each service.
+        pub(crate) own_writes: OwnWrites,
         /// When the session last received an answer, or when it was opened.
         pub(crate) last_answer: Instant,
         /// Whether another daemon forwarded the session to this one.
@@ -90,7 +89,7 @@
             transaction: None,
             running: None,
             pipelined: VecDeque::new(),
-            last_write: None,
+            own_writes: OwnWrites::default(),
             last_answer: now,
             is_forwarded,
             is_closing: false,
@@ -117,12 +116,6 @@
     pub(crate) fn is_idle_for(&self, now: Instant, pause: Duration) -> bool {
         self.is_idle() && now.since(self.last_answer) >= pause
     }
-
-    /// Returns the log position of the session's last write if that went to `service`.
-    pub(crate) fn last_write_to(&self, service: &ServiceName) -> Option<TermPosition> {
-        let (service_written, position) = self.last_write.as_ref()?;
-        (service_written == service).then_some(*position)
-    }
 }
 
 impl State {
--- a/sapphireslip-lead/tests/support/daemon.rs
+++ b/sapphireslip-lead/tests/support/daemon.rs
@@ -61,6 +61,8 @@
     pub prepared: Prepared,
     /// The position that servers report in place of their own.
     pub reported_position: Option<TermPosition>,
+    /// Whether servers tell no position.
+    pub hides_positions: bool,
     /// The number of calls to the store.
     pub store_calls: usize,
     /// The log records, the oldest first.
@@ -151,6 +153,7 @@
             new_work: Vec::new(),
             prepared: Prepared::default(),
             reported_position: None,
+            hides_positions: false,
             store_calls: 0,
             records: Vec::new(),
             held: Vec::new(),
@@ -480,6 +483,9 @@
                 ..status
             });
         }
+        if self.hides_positions {
+            reply.position = None;
+        }
         self.event(Event::Server(ServerEvent::Replied {
             connection,
             reply,
