--- a/sapphireslip-lead/tests/superseded_primary.rs
+++ b/sapphireslip-lead/tests/superseded_primary.rs
@@ -5,7 +5,10 @@
 use rstest::rstest;
 use sapphireslip_core::ServerId;
 use sapphireslip_lead::{ErrorCode, Event, Role, Term};
-use support::{BALANCES, Daemon, FakeStore, Fleet, PAYMENTS, catalog, server, service};
+use support::{
+    BALANCES, Daemon, EventKind, FakeStore, Fleet, PAYMENTS, PlannedEvent, catalog, play, server,
+    service,
+};
 
 /// The longest time without a primary once a server can be promoted, in milliseconds: the platform
 /// expects requests to be served again after 12 s.
@@ -211,3 +214,20 @@
     assert!(fleet.acknowledged() > before + 20);
     assert_eq!(fleet.violations(), Vec::<String>::new());
 }
+
+/// Guards against writes that are acknowledged and lost: a promotion takes effect at a server that nobody hears,
+/// and the former primary is named again once the request is too old to take effect (review/13). The search
+/// drew the plan.
+#[rstest]
+fn unseen_promotion_is_not_taken_for_none(
+    #[values(14, 32, 66, 85, 126, 13_961_055_452_770)] seed: u64,
+) {
+    let event = |after, lasts, kind| PlannedEvent { after, lasts, kind };
+    let plan = [
+        event(2_220, 810, EventKind::Dark("s-a")),
+        event(144, 50, EventKind::Cut(0, "s-a")),
+        event(1_026, 5_940, EventKind::Dark("s-c")),
+        event(0, 5_220, EventKind::Dark("s-b")),
+    ];
+    assert_eq!(play(seed, &plan), Vec::<String>::new());
+}
