--- a/sapphireslip-lead/src/completion.rs
+++ b/sapphireslip-lead/src/completion.rs
@@ -11,7 +11,7 @@
 use crate::state::State;
 use crate::{
     ConnectFailure, Effect, ErrorCode, Failure, Record, RecordKind, Reply, ServerEvent,
-    ServerStatus,
+    ServerStatus, TermPosition,
 };
 
 /// Limit on how many times a statement is sent.
@@ -27,7 +27,10 @@
     /// Handles one event of a server connection.
     pub(crate) fn on_server(&mut self, event: ServerEvent) {
         match event {
-            ServerEvent::Connected { connection } => self.on_connected(connection),
+            ServerEvent::Connected {
+                connection,
+                position,
+            } => self.on_connected(connection, position),
             ServerEvent::ConnectFailed {
                 connection,
                 failure,
@@ -46,7 +49,7 @@
     }
 
     /// Puts a new connection into use; closes it if it has been given up meanwhile.
-    fn on_connected(&mut self, id: ConnectionId) {
+    fn on_connected(&mut self, id: ConnectionId, position: Option<TermPosition>) {
         let Some(connection) = self.pool.get_mut(id) else {
             return self.effects.push(Effect::Disconnect { connection: id });
         };
@@ -54,8 +57,9 @@
         connection.last_heard = self.now;
         connection.last_used = self.now;
         let serves_account = connection.account().is_some();
-        let server = connection.server.clone();
+        let (server, before) = (connection.server.clone(), connection.position_before);
         self.note_answer(&server);
+        self.note_opening_position(&server, before, position);
         // A connection of an account was opened for a statement that waits.
         if !serves_account || self.is_probe_due(&server) {
             self.probe(&server);
@@ -293,7 +297,7 @@
                 ErrorCode::Lagging => known.note_lagging(now),
                 ErrorCode::ReadOnly => {
                     let id = known.record.id.clone();
-                    self.leaders.unconfirm(&id);
+                    self.leaders.unconfirm(&id, now);
                     self.probe(&id);
                 }
                 _ => {}
--- a/sapphireslip-lead/src/connection.rs
+++ b/sapphireslip-lead/src/connection.rs
@@ -9,7 +9,7 @@
 use crate::connection_choice::Usage;
 use crate::job::JobId;
 use crate::session::Session;
-use crate::{NumberedShape, ServerRequest, ShapeNumber};
+use crate::{NumberedShape, ServerRequest, ShapeNumber, TermPosition};
 
 /// Limit on the statements prepared on one connection; a connection that reaches it is reset.
 const PREPARED_MAX: usize = 128;
@@ -46,6 +46,8 @@
         pub(crate) last_used: Instant,
         /// Whether a statement was sent on the connection.
         has_carried_statement: bool,
+        /// The last position that the server had reported when the opening began; none if it had not.
+        pub(crate) position_before: Option<TermPosition>,
     }
 
     /// What a connection is used for.
@@ -101,6 +103,7 @@
             last_heard: now,
             last_used: now,
             has_carried_statement: false,
+            position_before: None,
         }
     }
 
--- a/sapphireslip-lead/src/coordinator.rs
+++ b/sapphireslip-lead/src/coordinator.rs
@@ -330,12 +330,12 @@
             self.name_leader(service, &newer.0, Term(newer.1.0.saturating_sub(1)));
             return;
         }
-        if self.has_stayed_behind(service, &leader) {
-            self.ask_for_later_primary(service);
-            if self.is_row_outdated(service) {
-                self.name_leader(service, &leader, Term(0));
-                return;
-            }
+        if self.leaders.term(service).is_none() && self.has_reported_since(service, &leader) {
+            self.ask_for_reports(service);
+        }
+        if self.is_row_outdated(service) && self.has_stayed_behind(service, &leader) {
+            self.name_leader(service, &leader, Term(0));
+            return;
         }
         self.note_missing_replacement(service, &leader);
         if let Some(reason) = self.reason_to_replace(service, &leader) {
@@ -345,7 +345,10 @@
             && self.is_left_unpromoted(service, &leader)
             && !self.awaits_newer_primary(service, &leader)
         {
-            self.resume_handover(service, leader);
+            match self.has_lost_records(service, &leader) {
+                true => self.begin_handover(service, None, Reason::NoPrimary),
+                false => self.resume_handover(service, leader),
+            }
         }
     }
 
--- a/sapphireslip-lead/src/earlier_primary.rs
+++ b/sapphireslip-lead/src/earlier_primary.rs
@@ -39,17 +39,22 @@
     /// Returns whether the named leader reports an earlier term in answer to a request that was sent after
     /// this daemon had learned of the later one.
     pub(crate) fn has_stayed_behind(&self, service: &ServiceName, leader: &ServerId) -> bool {
-        let server = self.servers.get(leader);
+        self.has_reported_since(service, leader) && self.leads_earlier_term(service, leader)
+    }
+
+    /// Returns whether a server has answered a request for its status that was sent after the leader of its
+    /// service last changed, or was superseded or deposed.
+    pub(crate) fn has_reported_since(&self, service: &ServiceName, id: &ServerId) -> bool {
+        let server = self.servers.get(id);
         let asked = server.and_then(|server| server.status_request_sent);
-        asked > self.leaders.changed_at(service) && self.leads_earlier_term(service, leader)
+        asked > self.leaders.changed_at(service)
     }
 
-    /// Asks the servers of a service whether they lead that have not reported it since this daemon learned
-    /// of a later term than that of the named leader.
-    pub(crate) fn ask_for_later_primary(&mut self, service: &ServiceName) {
-        let learned = self.leaders.changed_at(service);
+    /// Asks the servers of a service for their status that have not reported it since the leader of the
+    /// service last changed, or was superseded or deposed.
+    pub(crate) fn ask_for_reports(&mut self, service: &ServiceName) {
         let servers = self.servers.of(service);
-        let unasked = servers.filter(|(_, server)| server.status_request_sent <= learned);
+        let unasked = servers.filter(|(id, _)| !self.has_reported_since(service, id));
         let unasked: Vec<ServerId> = unasked.map(|(id, _)| id.clone()).collect();
         for id in unasked {
             self.probe(&id);
--- a/sapphireslip-lead/src/event.rs
+++ b/sapphireslip-lead/src/event.rs
@@ -9,7 +9,7 @@
 use crate::{
     Catalog, CoordinatorRecord, KeyDigest, LeaderTable, PermissionTable, Query, Reply, RowVersion,
     ServerRecord, ServerStatus, ShareAnswer, ShareRequest, StayingServers, StoreEra, StoreTime,
-    TablesRequest, ToldCatalog, ToldTables, UnreadableRow,
+    TablesRequest, TermPosition, ToldCatalog, ToldTables, UnreadableRow,
 };
 
 data! {
@@ -206,6 +206,8 @@
         Connected {
             /// The connection that was opened.
             connection: ConnectionId,
+            /// The last position of the server's log then; none if the server told none.
+            position: Option<TermPosition>,
         },
         /// The connection could not be opened.
         ConnectFailed {
--- a/sapphireslip-lead/src/handover.rs
+++ b/sapphireslip-lead/src/handover.rs
@@ -83,6 +83,8 @@
         received: Option<TermPosition>,
         /// When `received` last changed.
         last_progress: Instant,
+        /// The life of the new leader in which it was chosen; none before that.
+        life: Option<(u64, u64)>,
         /// When the platform first accepted the request to promote the new leader; none before.
         pub(crate) accepted: Option<Instant>,
     }
@@ -132,6 +134,7 @@
             since: self.now,
             received: None,
             last_progress: self.now,
+            life: None,
             accepted: None,
         };
         self.note_step(service, &handover);
@@ -144,6 +147,7 @@
         let Some((record, version)) = self.leaders.table.leaders.get(service) else {
             return;
         };
+        let life = self.life_of(&leader);
         let handover = Handover {
             old: None,
             new: Some(leader),
@@ -154,6 +158,7 @@
             since: self.now,
             received: None,
             last_progress: self.now,
+            life,
             accepted: None,
         };
         self.note_step(service, &handover);
@@ -194,6 +199,12 @@
         let Some(handover) = self.coordinator.handovers.get(service).cloned() else {
             return;
         };
+        let life = handover.new.as_ref().and_then(|new| self.life_of(new));
+        let has_restarted = life.is_some() && handover.life.is_some() && life != handover.life;
+        if has_restarted && matches!(handover.step, Step::CatchingUp | Step::Promoting(_)) {
+            // The server that was chosen for its log has lost that.
+            return self.begin_handover(service, None, Reason::NoPrimary);
+        }
         match handover.step {
             Step::Choosing => self.choose(service, &handover),
             Step::Naming => {}
@@ -208,10 +219,12 @@
         if !self.name_leader(service, &new, above) {
             return;
         }
+        let life = self.life_of(&new);
         if let Some(handover) = self.coordinator.handovers.get_mut(service) {
             handover.new = Some(new);
             handover.above = above;
             handover.accepted = None;
+            handover.life = life;
         }
         self.set_step(service, Step::Naming);
     }
--- a/sapphireslip-lead/src/leader_choice.rs
+++ b/sapphireslip-lead/src/leader_choice.rs
@@ -19,7 +19,7 @@
 
 /// The most records that a new leader may lack of a primary that still answers. These few usually
 /// arrive while writes go on, but may not arrive after the last write.
-const LAG_MAX_RECORDS: u64 = 20;
+pub(crate) const LAG_MAX_RECORDS: u64 = 20;
 
 /// How long a replica that lacks more records is waited for, while the primary continues to serve.
 const LAG_WAIT_MAX: Duration = Duration::from_millis(3_500);
@@ -106,6 +106,10 @@
         {
             return;
         }
+        let is_alone = unanswered.is_empty() && others.len() == self.servers.of(service).count();
+        if self.leaders.is_deposed(service, &best) && !is_alone && waited < RETURN_WAIT_MAX {
+            return;
+        }
         if self.is_too_short(service, handover, &best) {
             return;
         }
--- a/sapphireslip-lead/src/leaders.rs
+++ b/sapphireslip-lead/src/leaders.rs
@@ -32,6 +32,9 @@
         /// For each service, the server that last reported itself as primary while it was the
         /// named leader, and the term that it reported.
         confirmed_terms: BTreeMap<ServiceName, (ServerId, Term)>,
+        /// The named leaders that have led and do not any more: they were succeeded, or have started
+        /// again.
+        deposed: BTreeMap<ServiceName, ServerId>,
         /// The highest term that each service of the configuration is known to have reached.
         reached: ReachedTerms,
         /// When this daemon last learned of a new leader row of each service, or that its leader is
@@ -92,9 +95,24 @@
 
     /// Forgets what was known of the services for which `is_kept` is false.
     pub(crate) fn retain_services(&mut self, is_kept: impl Fn(&ServiceName) -> bool) {
+        self.deposed.retain(|service, _| is_kept(service));
         self.reached.retain(is_kept);
     }
 
+    /// Forgets the deposed leaders that are no longer named.
+    fn forget_deposed(&mut self) {
+        let leaders = &self.table.leaders;
+        self.deposed.retain(|service, deposed| {
+            let named = leaders.get(service);
+            named.is_some_and(|(record, _)| record.leader == *deposed)
+        });
+    }
+
+    /// Returns whether a named leader has led and does not any more.
+    pub(crate) fn is_deposed(&self, service: &ServiceName, leader: &ServerId) -> bool {
+        self.deposed.get(service) == Some(leader)
+    }
+
     /// Returns whether work that was sent to `server` in `term` is no longer covered: the store names
     /// another leader, or the same one for a later term, or the service has reached a later term.
     pub(crate) fn has_replaced(
@@ -109,7 +127,15 @@
     }
 
     /// Discards a server's confirmation as leader until it reports itself as primary again.
-    pub(crate) fn unconfirm(&mut self, server: &ServerId) {
+    pub(crate) fn unconfirm(&mut self, server: &ServerId, now: Instant) {
+        let confirmed = self.confirmed_terms.iter();
+        let led = confirmed
+            .filter(|(service, (leader, _))| leader == server && self.term(service).is_some());
+        let led: Vec<ServiceName> = led.map(|(service, _)| service.clone()).collect();
+        for service in led {
+            self.last_changes.insert(service.clone(), now);
+            self.deposed.insert(service, server.clone());
+        }
         self.confirmed_terms
             .retain(|_, (leader, _)| leader != server);
     }
@@ -222,6 +248,7 @@
             self.leaders.last_changes.insert(service.clone(), self.now);
         }
         self.leaders.table = table;
+        self.leaders.forget_deposed();
         self.note_unreadable_role();
         if !self.leaders.is_known {
             self.note_earlier_run();
@@ -250,7 +277,7 @@
         }
         match status.role {
             Role::Primary => self.confirm(&service, server, status.term),
-            Role::Replica => self.leaders.unconfirm(server),
+            Role::Replica => self.leaders.unconfirm(server, self.now),
         }
     }
 
@@ -289,6 +316,9 @@
         self.leaders
             .confirmed_terms
             .insert(service.clone(), (server.clone(), term));
+        if self.leaders.term(service).is_some() {
+            self.leaders.deposed.remove(service);
+        }
         if before.is_none() && self.leaders.term(service).is_some() {
             self.floors.entry(service.clone()).or_default().clear();
             let line = Record::new(
--- a/sapphireslip-lead/src/lib.rs
+++ b/sapphireslip-lead/src/lib.rs
@@ -34,6 +34,7 @@
 mod lead_record;
 mod leader_choice;
 mod leaders;
+mod lost_log;
 mod new_work;
 mod old_leader_work;
 mod own_writes;
--- a/sapphireslip-lead/src/server.rs
+++ b/sapphireslip-lead/src/server.rs
@@ -87,6 +87,8 @@
         pub(crate) last_answer: Option<Instant>,
         /// The last log position that the server reported.
         pub(crate) position: Option<TermPosition>,
+        /// How often the server has accepted a connection with a shorter log than it had reported before.
+        pub(crate) shortened_logs: u64,
         /// Since when the server has been failing; none if nothing has failed since its last
         /// answer.
         failing_since: Option<Instant>,
@@ -122,6 +124,7 @@
             last_probe: None,
             last_answer: None,
             position: None,
+            shortened_logs: 0,
             failing_since: None,
             refused_in_a_row: 0,
             connect_pause: CONNECT_PAUSE_MIN,
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -254,7 +254,7 @@
             self.log(record);
         }
         for server in change.gone {
-            self.leaders.unconfirm(&server);
+            self.leaders.unconfirm(&server, self.now);
         }
         self.renew_permission();
         self.keep_connections();
--- a/sapphireslip-lead/tests/support/fleet.rs
+++ b/sapphireslip-lead/tests/support/fleet.rs
@@ -315,9 +315,14 @@
                 connection, server, ..
             } => {
                 if self.reaches(n, &server) {
+                    let position = Some(self.group.get(&server).position());
                     let state = (server, TransactionStatus::Idle);
                     self.daemons[n].connections.insert(connection, state);
-                    self.schedule(n, 20, Event::Server(ServerEvent::Connected { connection }));
+                    let connected = ServerEvent::Connected {
+                        connection,
+                        position,
+                    };
+                    self.schedule(n, 20, Event::Server(connected));
                 } else {
                     let failure = ConnectFailure::Silent;
                     let event = ServerEvent::ConnectFailed {
--- a/sapphireslip-lead/tests/support/group.rs
+++ b/sapphireslip-lead/tests/support/group.rs
@@ -25,6 +25,8 @@
     pub is_busy: bool,
     /// Whether the server accepts no connection and answers no request.
     pub is_isolated: bool,
+    /// When the server was born, by the list.
+    pub born: u64,
     /// The service that the server belongs to.
     service: ServiceName,
     /// The server's availability zone.
@@ -59,6 +61,7 @@
             is_unlisted: false,
             is_busy: false,
             is_isolated: false,
+            born: 1,
             service: service(),
             zone,
         };
@@ -100,7 +103,7 @@
             slots: 2,
             is_draining: server.is_draining,
             role: server.role,
-            born: 1,
+            born: server.born,
         };
         let servers = self.servers.iter().enumerate();
         let listed = servers.filter(|(_, server)| !server.is_unlisted);
@@ -118,6 +121,7 @@
             is_unlisted: false,
             is_busy: false,
             is_isolated: false,
+            born: 1,
             service: name.clone(),
             zone: "a",
         });
@@ -178,6 +182,13 @@
 }
 
 impl FakeServer {
+    /// Starts again under the same name: the server has lost its log and knows of no term.
+    pub fn start_again(&mut self) {
+        (self.role, self.term) = (Role::Replica, Term(0));
+        self.log.clear();
+        self.born += 1;
+    }
+
     /// Returns the last position of the server's log.
     pub fn position(&self) -> TermPosition {
         TermPosition {
--- a/sapphireslip-lead/tests/support/mod.rs
+++ b/sapphireslip-lead/tests/support/mod.rs
@@ -10,6 +10,7 @@
 mod accounts;
 mod closing;
 mod daemon;
+mod daemon_steps;
 mod fleet;
 mod fleet_history;
 mod fleet_plan;
--- a/sapphireslip-lead/tests/support/store.rs
+++ b/sapphireslip-lead/tests/support/store.rs
@@ -28,6 +28,19 @@
     }
 }
 
+/// Returns the row of a daemon whose permission ends at `millis` on the daemons' clocks.
+pub fn presence_until(
+    name: &str,
+    zone_name: &str,
+    millis: u64,
+    store: &FakeStore,
+) -> PermissionRecord {
+    PermissionRecord {
+        until: store.now(millis),
+        ..presence(name, zone_name)
+    }
+}
+
 /// A store that carries out a write only if its conditions hold. It keeps the versions as its own
 /// numbers, and adds its era to those that it tells.
 #[derive(Clone, Debug, Default)]
--- a/sapphireslipd/src/lead_servers.rs
+++ b/sapphireslipd/src/lead_servers.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use sapphireslip_core::{AccountName, ConnectionId, ServerId, ServiceName};
-use sapphireslip_lead::{ConnectFailure, Event, Reply, ServerEvent, ServerRequest};
+use sapphireslip_lead::{ConnectFailure, Event, Reply, ServerEvent, ServerRequest, TermPosition};
 use sapphireslip_platform::{
     ReplyReader, connect_failure, decode_status, encode_request, encode_start,
 };
@@ -111,7 +111,7 @@
     async fn run(self, to: Target) {
         let opened = tokio::time::timeout(CONNECT_TIMEOUT, open(&to)).await;
         let opened = opened.unwrap_or(Err(ConnectFailure::Silent));
-        let (lines, writer) = match opened {
+        let (lines, writer, position) = match opened {
             Ok(opened) => opened,
             Err(failure) => {
                 return self
@@ -124,6 +124,7 @@
         };
         self.send_event(ServerEvent::Connected {
             connection: self.id,
+            position,
         })
         .await;
         if let Err(err) = self.serve(lines, writer).await {
@@ -189,8 +190,11 @@
     }
 }
 
-/// Connects to a server and waits until it has confirmed the service and its own name.
-async fn open(to: &Target) -> Result<(LineReader, OwnedWriteHalf), ConnectFailure> {
+/// Connects to a server and waits until it has confirmed the service and its own name. Returns the last
+/// position of its log too.
+async fn open(
+    to: &Target,
+) -> Result<(LineReader, OwnedWriteHalf, Option<TermPosition>), ConnectFailure> {
     let failure = |err: io::Error| {
         log::debug!("connecting to `{}` at `{}`: {err}", to.server, to.address);
         match err.kind() {
@@ -216,8 +220,8 @@
         if let Some(refusal) = reader.refusal() {
             return Err(connect_failure(refusal));
         }
-        if reply.is_some() {
-            return Ok((lines, writer));
+        if let Some(reply) = reply {
+            return Ok((lines, writer, reply.position));
         }
     }
 }
