--- a/sapphireslip-lead/src/client.rs
+++ b/sapphireslip-lead/src/client.rs
@@ -301,6 +301,10 @@
             transaction.idle_since = self.now;
         }
         self.effects.push(Effect::Answer { session: id, reply });
+        self.end_transaction_of_earlier_account(id);
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
         match session.pipelined.pop_front() {
             Some(query) => self.start(id, query),
             None => self.move_answered_session(id),
--- a/sapphireslip-lead/src/completion.rs
+++ b/sapphireslip-lead/src/completion.rs
@@ -341,7 +341,9 @@
             .service(&job.service)
             .request(job.session, &job.query.id);
         self.log(line);
-        self.enqueue(id);
+        if self.take_present_account(id) {
+            self.enqueue(id);
+        }
     }
 
     /// Sends the waiting statements of the service that a connection's server belongs to.
--- a/sapphireslip-lead/src/store_events.rs
+++ b/sapphireslip-lead/src/store_events.rs
@@ -295,11 +295,11 @@
         self.keep_accounts_required(&mut catalog);
         self.leaders
             .retain_services(|service| catalog.services.contains_key(service));
-        self.catalog = Some(catalog);
+        let earlier = self.catalog.replace(catalog);
         self.catalog_applied = self.now;
         self.apply_limits();
         self.rank_homes();
-        self.close_revoked_sessions();
+        self.apply_accounts(earlier.as_ref().map(|earlier| &earlier.accounts));
         self.close_connections_of_removed_accounts();
         self.open_waiting_sessions();
         self.answer_held_requests();
--- a/sapphireslip-lead/src/timeouts.rs
+++ b/sapphireslip-lead/src/timeouts.rs
@@ -158,7 +158,13 @@
         let hedge_delay = usual.unwrap_or(HEDGE_DELAY_MAX) * HEDGE_LATENCIES;
         let is_slow =
             self.now.since(sending.sent_at) >= hedge_delay.clamp(HEDGE_DELAY_MIN, HEDGE_DELAY_MAX);
-        if !job.may_hedge() || !is_slow || !self.can_send_again(id) || !self.may_hedge_more() {
+        let is_of_account = self.account_of(job.session) == job.account;
+        if !job.may_hedge()
+            || !is_of_account
+            || !is_slow
+            || !self.can_send_again(id)
+            || !self.may_hedge_more()
+        {
             return;
         }
         let candidates = match job.needs_leader {
--- a/sapphireslip-lead/src/transaction.rs
+++ b/sapphireslip-lead/src/transaction.rs
@@ -1,8 +1,11 @@
 //! Transactions at backend servers: begun with their first statement, bound to one connection, and
 //! ended or rolled back.
 
+use std::time::Duration;
+
 use sapphireslip_core::{ConnectionId, SessionId, TransactionStatus};
 
+use crate::client_account::KEY_MOVED;
 use crate::completion::BUSY_PAUSE;
 use crate::connection::{AnswerTo, Purpose};
 use crate::job::{JobId, Work};
@@ -17,14 +20,16 @@
     }
 
     /// Handles the answer to a `BEGIN`: sends the first statement of the transaction, or has it
-    /// sent elsewhere if the `BEGIN` failed or the server may get no new work any more.
+    /// sent elsewhere if the `BEGIN` failed, the server may get no new work any more, or the client's key
+    /// belongs to another account than that of the connection.
     pub(crate) fn on_begun(&mut self, connection: ConnectionId, id: JobId, reply: Reply) {
         let Some(job) = self.jobs.get(&id) else {
             return self.free_when_idle(connection, reply.transaction);
         };
         let session = job.session;
         let has_begun = reply.failure().is_none() && reply.transaction == TransactionStatus::Open;
-        if has_begun && self.may_get_new_work_on(connection) {
+        let is_of_account = self.serves_account_of(connection, session);
+        if has_begun && is_of_account && self.may_get_new_work_on(connection) {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.pending_begin = None;
             }
@@ -34,6 +39,9 @@
             transaction.connection = None;
         }
         self.free_when_idle(connection, reply.transaction);
+        if !is_of_account {
+            return self.requeue(id, KEY_MOVED, Duration::ZERO);
+        }
         let failure = match reply.failure() {
             Some(failure) => failure.clone(),
             None if has_begun => Failure::new(ErrorCode::Busy, "the server is leaving"),
