--- a/sapphireslip-lead/src/grant.rs
+++ b/sapphireslip-lead/src/grant.rs
@@ -105,7 +105,8 @@
     }
 
     /// Extends the permission by a grant of `length` that was asked for at `sent`, and records which
-    /// servers stay.
+    /// servers stay. A server that has told this daemon that it leaves is not among these: the coordinator
+    /// may have begun after a return of the store from a copy that lacks this.
     ///
     /// A grant for another generation of the leaders or of length zero extends nothing. Work that was
     /// sent to a replaced leader is ended first: the coordinator gives grants once it has promoted the
@@ -121,7 +122,9 @@
         let shown = sent.since_start.checked_sub(staying.age);
         let shown = shown.map(|since_start| Instant { since_start });
         for server in &staying.servers {
-            if let Some(known) = self.servers.get_mut(server) {
+            if let Some(known) = self.servers.get_mut(server)
+                && known.draining_since.is_none()
+            {
                 known.note_staying(shown);
             }
         }
--- a/sapphireslip-lead/src/new_work.rs
+++ b/sapphireslip-lead/src/new_work.rs
@@ -3,7 +3,9 @@
 //! A server that is about to leave says so in the store, and must get no new work once the
 //! platform's bound has passed. A daemon learns of it with the next read of the list, or not at all
 //! while it can't read the store. So the bound counts from the sending of the last read that showed
-//! that the server stays: the server has not said that it leaves before that.
+//! that the server stays: the server has not said that it leaves before that. After a return of the store
+//! from an older copy, rows don't show that yet. They count all the same until the server says that it
+//! leaves: then the bound counts from the last read before the return.
 
 use std::time::Duration;
 
@@ -27,8 +29,8 @@
         let Some(known) = self.servers.get(server) else {
             return false;
         };
-        let last_staying = known.last_staying;
-        last_staying.is_some_and(|last| self.now < last + self.new_work_time)
+        let shown = known.last_staying.max(known.copied_staying);
+        shown.is_some_and(|shown| self.now < shown + self.new_work_time)
             || self.servers.may_register_again(known, self.now)
     }
 
--- a/sapphireslip-lead/src/server.rs
+++ b/sapphireslip-lead/src/server.rs
@@ -70,6 +70,9 @@
         /// that the server stays. It has not said before that time that it leaves. None if it has
         /// been draining ever since this daemon knows it.
         pub(crate) last_staying: Option<Instant>,
+        /// When the last read of the list was sent that showed that the server stays, by a row that may
+        /// be of an older copy of the store. None once the server has said otherwise.
+        pub(crate) copied_staying: Option<Instant>,
         /// Since when the server has been missing from the list; none while it is listed or its row
         /// may have lapsed because of a store outage.
         pub(crate) missing_since: Option<Instant>,
@@ -77,6 +80,8 @@
         pub(crate) absent_since: Option<Instant>,
         /// Since when the list has shown the server as draining; none if it is not draining.
         pub(crate) draining_since: Option<Instant>,
+        /// The `sequence` of the last report in which the server said that it leaves; none if it has not.
+        pub(crate) draining_sequence: Option<u64>,
         /// The status that the server last reported; none before its first report.
         pub(crate) status: Option<ServerStatus>,
         /// When the request that `status` answers was sent.
@@ -116,9 +121,11 @@
         Self {
             record,
             last_staying: None,
+            copied_staying: None,
             missing_since: None,
             absent_since: None,
             draining_since: None,
+            draining_sequence: None,
             status: None,
             status_request_sent: None,
             last_probe: None,
--- a/sapphireslip-lead/src/server_record.rs
+++ b/sapphireslip-lead/src/server_record.rs
@@ -26,6 +26,9 @@
         /// When the server started, in milliseconds since the Unix epoch. It distinguishes two runs
         /// under one identifier.
         pub born: u64,
+        /// The count of the server's reports since its start. An older copy of the store shows an earlier
+        /// report than the server has made.
+        pub sequence: u64,
     }
 
     /// Servers of which one daemon tells another that they stay.
--- a/sapphireslip-lead/src/servers.rs
+++ b/sapphireslip-lead/src/servers.rs
@@ -29,6 +29,8 @@
         next_read: Instant,
         /// Until when servers may be missing from the list because of an outage of the store.
         entries_lapsed_until: Instant,
+        /// Until when rows may be those of an older copy from which the store has come back.
+        rows_copied_until: Instant,
     }
 }
 
@@ -84,10 +86,17 @@
         servers
     }
 
+    /// Records that the store has come back from an older copy: its rows may lack what servers have
+    /// reported last.
+    pub(crate) fn note_return(&mut self, now: Instant) {
+        self.rows_copied_until = now + REGISTRATION_TIME;
+    }
+
     /// Applies a list that was read at `now` by a call that was sent at `sent`, and returns what it
     /// changed. The next read is due after `every`.
     ///
-    /// Servers that are missing from the list are kept for a while.
+    /// Servers that are missing from the list are kept for a while. That a server stays by a row that may
+    /// be of an older copy counts until the server says that it leaves.
     pub(crate) fn apply_list(
         &mut self,
         now: Instant,
@@ -109,9 +118,14 @@
         let mut missing = std::mem::take(&mut self.known);
         for record in list {
             let known = missing.remove(&record.id);
+            let sequence = known.as_ref().map(|known| known.record.sequence);
             let mut server = apply_row(now, record, known, &mut change);
-            if !server.record.is_draining {
-                server.note_staying(Some(sent));
+            let may_be_copied =
+                now < self.rows_copied_until && Some(server.record.sequence) <= sequence;
+            match (server.draining_since, may_be_copied) {
+                (Some(_), _) => server.copied_staying = None,
+                (None, true) => server.copied_staying = Some(sent),
+                (None, false) => server.note_staying(Some(sent)),
             }
             self.known.insert(server.record.id.clone(), server);
         }
@@ -159,11 +173,17 @@
             KnownServer::new(record.clone())
         }
     };
-    if record.is_draining && server.draining_since.is_none() {
-        server.draining_since = Some(now);
-        change.records.push(listed(&record, "is draining"));
-    } else if !record.is_draining {
+    if record.is_draining {
+        server.draining_sequence = server.draining_sequence.max(Some(record.sequence));
+        if server.draining_since.is_none() {
+            server.draining_since = Some(now);
+            change.records.push(listed(&record, "is draining"));
+        }
+    } else if Some(record.sequence) > server.draining_sequence {
         server.draining_since = None;
+    } else if server.record.is_draining {
+        let what = "is draining; the list shows an earlier report";
+        change.records.push(listed(&record, what));
     }
     server.missing_since = None;
     server.absent_since = None;
@@ -173,7 +193,10 @@
 
 /// Returns a log line about a change of a server's row in the list.
 fn listed(record: &ServerRecord, what: &str) -> Record {
-    let detail = format!("{what}; address {}, born {}", record.address, record.born);
+    let detail = format!(
+        "{what}; address {}, born {}, sequence {}",
+        record.address, record.born, record.sequence
+    );
     Record::new(RecordKind::ServerListed, detail.into())
         .service(&record.service)
         .server(&record.id)
--- a/sapphireslip-lead/src/store_return.rs
+++ b/sapphireslip-lead/src/store_return.rs
@@ -138,6 +138,7 @@
         self.permission.on_store_era(self.now, era);
         self.leaders.copy = None;
         self.coordinator.forget_steps();
+        self.servers.note_return(self.now);
         let detail = format!(
             "the store is in era {}, after {}: rows and conditions from before are void; generation {}, {}",
             era.0,
--- a/sapphireslip-lead/tests/leaving_servers.rs
+++ b/sapphireslip-lead/tests/leaving_servers.rs
@@ -10,10 +10,11 @@
 use sapphireslip_core::{ServerId, SessionId};
 use sapphireslip_lead::{
     CoordinatorRecord, ErrorCode, Event, Freshness, LeaderRecord, LeaderTable, PermissionRecord,
-    Reply, RowVersion, StoreTime, Term,
+    Reply, RowVersion, StayingServers, StoreTime, Term,
 };
 use support::{
-    BALANCES, Daemon, Fleet, ORDERS, PAYMENTS, at, catalog, presence, server, service, vm,
+    BALANCES, Daemon, FakeStore, Fleet, ORDERS, PAYMENTS, at, catalog, presence, server, service,
+    vm,
 };
 
 /// The time after which a server that the store lists as draining must get no new work.
@@ -351,6 +352,85 @@
     assert_eq!(work_from(&daemon, &primary(), end), []);
 }
 
+/// Writes the only server's row as its report of this number in its life `born`.
+fn report(daemon: &mut Daemon, is_draining: bool, sequence: u64, born: u64) {
+    let listed = daemon.group.get_mut(&primary());
+    (listed.is_draining, listed.sequence, listed.born) = (is_draining, sequence, born);
+}
+
+/// Guards against work at a server that leaves, if the store comes back from a copy in which it stays
+/// (issue 20, point 3; third review, `drain-and-drill`).
+#[rstest]
+#[case::copy_of_an_earlier_report(true, Some(3), false)]
+#[case::copy_with_the_same_count(true, Some(4), false)]
+#[case::copy_without_the_row(true, None, false)]
+#[case::coordinator_that_knows_only_the_copy(true, Some(3), true)]
+#[case::report_that_no_daemon_has_read(false, Some(3), false)]
+fn server_that_leaves_gets_no_late_work_after_a_return(
+    #[case] is_read: bool,
+    #[case] copied: Option<u64>,
+    #[case] is_granted: bool,
+) {
+    let mut daemon = Daemon::with_store(FakeStore::with_copies());
+    daemon.group.servers.truncate(1);
+    daemon.event(Event::Catalog(catalog(1)));
+    report(&mut daemon, false, 3, 1);
+    daemon.advance(8_000);
+    report(&mut daemon, true, 4, 1);
+    let end = daemon.millis + BOUND_MILLIS;
+    if is_read {
+        daemon.advance(2_000);
+    }
+    daemon.store_answers = false;
+    daemon.advance(1_000);
+    daemon.store.return_from_copy(daemon.millis, 3_500);
+    daemon.event(Event::StoreEra(daemon.store.era()));
+    daemon.store_answers = true;
+    match copied {
+        Some(sequence) => report(&mut daemon, false, sequence, 1),
+        None => daemon.group.get_mut(&primary()).is_unlisted = true,
+    }
+    daemon.advance(1_200);
+    daemon.group.get_mut(&primary()).is_unlisted = false;
+    if is_granted {
+        daemon.event(Event::Granted {
+            generation: RowVersion::default(),
+            staying: StayingServers {
+                age: Duration::ZERO,
+                servers: vec![primary()],
+            },
+            length: Duration::ZERO,
+            sent: at(daemon.millis),
+        });
+    }
+    report(&mut daemon, true, 5, 1);
+    let mut served = 0;
+    for n in 0..100 {
+        daemon.advance(100);
+        let session = daemon.open(PAYMENTS);
+        daemon.submit(session, &n.to_string(), "WRITE x 1");
+        let answers = daemon.answers.drain(..);
+        served += answers.filter(|(_, reply)| code(reply).is_none()).count();
+    }
+    assert!(served > 10, "{served} writes were served within the bound");
+    assert_eq!(work_from(&daemon, &primary(), end), []);
+}
+
+/// Guards against a server that gets no work although it says that it stays, after it had said otherwise.
+#[rstest]
+#[case::later_report(5, 1)]
+#[case::later_life(1, 2)]
+fn server_that_stays_after_all_gets_work(#[case] sequence: u64, #[case] born: u64) {
+    let (mut daemon, session) = with_single_server(PAYMENTS);
+    report(&mut daemon, true, 4, 1);
+    daemon.advance(BOUND_MILLIS);
+    let refused = daemon.run(session, "1", "WRITE x 1");
+    assert_eq!(code(&refused), Some(ErrorCode::Busy));
+    report(&mut daemon, false, sequence, born);
+    daemon.advance(2_000);
+    assert_eq!(code(&daemon.run(session, "2", "WRITE x 1")), None);
+}
+
 /// Starts or ends one random fault, or has a server leave or stay.
 fn toggle_fault_or_leave(fleet: &mut Fleet) {
     let n = fleet.random(3) as usize;
--- a/sapphireslip-lead/tests/support/fleet_history.rs
+++ b/sapphireslip-lead/tests/support/fleet_history.rs
@@ -85,7 +85,9 @@
 
     /// Has a server be listed as draining from now on, or no longer.
     pub fn set_draining(&mut self, server: &ServerId, is_draining: bool) {
-        self.group.get_mut(server).is_draining = is_draining;
+        let listed = self.group.get_mut(server);
+        listed.is_draining = is_draining;
+        listed.sequence += 1;
         let since = &mut self.history.draining_since;
         if is_draining {
             since.entry(server.clone()).or_insert(self.millis);
--- a/sapphireslip-lead/tests/support/group.rs
+++ b/sapphireslip-lead/tests/support/group.rs
@@ -27,6 +27,8 @@
     pub is_isolated: bool,
     /// When the server was born, by the list.
     pub born: u64,
+    /// The count of its reports to the store that differ.
+    pub sequence: u64,
     /// The service that the server belongs to.
     service: ServiceName,
     /// The server's availability zone.
@@ -62,6 +64,7 @@
             is_busy: false,
             is_isolated: false,
             born: 1,
+            sequence: 1,
             service: service(),
             zone,
         };
@@ -104,6 +107,7 @@
             is_draining: server.is_draining,
             role: server.role,
             born: server.born,
+            sequence: server.sequence,
         };
         let servers = self.servers.iter().enumerate();
         let listed = servers.filter(|(_, server)| !server.is_unlisted);
@@ -122,6 +126,7 @@
             is_busy: false,
             is_isolated: false,
             born: 1,
+            sequence: 1,
             service: name.clone(),
             zone: "a",
         });
