--- a/sapphireslip-lead/src/client_account.rs
+++ b/sapphireslip-lead/src/client_account.rs
@@ -157,13 +157,10 @@
             self.fail(id, Failure::new(ErrorCode::Aborted, KEY_MOVED));
             return false;
         }
-        if let Some(job) = self.jobs.get_mut(&id) {
-            let earlier = std::mem::replace(&mut job.account, account);
-            if std::mem::take(&mut job.needs_token)
-                && let Some(earlier) = earlier
-            {
-                self.rate_limits.withdraw(&earlier);
-            }
+        if let Some(mut job) = self.jobs.remove(&id) {
+            self.withdraw_token(&job);
+            (job.account, job.needs_token) = (account, false);
+            self.jobs.insert(id, job);
         }
         self.admit_by_limit(id)
     }
--- a/sapphireslip-lead/src/connection.rs
+++ b/sapphireslip-lead/src/connection.rs
@@ -84,11 +84,12 @@
 }
 
 impl Connection {
-    /// Returns a connection whose opening begins at `now`.
+    /// Returns a connection whose opening begins at `now`, to a server that last reported `position_before`.
     pub(crate) const fn opening(
         id: ConnectionId,
         server: ServerId,
         account: Option<AccountName>,
+        position_before: Option<TermPosition>,
         now: Instant,
     ) -> Self {
         Self {
@@ -103,7 +104,7 @@
             last_heard: now,
             last_used: now,
             has_carried_statement: false,
-            position_before: None,
+            position_before,
         }
     }
 
--- a/sapphireslip-lead/src/connection_opening.rs
+++ b/sapphireslip-lead/src/connection_opening.rs
@@ -166,10 +166,7 @@
         };
         let (address, service) = (known.record.address, known.record.service.clone());
         let position = known.position;
-        let connection = self.pool.open(server, account.clone(), self.now);
-        if let Some(opened) = self.pool.get_mut(connection) {
-            opened.position_before = position;
-        }
+        let connection = self.pool.open(server, account.clone(), position, self.now);
         self.effects.push(Effect::Connect {
             connection,
             address,
--- a/sapphireslip-lead/src/handover.rs
+++ b/sapphireslip-lead/src/handover.rs
@@ -93,6 +93,24 @@
 }
 
 impl Handover {
+    /// Returns a handover that begins at `now` with the choice of the new leader.
+    const fn new(now: Instant, old: Option<ServerId>, reason: Reason, above: Term) -> Self {
+        Self {
+            old,
+            new: None,
+            reason,
+            above,
+            step: Step::Choosing,
+            began: now,
+            since: now,
+            received: None,
+            last_progress: now,
+            is_resumed: false,
+            life: None,
+            accepted: None,
+        }
+    }
+
     /// Returns whether the old leader is available again, so that it need not be replaced.
     pub(crate) fn is_unnecessary(&self, state: &State) -> bool {
         let old = self.old.as_ref().and_then(|old| state.servers.get(old));
@@ -131,20 +149,7 @@
             .or(seen.map(|position| position.term).max())
             .max(Some(self.leaders.reached(service)))
             .unwrap_or_default();
-        let handover = Handover {
-            old,
-            new: None,
-            reason,
-            above,
-            step: Step::Choosing,
-            began: self.now,
-            since: self.now,
-            received: None,
-            last_progress: self.now,
-            is_resumed: false,
-            life: None,
-            accepted: None,
-        };
+        let handover = Handover::new(self.now, old, reason, above);
         self.note_step(service, &handover);
         self.coordinator.handovers.insert(service.clone(), handover);
         self.advance_handover(service);
@@ -155,20 +160,12 @@
         let Some((record, version)) = self.leaders.table.leaders.get(service) else {
             return;
         };
-        let life = self.life_of(&leader);
         let handover = Handover {
-            old: None,
-            new: Some(leader),
-            reason: Reason::NoPrimary,
-            above: record.above,
             step: Step::Acknowledging((*version).max(self.leaders.confirmed_at)),
-            began: self.now,
-            since: self.now,
-            received: None,
-            last_progress: self.now,
             is_resumed: true,
-            life,
-            accepted: None,
+            life: self.life_of(&leader),
+            new: Some(leader),
+            ..Handover::new(self.now, None, Reason::NoPrimary, record.above)
         };
         self.note_step(service, &handover);
         self.coordinator.handovers.insert(service.clone(), handover);
--- a/sapphireslip-lead/src/pool.rs
+++ b/sapphireslip-lead/src/pool.rs
@@ -5,6 +5,7 @@
 
 use sapphireslip_core::{AccountName, ConnectionId, Instant, ServerId, data};
 
+use crate::TermPosition;
 use crate::connection::{Connection, Purpose};
 use crate::connection_choice::{Held, Usage};
 
@@ -96,17 +97,18 @@
         self.connections_to(server).filter(is_outstanding).count()
     }
 
-    /// Adds a connection that is being opened for an account.
+    /// Adds a connection that is being opened for an account, to a server that last reported `position`.
     pub(crate) fn open(
         &mut self,
         server: &ServerId,
         account: Option<AccountName>,
+        position: Option<TermPosition>,
         now: Instant,
     ) -> ConnectionId {
         self.last_id += 1;
         let id = ConnectionId(self.last_id);
-        self.connections
-            .insert(id, Connection::opening(id, server.clone(), account, now));
+        let connection = Connection::opening(id, server.clone(), account, position, now);
+        self.connections.insert(id, connection);
         self.by_server.entry(server.clone()).or_default().push(id);
         id
     }
--- a/sapphireslip-lead/tests/accounts.rs
+++ b/sapphireslip-lead/tests/accounts.rs
@@ -5,27 +5,23 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use sapphireslip_core::{AccountName, SessionId};
+use sapphireslip_core::SessionId;
 use sapphireslip_lead::{
-    Account, Accounts, Catalog, CatalogWatch, Effect, ErrorCode, Event, Failure, KeyDigest,
-    PermissionRecord, RecordKind, ServerRequest, ToldCatalog,
+    Catalog, CatalogWatch, Effect, ErrorCode, Event, Failure, KeyDigest, PermissionRecord,
+    RecordKind, ServerRequest, ToldCatalog,
 };
-use support::{Daemon, PAYMENTS, at, catalog, presence, server};
+use support::{Daemon, PAYMENTS, at, catalog, catalog_with_keys, presence, server};
 
 /// The key that the clients of these tests have.
 const KEY: KeyDigest = KeyDigest([7; 16]);
 
 /// Returns a configuration whose accounts have these keys.
 fn catalog_with(version: u64, accounts: &[(&str, &[KeyDigest])]) -> Catalog {
-    let mut all = Accounts::default();
-    for (name, keys) in accounts {
-        let name = AccountName::try_from(*name).expect("a valid name");
-        all.add(Account { name, limit: None }, keys.iter().copied());
-    }
-    Catalog {
-        accounts: all,
-        ..catalog(version)
-    }
+    let named = accounts.iter();
+    catalog_with_keys(
+        version,
+        named.map(|(name, keys)| (*name, None, keys.to_vec())),
+    )
 }
 
 /// Returns a configuration with an account that has [`KEY`].
--- a/sapphireslip-lead/tests/fleet_restart.rs
+++ b/sapphireslip-lead/tests/fleet_restart.rs
@@ -8,17 +8,14 @@
     ClientEvent, CoordinatorRecord, Effect, Event, LeaderRecord, NamedLeader, PermissionRecord,
     RecordKind, RowVersion, StoreWrite, Term,
 };
-use support::{Daemon, FakeStore, PAYMENTS, at, catalog, presence, server, service, vm};
+use support::{Daemon, FakeStore, PAYMENTS, catalog, presence, server, service, vm};
 
 /// Returns a daemon that knows the configuration and the servers, and nothing of other daemons.
 fn just_started() -> Daemon {
     let mut daemon = Daemon::new("a");
     daemon.store_answers = false;
     daemon.event(Event::Catalog(catalog(1)));
-    daemon.event(Event::Servers {
-        list: Some(daemon.group.records()),
-        sent: at(daemon.millis),
-    });
+    daemon.read_list();
     daemon
 }
 
@@ -208,9 +205,7 @@
         (daemon.state.snapshot().sessions, &*daemon.closed),
         (0, [].as_slice())
     );
-    let list = Some(daemon.group.records());
-    let sent = at(daemon.millis);
-    daemon.event(Event::Servers { list, sent });
+    daemon.read_list();
     daemon.advance(10);
     assert_eq!(daemon.state.snapshot().sessions, 1);
     assert_eq!(daemon.closed, []);
--- a/sapphireslip-lead/tests/leaving_servers.rs
+++ b/sapphireslip-lead/tests/leaving_servers.rs
@@ -10,11 +10,11 @@
 use sapphireslip_core::{ServerId, SessionId};
 use sapphireslip_lead::{
     CoordinatorRecord, ErrorCode, Event, Freshness, LeaderRecord, LeaderTable, PermissionRecord,
-    Reply, RowVersion, StayingServers, StoreTime, Term,
+    RowVersion, StayingServers, StoreTime, Term,
 };
 use support::{
-    BALANCES, Daemon, FakeStore, Fleet, ORDERS, PAYMENTS, at, catalog, presence, server, service,
-    vm,
+    BALANCES, Daemon, FakeStore, Fleet, ORDERS, PAYMENTS, at, catalog, code, presence, server,
+    service, vm,
 };
 
 /// The time after which a server that the store lists as draining must get no new work.
@@ -25,11 +25,6 @@
     server("s-a")
 }
 
-/// Returns the error code of an answer; none if the statement completed.
-fn code(reply: &Reply) -> Option<ErrorCode> {
-    reply.failure().map(|failure| failure.code.clone())
-}
-
 /// Returns a daemon whose service has one server, and a session on a database.
 fn with_single_server(database: &str) -> (Daemon, SessionId) {
     let mut daemon = Daemon::ready();
@@ -42,8 +37,7 @@
 /// Has a server be listed as draining just after the daemon has read that it stays; returns the
 /// time at which the bound ends.
 fn drain(daemon: &mut Daemon, leaving: &ServerId) -> u64 {
-    let (list, sent) = (Some(daemon.group.records()), at(daemon.millis));
-    daemon.event(Event::Servers { list, sent });
+    daemon.read_list();
     daemon.group.get_mut(leaving).is_draining = true;
     daemon.millis + BOUND_MILLIS
 }
--- a/sapphireslip-lead/tests/lost_log.rs
+++ b/sapphireslip-lead/tests/lost_log.rs
@@ -6,7 +6,7 @@
 use sapphireslip_core::{ServerId, SessionId};
 use sapphireslip_lead::{Event, Role, ServerRequest, ServiceSpec};
 use support::{
-    BALANCES, Daemon, FakeStore, PAYMENTS, account_key, at, catalog, daemon_with_accounts,
+    BALANCES, Daemon, FakeStore, PAYMENTS, account_key, catalog, daemon_with_accounts,
     presence_until, server, service,
 };
 
@@ -52,12 +52,6 @@
     daemon.break_connections(id);
 }
 
-/// Has the daemon read the list of servers.
-fn read_list(daemon: &mut Daemon) {
-    let (list, sent) = (Some(daemon.group.records()), at(daemon.millis));
-    daemon.event(Event::Servers { list, sent });
-}
-
 /// Returns the number of commits of the primary with the highest term.
 fn commits(daemon: &Daemon) -> usize {
     let servers = daemon.group.servers.iter();
@@ -110,7 +104,7 @@
     daemon.withholds_connects = true;
     start_again(&mut daemon, &server("s-a"));
     if !is_list_late {
-        read_list(&mut daemon);
+        daemon.read_list();
     }
     daemon.withholds_lists = is_list_late;
     daemon.advance(away);
@@ -138,7 +132,7 @@
     }
     daemon.advance(1_500);
     start_again(&mut daemon, &server("s-a"));
-    read_list(&mut daemon);
+    daemon.read_list();
     daemon.advance(2_000);
     for id in ["s-b", "s-c"] {
         daemon.group.get_mut(&server(id)).is_isolated = false;
--- a/sapphireslip-lead/tests/moved_keys.rs
+++ b/sapphireslip-lead/tests/moved_keys.rs
@@ -5,10 +5,8 @@
 
 use rstest::rstest;
 use sapphireslip_core::{AccountName, SessionId, TransactionStatus};
-use sapphireslip_lead::{
-    Account, Accounts, Catalog, ErrorCode, Event, KeyDigest, RateLimit, Reply, ServerRequest,
-};
-use support::{Daemon, PAYMENTS, catalog, server};
+use sapphireslip_lead::{Catalog, ErrorCode, Event, KeyDigest, RateLimit, ServerRequest};
+use support::{Daemon, PAYMENTS, catalog_with_keys, code, server};
 
 /// The key that the clients of these tests have.
 const KEY: KeyDigest = KeyDigest([7; 16]);
@@ -20,17 +18,13 @@
 /// Returns a configuration with the accounts `mill` and `dock`, in which [`KEY`] belongs to `holder`; `dock`
 /// has this limit.
 fn held_by_limited(version: u64, holder: &str, limit: Option<RateLimit>) -> Catalog {
-    let mut accounts = Accounts::default();
-    for (name, own, limit) in [("mill", 1, None), ("dock", 2, limit)] {
+    let account = |name, own, limit| {
         let moved = (name == holder).then_some(KEY);
-        let name = account(name);
         let keys = [KeyDigest([own; 16])].into_iter().chain(moved);
-        accounts.add(Account { name, limit }, keys);
-    }
-    Catalog {
-        accounts,
-        ..catalog(version)
-    }
+        (name, limit, keys.collect())
+    };
+    let accounts = [account("mill", 1, None), account("dock", 2, limit)];
+    catalog_with_keys(version, accounts)
 }
 
 /// Returns a configuration with the accounts `mill` and `dock`, in which [`KEY`] belongs to `holder`.
@@ -73,11 +67,6 @@
     daemon.sent.iter().filter(is_rollback).count()
 }
 
-/// Returns the code of the failure in an answer.
-fn code(reply: &Reply) -> Option<&ErrorCode> {
-    reply.failure().map(|failure| &failure.code)
-}
-
 /// Guards against a transaction that goes on, up to its `COMMIT`, for the account that has lost the key
 /// (review 3, `moved-key`).
 #[rstest]
@@ -116,7 +105,7 @@
     assert_eq!(rollbacks(&daemon), 1);
     assert_eq!(daemon.closed, []);
     let refused = daemon.run(session, "4", "COMMIT");
-    assert_eq!(code(&refused), Some(&ErrorCode::Aborted));
+    assert_eq!(code(&refused), Some(ErrorCode::Aborted));
     assert_eq!(refused.transaction, TransactionStatus::Idle);
     assert_eq!(accounts_of(&daemon, "4"), []);
     if !loses_route {
@@ -241,7 +230,7 @@
             assert_eq!(accounts_of(&daemon, "1"), [mill, Some(account(holder))]);
         }
         None => {
-            assert_eq!(code(&answer), Some(&ErrorCode::NoAccount));
+            assert_eq!(code(&answer), Some(ErrorCode::NoAccount));
             assert_eq!(accounts_of(&daemon, "1"), [mill]);
         }
     }
--- a/sapphireslip-lead/tests/old_leaders.rs
+++ b/sapphireslip-lead/tests/old_leaders.rs
@@ -7,10 +7,10 @@
 use rstest::rstest;
 use sapphireslip_core::{Incarnation, ServerId, SessionId};
 use sapphireslip_lead::{
-    CoordinatorRecord, ErrorCode, Event, LeaderRecord, NamedLeader, Reply, RowVersion,
-    StayingServers, StoreWrite, Term, WriteOutcome,
+    CoordinatorRecord, ErrorCode, Event, LeaderRecord, NamedLeader, RowVersion, StayingServers,
+    StoreWrite, Term, WriteOutcome,
 };
-use support::{Daemon, PAYMENTS, at, presence, server, service, vm};
+use support::{Daemon, PAYMENTS, at, code, presence, server, service, vm};
 
 /// Returns a daemon that has lost the store for so long that its permission has ended, with a session
 /// that has run `before`, and has sent `running` shortly before the end. Another daemon is the
@@ -89,10 +89,6 @@
     assert!(daemon.state.snapshot().permission_left > Duration::ZERO);
 }
 
-fn code(reply: &Reply) -> Option<ErrorCode> {
-    reply.failure().map(|failure| failure.code.clone())
-}
-
 /// Guards against an acknowledged commit that is rolled back: a daemon that the store turned away
 /// learned of the new leader, got a grant before its work at the old one had ended, and acknowledged
 /// the old one's commits under it.
--- a/sapphireslip-lead/tests/refusals.rs
+++ b/sapphireslip-lead/tests/refusals.rs
@@ -4,13 +4,8 @@
 
 use rstest::rstest;
 use sapphireslip_core::{ServerId, SessionId, TransactionStatus};
-use sapphireslip_lead::{ErrorCode, RecordKind, Reply};
-use support::{BALANCES, Daemon, PAYMENTS, server};
-
-/// Returns the error code of an answer; none if the statement completed.
-fn code(reply: &Reply) -> Option<ErrorCode> {
-    reply.failure().map(|failure| failure.code.clone())
-}
+use sapphireslip_lead::{ErrorCode, RecordKind};
+use support::{BALANCES, Daemon, PAYMENTS, code, server};
 
 /// Returns the error codes of all answers, the oldest first; none for a success.
 fn codes(daemon: &Daemon) -> Vec<Option<ErrorCode>> {
--- a/sapphireslip-lead/tests/superseded_primary.rs
+++ b/sapphireslip-lead/tests/superseded_primary.rs
@@ -76,6 +76,13 @@
     log.filter(|(term, _)| *term == Term(1)).count()
 }
 
+/// Asserts that writes are acknowledged within `millis`, none of them in the first term.
+fn assert_served_without_first_term(daemon: &mut Daemon, millis: u64) {
+    let before = commits_of_first(daemon);
+    assert!(write_for(daemon, millis) > 0);
+    assert_eq!(commits_of_first(daemon), before);
+}
+
 /// Guards against writes that are acknowledged and lost: a superseded primary is named the leader again once
 /// its successor falls silent (review/11).
 #[rstest]
@@ -85,9 +92,7 @@
     isolate(&mut daemon, &successor, true);
     isolate(&mut daemon, &third, true);
     isolate(&mut daemon, &server("s-a"), false);
-    let before = commits_of_first(&daemon);
-    assert!(write_for(&mut daemon, SERVED_WITHIN) > 0);
-    assert_eq!(commits_of_first(&daemon), before);
+    assert_served_without_first_term(&mut daemon, SERVED_WITHIN);
     assert_eq!(daemon.group.get(&server("s-a")).term, Term(3));
 }
 
@@ -101,9 +106,7 @@
         earlier.group.get_mut(id).is_isolated = is_isolated;
     }
     let mut daemon = start_after(&earlier);
-    let before = commits_of_first(&daemon);
-    assert!(write_for(&mut daemon, SERVED_WITHIN) > 0);
-    assert_eq!(commits_of_first(&daemon), before);
+    assert_served_without_first_term(&mut daemon, SERVED_WITHIN);
     assert_eq!(daemon.group.get(&server("s-a")).term, Term(3));
 }
 
@@ -117,9 +120,7 @@
     let mut daemon = start_after(&earlier);
     let named = &daemon.store.leaders.leaders[&service()].0.leader;
     assert_eq!(*named, server("s-a"), "the copy names the first primary");
-    let before = commits_of_first(&daemon);
-    assert!(write_for(&mut daemon, 9_000 + SERVED_WITHIN) > 0);
-    assert_eq!(commits_of_first(&daemon), before);
+    assert_served_without_first_term(&mut daemon, 9_000 + SERVED_WITHIN);
 }
 
 /// Guards against a start of the fleet, without rows, that names one of two servers by its entry alone.
@@ -129,9 +130,7 @@
     let second = daemon.group.get_mut(&server("s-b"));
     (second.role, second.term) = (Role::Primary, Term(2));
     daemon.event(Event::Catalog(catalog(1)));
-    let before = commits_of_first(&daemon);
-    assert!(write_for(&mut daemon, 3_000) > 0);
-    assert_eq!(commits_of_first(&daemon), before);
+    assert_served_without_first_term(&mut daemon, 3_000);
 }
 
 /// Guards against a write that is acknowledged although a later term has begun by then: a request to promote
--- a/sapphireslip-lead/tests/support/accounts.rs
+++ b/sapphireslip-lead/tests/support/accounts.rs
@@ -2,7 +2,9 @@
 use std::time::Duration;
 
 use sapphireslip_core::{AccountName, ConnectionId, SessionId};
-use sapphireslip_lead::{Account, Accounts, Catalog, Event, KeyDigest, ServerRequest, ServiceSpec};
+use sapphireslip_lead::{
+    Account, Accounts, Catalog, Event, KeyDigest, RateLimit, ServerRequest, ServiceSpec,
+};
 
 use super::{Daemon, PAYMENTS, catalog, service};
 
@@ -25,6 +27,22 @@
     AccountName::try_from(format!("account-{account}").as_str()).expect("a valid name")
 }
 
+/// Returns a configuration whose accounts have these limits and keys.
+pub fn catalog_with_keys<'a>(
+    version: u64,
+    named: impl IntoIterator<Item = (&'a str, Option<RateLimit>, Vec<KeyDigest>)>,
+) -> Catalog {
+    let mut accounts = Accounts::default();
+    for (name, limit, keys) in named {
+        let name = AccountName::try_from(name).expect("a valid name");
+        accounts.add(Account { name, limit }, keys);
+    }
+    Catalog {
+        accounts,
+        ..catalog(version)
+    }
+}
+
 /// Returns a configuration with these accounts.
 pub fn catalog_with_accounts(version: u64, numbers: impl IntoIterator<Item = u8>) -> Catalog {
     let mut accounts = Accounts::default();
--- a/sapphireslip-lead/tests/support/daemon_steps.rs
+++ b/sapphireslip-lead/tests/support/daemon_steps.rs
@@ -1,7 +1,7 @@
 use sapphireslip_core::SessionId;
 use sapphireslip_lead::{Event, KeyDigest, ServerRequest};
 
-use super::Daemon;
+use super::{Daemon, at};
 
 impl Daemon {
     /// Advances the time in ticks of 10 ms.
@@ -20,6 +20,12 @@
         }
     }
 
+    /// Has the daemon read the list of servers as it is now.
+    pub fn read_list(&mut self) {
+        let (list, sent) = (Some(self.group.records()), at(self.millis));
+        self.event(Event::Servers { list, sent });
+    }
+
     /// Opens a session on a database.
     pub fn open(&mut self, database: &str) -> SessionId {
         self.open_as(database, None, None)
--- a/sapphireslip-lead/tests/support/mod.rs
+++ b/sapphireslip-lead/tests/support/mod.rs
@@ -26,7 +26,7 @@
 
 use sapphireslip_core::{Instant, ServerId, ServiceName, Text, VmId, ZoneName};
 use sapphireslip_lead::{
-    Accounts, Catalog, Freshness, Query, Route, ServiceSpec, Shape, Statement,
+    Accounts, Catalog, ErrorCode, Freshness, Query, Reply, Route, ServiceSpec, Shape, Statement,
 };
 
 pub use self::accounts::*;
@@ -111,6 +111,11 @@
     }
 }
 
+/// Returns the error code of an answer; none if the statement completed.
+pub fn code(reply: &Reply) -> Option<ErrorCode> {
+    reply.failure().map(|failure| failure.code.clone())
+}
+
 /// Parses a statement of the tests' small language: a verb, then a name, then a value.
 ///
 /// `BEGIN READ` begins a read-only transaction. Panics on an unknown verb.
--- a/sapphireslipd/tests/lead_catalog.rs
+++ b/sapphireslipd/tests/lead_catalog.rs
@@ -6,7 +6,8 @@
 
 use sapphireslipd::{LeadSettings, serve_lead};
 use standins::{
-    LineSession, LineStore, Link, http_get, line_configuration, line_settings, start_line_site,
+    LineGroup, LineSession, LineStore, Link, http_get, line_configuration, line_settings,
+    start_line_site,
 };
 
 const SERVICE: &str = "ledger";
@@ -38,8 +39,8 @@
     LeadSettings::try_from(text.as_bytes()).expect("without a fault")
 }
 
-/// Starts a daemon and waits until it takes sessions with a key.
-async fn start_daemon(daemon: &LeadSettings, key: &str) {
+/// Starts a daemon and waits until it is ready.
+async fn start_ready(daemon: &LeadSettings) {
     tokio::spawn(serve_lead(daemon.clone()));
     let until = Instant::now() + WAIT_TIMEOUT;
     let ready = async || http_get(daemon.readiness, "/-/readyz").await;
@@ -47,9 +48,24 @@
         assert!(Instant::now() < until, "not ready in time");
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
+}
+
+/// Starts a daemon and waits until it takes sessions with a key.
+async fn start_daemon(daemon: &LeadSettings, key: &str) {
+    start_ready(daemon).await;
     wait_until_answered(daemon, key, "READY", WAIT_TIMEOUT).await;
 }
 
+/// Starts a site with a configuration of version 2 that has a key, and a daemon that takes sessions with it.
+async fn site_with_daemon(key: &str, last: u8) -> (LineGroup, LineStore, LeadSettings) {
+    let site = start_line_site(DATABASE, SERVICE).await;
+    let (group, store) = site.expect("servers and a store");
+    write_config(&store, 2, key);
+    let daemon = settings("vm-1", last, store.address());
+    start_daemon(&daemon, key).await;
+    (group, store, daemon)
+}
+
 /// Opens a session with a key and returns the daemon's answer.
 async fn open(daemon: &LeadSettings, key: &str) -> (LineSession, String) {
     let session = LineSession::connect(daemon.clients).await;
@@ -111,11 +127,7 @@
 /// store brings, the newest that can be decoded counts. Other rows of the table change nothing.
 #[tokio::test]
 async fn daemon_takes_the_newest_of_several_configurations() {
-    let site = start_line_site(DATABASE, SERVICE).await;
-    let (_group, store) = site.expect("servers and a store");
-    write_config(&store, 2, "key-2");
-    let daemon = settings("vm-1", 3, store.address());
-    start_daemon(&daemon, "key-2").await;
+    let (_group, store, daemon) = site_with_daemon("key-2", 3).await;
     let versions = [3, 4, 5].map(|n| config(n, &format!("key-{n}")));
     store.put_each("op", "config", &versions.each_ref().map(String::as_bytes));
     wait_until_answered(&daemon, "key-5", "READY", REVOCATION_BOUND).await;
@@ -131,19 +143,14 @@
 /// that starts then (review/14).
 #[tokio::test]
 async fn removal_of_the_last_account_lets_nobody_in() {
-    let site = start_line_site(DATABASE, SERVICE).await;
-    let (_group, store) = site.expect("servers and a store");
-    write_config(&store, 2, "last-key");
-    let daemon = settings("vm-1", 4, store.address());
-    start_daemon(&daemon, "last-key").await;
+    let (_group, store, daemon) = site_with_daemon("last-key", 4).await;
     let config = line_configuration(3, DATABASE, SERVICE);
     let without_accounts = config.replacen('{', r#"{"tenants":[],"#, 1);
     store.put("op", "config", without_accounts.as_bytes());
     wait_until_answered(&daemon, "last-key", "ERROR NOAUTH", REVOCATION_BOUND).await;
     wait_until_answered(&daemon, "unknown-key", "ERROR NOAUTH", REVOCATION_BOUND).await;
     let later = settings("vm-2", 5, store.address());
-    tokio::spawn(serve_lead(later.clone()));
-    tokio::time::sleep(Duration::from_secs(2)).await;
+    start_ready(&later).await;
     let (_, refused) = open(&later, "unknown-key").await;
     assert!(refused.starts_with("ERROR"), "{refused}");
 }
